--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,20 @@
+/** Standard style, whose layout rules are the formatter, and two rules of the house. */
+
+import neostandard from 'neostandard'
+import headComment from './tools/headcomment.mjs'
+import oneExport from './tools/oneexport.mjs'
+
+export default [
+  ...neostandard({ ts: true, ignores: ['dist/**', 'src/gen/**', 'node_modules/**'] }),
+  {
+    files: ['src/**/*.ts', 'standin/**/*.ts', 'bench/**/*.ts', 'demo/**/*.ts'],
+    ignores: ['src/gen/**'],
+    plugins: { house: { rules: { ...oneExport.rules, ...headComment.rules } } },
+    rules: { 'house/one-export': 'error' }
+  },
+  {
+    files: ['src/**/*.ts', 'standin/**/*.ts', 'bench/**/*.ts', 'demo/**/*.ts'],
+    ignores: ['src/gen/**', '**/*.test.ts'],
+    rules: { 'house/head-comment': 'error' }
+  }
+]
--- /dev/null
+++ b/src/cli/serve.ts
@@ -0,0 +1,26 @@
+/** `agatepond serve`: runs one proxy. */
+
+import { command, option, string } from 'cmd-ts'
+import { Node } from '../shell/node/node.ts'
+import { exit } from './exit.ts'
+import { readSettings } from './settingsfile.ts'
+
+export const serve = command({
+  name: 'serve',
+  description: 'Runs a proxy until SIGTERM.',
+  examples: [{ description: 'Run the proxy of this host', command: 'agatepond serve --settings agatepond.toml' }],
+  args: { settings: option({ type: string, long: 'settings', description: 'the settings file' }) },
+  handler: async ({ settings: file }) => {
+    const settings = readSettings(file)
+    if (settings.isErr()) {
+      process.stderr.write(`${settings.error}\n`)
+      process.exit(exit.usage)
+    }
+    const stopped = new AbortController()
+    await Node.start(settings.value, stopped.signal)
+    process.once('SIGTERM', () => {
+      stopped.abort()
+      setTimeout(() => process.exit(exit.done), 100)
+    })
+  }
+})
--- /dev/null
+++ b/src/core/config/config.ts
@@ -0,0 +1,53 @@
+/** The numbered configuration: what operators change while the system runs. */
+
+import type { CallerId } from '../id/caller.ts'
+import type { DataCentreId } from '../id/datacentre.ts'
+import type { EndpointId } from '../id/endpoint.ts'
+import type { GroupId } from '../id/group.ts'
+import type { PoolId } from '../id/pool.ts'
+import type { ConfigVersion } from '../id/version.ts'
+import type { Freshness } from '../routing/freshness.ts'
+
+interface Endpoint {
+  readonly id: EndpointId
+  /** `ip:port` of the database server. */
+  readonly address: string
+  readonly dataCentre: DataCentreId
+}
+
+interface DatabaseGroup {
+  readonly id: GroupId
+  /** The schema that callers and endpoints name. */
+  readonly database: string
+  readonly endpoints: readonly Endpoint[]
+  readonly slotsPerEndpoint: number
+  readonly connectionsPerSlot: number
+}
+
+interface Kind {
+  readonly name: string
+  readonly freshness: Freshness
+}
+
+interface Caller {
+  readonly id: CallerId
+  /** SHA-1 of the SHA-1 of the password, in hexadecimal, as MySQL stores it. */
+  readonly passwordHash: string
+}
+
+interface Pool {
+  readonly id: PoolId
+  readonly groups: readonly GroupId[]
+  readonly callers: readonly Caller[]
+  /** The kinds of read that callers may name. */
+  readonly kinds: readonly Kind[]
+  /** What holds for a read that names no kind. */
+  readonly freshness: Freshness
+}
+
+/** One accepted configuration. Immutable; the next one has a higher version. */
+export interface Config {
+  readonly version: ConfigVersion
+  readonly groups: readonly DatabaseGroup[]
+  readonly pools: readonly Pool[]
+}
--- /dev/null
+++ b/src/core/group/group.ts
@@ -0,0 +1,52 @@
+/** A database group as one process knows it: the newest sample of each endpoint. */
+
+import type { EndpointId } from '../id/endpoint.ts'
+import type { GroupId } from '../id/group.ts'
+import type { Term } from '../id/term.ts'
+import { History } from '../history.ts'
+import { Sample } from './sample.ts'
+
+/** The samples of one group. Immutable; `with` takes a `Sample` in and yields the next value. */
+export class Group {
+  private constructor (readonly id: GroupId, readonly samples: readonly Sample[]) {}
+
+  static of (id: GroupId, endpoints: readonly EndpointId[]): Group {
+    return new Group(id, endpoints.map(endpoint => Sample.unknown(endpoint)))
+  }
+
+  /** The highest term that any endpoint has accepted. */
+  get term (): Term {
+    return Math.max(0, ...this.samples.map(sample => sample.term)) as Term
+  }
+
+  /** How many endpoints are more than half of the group. */
+  get majority (): number {
+    return Math.floor(this.samples.length / 2) + 1
+  }
+
+  /**
+   * The endpoint that says it is primary in the highest term. A primary of a
+   * lower term was replaced; it is never the answer, even while nobody has
+   * taken its place, because its writes could not be acknowledged.
+   */
+  get primary (): Sample | undefined {
+    const term = this.term
+    return this.samples.find(sample => sample.role === 'primary' && sample.term === term && sample.reachable)
+  }
+
+  /** The longest known list of term starts. */
+  get history (): History {
+    return this.samples.reduce(
+      (best, sample) => sample.history.term > best.term ? sample.history : best,
+      History.empty)
+  }
+
+  sample (endpoint: EndpointId): Sample | undefined {
+    return this.samples.find(sample => sample.endpoint === endpoint)
+  }
+
+  with (sample: Sample): Group {
+    const samples = this.samples.map(old => old.endpoint === sample.endpoint ? sample : old)
+    return new Group(this.id, samples)
+  }
+}
--- /dev/null
+++ b/src/core/group/sample.ts
@@ -0,0 +1,75 @@
+/** A sample of an endpoint: what its server said of itself, and when it was asked. */
+
+import type { EndpointId } from '../id/endpoint.ts'
+import type { Instant } from '../id/instant.ts'
+import type { Position } from '../id/position.ts'
+import type { Term } from '../id/term.ts'
+import { History } from '../history.ts'
+
+interface Fields {
+  readonly endpoint: EndpointId
+  readonly role: 'primary' | 'replica' | 'sealed'
+  /** The highest term the server has accepted a verb of. */
+  readonly term: Term
+  /** The term of the last entry of its log. */
+  readonly lastTerm: Term
+  readonly received: Position
+  readonly applied: Position
+  readonly history: History
+  /** When the question was sent: what the answer says was true at this instant or later. */
+  readonly at: Instant
+  /** Requests waiting for a connection of the slot. */
+  readonly queued: number
+  /** False when the slot owner couldn't reach the server; the other fields are then the last known. */
+  readonly reachable: boolean
+}
+
+/** One answer of an endpoint. Immutable. */
+export class Sample implements Fields {
+  readonly endpoint: EndpointId
+  readonly role: Fields['role']
+  readonly term: Term
+  readonly lastTerm: Term
+  readonly received: Position
+  readonly applied: Position
+  readonly history: History
+  readonly at: Instant
+  readonly queued: number
+  readonly reachable: boolean
+
+  private constructor (fields: Fields) {
+    this.endpoint = fields.endpoint
+    this.role = fields.role
+    this.term = fields.term
+    this.lastTerm = fields.lastTerm
+    this.received = fields.received
+    this.applied = fields.applied
+    this.history = fields.history
+    this.at = fields.at
+    this.queued = fields.queued
+    this.reachable = fields.reachable
+  }
+
+  static of (fields: Fields): Sample {
+    return new Sample(fields)
+  }
+
+  static unknown (endpoint: EndpointId): Sample {
+    return new Sample({
+      endpoint,
+      role: 'replica',
+      term: 0 as Term,
+      lastTerm: 0 as Term,
+      received: 0 as Position,
+      applied: 0 as Position,
+      history: History.empty,
+      at: 0 as Instant,
+      queued: 0,
+      reachable: false
+    })
+  }
+
+  with (change: Partial<Fields>): Sample {
+    return new Sample({ ...this, ...change })
+  }
+}
--- /dev/null
+++ b/src/core/history.test.ts
@@ -0,0 +1,19 @@
+import { describe, expect, it } from 'vitest'
+import { History } from './history.ts'
+import type { Position } from './id/position.ts'
+import type { Term } from './id/term.ts'
+
+const history = (...starts: ReadonlyArray<[number, number]>): History =>
+  History.of(starts.map(([term, position]) => ({ term: term as Term, position: position as Position })))
+
+describe('History', () => {
+  it.each([
+    [1, 10, true, 'the last position of a term that ended there'],
+    [1, 11, false, 'past the fork'],
+    [2, 11, true, 'of the next term'],
+    [2, 99, true, 'of the term that goes on'],
+    [0, 0, true, 'nothing written']
+  ])('term %i position %i is held: %s (%s)', (term, position, isHeld) => {
+    expect(history([1, 0], [2, 10]).holds(term as Term, position as Position)).toBe(isHeld)
+  })
+})
--- /dev/null
+++ b/src/core/history.ts
@@ -0,0 +1,46 @@
+/**
+ * The terms of a group's log, and where each began.
+ *
+ * A promotion starts a new term at the position the promoted replica had
+ * received. What the replaced primary logged past that point is dropped, so a
+ * position of an old term is part of the history only up to the next start.
+ */
+
+import type { Position } from './id/position.ts'
+import type { Term } from './id/term.ts'
+
+interface Start {
+  readonly term: Term
+  /** The last position of the log when the term began. */
+  readonly position: Position
+}
+
+/** The starts of all terms of one log, oldest first. Immutable; `with` makes the next value. */
+export class History {
+  private constructor (readonly starts: readonly Start[]) {}
+
+  static readonly empty = new History([])
+
+  static of (starts: readonly Start[]): History {
+    return new History([...starts].sort((a, b) => a.term - b.term))
+  }
+
+  /** The newest term, 0 when none began. */
+  get term (): Term {
+    return this.starts.at(-1)?.term ?? 0 as Term
+  }
+
+  /**
+   * Whether the position written in the term is part of this history.
+   * Invariant: `true` stays true for every longer history of the same group.
+   */
+  holds (term: Term, position: Position): boolean {
+    const next = this.starts.find(start => start.term > term)
+    return next === undefined || position <= next.position
+  }
+
+  with (term: Term, position: Position): History {
+    const others = this.starts.filter(start => start.term !== term)
+    return History.of([...others, { term, position }])
+  }
+}
--- /dev/null
+++ b/src/core/id/pool.ts
@@ -0,0 +1,6 @@
+/** The id of a pool: groups, the callers allowed and the ages of their reads. */
+
+import type { Brand } from '../brand.ts'
+
+/** Names a pool, unique in the whole configuration. */
+export type PoolId = Brand<string, 'PoolId'>
--- /dev/null
+++ b/src/core/reason.ts
@@ -0,0 +1,26 @@
+/** Why a request ended without being done. */
+
+interface Reason {
+  /** The MySQL error that a caller sees. */
+  readonly code: number
+  /** What happened, and the remedy. */
+  readonly message: string
+  /** True when the reason itself proves that nothing ran; see docs/PROOFS.md for each proof. */
+  readonly provesNotRun: boolean
+}
+
+/** All typed refusals of the proxy. A refusal by an endpoint keeps the endpoint's own code. */
+export const reasons = {
+  noPrimary: { code: 1290, message: 'no primary at the moment; come back after the time given', provesNotRun: true },
+  replaced: { code: 1290, message: 'the endpoint refused the write because it is no longer primary; try again', provesNotRun: true },
+  busy: { code: 1203, message: 'no connection would become free before the deadline; come back after the time given', provesNotRun: true },
+  unreachable: { code: 2003, message: 'the endpoint could not be reached; try again', provesNotRun: true },
+  noSlotOwner: { code: 2003, message: 'the process that holds the slot could not be reached; try again', provesNotRun: true },
+  notSent: { code: 2013, message: 'the request was given up before it was sent; try again', provesNotRun: true },
+  lost: { code: 2013, message: 'the connection broke while the request ran; ask for its outcome by its id', provesNotRun: false },
+  unconfirmed: { code: 3024, message: 'no second server confirmed the write in time; ask for its outcome by its id', provesNotRun: false },
+  deadline: { code: 3024, message: 'the deadline passed while the request ran; ask for its outcome by its id', provesNotRun: false },
+  lostTransaction: { code: 1213, message: 'the transaction is rolled back; run it again from its start', provesNotRun: true },
+  lostWrite: { code: 1776, message: 'a write of this session was lost at a failover; its token is forgotten', provesNotRun: true },
+  unproved: { code: 1290, message: 'no second server could prove that the primary is current; try again', provesNotRun: true }
+} as const satisfies Record<string, Reason>
--- /dev/null
+++ b/src/shell/caller/context.ts
@@ -0,0 +1,24 @@
+/** What the connections of callers share in one process. */
+
+import type { Config } from '../../core/config/config.ts'
+import type { EndpointId } from '../../core/id/endpoint.ts'
+import type { HostId } from '../../core/id/host.ts'
+import type { Instant } from '../../core/id/instant.ts'
+import type { Sessions } from '../../core/session/sessions.ts'
+import type { Metrics } from '../metrics/metrics.ts'
+import type { SlotPort } from '../peer/port.ts'
+import type { Groups } from './groups.ts'
+
+export interface CallerContext {
+  readonly host: HostId
+  readonly config: () => Config | undefined
+  readonly groups: Groups
+  readonly sessions: Sessions
+  /** The owner of a slot of the endpoint, nearest first; undefined while nobody holds one. */
+  readonly port: (endpoint: EndpointId) => SlotPort | undefined
+  /** Endpoints by nearness to this process. */
+  readonly near: readonly EndpointId[]
+  readonly deadlineMs: number
+  readonly now: () => Instant
+  readonly metrics: Metrics
+}
--- /dev/null
+++ b/src/shell/caller/relay.ts
@@ -0,0 +1,40 @@
+/** Relays one answer from a slot owner to a caller. */
+
+import { create } from '@bufbuild/protobuf'
+import { RunSchema, type Done, type Run } from '../../gen/peer_pb.ts'
+import { BinaryRows } from '../mysql/binaryrow.ts'
+import type { Reply } from '../mysql/reply.ts'
+import { refusal } from '../peer/answer.ts'
+import type { SlotPort } from '../peer/port.ts'
+
+type Request = Omit<Run, '$typeName' | 'id' | '$unknown'>
+
+/**
+ * Runs a request and passes its rows on as they come. Credit is given back
+ * only for what the caller has taken, so a slow caller holds up its own
+ * endpoint connection and no more than a window of memory.
+ */
+export async function relay (port: SlotPort | undefined, request: Request, reply: Reply, isBinary: boolean, signal: AbortSignal): Promise<Done> {
+  if (port === undefined) return refusal(0, 'noSlotOwner')
+  return await new Promise<Done>(resolve => {
+    let binary: BinaryRows | undefined
+    const running = port.run(create(RunSchema, request), {
+      head: columns => {
+        if (isBinary) binary = BinaryRows.of(columns)
+        reply.head(columns)
+      },
+      rows: rows => {
+        const bytes = rows.reduce((sum, row) => sum + row.length, 0)
+        const isTaken = reply.rows(binary === undefined ? rows : rows.map(row => binary!.encode(row)))
+        if (isTaken) return running.credit(bytes)
+        reply.drained().then(() => running.credit(bytes))
+      },
+      done: resolve
+    })
+    // The caller is gone: nobody is left to take the answer, so its connection must not be used for another's.
+    signal.addEventListener('abort', () => {
+      running.cancel()
+      resolve(refusal(0, 'lost', 'the caller closed its connection'))
+    }, { once: true })
+  })
+}
--- /dev/null
+++ b/src/shell/endpoint/connection.ts
@@ -0,0 +1,89 @@
+/** One connection to an endpoint. */
+
+import mysql from 'mysql2'
+import { RawQuery } from '../mysql/query.ts'
+import type { QuerySink } from '../mysql/querysink.ts'
+import type { Wire } from '../mysql/wire.ts'
+
+interface Address {
+  readonly ip: string
+  readonly port: number
+  readonly user: string
+  readonly password: string
+  readonly database: string
+  readonly connectMs: number
+}
+
+/** Runs one statement at a time. Once lost it stays lost. */
+export class EndpointConnection {
+  isLost = false
+
+  private constructor (private readonly wire: Wire) {}
+
+  /** Resolves when signed in; rejects when the endpoint refuses or doesn't answer in `connectMs`. */
+  static async open (address: Address): Promise<EndpointConnection> {
+    const raw = mysql.createConnection({
+      host: address.ip,
+      port: address.port,
+      user: address.user,
+      password: address.password,
+      database: address.database,
+      connectTimeout: address.connectMs,
+      flags: ['-FOUND_ROWS']
+    })
+    const wire = raw as unknown as Wire
+    const it = new EndpointConnection(wire)
+    await new Promise<void>((resolve, reject) => {
+      raw.once('connect', () => resolve())
+      raw.once('error', reject)
+      // connectTimeout covers the handshake too: a server that accepts and then stays silent counts as unreachable.
+      setTimeout(() => reject(new Error('no answer to the handshake')), address.connectMs).unref()
+    }).catch((err: unknown) => {
+      it.destroy()
+      throw err
+    })
+    wire.on('error', () => it.lose())
+    wire.on('end', () => it.lose())
+    wire.stream.once('close', () => it.lose())
+    return it
+  }
+
+  run (sql: string, sink: QuerySink): void {
+    if (this.isLost) return sink.lost(new Error('the connection is lost'))
+    this.wire.addCommand(RawQuery.of(sql, sink))
+  }
+
+  /** Runs a statement and collects its answer; for the few statements of the proxy's own. */
+  async ask (sql: string): Promise<readonly Buffer[]> {
+    return await new Promise((resolve, reject) => {
+      const rows: Buffer[] = []
+      this.run(sql, {
+        head: () => undefined,
+        row: row => rows.push(row),
+        ok: () => resolve(rows),
+        end: () => resolve(rows),
+        error: (code, message) => reject(Object.assign(new Error(message), { code })),
+        lost: reject
+      })
+    })
+  }
+
+  pause (): void {
+    this.wire.pause()
+  }
+
+  resume (): void {
+    this.wire.resume()
+  }
+
+  /** Closes at once, without a farewell: what runs on it may still take effect. */
+  destroy (): void {
+    this.lose()
+    this.wire.on('error', () => undefined)
+    this.wire.destroy()
+  }
+
+  private lose (): void {
+    this.isLost = true
+  }
+}
--- /dev/null
+++ b/src/shell/endpoint/control.ts
@@ -0,0 +1,109 @@
+/** The verbs of an endpoint, over a MySQL connection of their own. */
+
+import { History } from '../../core/history.ts'
+import type { EndpointId } from '../../core/id/endpoint.ts'
+import type { Instant } from '../../core/id/instant.ts'
+import type { Position } from '../../core/id/position.ts'
+import type { Term } from '../../core/id/term.ts'
+import { Sample } from '../../core/group/sample.ts'
+import { EndpointConnection } from './connection.ts'
+import { textValues } from './textrow.ts'
+
+type Address = Parameters<typeof EndpointConnection.open>[0]
+
+const ER_SIGNAL = 1644
+
+/**
+ * Speaks the verbs that the platform's database groups are assumed to have
+ * (docs/ASSUMPTIONS.md). Opens its connection when first used, and a new one
+ * after the last was lost or went silent.
+ */
+export class EndpointControl {
+  private connection: EndpointConnection | undefined
+  private last: Promise<unknown> = Promise.resolve()
+
+  private constructor (
+    readonly endpoint: EndpointId,
+    private readonly address: Address,
+    private readonly proposer: string,
+    private readonly now: () => Instant
+  ) {}
+
+  static create (endpoint: EndpointId, address: Address, proposer: string, now: () => Instant): EndpointControl {
+    return new EndpointControl(endpoint, address, proposer, now)
+  }
+
+  async status (ms: number): Promise<Sample> {
+    return await this.call('status()', ms)
+  }
+
+  async seal (term: Term, ms: number): Promise<Sample> {
+    return await this.call(`seal(${term},'${this.proposer}')`, ms)
+  }
+
+  async promote (term: Term, ms: number): Promise<Sample> {
+    return await this.call(`promote(${term},'${this.proposer}')`, ms)
+  }
+
+  async follow (primary: EndpointId, term: Term, ms: number): Promise<Sample> {
+    return await this.call(`follow('${primary}',${term})`, ms)
+  }
+
+  /** Resolves when the endpoint has received the position in the term; rejects when its term is another or the time is over. */
+  async received (term: Term, position: Position, ms: number): Promise<Sample> {
+    return await this.call(`received(${term},${position},${ms})`, ms + REPLY_MS)
+  }
+
+  /** Whether a rejection is the endpoint's own refusal, rather than silence. */
+  static isRefusal (err: unknown): boolean {
+    return (err as { code?: number }).code === ER_SIGNAL
+  }
+
+  close (): void {
+    this.connection?.destroy()
+    this.connection = undefined
+  }
+
+  /** Verbs go one at a time: a connection answers in order, and a late answer must not be taken for the next. */
+  private async call (verb: string, ms: number): Promise<Sample> {
+    const result = this.last.then(async () => await this.ask(verb, ms))
+    this.last = result.catch(() => undefined)
+    return await result
+  }
+
+  private async ask (verb: string, ms: number): Promise<Sample> {
+    const at = this.now()
+    const timer = setTimeout(() => this.close(), ms)
+    try {
+      if (this.connection === undefined || this.connection.isLost) {
+        this.connection = await EndpointConnection.open({ ...this.address, connectMs: ms })
+      }
+      const rows = await this.connection.ask(`CALL agatepond.${verb}`)
+      return this.sample(rows[0], at)
+    } catch (err) {
+      if (!EndpointControl.isRefusal(err)) this.close()
+      throw err
+    } finally {
+      clearTimeout(timer)
+    }
+  }
+
+  private sample (row: Buffer | undefined, at: Instant): Sample {
+    const [role, term, lastTerm, received, applied, starts] = row === undefined ? [] : textValues(row)
+    if (starts === undefined || starts === null) throw new Error('the endpoint answered a verb without a row')
+    return Sample.of({
+      endpoint: this.endpoint,
+      role: role as Sample['role'],
+      term: Number(term) as Term,
+      lastTerm: Number(lastTerm) as Term,
+      received: Number(received) as Position,
+      applied: Number(applied) as Position,
+      history: History.of(JSON.parse(starts) as History['starts']),
+      at,
+      queued: 0,
+      reachable: true
+    })
+  }
+}
+
+const REPLY_MS = 200
--- /dev/null
+++ b/src/shell/mysql/binaryrow.ts
@@ -0,0 +1,130 @@
+/** Rows of the text protocol turned into rows of the binary protocol. */
+
+const enum Type {
+  Tiny = 1,
+  Short = 2,
+  Long = 3,
+  Float = 4,
+  Double = 5,
+  Timestamp = 7,
+  LongLong = 8,
+  Int24 = 9,
+  Date = 10,
+  Time = 11,
+  DateTime = 12,
+  Year = 13
+}
+
+const NULL = 0xfb
+/** Result rows of the binary protocol leave two bits of their null bitmap unused. */
+const BITMAP_SHIFT = 2
+
+/** Encodes the rows of one result; made from the column definitions of its head. */
+export class BinaryRows {
+  private constructor (private readonly types: readonly number[]) {}
+
+  static of (columns: readonly Uint8Array[]): BinaryRows {
+    return new BinaryRows(columns.map(typeOf))
+  }
+
+  encode (textRow: Uint8Array): Buffer {
+    const row = Buffer.from(textRow.buffer, textRow.byteOffset, textRow.length)
+    const bitmap = Buffer.alloc(this.types.length + 7 + BITMAP_SHIFT >> 3)
+    const parts: Buffer[] = [Buffer.from([0]), bitmap]
+    let offset = 0
+    this.types.forEach((type, i) => {
+      if (row[offset] === NULL) {
+        bitmap[i + BITMAP_SHIFT >> 3]! |= 1 << (i + BITMAP_SHIFT & 7)
+        offset += 1
+        return
+      }
+      const { start, end } = fieldAt(row, offset)
+      parts.push(encodeValue(type, row, offset, start, end))
+      offset = end
+    })
+    return Buffer.concat(parts)
+  }
+}
+
+function encodeValue (type: number, row: Buffer, from: number, start: number, end: number): Buffer {
+  const text = (): string => row.toString('latin1', start, end)
+  switch (type) {
+    case Type.Tiny: return whole(text(), 1)
+    case Type.Short:
+    case Type.Year: return whole(text(), 2)
+    case Type.Long:
+    case Type.Int24: return whole(text(), 4)
+    case Type.LongLong: return whole(text(), 8)
+    case Type.Float: return float(Number(text()))
+    case Type.Double: return double(Number(text()))
+    case Type.Date:
+    case Type.DateTime:
+    case Type.Timestamp: return date(text())
+    case Type.Time: return time(text())
+    default: return row.subarray(from, end)
+  }
+}
+
+/** Two's complement of any width; unsigned values have the same bytes. */
+function whole (text: string, bytes: number): Buffer {
+  const buffer = Buffer.allocUnsafe(8)
+  buffer.writeBigInt64LE(BigInt.asIntN(64, BigInt(text)))
+  return buffer.subarray(0, bytes)
+}
+
+function float (value: number): Buffer {
+  const buffer = Buffer.allocUnsafe(4)
+  buffer.writeFloatLE(value)
+  return buffer
+}
+
+function double (value: number): Buffer {
+  const buffer = Buffer.allocUnsafe(8)
+  buffer.writeDoubleLE(value)
+  return buffer
+}
+
+function date (text: string): Buffer {
+  const parts = text.match(/\d+/g)?.map(Number) ?? []
+  const buffer = Buffer.alloc(12)
+  buffer[0] = 11
+  buffer.writeUInt16LE(parts[0] ?? 0, 1)
+  for (let i = 1; i <= 5; i++) buffer[i + 2] = parts[i] ?? 0
+  buffer.writeUInt32LE(micros(text), 8)
+  return buffer
+}
+
+function time (text: string): Buffer {
+  const parts = text.match(/\d+/g)?.map(Number) ?? []
+  const hours = parts[0] ?? 0
+  const buffer = Buffer.alloc(13)
+  buffer[0] = 12
+  buffer[1] = text.startsWith('-') ? 1 : 0
+  buffer.writeUInt32LE(Math.floor(hours / 24), 2)
+  buffer[6] = hours % 24
+  buffer[7] = parts[1] ?? 0
+  buffer[8] = parts[2] ?? 0
+  buffer.writeUInt32LE(micros(text), 9)
+  return buffer
+}
+
+function micros (text: string): number {
+  const fraction = text.split('.')[1]
+  return fraction === undefined ? 0 : Number(fraction.padEnd(6, '0').slice(0, 6))
+}
+
+/** The type byte of a column definition: after six length-coded strings, a length, a charset and a width. */
+function typeOf (column: Uint8Array): number {
+  const data = Buffer.from(column.buffer, column.byteOffset, column.length)
+  let offset = 0
+  for (let i = 0; i < 6; i++) offset = fieldAt(data, offset).end
+  return data[offset + 7] ?? 0
+}
+
+function fieldAt (data: Buffer, offset: number): { readonly start: number, readonly end: number } {
+  const first = data.readUInt8(offset)
+  if (first < 251) return { start: offset + 1, end: offset + 1 + first }
+  if (first === 252) return { start: offset + 3, end: offset + 3 + data.readUInt16LE(offset + 1) }
+  if (first === 253) return { start: offset + 4, end: offset + 4 + data.readUIntLE(offset + 1, 3) }
+  return { start: offset + 9, end: offset + 9 + Number(data.readBigUInt64LE(offset + 1)) }
+}
--- /dev/null
+++ b/src/shell/mysql/okpacket.ts
@@ -0,0 +1,72 @@
+/** The OK packet of an endpoint: counts, status, and the position of a write. */
+
+import { Token } from '../../core/token.ts'
+import type { Wire } from './wire.ts'
+
+type Incoming = NonNullable<Parameters<Parameters<Wire['addCommand']>[0]['execute']>[0]>
+
+const SESSION_STATE_CHANGED = 0x4000
+const TRACK_GTIDS = 3
+
+/** What an endpoint's OK packet says. */
+export class OkPacket {
+  private constructor (
+    readonly affected: number,
+    readonly insertId: number,
+    readonly status: number,
+    /** Where the write went into the log; undefined when nothing was written. */
+    readonly token: Token | undefined
+  ) {}
+
+  static read (packet: Incoming): OkPacket {
+    packet.readInt8()
+    const affected = packet.readLengthCodedNumber() ?? 0
+    const insertId = packet.readLengthCodedNumber() ?? 0
+    const status = packet.readInt16()
+    packet.readInt16()
+    return new OkPacket(affected, insertId, status, readToken(packet, status))
+  }
+
+  /** The payload that carries a token in the session state, as MySQL carries a GTID. */
+  static encode (affected: number, insertId: number, status: number, token: Token): Buffer {
+    const gtid = Buffer.from(token.toString())
+    const state = Buffer.concat([
+      Buffer.from([TRACK_GTIDS, gtid.length + 2, 0, gtid.length]), gtid])
+    return Buffer.concat([
+      Buffer.from([0]), lengthCoded(affected), lengthCoded(insertId),
+      uint16(status | SESSION_STATE_CHANGED), uint16(0),
+      Buffer.from([0]), lengthCoded(state.length), state])
+  }
+}
+
+function readToken (packet: Incoming, status: number): Token | undefined {
+  if ((status & SESSION_STATE_CHANGED) === 0 || packet.offset >= packet.end) return undefined
+  packet.readLengthCodedString('utf8')
+  const length = packet.readLengthCodedNumber() ?? 0
+  const end = packet.offset + length
+  while (packet.offset < end) {
+    const type = packet.readInt8()
+    const size = packet.readLengthCodedNumber() ?? 0
+    const next = packet.offset + size
+    if (type === TRACK_GTIDS) {
+      packet.readInt8()
+      return Token.parse(packet.readLengthCodedString('utf8') ?? '')
+    }
+    packet.offset = next
+  }
+  return undefined
+}
+
+function uint16 (value: number): Buffer {
+  const buffer = Buffer.allocUnsafe(2)
+  buffer.writeUInt16LE(value)
+  return buffer
+}
+
+function lengthCoded (value: number): Buffer {
+  if (value < 251) return Buffer.from([value])
+  const buffer = Buffer.alloc(9)
+  buffer[0] = 254
+  buffer.writeBigUInt64LE(BigInt(value), 1)
+  return buffer
+}
--- /dev/null
+++ b/src/shell/mysql/query.ts
@@ -0,0 +1,107 @@
+/** One text query on an endpoint's connection, relayed packet by packet. */
+
+import { OkPacket } from './okpacket.ts'
+import { RawPacket } from './packet.ts'
+import { payloadOf } from './payload.ts'
+import type { QuerySink } from './querysink.ts'
+import type { Wire } from './wire.ts'
+
+type Incoming = NonNullable<Parameters<Parameters<Wire['addCommand']>[0]['execute']>[0]>
+
+const COM_QUERY = 3
+const MORE_RESULTS = 8
+const LOCAL_INFILE = 0xfb
+
+/**
+ * The client side of COM_QUERY for mysql2's command queue. Column definitions
+ * and rows pass through undecoded: a proxy has no use for their values, and
+ * decoding them was most of the cost of a statement.
+ */
+export class RawQuery {
+  private state: 'start' | 'header' | 'columns' | 'rows' = 'start'
+  private columnCount = 0
+  private columns: Buffer[] = []
+
+  private constructor (private readonly sql: string, private readonly sink: QuerySink) {}
+
+  static of (sql: string, sink: QuerySink): RawQuery {
+    return new RawQuery(sql, sink)
+  }
+
+  /** Called by mysql2 for each packet; true ends the command. */
+  execute (packet: Incoming | undefined, wire: Wire): boolean {
+    if (packet === undefined) return this.start(wire)
+    if (packet.isError()) return this.fail(packet)
+    switch (this.state) {
+      case 'start': return false
+      case 'header': return this.header(packet, wire)
+      case 'columns': return this.column(packet)
+      case 'rows': return this.row(packet, wire)
+    }
+  }
+
+  /** Called by mysql2 when the connection is lost before the command ended. */
+  onResult (err: Error): void {
+    this.sink.lost(err)
+  }
+
+  private start (wire: Wire): boolean {
+    wire.sequenceId = 0
+    this.state = 'header'
+    wire.writePacket(RawPacket.command(COM_QUERY, this.sql))
+    return false
+  }
+
+  private fail (packet: Incoming): boolean {
+    const err = packet.asError('utf8')
+    this.sink.error(err.errno, err.message)
+    return true
+  }
+
+  private header (packet: Incoming, wire: Wire): boolean {
+    const first = packet.peekByte()
+    if (first === 0) {
+      const ok = OkPacket.read(packet)
+      if ((ok.status & MORE_RESULTS) !== 0) return this.refuseMore(wire)
+      this.sink.ok(ok)
+      return true
+    }
+    if (first === LOCAL_INFILE) {
+      this.sink.lost(new Error('the endpoint asked for a local file, which a proxy never sends'))
+      wire.destroy()
+      return true
+    }
+    this.columnCount = packet.readLengthCodedNumber() ?? 0
+    this.columns = []
+    this.state = 'columns'
+    return false
+  }
+
+  private column (packet: Incoming): boolean {
+    if (this.columns.length < this.columnCount) {
+      this.columns.push(payloadOf(packet))
+      return false
+    }
+    this.sink.head(this.columns)
+    this.state = 'rows'
+    return false
+  }
+
+  private row (packet: Incoming, wire: Wire): boolean {
+    if (!packet.isEOF()) {
+      this.sink.row(payloadOf(packet))
+      return false
+    }
+    const status = packet.eofStatusFlags()
+    if ((status & MORE_RESULTS) !== 0) return this.refuseMore(wire)
+    this.sink.end(status)
+    return true
+  }
+
+  /** A second result can't be told from the answer to the next statement once the first was relayed. */
+  private refuseMore (wire: Wire): boolean {
+    this.sink.lost(new Error('a statement with more than one result is not supported; call it for one result at a time'))
+    wire.destroy()
+    return true
+  }
+}
--- /dev/null
+++ b/src/shell/mysql/reply.ts
@@ -0,0 +1,122 @@
+/** Writes the answer to one command of a MySQL client. */
+
+import { RawPacket } from './packet.ts'
+import type { Wire } from './wire.ts'
+
+const AUTOCOMMIT = 2
+const IN_TRANSACTION = 1
+
+/** The definition of a parameter: catalog `def`, no names, a string of any length. */
+const PARAMETER = Buffer.from([3, 0x64, 0x65, 0x66, 0, 0, 0, 1, 0x3f, 0, 12, 45, 0, 255, 255, 0, 0, 253, 0, 0, 0, 0, 0])
+
+/** The answer to one command. After `ok`, `end` or `error` nothing more is written. */
+export class Reply {
+  private isOver = false
+
+  private constructor (private readonly wire: Wire) {}
+
+  static of (wire: Wire): Reply {
+    wire.sequenceId = 1
+    return new Reply(wire)
+  }
+
+  /** Whether part of a result was written, after which only its end or an error may follow. */
+  private hasHead = false
+
+  get hasStarted (): boolean {
+    return this.hasHead
+  }
+
+  get isDone (): boolean {
+    return this.isOver
+  }
+
+  ok (counts: { affected?: number, insertId?: number, inTransaction?: boolean, message?: string } = {}): void {
+    if (this.isOver) return
+    this.wire.writeOk({
+      affectedRows: counts.affected ?? 0,
+      insertId: counts.insertId ?? 0,
+      serverStatus: statusOf(counts.inTransaction ?? false),
+      message: counts.message ?? ''
+    })
+    this.finish()
+  }
+
+  /** A payload that the caller made, such as an OK packet with session state. */
+  raw (payload: Uint8Array): void {
+    if (this.isOver) return
+    this.wire.writePacket(RawPacket.of(payload))
+  }
+
+  head (columns: readonly Uint8Array[]): void {
+    if (this.isOver) return
+    this.hasHead = true
+    this.wire.stream.cork()
+    this.wire.writePacket(RawPacket.of(Buffer.from([columns.length])))
+    for (const column of columns) this.wire.writePacket(RawPacket.of(column))
+    this.wire.writeEof(0, AUTOCOMMIT)
+    this.uncork()
+  }
+
+  /** Writes rows; false when the client takes them slower than they come and `drained` should be awaited. */
+  rows (rows: readonly Uint8Array[]): boolean {
+    if (this.isOver) return true
+    this.wire.stream.cork()
+    for (const row of rows) this.wire.writePacket(RawPacket.of(row))
+    this.uncork()
+    return !this.wire.stream.writableNeedDrain
+  }
+
+  /** Resolves when the client has taken what was written, or is gone. */
+  async drained (): Promise<void> {
+    const { stream } = this.wire
+    if (!stream.writableNeedDrain || stream.destroyed) return
+    await new Promise<void>(resolve => {
+      const settle = (): void => {
+        stream.off('drain', settle)
+        stream.off('close', settle)
+        resolve()
+      }
+      stream.on('drain', settle)
+      stream.on('close', settle)
+    })
+  }
+
+  /** The answer to COM_STMT_PREPARE. Columns are told with the result, once an endpoint has run it. */
+  prepared (id: number, parameters: number): void {
+    if (this.isOver) return
+    const header = Buffer.alloc(12)
+    header.writeUInt32LE(id, 1)
+    header.writeUInt16LE(parameters, 7)
+    this.wire.writePacket(RawPacket.of(header))
+    for (let i = 0; i < parameters; i++) this.wire.writePacket(RawPacket.of(PARAMETER))
+    if (parameters > 0) this.wire.writeEof(0, AUTOCOMMIT)
+    this.finish()
+  }
+
+  end (inTransaction = false): void {
+    if (this.isOver) return
+    this.wire.writeEof(0, statusOf(inTransaction))
+    this.finish()
+  }
+
+  error (code: number, message: string): void {
+    if (this.isOver) return
+    this.wire.writeError({ code, message })
+    this.finish()
+  }
+
+  finish (): void {
+    this.isOver = true
+    this.wire.sequenceId = 0
+  }
+
+  /** Packets of one tick leave in one write; a write each cost most of the time of a small result. */
+  private uncork (): void {
+    process.nextTick(() => this.wire.stream.uncork())
+  }
+}
+
+function statusOf (inTransaction: boolean): number {
+  return AUTOCOMMIT | (inTransaction ? IN_TRANSACTION : 0)
+}
--- /dev/null
+++ b/src/shell/mysql/server.ts
@@ -0,0 +1,209 @@
+/** The server side of the MySQL protocol, for one listening address. */
+
+import type { Server } from 'node:net'
+import mysql from 'mysql2'
+import type { Handler } from './handler.ts'
+import type { Login } from './login.ts'
+import { payloadOf } from './payload.ts'
+import { provesPassword } from './proof.ts'
+import { Reply } from './reply.ts'
+import type { Wire } from './wire.ts'
+
+interface Options {
+  readonly host: string
+  readonly port: number
+  /** Whether OK packets may carry session state; endpoints send positions in it. */
+  readonly tracksSession: boolean
+  /** Yields the handler of a connection, or the error that refuses it. */
+  readonly accept: (login: Login) => Promise<Handler | Refusal>
+}
+
+interface Refusal {
+  readonly code: number
+  readonly message: string
+}
+
+const enum Command {
+  Quit = 1,
+  InitDb = 2,
+  Query = 3,
+  Ping = 14,
+  Prepare = 22,
+  Execute = 23,
+  CloseStatement = 25,
+  ResetStatement = 26,
+  SetOption = 27,
+  ResetConnection = 31
+}
+
+const UNKNOWN_COMMAND = 1047
+const PROTOCOL_VERSION = 10
+const UTF8MB4 = 45
+/** LONG_PASSWORD, FOUND_ROWS, LONG_FLAG, CONNECT_WITH_DB, PROTOCOL_41, TRANSACTIONS, SECURE_CONNECTION, PLUGIN_AUTH, CONNECT_ATTRS. */
+const CAPABILITIES = 0x1 | 0x2 | 0x4 | 0x8 | 0x200 | 0x2000 | 0x8000 | 0x80000 | 0x100000
+const SESSION_TRACK = 0x800000
+
+/** A listening MySQL server. Stops when the signal is aborted. */
+export class MysqlServer {
+  private readonly wires = new Set<Wire>()
+  private nextConnection = 1
+
+  private constructor (private readonly options: Options, private readonly server: ReturnType<typeof mysql.createServer>) {}
+
+  /** Resolves when the server listens; rejects with the system's error when the address can't be had. */
+  static async listen (options: Options, signal: AbortSignal): Promise<MysqlServer> {
+    const server = mysql.createServer(() => undefined)
+    const it = new MysqlServer(options, server)
+    server.on('connection', connection => it.accept(connection as unknown as Wire))
+    const net = netServer(server)
+    await new Promise<void>((resolve, reject) => {
+      net.once('error', reject)
+      net.listen(options.port, options.host, resolve)
+    })
+    signal.addEventListener('abort', () => it.stop(), { once: true })
+    return it
+  }
+
+  get connections (): number {
+    return this.wires.size
+  }
+
+  /** Takes no new connections; the open ones go on. */
+  close (): void {
+    netServer(this.server).close()
+  }
+
+  private stop (): void {
+    this.close()
+    for (const wire of this.wires) wire.stream.destroy()
+  }
+
+  private accept (wire: Wire): void {
+    const connection = Connection.open(wire, this.options, this.nextConnection++)
+    this.wires.add(wire)
+    wire.stream.once('close', () => {
+      this.wires.delete(wire)
+      connection.closed()
+    })
+  }
+}
+
+/** mysql2 keeps its listening socket private; its own wrappers report neither errors nor the end. */
+function netServer (server: ReturnType<typeof mysql.createServer>): Server {
+  return (server as unknown as { _server: Server })._server
+}
+
+/** One client's connection: signs it in, then hands its commands on one at a time. */
+class Connection {
+  private handler: Handler | undefined
+  private readonly waiting: Buffer[] = []
+  private isBusy = false
+
+  private constructor (private readonly wire: Wire) {}
+
+  static open (wire: Wire, options: Options, id: number): Connection {
+    const it = new Connection(wire)
+    wire.stream.setNoDelay(true)
+    // Malformed input makes mysql2 throw inside its parser; it reports that here and closes the connection.
+    wire.on('error', () => wire.stream.destroy())
+    wire.on('warn', () => wire.stream.destroy())
+    wire.serverHandshake({
+      protocolVersion: PROTOCOL_VERSION,
+      serverVersion: '8.0.0-agatepond',
+      connectionId: id,
+      statusFlags: 2,
+      characterSet: UTF8MB4,
+      capabilityFlags: CAPABILITIES | (options.tracksSession ? SESSION_TRACK : 0),
+      authCallback: (login: AuthData, done: (err: null, refusal?: object) => void) => it.login(login, options, done)
+    })
+    const handshake = wire._command!
+    wire._command = {
+      execute: (packet, same) => {
+        if (it.handler === undefined) {
+          handshake.execute(packet, same)
+        } else {
+          it.take(payloadOf(packet!))
+        }
+        return false
+      }
+    }
+    return it
+  }
+
+  closed (): void {
+    this.handler?.closed()
+    this.waiting.length = 0
+  }
+
+  private login (data: AuthData, options: Options, done: (err: null, refusal?: object) => void): void {
+    const scramble = Buffer.concat([data.authPluginData1, data.authPluginData2])
+    const accepted = options.accept({
+      user: data.user,
+      database: data.database ?? '',
+      attributes: this.wire.clientHelloReply?.connectAttributes ?? {},
+      address: data.address,
+      proves: passwordHash => provesPassword(data.authToken, scramble, passwordHash)
+    })
+    accepted.then(answer => {
+      if (this.wire.stream.destroyed) return 'code' in answer ? undefined : answer.closed()
+      if ('code' in answer) return done(null, answer)
+      this.handler = answer
+      done(null)
+      this.wire.sequenceId = 0
+    }, () => this.wire.stream.destroy())
+  }
+
+  private take (payload: Buffer): void {
+    if (this.isBusy) {
+      this.waiting.push(payload)
+      this.wire.stream.pause()
+      return
+    }
+    this.isBusy = true
+    this.run(payload)
+  }
+
+  private async run (payload: Buffer): Promise<void> {
+    try {
+      await this.dispatch(payload)
+    } catch {
+      // A handler that throws can't say how far its answer got, so nothing more may be sent.
+      this.wire.stream.destroy()
+    }
+    this.isBusy = false
+    const next = this.waiting.shift()
+    if (next !== undefined) return this.take(next)
+    this.wire.stream.resume()
+  }
+
+  private async dispatch (payload: Buffer): Promise<void> {
+    const { handler, wire } = this
+    if (handler === undefined) return
+    const body = payload.subarray(1)
+    const command: Command = payload[0] ?? 0
+    switch (command) {
+      case Command.Quit:
+        wire.stream.end()
+        return
+      case Command.CloseStatement: return handler.forget(body.length < 4 ? 0 : body.readUInt32LE(0))
+      case Command.Query: return await handler.query(body.toString('utf8'), Reply.of(wire))
+      case Command.InitDb: return await handler.use(body.toString('utf8'), Reply.of(wire))
+      case Command.Prepare: return await handler.prepare(body.toString('utf8'), Reply.of(wire))
+      case Command.Execute: return await handler.execute(body, Reply.of(wire))
+      case Command.ResetConnection: return await handler.reset(Reply.of(wire))
+      case Command.Ping:
+      case Command.ResetStatement: return Reply.of(wire).ok()
+      case Command.SetOption: return Reply.of(wire).end()
+      default: return Reply.of(wire).error(UNKNOWN_COMMAND, `command ${command} isn't supported by this proxy`)
+    }
+  }
+}
+
+interface AuthData {
+  readonly user: string
+  readonly database?: string
+  readonly address: string
+  readonly authPluginData1: Buffer
+  readonly authPluginData2: Buffer
+  readonly authToken: Buffer
+}
--- /dev/null
+++ b/src/shell/mysql/statement.ts
@@ -0,0 +1,147 @@
+/** A statement that a caller prepared, and the values that it's executed with. */
+
+import { escape } from 'mysql2'
+import { placeholders } from '../../core/routing/placeholders.ts'
+
+const enum Type {
+  Tiny = 1,
+  Short = 2,
+  Long = 3,
+  Float = 4,
+  Double = 5,
+  Null = 6,
+  Timestamp = 7,
+  LongLong = 8,
+  Int24 = 9,
+  Date = 10,
+  Time = 11,
+  DateTime = 12,
+  Year = 13
+}
+
+const UNSIGNED = 0x80
+/** Statement id, flags and iteration count before the null bitmap. */
+const FIXED = 9
+
+/**
+ * A prepared statement. Endpoints see it as text with its values in place:
+ * a prepared statement lives on one connection, and a caller's statements
+ * run on whichever connection of whichever endpoint is free.
+ */
+export class PreparedStatement {
+  private types: readonly number[] = []
+
+  private constructor (readonly id: number, readonly sql: string, private readonly places: readonly number[]) {}
+
+  static of (id: number, sql: string): PreparedStatement {
+    return new PreparedStatement(id, sql, placeholders(sql))
+  }
+
+  get parameters (): number {
+    return this.places.length
+  }
+
+  /** The text to run for a COM_STMT_EXECUTE payload. Throws a RangeError when the payload is cut short. */
+  bind (payload: Buffer): string {
+    if (this.places.length === 0) return this.sql
+    const bitmap = payload.subarray(FIXED, FIXED + (this.places.length + 7 >> 3))
+    let offset = FIXED + bitmap.length
+    if (payload.readUInt8(offset++) === 1) {
+      this.types = this.places.map((_, i) => payload.readUInt16LE(offset + i * 2))
+      offset += this.places.length * 2
+    }
+    const cursor = new Cursor(payload, offset)
+    let sql = ''
+    let from = 0
+    this.places.forEach((place, i) => {
+      const isNull = (bitmap[i >> 3]! >> (i & 7) & 1) === 1
+      sql += this.sql.slice(from, place) + (isNull ? 'NULL' : cursor.literal(this.types[i] ?? Type.Null))
+      from = place + 1
+    })
+    return sql + this.sql.slice(from)
+  }
+}
+
+/** Reads values of the binary protocol as SQL literals. */
+class Cursor {
+  constructor (private readonly data: Buffer, private offset: number) {}
+
+  literal (type: number): string {
+    const isUnsigned = (type >> 8 & UNSIGNED) !== 0
+    switch (type & 0xff) {
+      case Type.Null: return 'NULL'
+      case Type.Tiny: return this.whole(1, isUnsigned)
+      case Type.Short:
+      case Type.Year: return this.whole(2, isUnsigned)
+      case Type.Long:
+      case Type.Int24: return this.whole(4, isUnsigned)
+      case Type.LongLong: return this.long(isUnsigned)
+      case Type.Float: return String(this.data.readFloatLE(this.step(4)))
+      case Type.Double: return String(this.data.readDoubleLE(this.step(8)))
+      case Type.Date:
+      case Type.DateTime:
+      case Type.Timestamp: return this.date()
+      case Type.Time: return this.time()
+      default: return this.text()
+    }
+  }
+
+  private step (bytes: number): number {
+    const at = this.offset
+    this.offset += bytes
+    return at
+  }
+
+  private whole (bytes: number, isUnsigned: boolean): string {
+    const at = this.step(bytes)
+    return String(isUnsigned ? this.data.readUIntLE(at, bytes) : this.data.readIntLE(at, bytes))
+  }
+
+  private long (isUnsigned: boolean): string {
+    const at = this.step(8)
+    return String(isUnsigned ? this.data.readBigUInt64LE(at) : this.data.readBigInt64LE(at))
+  }
+
+  private text (): string {
+    const size = this.size()
+    const at = this.step(size)
+    if (at + size > this.data.length) throw new RangeError('a value reaches past its packet')
+    const bytes = this.data.subarray(at, at + size)
+    const text = bytes.toString('utf8')
+    return Buffer.from(text).equals(bytes) ? escape(text) : `X'${bytes.toString('hex')}'`
+  }
+
+  private size (): number {
+    const first = this.data.readUInt8(this.step(1))
+    if (first < 251) return first
+    if (first === 252) return this.data.readUInt16LE(this.step(2))
+    if (first === 253) return this.data.readUIntLE(this.step(3), 3)
+    return Number(this.data.readBigUInt64LE(this.step(8)))
+  }
+
+  private date (): string {
+    const size = this.data.readUInt8(this.step(1))
+    const at = this.step(size)
+    if (size === 0) return "'0000-00-00'"
+    const day = [this.data.readUInt16LE(at), this.data.readUInt8(at + 2), this.data.readUInt8(at + 3)].map(pad).join('-')
+    if (size === 4) return `'${day}'`
+    const time = [4, 5, 6].map(i => pad(this.data.readUInt8(at + i))).join(':')
+    const micros = size > 7 ? `.${String(this.data.readUInt32LE(at + 7)).padStart(6, '0')}` : ''
+    return `'${day} ${time}${micros}'`
+  }
+
+  private time (): string {
+    const size = this.data.readUInt8(this.step(1))
+    const at = this.step(size)
+    if (size === 0) return "'00:00:00'"
+    const sign = this.data.readUInt8(at) === 1 ? '-' : ''
+    const hours = this.data.readUInt32LE(at + 1) * 24 + this.data.readUInt8(at + 5)
+    const rest = [6, 7].map(i => pad(this.data.readUInt8(at + i))).join(':')
+    const micros = size > 8 ? `.${String(this.data.readUInt32LE(at + 8)).padStart(6, '0')}` : ''
+    return `'${sign}${pad(hours)}:${rest}${micros}'`
+  }
+}
+
+function pad (value: number): string {
+  return String(value).padStart(2, '0')
+}
--- /dev/null
+++ b/src/shell/mysql/wire.ts
@@ -0,0 +1,50 @@
+/** The parts of mysql2's connection that this project drives and its types leave out. */
+
+import type { Socket } from 'node:net'
+import type { EventEmitter } from 'node:events'
+import type { RawPacket } from './packet.ts'
+
+/** A packet that arrived, as mysql2 parses it. Payload bytes are `buffer[start + 4 … end)`. */
+interface Incoming {
+  readonly buffer: Buffer
+  readonly start: number
+  readonly end: number
+  offset: number
+  isError (): boolean
+  isEOF (): boolean
+  eofStatusFlags (): number
+  asError (encoding: string): Error & { readonly errno: number, readonly sqlState?: string }
+  readInt8 (): number
+  readInt16 (): number
+  readInt32 (): number
+  readLengthCodedNumber (): number | null
+  readLengthCodedString (encoding: string): string | null
+  readString (length: number | undefined, encoding: string): string
+  peekByte (): number
+}
+
+interface Handshake {
+  execute (packet: Incoming | undefined, wire: Wire): boolean
+}
+
+/** One side's connection. `addCommand` takes anything with `execute`, called for each packet until it returns true. */
+export interface Wire extends EventEmitter {
+  readonly stream: Socket
+  sequenceId: number
+  _command: Handshake | null
+  readonly clientHelloReply?: {
+    readonly user: string
+    readonly database?: string
+    readonly connectAttributes?: Readonly<Record<string, string>>
+  }
+  addCommand (command: { execute: (packet: Incoming | undefined, wire: Wire) => boolean }): void
+  writePacket (packet: RawPacket): void
+  writeOk (args?: { affectedRows?: number, insertId?: number, serverStatus?: number, message?: string }): void
+  writeError (args: { code: number, message: string }): void
+  writeEof (warnings?: number, status?: number): void
+  serverHandshake (args: object): void
+  pause (): void
+  resume (): void
+  end (): void
+  destroy (): void
+}
--- /dev/null
+++ b/src/shell/node/node.ts
@@ -0,0 +1,177 @@
+/** One agatepond process: puts its parts together and keeps them running until its signal is aborted. */
+
+import { randomUUID } from 'node:crypto'
+import { createServer } from 'node:http'
+import { create } from '@bufbuild/protobuf'
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { ConfirmedSchema, type Frame } from '../../gen/peer_pb.ts'
+import type { Config } from '../../core/config/config.ts'
+import { parseConfig } from '../../core/config/document.ts'
+import type { EndpointId } from '../../core/id/endpoint.ts'
+import type { HostId } from '../../core/id/host.ts'
+import type { Instant } from '../../core/id/instant.ts'
+import type { ConfigVersion } from '../../core/id/version.ts'
+import { Sessions } from '../../core/session/sessions.ts'
+import type { parseSettings } from '../../core/settings/settings.ts'
+import type { CallerContext } from '../caller/context.ts'
+import { acceptCaller } from '../caller/frontend.ts'
+import { Groups } from '../caller/groups.ts'
+import { Log } from '../log/log.ts'
+import { Metrics } from '../metrics/metrics.ts'
+import { MysqlServer } from '../mysql/server.ts'
+import { refusal } from '../peer/answer.ts'
+import type { SlotPort } from '../peer/port.ts'
+import { PeerServer } from '../peer/server.ts'
+import { DynamoTable } from '../platform/dynamotable.ts'
+import type { HostList } from '../platform/hostlist.ts'
+import { HttpHostList } from '../platform/httphostlist.ts'
+import type { TableService } from '../platform/tableservice.ts'
+import { Slots } from './slots.ts'
+
+type Settings = ReturnType<ReturnType<typeof parseSettings>['_unsafeUnwrap']>
+
+const POLL_MS = 500
+const UINT32 = 0x100000000
+
+/** The process. `start` resolves when it listens. */
+export class Node {
+  private config: Config | undefined
+  private peers: PeerServer | undefined
+
+  private constructor (
+    private readonly slots: Slots,
+    private readonly log: Log,
+    private readonly metrics: Metrics
+  ) {}
+
+  static async start (settings: Settings, signal: AbortSignal): Promise<Node> {
+    const { platform, host } = settings
+    const log = Log.create(host.id)
+    const metrics = Metrics.create()
+    const groups = Groups.create()
+    const incarnation = randomUUID()
+    const now = (): Instant => performance.now() as Instant
+    const table = DynamoTable.open({ url: platform.tableService, table: platform.table, region: platform.region, timeoutMs: platform.timeout }, signal)
+    const hostList = HttpHostList.of(platform.hostList, platform.timeout)
+    const slots = Slots.create({
+      settings,
+      incarnation,
+      groups,
+      table,
+      log,
+      metrics,
+      now,
+      chance: seededChance(incarnation),
+      broadcast: frame => it.peers?.broadcast({ case: 'sample', value: frame })
+    })
+    const it: Node = new Node(slots, log, metrics)
+    it.peers = await PeerServer.listen({
+      ...addressOf(settings.listen.peers),
+      host: host.id as HostId,
+      incarnation,
+      beatMs: settings.peers.beat,
+      silentMs: settings.peers.silent,
+      slots: it.ownSlots(),
+      greeting: () => [] as Frame['body'][]
+    }, signal)
+    const context: CallerContext = {
+      host: host.id as HostId,
+      config: () => it.config,
+      groups,
+      sessions: Sessions.create(settings.requests.sessions),
+      port: endpoint => slots.port(endpoint),
+      near: [],
+      deadlineMs: settings.requests.deadline,
+      now,
+      metrics
+    }
+    const callers = addressOf(settings.listen.callers)
+    await MysqlServer.listen({
+      host: callers.ip,
+      port: callers.port,
+      tracksSession: false,
+      accept: async login => await acceptCaller(context, login)
+    }, signal)
+    it.serveMetrics(addressOf(settings.listen.metrics), signal)
+    it.pollHosts(hostList, signal)
+    it.pollConfig(table, signal)
+    log.write('started', { callers: settings.listen.callers, peers: settings.listen.peers })
+    return it
+  }
+
+  /** What this process's peers may ask of it: its own slots only, never a further hop. */
+  private ownSlots (): SlotPort {
+    return {
+      run: (req, sink) => {
+        const owner = this.slots.owner(req.endpoint as EndpointId)
+        if (owner !== undefined) return owner.run(req, sink)
+        sink.done(refusal(req.id, 'noSlotOwner'))
+        return { credit: () => undefined, cancel: () => undefined }
+      },
+      confirm: async (endpoint, term, position, ms) =>
+        await this.slots.owner(endpoint)?.confirm(term, position, ms) ?? create(ConfirmedSchema, { ok: false }),
+      release: transaction => this.slots.release(transaction)
+    }
+  }
+
+  private async pollHosts (list: HostList, signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await list.hosts().then(
+        hosts => this.slots.useHosts(hosts),
+        (err: Error) => this.log.write('hostListFailed', { err: err.message }))
+      await pause(POLL_MS)
+    }
+  }
+
+  private async pollConfig (table: TableService, signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await table.newest('config').then(
+        row => { if (row !== undefined) this.apply(Number(row.sk) as ConfigVersion, row.body) },
+        (err: Error) => this.log.write('storeFailed', { err: err.message }))
+      await pause(POLL_MS)
+    }
+  }
+
+  /** A configuration in force is replaced by a higher version only. */
+  private apply (version: ConfigVersion, body: string): void {
+    if (this.config !== undefined && version <= this.config.version) return
+    const parsed = parseConfig(version, JSON.parse(body))
+    if (parsed.isErr()) return
+    this.config = parsed.value
+    this.slots.useConfig(parsed.value)
+    this.metrics.configVersion.set(version)
+    this.log.write('configApplied', { version })
+  }
+
+  private serveMetrics ({ ip, port }: { readonly ip: string, readonly port: number }, signal: AbortSignal): void {
+    const server = createServer((req, res) => {
+      if (req.url === '/health') {
+        res.end('ok\n')
+        return
+      }
+      if (req.url === '/ready') {
+        const isReady = this.config !== undefined
+        res.writeHead(isReady ? 200 : 503).end(isReady ? 'ready\n' : 'no configuration yet\n')
+        return
+      }
+      this.metrics.registry.metrics().then(text => res.end(text))
+    })
+    server.listen(port, ip)
+    signal.addEventListener('abort', () => server.close(), { once: true })
+  }
+}
+
+function addressOf (text: string): { readonly ip: string, readonly port: number } {
+  const [ip, port] = text.split(':')
+  return { ip: ip!, port: Number(port) }
+}
+
+/** The one generator for chance, seeded so that no two processes draw the same numbers. */
+function seededChance (seed: string): () => number {
+  const generator = xoroshiro128plus(parseInt(seed.slice(0, 8), 16))
+  return () => (generator.next() >>> 0) / UINT32
+}
+
+async function pause (ms: number): Promise<void> {
+  await new Promise(resolve => { setTimeout(resolve, ms) })
+}
--- /dev/null
+++ b/src/shell/peer/link.ts
@@ -0,0 +1,164 @@
+/** The asking side of a link: one stream to one peer, replaced when it breaks or goes silent. */
+
+import { create } from '@bufbuild/protobuf'
+import { createClient } from '@connectrpc/connect'
+import { createGrpcTransport, Http2SessionManager } from '@connectrpc/connect-node'
+import { BatchSchema, ConfirmedSchema, FrameSchema, Peer, type Batch, type Confirmed, type Done, type Frame, type Run } from '../../gen/peer_pb.ts'
+import type { EndpointId } from '../../core/id/endpoint.ts'
+import type { HostId } from '../../core/id/host.ts'
+import type { Position } from '../../core/id/position.ts'
+import type { Term } from '../../core/id/term.ts'
+import type { TransactionId } from '../../core/id/transaction.ts'
+import type { Log } from '../log/log.ts'
+import { AsyncQueue } from '../queue.ts'
+import { refusal } from './answer.ts'
+import type { SlotPort } from './port.ts'
+
+interface Options {
+  readonly address: string
+  readonly self: HostId
+  readonly peer: HostId
+  readonly incarnation: string
+  readonly beatMs: number
+  readonly silentMs: number
+  readonly retryMs: number
+  readonly log: Log
+  readonly onSample: (frame: Extract<Frame['body'], { case: 'sample' }>['value']) => void
+}
+
+type Sink = Parameters<SlotPort['run']>[1]
+
+/** Asks one peer's slots. What can't be sent is refused at once, as proved not run. */
+export class PeerLink implements SlotPort {
+  private out: AsyncQueue<Frame> | undefined
+  private readonly asked = new Map<number, Sink>()
+  private readonly confirms = new Map<number, (answer: Confirmed) => void>()
+  private nextId = 1
+  private lastHeard = 0
+  private isUp = false
+
+  private constructor (private readonly options: Options) {}
+
+  static open (options: Options, signal: AbortSignal): PeerLink {
+    const it = new PeerLink(options)
+    it.keep(signal)
+    return it
+  }
+
+  get isLinked (): boolean {
+    return this.isUp
+  }
+
+  run (req: Run, sink: Sink): ReturnType<SlotPort['run']> {
+    const id = this.nextId++
+    if (!this.isUp) {
+      sink.done(refusal(id, 'noSlotOwner'))
+      return { credit: () => undefined, cancel: () => undefined }
+    }
+    this.asked.set(id, sink)
+    this.send({ case: 'run', value: { ...req, id } })
+    return {
+      credit: bytes => this.send({ case: 'credit', value: { $typeName: 'agatepond.peer.v1.Credit', id, bytes } }),
+      cancel: () => {
+        if (!this.asked.delete(id)) return
+        this.send({ case: 'cancel', value: { $typeName: 'agatepond.peer.v1.Cancel', id } })
+      }
+    }
+  }
+
+  async confirm (endpoint: EndpointId, term: Term, position: Position, ms: number): Promise<Confirmed> {
+    if (!this.isUp) return create(ConfirmedSchema, { ok: false })
+    const id = this.nextId++
+    return await new Promise(resolve => {
+      this.confirms.set(id, resolve)
+      this.send({ case: 'confirm', value: { $typeName: 'agatepond.peer.v1.Confirm', id, endpoint, term, position, deadlineMs: ms } })
+    })
+  }
+
+  release (transaction: TransactionId): void {
+    this.send({ case: 'release', value: { $typeName: 'agatepond.peer.v1.Release', transaction } })
+  }
+
+  private send (body: Frame['body']): void {
+    this.out?.push(create(FrameSchema, { body }))
+  }
+
+  private async keep (signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.hold(signal)
+      await new Promise(resolve => { setTimeout(resolve, this.options.retryMs) })
+    }
+  }
+
+  /** Holds one stream until it breaks, goes silent or the process ends. */
+  private async hold (signal: AbortSignal): Promise<void> {
+    const { options } = this
+    const broken = new AbortController()
+    const stop = (): void => broken.abort()
+    signal.addEventListener('abort', stop, { once: true })
+    const out = AsyncQueue.create<Frame>()
+    this.out = out
+    this.lastHeard = performance.now()
+    const manager = new Http2SessionManager(`http://${options.address}`)
+    const transport = createGrpcTransport({ baseUrl: `http://${options.address}`, sessionManager: manager })
+    this.send({ case: 'hello', value: { $typeName: 'agatepond.peer.v1.Hello', host: options.self, incarnation: options.incarnation } })
+    const beat = setInterval(() => {
+      if (performance.now() - this.lastHeard > options.silentMs) return stop()
+      this.send({ case: 'beat', value: { $typeName: 'agatepond.peer.v1.Beat' } })
+    }, options.beatMs)
+    try {
+      const answers = createClient(Peer, transport).link(batches(out), { signal: broken.signal })
+      for await (const batch of answers) this.take(batch)
+    } catch {
+      // Refused, broken or silent: all end the same way below.
+    }
+    clearInterval(beat)
+    signal.removeEventListener('abort', stop)
+    out.close()
+    manager.abort()
+    this.fall()
+  }
+
+  private take (batch: Batch): void {
+    this.lastHeard = performance.now()
+    for (const { body } of batch.frames) this.takeFrame(body)
+  }
+
+  private takeFrame (body: Frame['body']): void {
+    switch (body.case) {
+      case 'hello':
+        this.isUp = true
+        return this.options.log.write('peerLinked', { peer: this.options.peer })
+      case 'sample': return this.options.onSample(body.value)
+      case 'head': return this.asked.get(body.value.id)?.head(body.value.columns)
+      case 'rows': return this.asked.get(body.value.id)?.rows(body.value.rows)
+      case 'done': return this.finish(body.value)
+      case 'confirmed':
+        this.confirms.get(body.value.id)?.(body.value)
+        this.confirms.delete(body.value.id)
+    }
+  }
+
+  private finish (done: Done): void {
+    const sink = this.asked.get(done.id)
+    this.asked.delete(done.id)
+    sink?.done(done)
+  }
+
+  /** The stream is gone: whatever was sent on it may have run. */
+  private fall (): void {
+    if (this.isUp) this.options.log.write('peerLost', { peer: this.options.peer })
+    this.isUp = false
+    this.out = undefined
+    for (const [id, sink] of [...this.asked]) {
+      this.asked.delete(id)
+      sink.done(refusal(id, 'lost', 'the process that holds the slot is gone'))
+    }
+    for (const resolve of this.confirms.values()) resolve(create(ConfirmedSchema, { ok: false }))
+    this.confirms.clear()
+  }
+}
+
+async function * batches (out: AsyncQueue<Frame>): AsyncGenerator<Batch> {
+  for await (const frames of out) yield create(BatchSchema, { frames: [...frames] })
+}
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,12 @@
+/** Tests stand beside what they test (`src/**`) or in test/ when they run whole processes. */
+
+import { defineConfig } from 'vitest/config'
+
+export default defineConfig({
+  test: {
+    include: ['src/**/*.test.ts', 'standin/**/*.test.ts', 'test/**/*.test.ts', 'scenarios/**/*.test.ts', 'bench/**/*.test.ts'],
+    testTimeout: 60_000,
+    hookTimeout: 60_000,
+    maxWorkers: 4
+  }
+})
