Reads: proved ages, narrowed bounds, a router in the core

Cause: a proxy that knew a session took its row for the session's newest write. A session that wrote at A, roamed to B, wrote there and came back to A was read at A with the old token (the fake group finds it: "s1 does not see its own write"). A stated age was treated as a read at the primary, a lost write was told for ever, an old primary that rejoined with an uncut log took reads, and the bounded table could evict the only record of a connection's own writes.

Change: every read of a named session asks for a bound after it arrived, in rounds shared by all reads that wait; slot owners tell every linked process which session made which position before they acknowledge, and the bound is narrowed by these notes, past no position whose note is missing. Ages are told from marks (bound, instant of asking on this process's clock). The router is a pure function: replica, wait, wait for a note, primary, lost. A connection without a session's name is its own session and its row isn't evicted. Replicas are chosen by data centre, queue and chance. A lost write is told once.

Ruled out: keeping a bound for later reads (the session may have written in between elsewhere); notes as the only evidence (an owner may be unknown to this process, so positions are counted and a gap stops the narrowing); asking the primary's slot owners for a session's row (two processes may disagree on who they are).

--- a/src/core/group/group.ts
+++ b/src/core/group/group.ts
@@ -2,6 +2,7 @@
 
 import type { EndpointId } from '../id/endpoint.ts'
 import type { GroupId } from '../id/group.ts'
+import type { Position } from '../id/position.ts'
 import type { Term } from '../id/term.ts'
 import { History } from '../history.ts'
 import { Sample } from './sample.ts'
@@ -41,6 +42,12 @@
       History.empty)
   }
 
+  /** What every reachable replica has applied at the least; 0 without replicas. */
+  get leastApplied (): Position {
+    const replicas = this.samples.filter(sample => sample.role === 'replica' && sample.reachable)
+    return (replicas.length === 0 ? 0 : Math.min(...replicas.map(sample => sample.applied))) as Position
+  }
+
   sample (endpoint: EndpointId): Sample | undefined {
     return this.samples.find(sample => sample.endpoint === endpoint)
   }
--- a/src/core/history.ts
+++ b/src/core/history.ts
@@ -35,10 +35,15 @@
    * Invariant: `true` stays true for every longer history of the same group.
    */
   holds (term: Term, position: Position): boolean {
-    const next = this.starts.find(start => start.term > term)
+    const next = this.startAfter(term)
     return next === undefined || position <= next.position
   }
 
+  /** The start of the term that ended the given one; undefined while that one goes on. */
+  startAfter (term: Term): Start | undefined {
+    return this.starts.find(start => start.term > term)
+  }
+
   with (term: Term, position: Position): History {
     const others = this.starts.filter(start => start.term !== term)
     return History.of([...others, { term, position }])
--- /dev/null
+++ b/src/core/routing/marks.ts
@@ -0,0 +1,51 @@
+/**
+ * What this process has proved of the primary's progress: positions and the
+ * instants at which it asked for them. The age of a replica is told from these
+ * and never from what the replica says of itself.
+ */
+
+import type { Sample } from '../group/sample.ts'
+import type { Instant } from '../id/instant.ts'
+import type { Token } from '../token.ts'
+import { hasApplied } from './applied.ts'
+
+interface Mark {
+  /** Every write acknowledged before `at` is at or below it. */
+  readonly bound: Token
+  /** When the question was sent, on this process's own clock. */
+  readonly at: Instant
+}
+
+const MOST = 256
+
+/** A bounded list of marks, oldest first. Immutable. */
+export class Marks {
+  private constructor (private readonly marks: readonly Mark[]) {}
+
+  static readonly empty = new Marks([])
+
+  /** Takes a bound in that was asked for at the instant; one asked before the newest is passed over. */
+  with (bound: Token, at: Instant): Marks {
+    const last = this.marks.at(-1)
+    if (last !== undefined && at <= last.at) return this
+    // The later of two marks of one position proves more than the earlier.
+    const isSame = last !== undefined && !bound.isAfter(last.bound)
+    const kept = isSame ? this.marks.slice(0, -1) : this.marks
+    return new Marks(thin([...kept, { bound: last === undefined ? bound : last.bound.max(bound), at }]))
+  }
+
+  /** The least proved age of what the replica shows, in milliseconds; infinite when nothing is proved. */
+  age (sample: Sample, now: Instant): number {
+    const mark = this.marks.findLast(({ bound }) => hasApplied(sample, bound))
+    return mark === undefined ? Infinity : now - mark.at
+  }
+}
+
+/**
+ * Drops every second mark of the older half of a full list. A replica's age is
+ * then proved by an earlier mark: it looks older than it is, never younger.
+ */
+function thin (marks: readonly Mark[]): readonly Mark[] {
+  if (marks.length <= MOST) return marks
+  return marks.filter((_, i) => i >= MOST / 2 || i % 2 === 0)
+}
--- a/src/core/routing/route.ts
+++ b/src/core/routing/route.ts
@@ -1,52 +1,102 @@
-/** Where a request goes: the endpoint, and what has to be proved there. */
+/** Where a read goes: the endpoint, and what has to be proved there. */
 
 import type { Group } from '../group/group.ts'
 import type { Sample } from '../group/sample.ts'
 import type { EndpointId } from '../id/endpoint.ts'
+import type { Instant } from '../id/instant.ts'
 import type { Token } from '../token.ts'
+import { hasApplied } from './applied.ts'
 import type { Freshness } from './freshness.ts'
+import type { Marks } from './marks.ts'
 
 interface Read {
   readonly group: Group
   readonly freshness: Freshness
   /** The session's newest write, or the bound that stands in for it. */
   readonly token: Token
-  /** Endpoints nearest first; replicas of the caller's own data centre cost no hop. */
-  readonly near: readonly EndpointId[]
+  readonly marks: Marks
+  /** Endpoints of the caller's own data centre. */
+  readonly near: ReadonlySet<EndpointId>
+  readonly now: Instant
+  /** In [0, 1); chooses among equals, so that proxies with the same samples don't all choose the same replica. */
+  readonly chance: number
+  /** Since when the read has been waiting for a replica. */
+  readonly since: Instant
+  /** Whether the replicas were asked again for this read. */
+  readonly isRefreshed: boolean
+  /** Whether the note of a write that the session may have made is missing; most come within milliseconds. */
+  readonly isNoteDue: boolean
 }
 
 type Route =
   | { readonly kind: 'replica', readonly endpoint: EndpointId }
   | { readonly kind: 'primary', readonly endpoint: EndpointId }
+  /** Ask the replicas again after so long, and route again. */
+  | { readonly kind: 'wait', readonly ms: number }
+  /** Route again when something was learnt, or after so long. */
+  | { readonly kind: 'note', readonly ms: number }
   | { readonly kind: 'lost', readonly token: Token }
   | { readonly kind: 'none' }
 
+/** About what the way to the primary and its proof cost; a read doesn't wait longer for a replica. */
+const MOST_WAIT_MS = 15
+const LEAST_WAIT_MS = 2
+/** A note that takes longer than a round trip is lost, or was made by a process that isn't linked. */
+const MOST_NOTE_WAIT_MS = 10
+/** How many queued requests a replica of another data centre is worth. */
+const HOP_QUEUE = 4
+
 /**
  * Routes a read. A replica is chosen only when its sample proves that it has
- * applied the token: the applied position never shrinks within a history, so
- * an old sample is still proof.
+ * applied the token and, for a stated age, when the marks prove the age.
  */
 export function routeRead (read: Read): Route {
   const { group, freshness, token } = read
   if (!group.history.holds(token.term, token.position)) return { kind: 'lost', token }
-  if (freshness.kind === 'session') {
-    const replica = pickReplica(read)
-    if (replica !== undefined) return { kind: 'replica', endpoint: replica.endpoint }
+  if (freshness.kind !== 'strict') {
+    const able = replicasOf(group).filter(sample => isFresh(sample, read))
+    if (able.length > 0) return { kind: 'replica', endpoint: leastLoaded(able, read).endpoint }
+    const ms = waitFor(read)
+    if (ms !== undefined) return { kind: 'wait', ms }
+    if (read.isNoteDue && read.now - read.since < MOST_NOTE_WAIT_MS) return { kind: 'note', ms: LEAST_WAIT_MS }
   }
-  const primary = group.primary
-  if (primary === undefined) return { kind: 'none' }
-  return { kind: 'primary', endpoint: primary.endpoint }
+  const { primary } = group
+  return primary === undefined ? { kind: 'none' } : { kind: 'primary', endpoint: primary.endpoint }
+}
+
+/**
+ * Replicas that are aligned with the newest term. Against a replaced primary
+ * that was told to follow and hasn't cut its log at the fork yet: it calls
+ * itself a replica and still shows writes that were never acknowledged and
+ * will vanish. It takes the history of its term over in the step that cuts its
+ * log, so until then its history ends before the term it has accepted.
+ */
+function replicasOf (group: Group): readonly Sample[] {
+  const { term } = group.history
+  return group.samples.filter(sample =>
+    sample.role === 'replica' && sample.reachable && sample.history.term >= Math.max(term, sample.term))
+}
+
+function isFresh (sample: Sample, { freshness, token, marks, now }: Read): boolean {
+  if (!hasApplied(sample, token)) return false
+  return freshness.kind !== 'age' || marks.age(sample, now) <= freshness.ms
 }
 
-function pickReplica ({ group, token, near }: Read): Sample | undefined {
-  const able = group.samples.filter(sample =>
-    sample.role === 'replica' && sample.reachable && hasApplied(sample, token))
-  return able.sort((a, b) => near.indexOf(a.endpoint) - near.indexOf(b.endpoint) || a.queued - b.queued)[0]
+function leastLoaded (able: readonly Sample[], { near, chance }: Read): Sample {
+  const cost = (sample: Sample): number => sample.queued + (near.has(sample.endpoint) ? 0 : HOP_QUEUE)
+  const least = Math.min(...able.map(cost))
+  const best = able.filter(sample => cost(sample) === least)
+  return best[Math.floor(chance * best.length)]!
 }
 
-/** Whether the sample proves that the endpoint shows every write up to the token. */
-function hasApplied (sample: Sample, token: Token): boolean {
-  return sample.lastTerm >= token.term &&
-    sample.applied >= token.position &&
-    sample.history.holds(token.term, token.position)
+/** How long to wait before the replicas are asked again; undefined when the primary is the faster way. */
+function waitFor (read: Read): number | undefined {
+  const { group, isRefreshed, marks, now, since } = read
+  const replicas = replicasOf(group)
+  if (replicas.length === 0) return undefined
+  if (!isRefreshed) return 0
+  const left = MOST_WAIT_MS - (now - since)
+  const lag = Math.min(...replicas.map(sample => marks.age(sample, now)))
+  if (lag > left) return undefined
+  return Math.max(LEAST_WAIT_MS, Math.min(lag, left))
 }
--- a/src/core/session/session.ts
+++ b/src/core/session/session.ts
@@ -4,7 +4,7 @@
 import type { SessionId } from '../id/session.ts'
 import { Token } from '../token.ts'
 
-/** The newest write that a session has seen, per group. Immutable. */
+/** The newest write that a session has made through this process, per group. Immutable. */
 export class Session {
   private constructor (readonly id: SessionId, private readonly tokens: ReadonlyMap<GroupId, Token>) {}
 
@@ -12,15 +12,14 @@
     return new Session(id, new Map())
   }
 
-  /** The token of the group; `undefined` when this process doesn't know what the session has written there. */
-  token (group: GroupId): Token | undefined {
-    return this.tokens.get(group)
+  /** The token of the group; zero when the session has written nothing there through this process. */
+  token (group: GroupId): Token {
+    return this.tokens.get(group) ?? Token.zero
   }
 
   /** Takes a token in; a token never goes back. */
   with (group: GroupId, token: Token): Session {
-    const old = this.tokens.get(group)
-    if (old !== undefined && !token.isAfter(old)) return this
+    if (!token.isAfter(this.token(group))) return this
     return new Session(this.id, new Map(this.tokens).set(group, token))
   }
 }
--- /dev/null
+++ b/src/core/session/sessions.test.ts
@@ -0,0 +1,34 @@
+import { describe, expect, it } from 'vitest'
+import type { GroupId } from '../id/group.ts'
+import type { SessionId } from '../id/session.ts'
+import { Token } from '../token.ts'
+import { Session } from './session.ts'
+import { Sessions } from './sessions.ts'
+
+const GROUP = 'g' as GroupId
+const id = (name: string): SessionId => name as SessionId
+const written = (name: string): Session => Session.create(id(name)).with(GROUP, Token.of(1, 5))
+
+describe('Sessions', () => {
+  it('forgets the least recently used named session', () => {
+    const sessions = Sessions.create(2)
+    for (const name of ['a', 'b']) sessions.set(written(name))
+    sessions.get(id('a'))
+    sessions.set(written('c'))
+    expect(['a', 'b', 'c'].map(name => sessions.get(id(name)).token(GROUP).position)).toEqual([5, 0, 5])
+  })
+
+  // A connection without a session's name writes, a thousand named sessions
+  // come by, and the connection reads: it must still see its own write, of
+  // which its row is the only record.
+  it('keeps the row of a connection until it is closed', () => {
+    const sessions = Sessions.create(2)
+    sessions.keep(id('own'))
+    sessions.set(written('own'))
+    for (let i = 0; i < 1000; i++) sessions.set(written(`s${i}`))
+    expect(sessions.get(id('own')).token(GROUP).position).toBe(5)
+    sessions.forget(id('own'))
+    expect(sessions.get(id('own')).token(GROUP).position).toBe(0)
+    expect(sessions.size).toBe(2)
+  })
+})
--- a/src/core/session/sessions.ts
+++ b/src/core/session/sessions.ts
@@ -1,15 +1,20 @@
 /** The sessions that one process knows, bounded; the least recently used go first. */
 
 import type { SessionId } from '../id/session.ts'
-import type { Session } from './session.ts'
+import { Session } from './session.ts'
 
 /**
- * A bounded table of sessions. Unlike the values it holds it changes in
- * place: it is touched by every request, and copying it would cost its size.
- * Forgetting a session is safe, see `Session.token`.
+ * A bounded table of named sessions, and a row for each open connection
+ * without a name. Unlike the values it holds it changes in place: it is
+ * touched by every request, and copying it would cost its size.
+ *
+ * Forgetting a named session is safe: its reads ask for a bound anyway. A
+ * connection's own row is all that is known of its writes, so it's kept until
+ * the connection is closed.
  */
 export class Sessions {
   private readonly table = new Map<SessionId, Session>()
+  private readonly kept = new Map<SessionId, Session>()
 
   private constructor (private readonly most: number) {}
 
@@ -18,22 +23,38 @@
   }
 
   get size (): number {
-    return this.table.size
+    return this.table.size + this.kept.size
   }
 
-  get (id: SessionId): Session | undefined {
+  /** The session; one without writes when this process doesn't know it. */
+  get (id: SessionId): Session {
+    const kept = this.kept.get(id)
+    if (kept !== undefined) return kept
     const session = this.table.get(id)
-    if (session === undefined) return undefined
+    if (session === undefined) return Session.create(id)
     this.table.delete(id)
     this.table.set(id, session)
     return session
   }
 
   set (session: Session): void {
+    if (this.kept.has(session.id)) {
+      this.kept.set(session.id, session)
+      return
+    }
     this.table.delete(session.id)
     this.table.set(session.id, session)
     if (this.table.size <= this.most) return
     const oldest = this.table.keys().next()
     if (oldest.done !== true) this.table.delete(oldest.value)
   }
+
+  /** Keeps the session's row until `forget`. */
+  keep (id: SessionId): void {
+    this.kept.set(id, Session.create(id))
+  }
+
+  forget (id: SessionId): void {
+    this.kept.delete(id)
+  }
 }
--- a/src/shell/caller/attempts.ts
+++ b/src/shell/caller/attempts.ts
@@ -4,6 +4,7 @@
 import { Done_Outcome as DoneOutcome, Run_Access as RunAccess, type Done } from '../../gen/peer_pb.ts'
 import type { Instant } from '../../core/id/instant.ts'
 import type { Hints } from '../../core/routing/hints.ts'
+import { fingerprint } from '../../core/session/fingerprint.ts'
 import type { Reply } from '../mysql/reply.ts'
 import { refusal } from '../peer/answer.ts'
 import type { CallerContext } from './context.ts'
@@ -46,6 +47,7 @@
         caller: req.identity.caller,
         request,
         once: req.hints.fields.once ?? '',
+        session: fingerprint(req.hints.fields.session ?? req.identity.session),
         term: 0,
         position: 0,
         database: req.identity.group.database
--- a/src/shell/caller/bound.ts
+++ b/src/shell/caller/bound.ts
@@ -1,33 +1,89 @@
-/** The bound that stands in for what a session has written, when this process doesn't know the session. */
+/** The bounds of one group: positions that no acknowledged write lies above, asked for in rounds. */
 
-import type { Group } from '../../core/group/group.ts'
+import type { Confirmed } from '../../gen/peer_pb.ts'
+import type { EndpointId } from '../../core/id/endpoint.ts'
+import type { GroupId } from '../../core/id/group.ts'
 import type { Position } from '../../core/id/position.ts'
+import type { Term } from '../../core/id/term.ts'
 import { Token } from '../../core/token.ts'
 import type { CallerContext } from './context.ts'
 
+type Waiter = (bound: Token | undefined) => void
+
+/** How long a round may take; one that fails is followed by the next. */
+const ROUND_MS = 500
+
 /**
- * The primary's position, taken under proof that no newer term has begun. No
- * write that was acknowledged before the call lies above it, whichever proxy
- * took the write. This fills the session's row on demand, as the upqueries of
- * Noria fill missing state (see docs/DESIGN.md). Undefined when it can't be proved.
+ * Asks the primary for its position under proof that no newer term has begun:
+ * the primary and a second server of its term both answer after the question.
+ * A bound stands for the writes acknowledged before it was asked for, so a
+ * read joins only a round that begins after the read arrived. It fills what
+ * this process doesn't know of a session on demand, as the upqueries of Noria
+ * fill missing state (docs/DESIGN.md, "Sessions and reads").
  */
-export async function acknowledgedBound (context: CallerContext, group: Group, ms: number): Promise<Token | undefined> {
-  const { primary } = group
-  if (primary === undefined) return undefined
-  const { term, endpoint } = primary
-  const others = group.samples.filter(sample => sample.endpoint !== endpoint)
-  const confirm = async (at: typeof endpoint): Promise<number> => {
-    const answer = await context.port(at)?.confirm(at, term, 0 as Position, ms)
-    if (answer?.ok !== true) throw new Error('not confirmed')
-    return answer.received
+export class BoundRounds {
+  private waiting: Waiter[] = []
+  private isRunning = false
+
+  private constructor (private readonly context: CallerContext, private readonly group: GroupId) {}
+
+  static create (context: CallerContext, group: GroupId): BoundRounds {
+    return new BoundRounds(context, group)
+  }
+
+  /** Undefined when no bound can be proved within `ms`. */
+  async ask (ms: number): Promise<Token | undefined> {
+    return await new Promise(resolve => {
+      const timer = setTimeout(resolve, ms, undefined)
+      this.waiting.push(bound => {
+        clearTimeout(timer)
+        resolve(bound)
+      })
+      if (!this.isRunning) this.loop()
+    })
   }
-  try {
-    const [received] = await Promise.all([
-      confirm(endpoint),
-      Promise.any(others.map(async other => await confirm(other.endpoint)))
+
+  private async loop (): Promise<void> {
+    this.isRunning = true
+    while (this.waiting.length > 0) {
+      const joined = this.waiting
+      this.waiting = []
+      const bound = await this.round().catch(() => undefined)
+      for (const resolve of joined) resolve(bound)
+    }
+    this.isRunning = false
+  }
+
+  private async round (): Promise<Token | undefined> {
+    const { groups, now } = this.context
+    const group = groups.get(this.group)
+    const primary = group?.primary
+    if (group === undefined || primary === undefined) return undefined
+    const at = now()
+    const { term } = primary
+    const others = group.samples.filter(sample => sample.endpoint !== primary.endpoint)
+    const [own] = await Promise.all([
+      this.confirm(primary.endpoint, term),
+      Promise.any(others.map(async other => await this.confirm(other.endpoint, term)))
     ])
-    return Token.of(term, received)
-  } catch {
-    return undefined
+    const bound = Token.of(term, own.received)
+    groups.mark(this.group, bound, at)
+    return bound
+  }
+
+  private async confirm (endpoint: EndpointId, term: Term): Promise<Confirmed> {
+    const answer = await this.context.port(endpoint)?.confirm(endpoint, term, 0 as Position, ROUND_MS)
+    if (answer?.ok !== true) throw new Error('not confirmed')
+    this.learn(endpoint, answer)
+    return answer
+  }
+
+  /** The answer tells how far the endpoint's reads are, sooner than the next sample would. */
+  private learn (endpoint: EndpointId, answer: Confirmed): void {
+    const { groups } = this.context
+    const known = groups.get(this.group)?.sample(endpoint)
+    // In a term that the last sample doesn't know of, positions may stand for other entries.
+    if (known === undefined || known.history.term !== answer.term || answer.applied <= known.applied) return
+    groups.learn(known.with({ applied: answer.applied as Position, received: answer.received as Position }))
   }
 }
--- a/src/shell/caller/connection.ts
+++ b/src/shell/caller/connection.ts
@@ -81,6 +81,7 @@
   closed (): void {
     this.gone.abort()
     this.rollBack()
+    this.context.sessions.forget(this.identity.session)
   }
 
   private rollBack (): void {
--- a/src/shell/caller/context.ts
+++ b/src/shell/caller/context.ts
@@ -1,6 +1,7 @@
 /** What the connections of callers share in one process. */
 
 import type { Config } from '../../core/config/config.ts'
+import type { DataCentreId } from '../../core/id/datacentre.ts'
 import type { EndpointId } from '../../core/id/endpoint.ts'
 import type { HostId } from '../../core/id/host.ts'
 import type { Instant } from '../../core/id/instant.ts'
@@ -16,8 +17,10 @@
   readonly sessions: Sessions
   /** The owner of a slot of the endpoint, nearest first; undefined while nobody holds one. */
   readonly port: (endpoint: EndpointId) => SlotPort | undefined
-  /** Endpoints by nearness to this process. */
-  readonly near: readonly EndpointId[]
+  /** Of this process. */
+  readonly dataCentre: DataCentreId
+  /** A number in [0, 1) from the process's one seeded generator. */
+  readonly chance: () => number
   readonly deadlineMs: number
   readonly now: () => Instant
   readonly metrics: Metrics
--- a/src/shell/caller/frontend.ts
+++ b/src/shell/caller/frontend.ts
@@ -22,8 +22,11 @@
   for (const pool of owns) {
     const group = config.groups.find(one => pool.groups.includes(one.id) && (login.database === '' || one.database === login.database))
     if (group === undefined) continue
-    const session = (login.attributes.agatepond_session ?? randomUUID()) as SessionId
-    return CallerConnection.create(context, reads, { pool, group, caller: login.user, session })
+    const name = login.attributes.agatepond_session
+    const session = (name ?? randomUUID()) as SessionId
+    const isNamed = name !== undefined
+    if (!isNamed) context.sessions.keep(session)
+    return CallerConnection.create(context, reads, { pool, group, caller: login.user, session, isNamed })
   }
   return { code: ER_DBACCESS_DENIED, message: `Access denied for user '${login.user}'@'${login.address}' to database '${login.database}'` }
 }
--- a/src/shell/caller/identity.ts
+++ b/src/shell/caller/identity.ts
@@ -8,4 +8,6 @@
   readonly group: Config['groups'][number]
   readonly caller: string
   readonly session: SessionId
+  /** Whether the caller named the session, which may then use other connections and proxies too. */
+  readonly isNamed: boolean
 }
--- /dev/null
+++ b/src/shell/caller/reads.test.ts
@@ -0,0 +1,112 @@
+import { create } from '@bufbuild/protobuf'
+import { describe, expect, it } from 'vitest'
+import { ConfirmedSchema, Run_Access as RunAccess } from '../../gen/peer_pb.ts'
+import { parseConfig } from '../../core/config/document.ts'
+import { Group } from '../../core/group/group.ts'
+import { Sample } from '../../core/group/sample.ts'
+import { History } from '../../core/history.ts'
+import type { DataCentreId } from '../../core/id/datacentre.ts'
+import type { EndpointId } from '../../core/id/endpoint.ts'
+import type { Instant } from '../../core/id/instant.ts'
+import type { Position } from '../../core/id/position.ts'
+import type { SessionId } from '../../core/id/session.ts'
+import type { Term } from '../../core/id/term.ts'
+import type { ConfigVersion } from '../../core/id/version.ts'
+import { Hints } from '../../core/routing/hints.ts'
+import { Sessions } from '../../core/session/sessions.ts'
+import { Token } from '../../core/token.ts'
+import type { CallerContext } from './context.ts'
+import { Groups } from './groups.ts'
+import type { Identity } from './identity.ts'
+import { Reads } from './reads.ts'
+
+const IDS = ['e1', 'e2', 'e3'].map(id => id as EndpointId)
+/** Each look at the clock is so much later, so that no read waits for a lagging replica. */
+const STEP_MS = 20
+
+/** One proxy before a group whose primary e1 is at `position` and whose replicas have applied `applied`. */
+class Proxy {
+  now = 0
+  position = 10
+  rounds = 0
+  readonly reads: Reads
+  readonly groups = Groups.create()
+  readonly identity: Identity
+
+  constructor (readonly isNamed: boolean, applied: number) {
+    const config = parseConfig(1 as ConfigVersion, {
+      groups: [{ id: 'g', database: 'd', endpoints: IDS.map(id => ({ id, address: '127.0.0.1:1', dataCentre: 'dc' })) }],
+      pools: [{ id: 'p', groups: ['g'], callers: [] }]
+    })._unsafeUnwrap()
+    const group = config.groups[0]!
+    this.identity = { pool: config.pools[0]!, group, caller: 'c', session: 's' as SessionId, isNamed }
+    this.groups.set(Group.of(group.id, IDS))
+    IDS.forEach((id, i) => this.groups.learn(sample(id, i === 0 ? 'primary' : 'replica', i === 0 ? this.position : applied)))
+    const port = { confirm: async (id: EndpointId) => await this.confirm(id) }
+    this.reads = Reads.create({
+      config: () => config, groups: this.groups, sessions: Sessions.create(10), port: () => port, dataCentre: 'dc' as DataCentreId, chance: () => 0, now: () => (this.now += STEP_MS) as Instant
+    } as unknown as CallerContext)
+  }
+
+  async read (): Promise<string> {
+    const target = await this.reads.route(this.identity, Hints.none, 1000)
+    return target.kind === 'nowhere' ? target.reason : RunAccess[target.access]!.toLowerCase()
+  }
+
+  private async confirm (id: EndpointId): Promise<object> {
+    if (id === IDS[0]) this.rounds++
+    const received = this.position
+    await new Promise(resolve => setImmediate(resolve))
+    const { applied } = this.groups.get(this.identity.group.id)!.sample(id)!
+    return create(ConfirmedSchema, { ok: true, term: 1, received, applied })
+  }
+}
+
+function sample (id: EndpointId, role: Sample['role'], applied: number, term = 1, start = 0): Sample {
+  const starts = term === 1 ? [[1, 0]] : [[1, 0], [term, start]]
+  return Sample.unknown(id).with({
+    role, term: term as Term, lastTerm: term as Term, received: applied as Position, applied: applied as Position, reachable: true, history: History.of(starts.map(([t, p]) => ({ term: t as Term, position: p as Position })))
+  })
+}
+
+describe('Reads', () => {
+  // Somebody wrote an instant ago and replicas lag. Nothing says that it was
+  // this session, and nothing says that it wasn't, until the note of that
+  // write has come.
+  it('sends a named session to a replica only when the notes clear it', async () => {
+    const proxy = new Proxy(true, 9)
+    expect(await proxy.read()).toBe('strict')
+    proxy.groups.note(IDS[0]!, 1 as Term, 10 as Position, 12345)
+    expect(await proxy.read()).toBe('read')
+  })
+
+  it('sends a connection that has written nothing to a replica, however far behind', async () => {
+    const proxy = new Proxy(false, 2)
+    expect(await proxy.read()).toBe('read')
+    proxy.reads.wrote(proxy.identity, Hints.none, Token.of(1, 10))
+    expect(await proxy.read()).toBe('strict')
+  })
+
+  // The read arrives while a round is under way whose answer may have been
+  // given before a write that this session has just made elsewhere.
+  it('never shares a bound that was asked for before the read arrived', async () => {
+    const proxy = new Proxy(true, 10)
+    const first = proxy.read()
+    await Promise.resolve()
+    proxy.position = 11
+    const later = Promise.all([proxy.read(), proxy.read(), proxy.read()])
+    expect(await first).toBe('read')
+    expect(await later).toEqual(['strict', 'strict', 'strict'])
+    expect(proxy.rounds).toBe(2)
+  })
+
+  // The operator accepted acknowledgement by the primary alone; it fails, and
+  // the new term starts below the session's last write.
+  it('tells a session once of a lost write', async () => {
+    const proxy = new Proxy(false, 10)
+    proxy.reads.wrote(proxy.identity, Hints.none, Token.of(1, 12))
+    proxy.groups.learn(sample(IDS[1]!, 'primary', 10, 2, 10))
+    proxy.groups.learn(sample(IDS[2]!, 'replica', 10, 2, 10))
+    expect([await proxy.read(), await proxy.read()]).toEqual(['lostWrite', 'read'])
+  })
+})
--- a/src/shell/caller/reads.ts
+++ b/src/shell/caller/reads.ts
@@ -1,18 +1,37 @@
 /** The way of a read: what its session must see, and the endpoint that shows it. */
 
 import { Run_Access as RunAccess } from '../../gen/peer_pb.ts'
+import type { EndpointId } from '../../core/id/endpoint.ts'
+import type { GroupId } from '../../core/id/group.ts'
+import type { Instant } from '../../core/id/instant.ts'
+import type { SessionId } from '../../core/id/session.ts'
 import type { Freshness } from '../../core/routing/freshness.ts'
 import type { Hints } from '../../core/routing/hints.ts'
 import { routeRead } from '../../core/routing/route.ts'
-import { Session } from '../../core/session/session.ts'
+import { fingerprint } from '../../core/session/fingerprint.ts'
+import { requiredToken } from '../../core/session/required.ts'
 import { Token } from '../../core/token.ts'
-import { acknowledgedBound } from './bound.ts'
+import { BoundRounds } from './bound.ts'
 import type { CallerContext } from './context.ts'
 import type { Identity } from './identity.ts'
 import type { Target } from './target.ts'
 
+/** One read on its way. */
+interface Read {
+  readonly group: GroupId
+  readonly session: SessionId
+  readonly freshness: Freshness
+  readonly known: Token
+  /** Asked for after the read arrived; undefined for a session that writes nowhere else. */
+  readonly bound: Token | undefined
+  readonly near: ReadonlySet<EndpointId>
+  readonly since: Instant
+}
+
 /** Routes the reads of all callers of a process, and keeps what their sessions have written. */
 export class Reads {
+  private readonly rounds = new Map<GroupId, BoundRounds>()
+
   private constructor (private readonly context: CallerContext) {}
 
   static create (context: CallerContext): Reads {
@@ -21,49 +40,100 @@
 
   /** `ms` is what is left until the read's deadline. */
   async route (identity: Identity, hints: Hints, ms: number): Promise<Target> {
-    await this.fillSession(identity, hints, ms)
-    const group = this.context.groups.get(identity.group.id)
-    if (group === undefined) return { kind: 'nowhere', reason: 'noPrimary' }
-    const token = this.token(identity, hints)
-    const freshness: Freshness = token === undefined ? { kind: 'strict' } : freshnessOf(identity, hints)
-    const route = routeRead({ group, freshness, token: token ?? Token.zero, near: this.context.near })
-    switch (route.kind) {
-      case 'lost': return { kind: 'nowhere', reason: 'lostWrite' }
-      case 'none': return { kind: 'nowhere', reason: 'noPrimary' }
-      case 'replica': return { kind: 'endpoint', endpoint: route.endpoint, access: RunAccess.READ, transaction: '' }
-      case 'primary': return { kind: 'endpoint', endpoint: route.endpoint, access: RunAccess.STRICT, transaction: '' }
-    }
+    const since = this.context.now()
+    const group = identity.group.id
+    const bound = mayRoam(identity, hints) ? await this.roundsOf(group).ask(ms) : undefined
+    // Where nothing can be proved of the session's writes elsewhere, only a strict read is safe.
+    const isBlind = mayRoam(identity, hints) && bound === undefined
+    return await this.place({
+      group,
+      session: sessionOf(identity, hints),
+      freshness: isBlind ? { kind: 'strict' } : freshnessOf(identity, hints),
+      known: this.token(identity, hints),
+      bound,
+      near: this.near(identity),
+      since
+    }, ms)
   }
 
   /** Takes in an acknowledged write of the session. */
   wrote (identity: Identity, hints: Hints, token: Token): void {
     const { sessions } = this.context
-    const id = hints.fields.session ?? identity.session
-    sessions.set((sessions.get(id) ?? Session.create(id)).with(identity.group.id, token))
+    sessions.set(sessions.get(sessionOf(identity, hints)).with(identity.group.id, token))
+  }
+
+  /** The newest write that is known of the session: by this process or from the caller. */
+  token (identity: Identity, hints: Hints): Token {
+    const known = this.context.sessions.get(sessionOf(identity, hints)).token(identity.group.id)
+    return known.max(hints.fields.token ?? Token.zero)
+  }
+
+  private async place (read: Read, ms: number): Promise<Target> {
+    const { groups, now } = this.context
+    for (let isRefreshed = read.bound !== undefined; ;) {
+      const group = groups.get(read.group)
+      if (group === undefined) return { kind: 'nowhere', reason: 'noPrimary' }
+      const writes = groups.writes(read.group)
+      const token = requiredToken({ ...read, group, writes, session: fingerprint(read.session) })
+      const isNoteDue = read.bound !== undefined && writes.gap(read.bound, group.leastApplied) !== undefined
+      const route = routeRead({
+        ...read, group, token, marks: groups.marks(read.group), now: now(), chance: this.context.chance(), isRefreshed, isNoteDue
+      })
+      switch (route.kind) {
+        case 'lost': return this.tellLost(read)
+        case 'none': return { kind: 'nowhere', reason: 'noPrimary' }
+        case 'replica': return { kind: 'endpoint', endpoint: route.endpoint, access: RunAccess.READ, transaction: '' }
+        case 'primary': return { kind: 'endpoint', endpoint: route.endpoint, access: RunAccess.STRICT, transaction: '' }
+        case 'note':
+          await groups.changed(route.ms)
+          break
+        case 'wait':
+          if (route.ms > 0) await groups.changed(route.ms)
+          await this.roundsOf(read.group).ask(ms)
+          isRefreshed = true
+      }
+    }
   }
 
   /**
-   * A session that roamed here from another proxy may have written there.
-   * Its missing row is filled with the bound of all acknowledged writes.
+   * A session is told once that a write of it was lost, and then goes on with
+   * what the new term kept: it would be refused for ever otherwise.
    */
-  private async fillSession (identity: Identity, hints: Hints, ms: number): Promise<void> {
-    const { groups } = this.context
-    const group = groups.get(identity.group.id)
-    if (this.token(identity, hints) !== undefined || group === undefined) return
-    const bound = await acknowledgedBound(this.context, group, ms)
-    if (bound !== undefined) this.wrote(identity, hints, bound)
+  private tellLost ({ group, session, known }: Read): Target {
+    const { groups, sessions } = this.context
+    const fork = groups.get(group)?.history.startAfter(known.term)
+    if (fork !== undefined) sessions.set(sessions.get(session).with(group, Token.of(fork.term, fork.position)))
+    return { kind: 'nowhere', reason: 'lostWrite' }
+  }
+
+  private roundsOf (group: GroupId): BoundRounds {
+    const known = this.rounds.get(group)
+    if (known !== undefined) return known
+    const rounds = BoundRounds.create(this.context, group)
+    this.rounds.set(group, rounds)
+    return rounds
   }
 
-  /** Undefined when nothing is known of the session's writes, so that only a strict read is safe. */
-  private token (identity: Identity, hints: Hints): Token | undefined {
-    const id = hints.fields.session ?? identity.session
-    const known = this.context.sessions.get(id)?.token(identity.group.id)
-    const { token } = hints.fields
-    if (known === undefined || token === undefined) return known ?? token
-    return known.max(token)
+  private near ({ group }: Identity): ReadonlySet<EndpointId> {
+    return new Set(group.endpoints.filter(one => one.dataCentre === this.context.dataCentre).map(one => one.id))
   }
 }
 
+function sessionOf (identity: Identity, hints: Hints): SessionId {
+  return hints.fields.session ?? identity.session
+}
+
+/**
+ * Whether the session may have written through another process. What a caller
+ * brings as its token covers its writes, and a connection without a session's
+ * name is its own session.
+ */
+function mayRoam (identity: Identity, hints: Hints): boolean {
+  if (freshnessOf(identity, hints).kind === 'strict') return false
+  const isNamed = identity.isNamed || hints.fields.session !== undefined
+  return isNamed && hints.fields.token === undefined
+}
+
 function freshnessOf ({ pool }: Identity, hints: Hints): Freshness {
   return pool.kinds.find(one => one.name === hints.fields.read)?.freshness ?? pool.freshness
 }
--- a/src/shell/endpoint/execution.ts
+++ b/src/shell/endpoint/execution.ts
@@ -20,6 +20,8 @@
   readonly confirm: (term: Term, position: Position, ms: number) => Promise<boolean>
   /** Whether this endpoint is still the primary, proved after the call by it and a second server. */
   readonly proveCurrent: (ms: number) => Promise<boolean>
+  /** Told of a write before it's acknowledged; see RecentWrites. */
+  readonly wrote: (term: Term, position: Position, session: number) => void
 }
 
 const ER_READ_ONLY = 1290
@@ -171,6 +173,7 @@
     })
     if (packet.token === undefined) return done
     const { term, position } = packet.token
+    if (this.req.session !== 0) this.context.wrote(term, position, this.req.session)
     const isConfirmed = await this.context.confirm(term, position, this.req.deadlineMs)
     return isConfirmed ? done : refusal(this.req.id, 'unconfirmed')
   }
--- a/src/shell/endpoint/owner.ts
+++ b/src/shell/endpoint/owner.ts
@@ -41,6 +41,8 @@
   /** Asks the owner of another endpoint's slot. */
   readonly confirmAt: (endpoint: EndpointId, term: Term, position: Position, ms: number) => Promise<Confirmed>
   readonly onSample: (sample: Sample) => void
+  /** Hears of every write on the slot before it's acknowledged to anybody. */
+  readonly onWrote: (term: Term, position: Position, session: number) => void
   readonly record: (action: Extract<FailoverAction, { kind: 'record' }>) => void
 }
 
@@ -87,14 +89,15 @@
     return Execution.start({
       slot: this.slot,
       confirm: async (term, position, ms) => await this.confirmElsewhere(term, position, ms),
-      proveCurrent: async ms => await this.proveCurrent(ms)
+      proveCurrent: async ms => await this.proveCurrent(ms),
+      wrote: this.options.onWrote
     }, req, sink)
   }
 
   async confirm (term: Term, position: Position, ms: number): Promise<Confirmed> {
     try {
       const sample = await this.rounds.confirm(term, position, ms)
-      return create(ConfirmedSchema, { ok: true, term: sample.term, received: sample.received })
+      return create(ConfirmedSchema, { ok: true, term: sample.term, received: sample.received, applied: sample.applied })
     } catch {
       return create(ConfirmedSchema, { ok: false })
     }
--- a/src/shell/node/node.ts
+++ b/src/shell/node/node.ts
@@ -7,6 +7,7 @@
 import { ConfirmedSchema, type Frame } from '../../gen/peer_pb.ts'
 import type { Config } from '../../core/config/config.ts'
 import { parseConfig } from '../../core/config/document.ts'
+import type { DataCentreId } from '../../core/id/datacentre.ts'
 import type { EndpointId } from '../../core/id/endpoint.ts'
 import type { HostId } from '../../core/id/host.ts'
 import type { Instant } from '../../core/id/instant.ts'
@@ -52,6 +53,7 @@
     const groups = Groups.create()
     const incarnation = randomUUID()
     const now = (): Instant => performance.now() as Instant
+    const chance = seededChance(incarnation)
     const table = DynamoTable.open({ url: platform.tableService, table: platform.table, region: platform.region, timeoutMs: platform.timeout }, signal)
     const hostList = HttpHostList.of(platform.hostList, platform.timeout)
     const slots = Slots.create({
@@ -62,8 +64,9 @@
       log,
       metrics,
       now,
-      chance: seededChance(incarnation),
-      broadcast: frame => it.peers?.broadcast({ case: 'sample', value: frame })
+      chance,
+      broadcast: frame => it.peers?.broadcast({ case: 'sample', value: frame }),
+      broadcastWrite: frame => it.peers?.broadcast({ case: 'wrote', value: frame })
     })
     const it: Node = new Node(slots, log, metrics)
     it.peers = await PeerServer.listen({
@@ -81,7 +84,8 @@
       groups,
       sessions: Sessions.create(settings.requests.sessions),
       port: endpoint => slots.port(endpoint),
-      near: [],
+      dataCentre: host.dataCentre as DataCentreId,
+      chance,
       deadlineMs: settings.requests.deadline,
       now,
       metrics
--- a/src/shell/node/slots.ts
+++ b/src/shell/node/slots.ts
@@ -1,11 +1,14 @@
 /** The slots of this process and the ways to those of others: one port for each endpoint. */
 
-import type { Sample as SampleFrame } from '../../gen/peer_pb.ts'
+import { create } from '@bufbuild/protobuf'
+import { WroteSchema, type Sample as SampleFrame, type Wrote } from '../../gen/peer_pb.ts'
 import type { Config } from '../../core/config/config.ts'
 import { Group } from '../../core/group/group.ts'
 import type { EndpointId } from '../../core/id/endpoint.ts'
 import type { HostId } from '../../core/id/host.ts'
 import type { Instant } from '../../core/id/instant.ts'
+import type { Position } from '../../core/id/position.ts'
+import type { Term } from '../../core/id/term.ts'
 import type { TransactionId } from '../../core/id/transaction.ts'
 import { placeSlots } from '../../core/routing/placement.ts'
 import type { parseSettings } from '../../core/settings/settings.ts'
@@ -34,6 +37,8 @@
   readonly chance: () => number
   /** Sends a sample to every linked peer. */
   readonly broadcast: (frame: SampleFrame) => void
+  /** Tells every linked peer of a write on a slot of this process. */
+  readonly broadcastWrite: (frame: Wrote) => void
 }
 
 interface Held<T> {
@@ -93,6 +98,11 @@
     for (const owner of this.owners.values()) owner.value.learn(sample)
   }
 
+  /** Takes in who made a write, from an owner here or elsewhere. */
+  private note ({ endpoint, term, position, session }: Wrote): void {
+    this.options.groups.note(endpoint as EndpointId, term as Term, position as Position, session)
+  }
+
   private get live (): readonly Host[] {
     return this.hosts.filter(host => host.state === 'live')
   }
@@ -136,7 +146,8 @@
         silentMs: settings.peers.silent,
         retryMs: settings.peers.retry,
         log,
-        onSample: frame => this.learn(frame)
+        onSample: frame => this.learn(frame),
+        onWrote: frame => this.note(frame)
       }, stop.signal)
       this.links.set(host.id, { value, stop })
     }
@@ -178,6 +189,11 @@
         for (const owner of this.owners.values()) owner.value.learn(sample)
         this.options.broadcast(sampleFrame.encode(sample))
       },
+      onWrote: (term, position, session) => {
+        const frame = create(WroteSchema, { endpoint, term, position, session })
+        this.note(frame)
+        this.options.broadcastWrite(frame)
+      },
       record: action => {
         metrics.promotions.inc()
         this.options.table.create({
--- a/src/shell/peer/link.ts
+++ b/src/shell/peer/link.ts
@@ -24,6 +24,7 @@
   readonly retryMs: number
   readonly log: Log
   readonly onSample: (frame: Extract<Frame['body'], { case: 'sample' }>['value']) => void
+  readonly onWrote: (frame: Extract<Frame['body'], { case: 'wrote' }>['value']) => void
 }
 
 type Sink = Parameters<SlotPort['run']>[1]
@@ -130,6 +131,7 @@
         this.isUp = true
         return this.options.log.write('peerLinked', { peer: this.options.peer })
       case 'sample': return this.options.onSample(body.value)
+      case 'wrote': return this.options.onWrote(body.value)
       case 'head': return this.asked.get(body.value.id)?.head(body.value.columns)
       case 'rows': return this.asked.get(body.value.id)?.rows(body.value.rows)
       case 'done': return this.finish(body.value)
