The binary starts without a warning

Cause: at every start the single executable printed that its require() loads built-in modules only. A wrapped require() showed one call for a package that isn't built in: mysql2 tries a colouring package for its debug output.

Ruled out: silencing warnings (it would hide others); Node's own notice on single executables (switched off already).

Change: the bundle answers that one package with a stand-in that colours nothing.

--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -2,9 +2,21 @@
 
 import { build } from 'esbuild'
 
+/**
+ * mysql2 tries to load a colouring package for its debug output and goes on
+ * without it. In a single executable that try prints a warning at every start.
+ */
+const noColours = {
+  name: 'no-colours',
+  setup (it) {
+    it.onResolve({ filter: /^cardinal$/ }, () => ({ path: 'cardinal', namespace: 'none' }))
+    it.onLoad({ filter: /.*/, namespace: 'none' }, () => ({ contents: 'exports.highlight = text => text' }))
+  }
+}
+
 const common = { bundle: true, platform: 'node', target: 'node20', logLevel: 'warning' }
 
-await build({ ...common, format: 'cjs', entryPoints: ['src/cli/main.ts'], outfile: 'dist/agatepond.cjs' })
+await build({ ...common, format: 'cjs', plugins: [noColours], entryPoints: ['src/cli/main.ts'], outfile: 'dist/agatepond.cjs' })
 await build({
   ...common,
   format: 'esm',
