The binary starts without a warning: the name is built at run time

Change: the load of that module is replaced in the bundled file, and the build fails when the text to replace is gone.

--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -1,16 +1,22 @@
 /** Bundles the product and its stand-ins into dist/, a file each. */
 
+import { readFile } from 'node:fs/promises'
 import { build } from 'esbuild'
 
 /**
- * mysql2 tries to load a colouring package for its debug output and goes on
- * without it. In a single executable that try prints a warning at every start.
+ * mysql2 tries to load a colouring package for its debug output, under a name
+ * that it builds at run time, and goes on without it. In a single executable
+ * that try prints a warning at every start.
  */
 const noColours = {
   name: 'no-colours',
   setup (it) {
-    it.onResolve({ filter: /^cardinal$/ }, () => ({ path: 'cardinal', namespace: 'none' }))
-    it.onLoad({ filter: /.*/, namespace: 'none' }, () => ({ contents: 'exports.highlight = text => text' }))
+    it.onLoad({ filter: /mysql2[\\/]lib[\\/]helpers\.js$/ }, async ({ path }) => {
+      const source = await readFile(path, 'utf8')
+      const contents = source.replace(/require\(`cardinal[^)]*\)/, '{ highlight: text => text }')
+      if (contents === source) throw new Error('mysql2 no longer loads its colouring package; remove this step')
+      return { contents }
+    })
   }
 }
 
