--- a/src/core/routing/reads.test.ts
+++ b/src/core/routing/reads.test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
-import { FakeGroup } from './fakegroup.ts'
+import { FakeGroup } from '../../../standin/fakegroup.ts'
 import type { Freshness } from './freshness.ts'
 
 /*
