Audit records: the core value, its chain, batches and checks

Promise: what happened to a request can be shown afterwards from records alone.

Weighed: dropping the newest against the oldest in an outage. Oldest would break the chain of what is kept or need it recomputed; newest is dropped.

--- /dev/null
+++ b/src/core/audit/batcher.ts
@@ -0,0 +1,152 @@
+/**
+ * Decides when a batch of records is cut, and what is dropped when the store
+ * takes none: the newest records, so that the chain of what is kept stays
+ * whole. What was dropped is itself an entry of the chain.
+ */
+
+import type { HostId } from '../id/host.ts'
+import { AuditId } from './id.ts'
+import { Batch } from './batch.ts'
+import { Chain } from './chain.ts'
+import type { AuditRecord } from './record.ts'
+
+interface Limits {
+  /** A batch is cut at so many records, */
+  readonly records: number
+  /** or so many characters of text, */
+  readonly bytes: number
+  /** or when its first entry is so old. */
+  readonly ageMs: number
+  /** Characters of text that may wait in memory, cut or not. */
+  readonly bufferBytes: number
+}
+
+interface Gap {
+  readonly count: number
+  readonly from: number
+  readonly to: number
+}
+
+interface Options {
+  readonly host: HostId
+  readonly incarnation: string
+  readonly digest: Parameters<typeof Chain.begin>[0]
+  readonly limits: Limits
+}
+
+/** Holds the open batch. Changes in place: it's touched by every request, and copying it would cost its size. */
+export class Batcher {
+  private chain: Chain
+  private previous: string
+  private lines: string[] = []
+  private openedAt = 0
+  private sequence = 0
+  private first = 0
+  private last = 0
+  private openBytes = 0
+  private cutBytes = 0
+  private gap: Gap | undefined
+  private total = 0
+
+  private constructor (private readonly options: Options) {
+    const { digest, host, incarnation } = options
+    this.chain = Chain.begin(digest, host, incarnation)
+    this.previous = this.chain.last
+  }
+
+  static create (options: Options): Batcher {
+    return new Batcher(options)
+  }
+
+  /** Records dropped since the start. */
+  get dropped (): number {
+    return this.total
+  }
+
+  /** Characters of text that wait in memory. */
+  get waiting (): number {
+    return this.openBytes + this.cutBytes
+  }
+
+  /** Takes a record in; yields the batch that it fills. */
+  add (record: AuditRecord, now: number): Batch | undefined {
+    const text = JSON.stringify(record)
+    if (this.waiting + text.length > this.options.limits.bufferBytes) {
+      this.drop(record.fields.at)
+      return undefined
+    }
+    this.closeGap(now)
+    this.append(`"record":${text}`, now)
+    const { count } = AuditId.parse(record.fields.id)!
+    this.first = this.first === 0 ? count : Math.min(this.first, count)
+    this.last = Math.max(this.last, count)
+    return this.isFull ? this.cut(now) : undefined
+  }
+
+  /** Yields the open batch when it's old enough. A clock that was set back counts as old enough. */
+  tick (now: number): Batch | undefined {
+    const { bufferBytes, ageMs } = this.options.limits
+    if (this.waiting < bufferBytes / 2) this.closeGap(now)
+    const age = now - this.openedAt
+    const isDue = this.lines.length > 0 && (age >= ageMs || age < 0)
+    return isDue ? this.cut(now) : undefined
+  }
+
+  /** The last batch of the process; its last entry says that nothing follows. */
+  close (now: number): Batch {
+    this.closeGap(now)
+    this.append('"closed":true', now)
+    return this.cut(now)
+  }
+
+  /** The store has the batch: its room is free again. */
+  stored (batch: Batch): void {
+    this.cutBytes -= sizeOf(batch.fields.lines)
+  }
+
+  private get isFull (): boolean {
+    const { records, bytes } = this.options.limits
+    return this.lines.length >= records || this.openBytes >= bytes
+  }
+
+  private drop (at: number): void {
+    this.total++
+    const { gap } = this
+    this.gap = gap === undefined
+      ? { count: 1, from: at, to: at }
+      : { count: gap.count + 1, from: Math.min(gap.from, at), to: Math.max(gap.to, at) }
+  }
+
+  private closeGap (now: number): void {
+    const { gap } = this
+    if (gap === undefined) return
+    this.gap = undefined
+    this.append(`"dropped":${JSON.stringify(gap)}`, now)
+  }
+
+  private append (body: string, now: number): void {
+    if (this.lines.length === 0) this.openedAt = now
+    this.chain = this.chain.with(body)
+    const line = `{"hash":"${this.chain.last}",${body}}`
+    this.lines.push(line)
+    this.openBytes += line.length
+  }
+
+  private cut (now: number): Batch {
+    const { host, incarnation } = this.options
+    const { previous, lines, first, last } = this
+    const hash = this.chain.last
+    const batch = Batch.of({ host, incarnation, sequence: ++this.sequence, cutAt: now, first, last, previous, lines, hash })
+    this.previous = hash
+    this.lines = []
+    this.first = 0
+    this.last = 0
+    this.cutBytes += this.openBytes
+    this.openBytes = 0
+    return batch
+  }
+}
+
+function sizeOf (lines: readonly string[]): number {
+  return lines.reduce((sum, line) => sum + line.length, 0)
+}
--- /dev/null
+++ b/src/core/audit/id.ts
@@ -0,0 +1,35 @@
+/** The id of an audit record: where and when the request arrived, so that its batch is found with few reads. */
+
+import type { HostId } from '../id/host.ts'
+
+const SHAPE = /^(.+)\.([0-9a-f]{12})\.([0-9a-z]{1,9})\.([0-9a-z]{1,9})$/
+const BASE = 36
+
+/** Written `host.incarnation.time.count`. Unique, since a process counts its requests and an incarnation is random. */
+export class AuditId {
+  private constructor (
+    readonly host: HostId,
+    /** Twelve hexadecimal digits that name one run of the process. */
+    readonly incarnation: string,
+    /** Milliseconds since 1970 on the host's clock when the request arrived. */
+    readonly at: number,
+    /** Counts the requests of the incarnation from 1. */
+    readonly count: number
+  ) {}
+
+  static of (host: HostId, incarnation: string, at: number, count: number): AuditId {
+    return new AuditId(host, incarnation, at, count)
+  }
+
+  /** Undefined when the text isn't an id. */
+  static parse (text: string): AuditId | undefined {
+    const match = SHAPE.exec(text)
+    if (match === null) return undefined
+    const [, host, incarnation, at, count] = match
+    return new AuditId(host as HostId, incarnation!, parseInt(at!, BASE), parseInt(count!, BASE))
+  }
+
+  toString (): string {
+    return `${this.host}.${this.incarnation}.${this.at.toString(BASE)}.${this.count.toString(BASE)}`
+  }
+}
--- /dev/null
+++ b/src/core/audit/page.ts
@@ -0,0 +1,85 @@
+/** A batch read back: its entries, and what is wrong with it. */
+
+import { err, ok, type Result } from 'neverthrow'
+import { z } from 'zod'
+import { Chain } from './chain.ts'
+import { AuditRecord } from './record.ts'
+
+const header = z.object({
+  batch: z.object({
+    format: z.literal(1),
+    host: z.string(),
+    incarnation: z.string(),
+    sequence: z.int(),
+    cutAt: z.number(),
+    previous: z.string(),
+    entries: z.int()
+  })
+})
+const gap = z.object({ count: z.int(), from: z.number(), to: z.number() })
+
+type Header = z.output<typeof header>['batch']
+type Gap = z.output<typeof gap>
+
+const ENTRY = /^\{"hash":"([^"]*)",(.*)\}$/s
+
+interface Fields {
+  readonly header: Header
+  readonly records: readonly AuditRecord[]
+  readonly gaps: readonly Gap[]
+  readonly isClosed: boolean
+  /** The hash of the last entry. */
+  readonly last: string
+  /** What doesn't agree inside of the batch; empty when all does. */
+  readonly problems: readonly string[]
+}
+
+/** The text of one batch, read and checked against its own chain. Immutable. */
+export class Page {
+  private constructor (readonly fields: Fields) {}
+
+  /** The error says what makes it unreadable. */
+  static parse (digest: Parameters<typeof Chain.from>[0], text: string): Result<Page, string> {
+    const [first, ...lines] = text.split('\n').filter(line => line !== '')
+    const head = header.safeParse(jsonOf(first ?? ''))
+    if (!head.success) return err('its first line is damaged')
+    const read = { records: [] as AuditRecord[], gaps: [] as Gap[], isClosed: false, problems: [] as string[] }
+    let chain = Chain.from(digest, head.data.batch.previous)
+    for (const [i, line] of lines.entries()) {
+      const [, hash, body] = ENTRY.exec(line) ?? []
+      const value = jsonOf(`{${body}}`) as Record<string, unknown> | undefined
+      if (body === undefined || value === undefined) return err(`its entry ${i + 1} is damaged`)
+      chain = chain.with(body)
+      if (chain.last !== hash) {
+        read.problems.push(`the hash of entry ${i + 1} doesn't cover what stands before it: an entry was changed, removed or put in`)
+        chain = Chain.from(digest, hash!)
+      }
+      take(value, read)
+    }
+    if (lines.length !== head.data.batch.entries) read.problems.push(`it has ${lines.length} entries in place of ${head.data.batch.entries}`)
+    return ok(new Page({ header: head.data.batch, ...read, last: chain.last }))
+  }
+}
+
+function take (value: Record<string, unknown>, read: { records: AuditRecord[], gaps: Gap[], isClosed: boolean, problems: string[] }): void {
+  if (value.closed === true) {
+    read.isClosed = true
+    return
+  }
+  const dropped = gap.safeParse(value.dropped)
+  if (dropped.success) {
+    read.gaps.push(dropped.data)
+    return
+  }
+  const record = AuditRecord.parse(value.record)
+  if (record === undefined) read.problems.push('an entry is neither a record nor a mark of dropped ones')
+  else read.records.push(record)
+}
+
+function jsonOf (text: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch {
+    return undefined
+  }
+}
--- /dev/null
+++ b/src/core/audit/promises.ts
@@ -0,0 +1,119 @@
+/**
+ * Checks promises from records alone, without the processes that made them.
+ * Records of several hosts are compared by their clocks, so only requests
+ * further apart than `skewMs` count as one after the other.
+ */
+
+import { reasons } from '../reason.ts'
+import { Token } from '../token.ts'
+import type { AuditRecord } from './record.ts'
+
+type Attempt = NonNullable<AuditRecord['last']>
+
+interface Findings {
+  /** Promises that the records show as kept, by name. */
+  readonly kept: Readonly<Record<'readYourWrites' | 'atMostOnce' | 'oneAcknowledger' | 'notRun', number>>
+  /** One line for each that they show as broken or don't prove. */
+  readonly broken: readonly string[]
+}
+
+export function checkPromises (records: readonly AuditRecord[], skewMs: number): Findings {
+  const checks = {
+    readYourWrites: readYourWrites(records, skewMs),
+    atMostOnce: atMostOnce(records),
+    oneAcknowledger: oneAcknowledger(records),
+    notRun: notRun(records)
+  }
+  const broken = Object.values(checks).flatMap(check => check.broken)
+  const kept = Object.fromEntries(Object.entries(checks).map(([name, check]) => [name, check.kept])) as Findings['kept']
+  return { kept, broken }
+}
+
+interface Check {
+  kept: number
+  readonly broken: string[]
+}
+
+/** A read that began after a write of its session was acknowledged must rest on evidence that covers the write. */
+function readYourWrites (records: readonly AuditRecord[], skewMs: number): Check {
+  const check: Check = { kept: 0, broken: [] }
+  for (const members of groupBy(records, ({ fields }) => `${fields.session}\n${fields.group}`).values()) {
+    const writes = members.filter(one => acknowledged(one) !== undefined)
+    for (const read of members.filter(one => one.fields.freshness !== undefined && one.fields.outcome === 'done')) {
+      const before = writes.filter(write => endOf(write) + skewMs < read.fields.at)
+      const newest = before.reduce<Token>((token, write) => token.max(acknowledged(write)!), Token.zero)
+      if (before.length === 0) continue
+      if (covers(read, newest)) check.kept++
+      else check.broken.push(`${read.fields.id}: read of session ${read.fields.session} isn't proved to show its write ${newest}`)
+    }
+  }
+  return check
+}
+
+/** Each idempotency key has at most one effect: one place in the log. */
+function atMostOnce (records: readonly AuditRecord[]): Check {
+  const check: Check = { kept: 0, broken: [] }
+  const keyed = records.filter(one => one.fields.once !== undefined)
+  for (const [key, members] of groupBy(keyed, ({ fields }) => `${fields.group}/${fields.once}`)) {
+    const effects = new Set(members.flatMap(one => acknowledged(one)?.toString() ?? []))
+    if (effects.size <= 1) check.kept++
+    else check.broken.push(`${members.map(one => one.fields.id).join(', ')}: key ${key} ran ${effects.size} times, at ${[...effects].join(' and ')}`)
+  }
+  return check
+}
+
+/** In one term only one endpoint may have its writes acknowledged. */
+function oneAcknowledger (records: readonly AuditRecord[]): Check {
+  const check: Check = { kept: 0, broken: [] }
+  const writes = records.filter(one => acknowledged(one) !== undefined && one.last?.evidence?.promise === 'acknowledged')
+  for (const [term, members] of groupBy(writes, one => `${one.fields.group}, term ${acknowledged(one)!.term}`)) {
+    const endpoints = new Set(members.map(one => one.last!.endpoint))
+    if (endpoints.size === 1) check.kept++
+    else check.broken.push(`${term}: writes of ${[...endpoints].join(' and ')} were acknowledged`)
+  }
+  return check
+}
+
+function notRun (records: readonly AuditRecord[]): Check {
+  const check: Check = { kept: 0, broken: [] }
+  for (const record of records.filter(one => one.fields.outcome === 'notRun')) {
+    if (record.fields.attempts.every(isProvedNotRun)) check.kept++
+    else check.broken.push(`${record.fields.id}: said to be not run, but an attempt has no proof of it`)
+  }
+  return check
+}
+
+function isProvedNotRun ({ evidence }: Attempt): boolean {
+  return evidence?.promise === 'notRun' && reasons[evidence.reason].provesNotRun
+}
+
+/** The place of an acknowledged write; undefined for anything else. */
+function acknowledged ({ fields, last }: AuditRecord): Token | undefined {
+  if (fields.outcome !== 'done' || last?.token === undefined) return undefined
+  return Token.parse(last.token)
+}
+
+/** A strict read needs no comparison: it was answered in the newest term, after the write. */
+function covers ({ last }: AuditRecord, write: Token): boolean {
+  const evidence = last?.evidence
+  if (evidence?.promise === 'strict') return true
+  if (evidence?.promise !== 'readYourWrites' && evidence?.promise !== 'age') return false
+  const token = Token.parse(evidence.token)!
+  const applied = Token.parse(evidence.applied)!
+  return !write.isAfter(token) && applied.term >= token.term && applied.position >= token.position
+}
+
+function endOf ({ fields }: AuditRecord): number {
+  return fields.at + (fields.tookMs ?? 0)
+}
+
+function groupBy (records: readonly AuditRecord[], key: (record: AuditRecord) => string): ReadonlyMap<string, readonly AuditRecord[]> {
+  const groups = new Map<string, AuditRecord[]>()
+  for (const record of records) {
+    const name = key(record)
+    const members = groups.get(name)
+    if (members === undefined) groups.set(name, [record])
+    else members.push(record)
+  }
+  return groups
+}
--- /dev/null
+++ b/src/core/audit/record.ts
@@ -0,0 +1,101 @@
+/**
+ * The audit record of one request: what was asked, what was tried, which
+ * promise was checked on which evidence, and how it ended. It holds no value
+ * of a statement, only its shape.
+ */
+
+import { z } from 'zod'
+import type { Outcome } from '../outcome.ts'
+import { reasons } from '../reason.ts'
+import type { ReasonName } from '../reasonname.ts'
+
+const token = z.string().regex(/^\d+:\d+$/)
+const outcome = z.enum(['done', 'failed', 'notRun', 'unknown'] satisfies Outcome[])
+const reasonName = z.enum(Object.keys(reasons) as [ReasonName, ...ReasonName[]])
+
+const evidence = z.discriminatedUnion('promise', [
+  z.object({ promise: z.literal('readYourWrites'), token, applied: token }),
+  z.object({ promise: z.literal('age'), token, applied: token, ageMs: z.number(), limitMs: z.number() }),
+  z.object({ promise: z.literal('strict') }),
+  z.object({ promise: z.literal('acknowledged'), token }),
+  z.object({ promise: z.literal('firstOutcome'), token }),
+  z.object({ promise: z.literal('notRun'), reason: reasonName })
+])
+
+const attemptShape = z.object({
+  /** Empty when the request could go nowhere. */
+  endpoint: z.string(),
+  access: z.enum(['read', 'write', 'strict', 'transaction', 'commit', 'rollback', 'none']),
+  /** Milliseconds from the arrival of the request to the start of the attempt. */
+  startMs: z.number(),
+  tookMs: z.number(),
+  outcome,
+  /** The typed refusal; empty when there was none. */
+  reason: z.string(),
+  /** Where the write stands in the log; absent for reads. */
+  token: token.optional(),
+  evidence: evidence.optional()
+})
+
+const shape = z.object({
+  id: z.string(),
+  /** Milliseconds since 1970 on the host's clock when the request arrived. */
+  at: z.number(),
+  session: z.string(),
+  caller: z.string(),
+  pool: z.string(),
+  group: z.string(),
+  /** The version of the configuration in force when the request arrived. */
+  config: z.number(),
+  /** What the statement is: read, write, begin and so on. */
+  kind: z.string(),
+  /** The kind of read that the caller named, if it did. */
+  read: z.string().optional(),
+  /** What the read was held to; absent for writes. */
+  freshness: z.string().optional(),
+  class: z.string(),
+  /** The idempotency key of a request that isn't repeatable. */
+  once: z.string().optional(),
+  transaction: z.string().optional(),
+  statement: z.string(),
+  deadlineMs: z.number(),
+  attempts: z.array(attemptShape),
+  outcome: outcome.optional(),
+  tookMs: z.number().optional()
+})
+
+type Fields = z.output<typeof shape>
+type Attempt = Fields['attempts'][number]
+type Start = Omit<Fields, 'attempts' | 'outcome' | 'tookMs'>
+
+/** The record of one request. Immutable; `attempted` and `ended` yield the next value. */
+export class AuditRecord {
+  private constructor (readonly fields: Readonly<Fields>) {}
+
+  static begin (start: Start): AuditRecord {
+    return new AuditRecord({ ...start, attempts: [] })
+  }
+
+  /** Undefined when the value isn't a record. */
+  static parse (value: unknown): AuditRecord | undefined {
+    const parsed = shape.safeParse(value)
+    return parsed.success ? new AuditRecord(parsed.data) : undefined
+  }
+
+  attempted (attempt: Attempt): AuditRecord {
+    return new AuditRecord({ ...this.fields, attempts: [...this.fields.attempts, attempt] })
+  }
+
+  ended (outcome: Outcome, tookMs: number): AuditRecord {
+    return new AuditRecord({ ...this.fields, outcome, tookMs })
+  }
+
+  /** The attempt that decided the outcome. */
+  get last (): Attempt | undefined {
+    return this.fields.attempts.at(-1)
+  }
+
+  toJSON (): Readonly<Fields> {
+    return this.fields
+  }
+}
--- /dev/null
+++ b/src/core/audit/story.ts
@@ -0,0 +1,74 @@
+/** The story of a request in plain sentences. */
+
+import { reasons } from '../reason.ts'
+import type { Evidence } from './evidence.ts'
+import type { AuditRecord } from './record.ts'
+
+type Attempt = NonNullable<AuditRecord['last']>
+
+const OUTCOMES = {
+  done: 'It was done.',
+  failed: 'The endpoint refused it; it had no effect.',
+  notRun: 'The caller was told "not run": it had no effect and will have none.',
+  unknown: 'The caller was told that the outcome is unknown: it may have run.'
+} as const
+
+/** Sentences, in the order of events. Times are milliseconds from the request's arrival. */
+export function tellStory (record: AuditRecord): readonly string[] {
+  const { fields } = record
+  const ending = fields.outcome === undefined ? 'It has no outcome on record.' : OUTCOMES[fields.outcome]
+  return [
+    `Caller ${fields.caller} sent a ${fields.kind} (class ${fields.class}) to group ${fields.group} of pool ${fields.pool} ` +
+      `in session ${fields.session}, under version ${fields.config} of the configuration.`,
+    `Its shape: ${fields.statement}`,
+    ...terms(record),
+    ...fields.attempts.flatMap((attempt, i) => tellAttempt(attempt, i + 1)),
+    `${ending} It took ${round(fields.tookMs ?? 0)} ms of the ${round(fields.deadlineMs)} ms it had.`
+  ]
+}
+
+function terms ({ fields }: AuditRecord): string[] {
+  const sentences = []
+  if (fields.freshness !== undefined) {
+    const named = fields.read === undefined ? '' : `, as kind "${fields.read}"`
+    sentences.push(`It was held to the freshness "${fields.freshness}"${named}.`)
+  }
+  if (fields.once !== undefined) sentences.push(`It was marked to run at most once, under the key ${fields.once}.`)
+  if (fields.transaction !== undefined) sentences.push(`It belonged to transaction ${fields.transaction}.`)
+  return sentences
+}
+
+function tellAttempt (attempt: Attempt, number: number): string[] {
+  const { endpoint, access, startMs, tookMs, outcome, reason, token, evidence } = attempt
+  const where = endpoint === '' ? 'found no endpoint to go to' : `went to ${endpoint} (${access})`
+  const why = reason in reasons ? `: ${reasons[reason as keyof typeof reasons].message}` : ''
+  const at = token === undefined ? '' : ` at ${token} (term:position)`
+  return [
+    `Attempt ${number}, after ${round(startMs)} ms, ${where} and was ${WORDS[outcome]}${at} within ${round(tookMs)} ms${why}.`,
+    evidence === undefined ? 'No promise was checked for it on record.' : tellEvidence(evidence)
+  ]
+}
+
+const WORDS = { done: 'done', failed: 'refused by the endpoint', notRun: 'not run', unknown: 'left unknown' } as const
+
+function tellEvidence (evidence: Evidence): string {
+  switch (evidence.promise) {
+    case 'readYourWrites':
+      return `Read-your-writes was checked: the session's token was ${evidence.token}, the replica had applied ${evidence.applied}.`
+    case 'age':
+      return `Its age was checked: ${round(evidence.ageMs)} ms of the ${round(evidence.limitMs)} ms allowed; ` +
+        `the session's token was ${evidence.token}, the replica had applied ${evidence.applied}.`
+    case 'strict':
+      return 'Strictness was checked: the primary and a second endpoint proved, after the read arrived, that no newer term had begun.'
+    case 'acknowledged':
+      return `The acknowledgement was checked: a second endpoint had received ${evidence.token} in the same term.`
+    case 'firstOutcome':
+      return `At most once was checked: the key had run before, at ${evidence.token}; nothing ran again.`
+    case 'notRun':
+      return `"Not run" rests on this proof: ${reasons[evidence.reason].message}.`
+  }
+}
+
+function round (ms: number): string {
+  return String(Math.round(ms * 10) / 10)
+}
