--- a/src/shell/caller/reads.ts
+++ b/src/shell/caller/reads.ts
@@ -7,12 +7,14 @@
 import type { SessionId } from '../../core/id/session.ts'
 import type { Freshness } from '../../core/routing/freshness.ts'
 import type { Hints } from '../../core/routing/hints.ts'
+import { appliedEvidence } from '../../core/audit/applied.ts'
 import { routeRead } from '../../core/routing/route.ts'
 import { fingerprint } from '../../core/session/fingerprint.ts'
 import { requiredToken } from '../../core/session/required.ts'
 import { Token } from '../../core/token.ts'
 import { BoundRounds } from './bound.ts'
 import type { CallerContext } from './context.ts'
+import { freshnessOf } from './freshness.ts'
 import type { Identity } from './identity.ts'
 import type { Target } from './target.ts'
 
@@ -82,7 +84,10 @@
       switch (route.kind) {
         case 'lost': return this.tellLost(read)
         case 'none': return { kind: 'nowhere', reason: 'noPrimary' }
-        case 'replica': return { kind: 'endpoint', endpoint: route.endpoint, access: RunAccess.READ, transaction: '' }
+        case 'replica': {
+          const evidence = appliedEvidence(token, group.sample(route.endpoint)!)
+          return { kind: 'endpoint', endpoint: route.endpoint, access: RunAccess.READ, transaction: '', evidence }
+        }
         case 'primary': return { kind: 'endpoint', endpoint: route.endpoint, access: RunAccess.STRICT, transaction: '' }
         case 'note':
           await groups.changed(route.ms)
@@ -133,7 +138,3 @@
   const isNamed = identity.isNamed || hints.fields.session !== undefined
   return isNamed && hints.fields.token === undefined
 }
-
-function freshnessOf ({ pool }: Identity, hints: Hints): Freshness {
-  return pool.kinds.find(one => one.name === hints.fields.read)?.freshness ?? pool.freshness
-}
