Decisions of a request as pure state machines

Promise: a request ends as done, failed, not run or unknown; "not run" only on proof; a request under an idempotency key has one effect.

Cause: the retry loop and the run on a slot decided between awaits, where no test could order their events. Found while moving them: "not run" of a second attempt was passed on though the first may have run; 1290 inside of a transaction gave its connection back with the transaction open; any 1290 counted as read-only; an error to COMMIT cut off by a shutdown counted as failed.

Change: src/core/request. The shell doesn't run them yet.

--- a/src/core/reason.ts
+++ b/src/core/reason.ts
@@ -20,7 +20,16 @@
   lost: { code: 2013, message: 'the connection broke while the request ran; ask for its outcome by its id', provesNotRun: false },
   unconfirmed: { code: 3024, message: 'no second server confirmed the write in time; ask for its outcome by its id', provesNotRun: false },
   deadline: { code: 3024, message: 'the deadline passed while the request ran; ask for its outcome by its id', provesNotRun: false },
+  rolledBack: { code: 1213, message: 'the connection broke before the commit was sent, so nothing was kept; try again', provesNotRun: true },
   lostTransaction: { code: 1213, message: 'the transaction is rolled back; run it again from its start', provesNotRun: true },
+  endedTransaction: { code: 1399, message: 'the statement ended its transaction by itself, so earlier statements may be committed; look before running them again', provesNotRun: false },
+  implicitCommit: { code: 1399, message: 'the statement would commit the open transaction; end the transaction first', provesNotRun: true },
+  onceImplicit: { code: 1399, message: 'a statement that commits by itself can not run under an idempotency key; leave the key out', provesNotRun: true },
+  onceInside: { code: 1399, message: 'a key inside of a transaction must be that of its BEGIN; put the key on BEGIN', provesNotRun: true },
+  onceRows: { code: 1235, message: 'a statement under an idempotency key can not return rows; read them by a request of their own', provesNotRun: true },
+  otherRequest: { code: 1022, message: 'the idempotency key belongs to another statement; use a new key', provesNotRun: true },
+  alreadyDone: { code: 1586, message: 'a transaction with this idempotency key was committed before and its effect stands; do not run it again', provesNotRun: false },
+  voided: { code: 1586, message: 'the idempotency key was settled as not run and never will run; use a new key', provesNotRun: true },
   lostWrite: { code: 1776, message: 'a write of this session was lost at a failover; its token is forgotten', provesNotRun: true },
   unproved: { code: 1290, message: 'no second server could prove that the primary is current; try again', provesNotRun: true }
 } as const satisfies Record<string, Reason>
--- /dev/null
+++ b/src/core/request/attempts.ts
@@ -0,0 +1,209 @@
+/**
+ * The attempts of one request, on the frontend's side.
+ *
+ * "Not run" may be said only while every attempt so far is proved not to have
+ * run. So an attempt whose end is unknown stays on record: a later attempt
+ * that didn't run, or failed, proves nothing of the earlier one, which may
+ * still take effect on a connection that nobody can see.
+ */
+
+import type { EndpointId } from '../id/endpoint.ts'
+import type { Instant } from '../id/instant.ts'
+import type { ReasonName } from '../reasonname.ts'
+import { reasons } from '../reason.ts'
+import type { AttemptsAction } from './attemptsaction.ts'
+import type { AttemptsEvent } from './attemptsevent.ts'
+import type { RetryBudget } from './budget.ts'
+import { recoveryOf } from './recovery.ts'
+import type { RequestSpec } from './spec.ts'
+
+type Phase = 'new' | 'routing' | 'sent' | 'waiting' | 'over'
+type Answered = Extract<AttemptsEvent, { kind: 'answered' }>
+
+interface Fields {
+  readonly spec: RequestSpec
+  readonly budget: RetryBudget
+  readonly phase: Phase
+  /** The number of the newest attempt; 0 before the first. */
+  readonly attempt: number
+  readonly retries: number
+  readonly endpoint: EndpointId | undefined
+  readonly avoid: readonly EndpointId[]
+  readonly hasRows: boolean
+  /** An earlier attempt may have run. */
+  readonly mayHaveRun: boolean
+  /** Why the last attempt came to nothing. */
+  readonly reason: ReasonName
+}
+
+interface Step {
+  readonly attempts: Attempts
+  readonly actions: readonly AttemptsAction[]
+}
+
+/** How long a request waits for news before it is routed again. */
+const RETRY_MS = 20
+/** A slot owner knows more than the frontend (nothing was sent, say), so its answer at the deadline is given this time to arrive. */
+const GRACE_MS = 250
+/** Retries elsewhere of a write that isn't urgent; each may find another slot owner. */
+const MOST_ELSEWHERE = 3
+/** When to come back: a promotion takes about this long. */
+const PROMOTION_MS = 1000
+const SOON_MS = 100
+
+/** The state of one request. Immutable; `step` takes an event in and yields the next state. */
+export class Attempts {
+  private constructor (private readonly fields: Fields) {}
+
+  static create (spec: RequestSpec, budget: RetryBudget): Attempts {
+    return new Attempts({
+      spec, budget, phase: 'new', attempt: 0, retries: 0, endpoint: undefined, avoid: [], hasRows: false, mayHaveRun: false, reason: 'notSent'
+    })
+  }
+
+  get isOver (): boolean {
+    return this.fields.phase === 'over'
+  }
+
+  /** When the next `tick` is due at the latest. */
+  get wakeAt (): Instant {
+    const { phase, spec } = this.fields
+    return spec.deadline + (phase === 'sent' ? GRACE_MS : 0) as Instant
+  }
+
+  step (event: AttemptsEvent, now: Instant): Step {
+    const { phase } = this.fields
+    if (phase === 'over') return this.idle
+    switch (event.kind) {
+      case 'start': return phase === 'new' ? this.route(now) : this.idle
+      case 'routed': return phase === 'routing' ? this.send(event.endpoint, now) : this.idle
+      case 'unroutable': return phase === 'routing' ? this.refused(event.reason, now, false) : this.idle
+      case 'rows': return this.isCurrent(event.attempt) ? this.with({ hasRows: true }).idle : this.idle
+      case 'answered': return this.isCurrent(event.attempt) ? this.answered(event, now) : this.idle
+      case 'resumed': return phase === 'waiting' ? this.route(now) : this.idle
+      case 'tick': return now >= this.wakeAt ? this.expire() : this.idle
+      case 'left': return this.leave()
+    }
+  }
+
+  /** Against an answer that comes late: an attempt that was given up can't end a newer one. */
+  private isCurrent (attempt: number): boolean {
+    return this.fields.phase === 'sent' && this.fields.attempt === attempt
+  }
+
+  private route (now: Instant): Step {
+    const { avoid } = this.fields
+    return this.to({ phase: 'routing' }, { kind: 'route', ms: this.left(now), avoid })
+  }
+
+  private send (endpoint: EndpointId, now: Instant): Step {
+    if (now >= this.fields.spec.deadline) return this.expire()
+    const attempt = this.fields.attempt + 1
+    return this.to({ phase: 'sent', attempt, endpoint }, { kind: 'send', attempt, endpoint, ms: this.left(now) })
+  }
+
+  private answered (event: Answered, now: Instant): Step {
+    const { outcome, reason } = event
+    switch (outcome) {
+      case 'done': return this.end({ kind: 'answer', retryAfterMs: 0 })
+      case 'failed': return this.fields.mayHaveRun ? this.refuse('lost') : this.end({ kind: 'answer', retryAfterMs: 0 })
+      case 'notRun': return this.refused(reason, now, true)
+      case 'unknown': return this.unknown(reason ?? 'lost', now)
+    }
+  }
+
+  /**
+   * Nothing ran in this attempt. The caller is told so at once, unless another
+   * try can help: holding the answer back would only keep it from asking again.
+   */
+  private refused (reason: ReasonName | undefined, now: Instant, wasSent: boolean): Step {
+    const { spec, hasRows } = this.fields
+    const next = this.with({ reason: reason ?? 'notSent' })
+    const isAlone = spec.place === 'alone' || spec.place === 'begin'
+    if (isAlone && !hasRows && next.mayHelp(reason) && next.mayRetry(now)) return next.retry()
+    if (this.fields.mayHaveRun) return next.refuse('lost')
+    const retryAfterMs = comeBack(reason)
+    return next.end(wasSent || reason === undefined ? { kind: 'answer', retryAfterMs } : { kind: 'refuse', reason, retryAfterMs })
+  }
+
+  private mayHelp (reason: ReasonName | undefined): boolean {
+    const { spec, retries } = this.fields
+    const recovery = recoveryOf(reason)
+    if (recovery === 'never') return false
+    if (spec.isUrgent) return true
+    return recovery === 'elsewhere' && (spec.isRead || retries < MOST_ELSEWHERE)
+  }
+
+  /** The attempt may have run. It is tried again only where a second run does no harm and no part of a result was passed on. */
+  private unknown (reason: ReasonName, now: Instant): Step {
+    const { spec, hasRows } = this.fields
+    if (this.isRolledBack) return this.refuse('lostTransaction')
+    const next = this.with({ mayHaveRun: true, reason })
+    const isRepeatable = (spec.isRead || spec.isOnce) && spec.place === 'alone' && !hasRows
+    if (isRepeatable && next.mayHelp(reason) && next.mayRetry(now)) return next.retry()
+    return next.end({ kind: 'answer', retryAfterMs: 0 })
+  }
+
+  /**
+   * Whether losing the attempt proves its transaction undone. It does while
+   * COMMIT was never sent: whenever the endpoint notices that the connection is
+   * gone, all it can do is roll back. A statement that commits by itself breaks that.
+   */
+  private get isRolledBack (): boolean {
+    const { spec } = this.fields
+    return (spec.place === 'inside' || spec.place === 'begin') && !spec.commitsItself
+  }
+
+  private mayRetry (now: Instant): boolean {
+    const { spec, budget } = this.fields
+    return now + RETRY_MS < spec.deadline && budget.mayRetry(now)
+  }
+
+  private retry (): Step {
+    const { avoid, endpoint, retries } = this.fields
+    const avoided = endpoint === undefined || avoid.includes(endpoint) ? avoid : [...avoid, endpoint]
+    return this.to({ phase: 'waiting', avoid: avoided, retries: retries + 1 }, { kind: 'wait', ms: RETRY_MS })
+  }
+
+  private expire (): Step {
+    const { phase, attempt, reason } = this.fields
+    if (phase !== 'sent') return this.refuse(this.fields.mayHaveRun ? 'deadline' : reason)
+    const ended = this.refuse(this.isRolledBack ? 'lostTransaction' : 'deadline')
+    return { attempts: ended.attempts, actions: [{ kind: 'cancel', attempt }, ...ended.actions] }
+  }
+
+  private leave (): Step {
+    const { phase, attempt, mayHaveRun } = this.fields
+    if (phase !== 'sent') return this.refuse(mayHaveRun ? 'lost' : 'notSent')
+    const ended = this.refuse(this.isRolledBack ? 'lostTransaction' : 'lost')
+    return { attempts: ended.attempts, actions: [{ kind: 'cancel', attempt }, ...ended.actions] }
+  }
+
+  private refuse (reason: ReasonName): Step {
+    return this.end({ kind: 'refuse', reason, retryAfterMs: reasons[reason].provesNotRun ? comeBack(reason) : 0 })
+  }
+
+  private end (action: AttemptsAction): Step {
+    return this.to({ phase: 'over' }, action)
+  }
+
+  private left (now: Instant): number {
+    return Math.max(1, Math.ceil(this.fields.spec.deadline - now))
+  }
+
+  private to (change: Partial<Fields>, action: AttemptsAction): Step {
+    return { attempts: this.with(change), actions: [action] }
+  }
+
+  private get idle (): Step {
+    return { attempts: this, actions: [] }
+  }
+
+  private with (change: Partial<Fields>): Attempts {
+    return new Attempts({ ...this.fields, ...change })
+  }
+}
+
+function comeBack (reason: ReasonName | undefined): number {
+  return recoveryOf(reason) === 'newPrimary' ? PROMOTION_MS : SOON_MS
+}
--- /dev/null
+++ b/src/core/request/endpointerror.ts
@@ -0,0 +1,36 @@
+/** What an endpoint's error says of the statement and its transaction. */
+
+const ER_DUP_ENTRY = 1062
+const ER_SERVER_SHUTDOWN = 1053
+const ER_NO_SUCH_TABLE = 1146
+const ER_ERROR_DURING_COMMIT = 1180
+const ER_LOCK_DEADLOCK = 1213
+const ER_OPTION_PREVENTS_STATEMENT = 1290
+const ER_QUERY_INTERRUPTED = 1317
+const ER_RUN_HOOK_ERROR = 3100
+
+/**
+ * - `readOnly`: refused before it ran, since the server isn't primary.
+ * - `duplicate`: a unique key exists already.
+ * - `noTable`: a table doesn't exist.
+ * - `rolledBack`: the server rolled the whole transaction back.
+ * - `unclear`: the server broke off, perhaps in the middle of a commit.
+ * - `refused`: any other; the statement had no effect and its transaction goes on.
+ */
+type ErrorKind = 'readOnly' | 'duplicate' | 'noTable' | 'rolledBack' | 'unclear' | 'refused'
+
+const KINDS: ReadonlyMap<number, ErrorKind> = new Map([
+  [ER_DUP_ENTRY, 'duplicate'],
+  [ER_NO_SUCH_TABLE, 'noTable'],
+  [ER_LOCK_DEADLOCK, 'rolledBack'],
+  [ER_SERVER_SHUTDOWN, 'unclear'],
+  [ER_ERROR_DURING_COMMIT, 'unclear'],
+  [ER_QUERY_INTERRUPTED, 'unclear'],
+  [ER_RUN_HOOK_ERROR, 'unclear']
+])
+
+/** The error number 1290 stands for many options of a server; only its read-only ones say that it isn't primary. */
+export function errorKind (code: number, message: string): ErrorKind {
+  if (code === ER_OPTION_PREVENTS_STATEMENT) return /read[-_]only/i.test(message) ? 'readOnly' : 'refused'
+  return KINDS.get(code) ?? 'refused'
+}
--- /dev/null
+++ b/src/core/request/ledgerscript.ts
@@ -0,0 +1,153 @@
+/**
+ * A run under an idempotency key: the key's row and the effect are committed
+ * together or not at all.
+ *
+ * A try that finds the key taken has no effect. It answers with the first
+ * try's counts, and only once a second server holds the row: it writes to the
+ * row and has that write confirmed, which covers all that the log holds before.
+ */
+
+import { reasons } from '../reason.ts'
+import type { ReasonName } from '../reasonname.ts'
+import type { Token } from '../token.ts'
+import type { Counts } from './counts.ts'
+import { errorKind } from './endpointerror.ts'
+import type { RunEvent } from './runevent.ts'
+import type { RunNext } from './runnext.ts'
+import type { RunScript } from './runscript.ts'
+import type { RunSpec } from './runspec.ts'
+import type { RunStep } from './runstep.ts'
+
+type Answered = Extract<RunEvent, { kind: 'answered' }>
+type Found = Extract<RunEvent, { kind: 'found' }>
+type Refused = Extract<RunEvent, { kind: 'refused' }>
+type Last = Extract<RunNext, { kind: 'end' }>['last']
+
+interface Fields {
+  readonly spec: RunSpec
+  /** The counts of the statement, of this try or of the first. */
+  readonly counts: Counts
+  /** What comes after the rollback that is under way. */
+  readonly next: 'create' | 'lookup' | Last
+  /** The endpoint's error that made a look into the ledger necessary. */
+  readonly refusal: Refused | undefined
+  /** The ledger may hold an earlier try: that this one had no effect says nothing of it. */
+  readonly isDuplicate: boolean
+  readonly isVoid: boolean
+  readonly hasCreated: boolean
+}
+
+const NONE: Counts = { affected: 0, insertId: 0 }
+
+export class LedgerScript implements RunScript {
+  private constructor (private readonly fields: Fields) {}
+
+  static of (spec: RunSpec): LedgerScript {
+    return new LedgerScript({
+      spec, counts: NONE, next: 'lookup', refusal: undefined, isDuplicate: false, isVoid: false, hasCreated: false
+    })
+  }
+
+  first (): RunNext {
+    switch (this.fields.spec.access) {
+      case 'settle': return this.send('void')
+      case 'begin': return this.send('statement')
+      default: return this.send('begin')
+    }
+  }
+
+  answered (step: RunStep, event: Answered): RunNext {
+    const { access } = this.fields.spec
+    switch (step) {
+      case 'begin': return this.send('claim')
+      case 'claim': return access === 'begin' ? this.began(event) : this.send('statement')
+      case 'statement': return access === 'begin' ? this.send('claim') : this.ran(event)
+      case 'record': return this.send('commit')
+      case 'commit':
+      case 'touch': return this.written(event, this.ending(event.token))
+      case 'void': return this.written(event, refuse('voided'))
+      case 'rollback': return this.rolledBack(event.isOpen)
+      case 'create': return this.with({ hasCreated: true }).first()
+      case 'lookup': return close(refuse('lost'))
+    }
+  }
+
+  found ({ row }: Found): RunNext {
+    const { refusal } = this.fields
+    const clean = { kind: 'giveBack', how: 'clean' } as const
+    if (row === undefined) return { kind: 'end', back: clean, last: { kind: 'failed', code: refusal!.code, message: refusal!.message } }
+    if (row.claim === 'other') return { kind: 'end', back: clean, last: refuse('otherRequest') }
+    return this.with({ counts: row.counts, isVoid: row.claim === 'void' }).send('touch')
+  }
+
+  refused (step: RunStep, event: Refused): RunNext {
+    const kind = errorKind(event.code, event.message)
+    if (step === 'rollback') return this.rolledBack(true)
+    if (step === 'lookup' || step === 'touch') return close(refuse('lost', event.message))
+    if (kind === 'unclear') return close(refuse(this.broken(step, 'lost'), event.message))
+    if (kind === 'readOnly') return close(refuse('replaced'))
+    if (kind === 'duplicate') return this.with({ refusal: event, isDuplicate: true }).rollBack('lookup')
+    const isMissing = kind === 'noTable' && (step === 'claim' || step === 'void') && !this.fields.hasCreated
+    if (isMissing) return this.rollBack('create')
+    return this.rollBack({ kind: 'failed', code: event.code, message: event.message })
+  }
+
+  /** While COMMIT was never sent, all that the endpoint can do about a closed connection is to roll back. */
+  broken (step: RunStep, reason: 'lost' | 'deadline'): ReasonName {
+    const { isDuplicate, spec } = this.fields
+    if (step === 'commit' || step === 'void' || isDuplicate) return reason
+    return spec.access === 'begin' ? 'lostTransaction' : 'rolledBack'
+  }
+
+  private began (event: Answered): RunNext {
+    if (!event.isOpen) return close(refuse('lostTransaction', 'no transaction began'))
+    return { kind: 'end', back: { kind: 'keep' }, last: { kind: 'done', counts: NONE, token: undefined, isOpen: true } }
+  }
+
+  private ran (event: Answered): RunNext {
+    if (event.hasRows) return this.rollBack(refuse('onceRows'))
+    if (!event.isOpen) return close(refuse('endedTransaction'))
+    return this.with({ counts: event.counts }).send('record')
+  }
+
+  private ending (token: Token | undefined): Last {
+    const { counts, isVoid, spec } = this.fields
+    if (isVoid) return refuse('voided')
+    if (spec.access !== 'begin') return { kind: 'done', counts, token, isOpen: false }
+    const { code, message } = reasons.alreadyDone
+    return { kind: 'failed', code, message }
+  }
+
+  /** A write to the ledger without a position can't be confirmed, so nothing is said of it. */
+  private written (event: Answered, last: Last): RunNext {
+    if (event.token === undefined) return close(refuse('unconfirmed', 'the endpoint told no position'))
+    return { kind: 'confirm', back: { kind: 'giveBack', how: event.isOpen ? 'close' : 'clean' }, token: event.token, last }
+  }
+
+  private rollBack (next: Fields['next']): RunNext {
+    return this.with({ next }).send('rollback')
+  }
+
+  private rolledBack (isOpen: boolean): RunNext {
+    const { next, isDuplicate } = this.fields
+    if (typeof next === 'object') return { kind: 'end', back: { kind: 'giveBack', how: isOpen ? 'close' : 'clean' }, last: next }
+    if (isOpen) return close(refuse(isDuplicate ? 'lost' : 'rolledBack'))
+    return this.send(next)
+  }
+
+  private send (step: RunStep): RunNext {
+    return { kind: 'send', script: this, step, counts: this.fields.counts }
+  }
+
+  private with (change: Partial<Fields>): LedgerScript {
+    return new LedgerScript({ ...this.fields, ...change })
+  }
+}
+
+function close (last: Last): RunNext {
+  return { kind: 'end', back: { kind: 'giveBack', how: 'close' }, last }
+}
+
+function refuse (reason: ReasonName, detail = ''): Last {
+  return { kind: 'refuse', reason, detail }
+}
--- /dev/null
+++ b/src/core/request/plainscript.ts
@@ -0,0 +1,89 @@
+/** A run of the caller's statement alone. */
+
+import type { ReasonName } from '../reasonname.ts'
+import type { Counts } from './counts.ts'
+import { errorKind } from './endpointerror.ts'
+import type { RunAction } from './runaction.ts'
+import type { RunEvent } from './runevent.ts'
+import type { RunNext } from './runnext.ts'
+import type { RunScript } from './runscript.ts'
+import type { RunSpec } from './runspec.ts'
+import type { RunStep } from './runstep.ts'
+
+type Answered = Extract<RunEvent, { kind: 'answered' }>
+type Refused = Extract<RunEvent, { kind: 'refused' }>
+type Last = Extract<RunNext, { kind: 'end' }>['last']
+
+const NONE: Counts = { affected: 0, insertId: 0 }
+
+export class PlainScript implements RunScript {
+  private constructor (private readonly spec: RunSpec) {}
+
+  static of (spec: RunSpec): PlainScript {
+    return new PlainScript(spec)
+  }
+
+  first (): RunNext {
+    return { kind: 'send', script: this, step: 'statement', counts: NONE }
+  }
+
+  answered (_step: RunStep, event: Answered): RunNext {
+    switch (this.spec.access) {
+      case 'begin': return event.isOpen ? kept(event) : close(refuse('lostTransaction', 'no transaction began'))
+      // A statement that ended its transaction has committed what came before it, which nobody asked for.
+      case 'inside': return event.isOpen ? kept(event) : close(refuse('endedTransaction'))
+      case 'commit':
+      case 'rollback': return written(event, 'reset')
+      default: return written(event, 'clean')
+    }
+  }
+
+  found (): RunNext {
+    return close(refuse('lost'))
+  }
+
+  refused (_step: RunStep, event: Refused): RunNext {
+    const { access, commitsItself } = this.spec
+    const failed: Last = { kind: 'failed', code: event.code, message: event.message }
+    const isRead = access === 'read' || access === 'strict'
+    const kind = errorKind(event.code, event.message)
+    if (kind === 'unclear' && !isRead) return close(refuse(this.broken('statement', 'lost'), event.message))
+    // A procedure may have committed its first statements before one was refused.
+    if (kind === 'readOnly' && commitsItself) return close(refuse('lost', event.message))
+    switch (access) {
+      case 'begin': return close(kind === 'readOnly' ? refuse('replaced') : failed)
+      case 'commit':
+      case 'rollback':
+      case 'inside':
+        if (kind === 'readOnly' || kind === 'rolledBack') return close(refuse('lostTransaction', event.message))
+        return access === 'inside' ? { kind: 'end', back: { kind: 'keep' }, last: failed } : close(failed)
+      default: return { kind: 'end', back: { kind: 'giveBack', how: 'clean' }, last: kind === 'readOnly' ? refuse('replaced') : failed }
+    }
+  }
+
+  /** While COMMIT was never sent, all that the endpoint can do about a closed connection is to roll back. */
+  broken (_step: RunStep, reason: 'lost' | 'deadline'): ReasonName {
+    const { access, commitsItself } = this.spec
+    const isUndone = access === 'begin' || access === 'rollback' || (access === 'inside' && !commitsItself)
+    return isUndone ? 'lostTransaction' : reason
+  }
+}
+
+function kept (event: Answered): RunNext {
+  return { kind: 'end', back: { kind: 'keep' }, last: { kind: 'done', counts: event.counts, token: undefined, isOpen: true } }
+}
+
+function written (event: Answered, how: 'clean' | 'reset'): RunNext {
+  const { counts, token, isOpen } = event
+  const back: RunAction = { kind: 'giveBack', how: isOpen ? 'close' : how }
+  const last: Last = { kind: 'done', counts, token, isOpen: false }
+  return token === undefined ? { kind: 'end', back, last } : { kind: 'confirm', back, token, last }
+}
+
+function close (last: Last): RunNext {
+  return { kind: 'end', back: { kind: 'giveBack', how: 'close' }, last }
+}
+
+function refuse (reason: ReasonName, detail = ''): Last {
+  return { kind: 'refuse', reason, detail }
+}
--- /dev/null
+++ b/src/core/request/recovery.ts
@@ -0,0 +1,26 @@
+/** What can mend the cause of a refusal. */
+
+import type { ReasonName } from '../reasonname.ts'
+
+/**
+ * - `elsewhere`: another slot owner or endpoint may take the request now.
+ * - `newPrimary`: nothing but a promotion, which urgent requests wait for.
+ * - `never`: trying again right away would end the same way.
+ */
+type Recovery = 'elsewhere' | 'newPrimary' | 'never'
+
+const RECOVERIES: Partial<Record<ReasonName, Recovery>> = {
+  noPrimary: 'newPrimary',
+  replaced: 'newPrimary',
+  unproved: 'newPrimary',
+  unreachable: 'elsewhere',
+  noSlotOwner: 'elsewhere',
+  notSent: 'elsewhere',
+  rolledBack: 'elsewhere',
+  lost: 'elsewhere',
+  unconfirmed: 'newPrimary'
+}
+
+export function recoveryOf (reason: ReasonName | undefined): Recovery {
+  return (reason === undefined ? undefined : RECOVERIES[reason]) ?? 'never'
+}
--- /dev/null
+++ b/src/core/request/runnext.ts
@@ -0,0 +1,20 @@
+/** What a script wants after an answer of the endpoint. */
+
+import type { Token } from '../token.ts'
+import type { Counts } from './counts.ts'
+import type { RunAction } from './runaction.ts'
+import type { RunScript } from './runscript.ts'
+import type { RunStep } from './runstep.ts'
+
+type Back = Extract<RunAction, { kind: 'keep' | 'giveBack' }>
+type Last = Extract<RunAction, { kind: 'done' | 'failed' | 'refuse' }>
+
+/**
+ * - `send`: the next statement.
+ * - `end`: the outcome, and what becomes of the connection.
+ * - `confirm`: the same, once a second server has the position.
+ */
+export type RunNext =
+  | { readonly kind: 'send', readonly script: RunScript, readonly step: RunStep, readonly counts: Counts }
+  | { readonly kind: 'end', readonly back: Back, readonly last: Last }
+  | { readonly kind: 'confirm', readonly back: Back, readonly token: Token, readonly last: Last }
--- /dev/null
+++ b/src/core/request/spec.ts
@@ -0,0 +1,16 @@
+/** What a frontend knows of a request before its first attempt. */
+
+import type { Instant } from '../id/instant.ts'
+
+export interface RequestSpec {
+  /** Has no effect, so that running it again does no harm. */
+  readonly isRead: boolean
+  /** Carries an idempotency key, so that running it again has no second effect. */
+  readonly isOnce: boolean
+  /** Where it stands in its transaction: outside, its BEGIN, a statement of it, or its COMMIT. */
+  readonly place: 'alone' | 'begin' | 'inside' | 'commit'
+  /** Commits by itself (a stored procedure may), so that a lost connection proves no rollback. */
+  readonly commitsItself: boolean
+  readonly isUrgent: boolean
+  readonly deadline: Instant
+}
