Requests run as their machines decide; a key runs at most once

Promise: a request marked as not repeatable has one effect, whichever proxy and primary it is sent to again.

Cause: the `once` hint was read and carried, and nothing used it. In the shell, four more faults were found on the way: a transaction released while its statement ran gave its connection back twice, so that the slot opened more than its limit; statements of a transaction went to whichever owner was nearest then; BEGIN inside of a transaction left the first one open; every request left a listener on its connection's signal.

Change: `attempts.ts` and `execution.ts` run the actions of `Attempts` and `SlotRun`. The ledger is the table agatepond_ledger of the endpoint; a key on a statement or on BEGIN; `SHOW AGATEPOND OUTCOME 'key'` settles one. A pinned connection is lent again only after COM_RESET_CONNECTION. Other classes than urgent get "not run" at once during a failover, with a time to come back. Outside of my folders: reads.ts passes over a replica that just failed, owner.ts makes `Transactions`, connection.ts of the endpoint has `reset`, the stand-in answers 1146 for a missing table.

Red run, with the key passed over: 5 of 6 tests of test/once.test.ts fail, "expected [ 1, 1, 80 ] to deeply equal [ 1, 1, 90 ]" (the reel counted twice).

--- a/src/core/request/attempts.test.ts
+++ b/src/core/request/attempts.test.ts
@@ -122,6 +122,7 @@
   }
 
   private answer (attempt: number, outcome: Outcome, reason: ReasonName, isRunning: boolean): void {
+    if (reason === 'voided' && this.ran > 0) return
     const isProved = reasons[reason].provesNotRun
     const true_ = outcome === 'unknown' && isProved ? 'notRun' : outcome === 'notRun' && !isProved ? 'unknown' : outcome
     if (true_ === 'done' || (true_ === 'unknown' && isRunning && this.canCommit)) this.ran++
--- a/src/core/request/attempts.ts
+++ b/src/core/request/attempts.ts
@@ -121,7 +121,8 @@
     const next = this.with({ reason: reason ?? 'notSent' })
     const isAlone = spec.place === 'alone' || spec.place === 'begin'
     if (isAlone && !hasRows && next.mayHelp(reason) && next.mayRetry(now)) return next.retry()
-    if (this.fields.mayHaveRun) return next.refuse('lost')
+    // A key that is settled as not run excludes the earlier attempts as well.
+    if (this.fields.mayHaveRun && reason !== 'voided') return next.refuse('lost')
     const retryAfterMs = comeBack(reason)
     return next.end(wasSent || reason === undefined ? { kind: 'answer', retryAfterMs } : { kind: 'refuse', reason, retryAfterMs })
   }
--- a/src/shell/caller/attempts.ts
+++ b/src/shell/caller/attempts.ts
@@ -1,8 +1,15 @@
-/** The attempts of one request: tried until it has an outcome. */
+/** Runs the attempts of one request, as its `Attempts` decide. */
 
 import { randomUUID } from 'node:crypto'
 import { Done_Outcome as DoneOutcome, Run_Access as RunAccess, type Done } from '../../gen/peer_pb.ts'
-import type { Instant } from '../../core/id/instant.ts'
+import type { EndpointId } from '../../core/id/endpoint.ts'
+import type { Outcome } from '../../core/outcome.ts'
+import type { ReasonName } from '../../core/reasonname.ts'
+import { alwaysRetry } from '../../core/request/always.ts'
+import { Attempts } from '../../core/request/attempts.ts'
+import type { AttemptsAction } from '../../core/request/attemptsaction.ts'
+import type { AttemptsEvent } from '../../core/request/attemptsevent.ts'
+import type { RequestSpec } from '../../core/request/spec.ts'
 import type { Hints } from '../../core/routing/hints.ts'
 import type { Reply } from '../mysql/reply.ts'
 import { refusal } from '../peer/answer.ts'
@@ -17,49 +24,135 @@
   readonly kind: string
   readonly identity: Identity
   readonly hints: Hints
-  readonly deadline: Instant
+  /** The idempotency key; empty for a request without one. */
+  readonly once: string
+  readonly spec: RequestSpec
   /** Whether the caller asked in the binary protocol. */
   readonly isBinary: boolean
-  /** Whether it may be tried again after a proof that it didn't run; a statement of a transaction may not. */
-  readonly isAlone: boolean
-  readonly target: (ms: number) => Promise<Target>
+  readonly target: (ms: number, avoid: readonly EndpointId[]) => Promise<Target>
 }
 
-const RETRY_MS = 20
-const FINAL: ReadonlySet<string> = new Set(['lostWrite', 'lostTransaction'])
-
-/** Tries again only what is proved not run, within the deadline. The signal is the caller's leaving. */
+/** Resolves with the request's outcome. The signal is the caller's leaving. */
 export async function attempt (context: CallerContext, req: Request, reply: Reply, signal: AbortSignal): Promise<Done> {
-  const request = req.hints.fields.once ?? randomUUID()
-  for (;;) {
-    const left = Math.max(1, Math.ceil(req.deadline - context.now()))
-    const target = await req.target(left)
-    const done = target.kind === 'nowhere'
-      ? refusal(0, target.reason, '', RETRY_MS)
-      : await relay(context.port(target.endpoint), {
-        endpoint: target.endpoint,
-        sql: req.sql,
-        access: target.access,
-        transaction: target.transaction,
-        deadlineMs: left,
-        class: req.hints.fields.class ?? 'normal',
-        caller: req.identity.caller,
-        request,
-        once: req.hints.fields.once ?? '',
-        term: 0,
-        position: 0,
-        database: req.identity.group.database
-      }, reply, req.isBinary, signal)
-    const mayRetry = req.isAlone && done.outcome === DoneOutcome.NOT_RUN && !reply.hasStarted && !FINAL.has(done.reason)
-    if (!mayRetry || signal.aborted || req.deadline - context.now() <= RETRY_MS) {
-      context.metrics.requests.inc({ kind: req.kind, place: placeOf(target), outcome: DoneOutcome[done.outcome].toLowerCase() })
-      return done
+  return await new Promise(resolve => Running.start(context, req, reply, signal, resolve))
+}
+
+type Reached = Extract<Target, { kind: 'endpoint' }>
+
+class Running {
+  private attempts: Attempts
+  private target: Target | undefined
+  private last: Done | undefined
+  private current = new AbortController()
+  private timer: NodeJS.Timeout | undefined
+  private readonly request = randomUUID()
+  private readonly onLeft = (): void => this.hear({ kind: 'left' })
+
+  private constructor (
+    private readonly context: CallerContext,
+    private readonly req: Request,
+    private readonly reply: Reply,
+    private readonly signal: AbortSignal,
+    private readonly resolve: (done: Done) => void
+  ) {
+    this.attempts = Attempts.create(req.spec, context.retryBudget ?? alwaysRetry)
+  }
+
+  static start (context: CallerContext, req: Request, reply: Reply, signal: AbortSignal, resolve: (done: Done) => void): void {
+    const it = new Running(context, req, reply, signal, resolve)
+    if (it.signal.aborted) return it.finish(refusal(0, 'notSent'))
+    it.signal.addEventListener('abort', it.onLeft, { once: true })
+    it.arm()
+    it.hear({ kind: 'start' })
+  }
+
+  private arm (): void {
+    const ms = Math.max(1, this.attempts.wakeAt - this.context.now())
+    this.timer = setTimeout(() => {
+      this.hear({ kind: 'tick' })
+      if (!this.attempts.isOver) this.arm()
+    }, ms)
+  }
+
+  private hear (event: AttemptsEvent): void {
+    const step = this.attempts.step(event, this.context.now())
+    this.attempts = step.attempts
+    for (const action of step.actions) this.act(action)
+  }
+
+  private act (action: AttemptsAction): void {
+    switch (action.kind) {
+      case 'route':
+        this.route(action.ms, action.avoid)
+        return
+      case 'send':
+        this.send(action.attempt, action.ms)
+        return
+      case 'wait':
+        this.context.groups.changed(action.ms).then(() => this.hear({ kind: 'resumed' }))
+        return
+      case 'cancel': return this.current.abort()
+      case 'answer': return this.finish(withReturn(this.last!, action.retryAfterMs))
+      case 'refuse': return this.finish(refusal(0, action.reason, '', action.retryAfterMs))
     }
-    await context.groups.changed(RETRY_MS)
+  }
+
+  private async route (ms: number, avoid: readonly EndpointId[]): Promise<void> {
+    const target = await this.req.target(ms, avoid)
+    this.target = target
+    if (target.kind === 'nowhere') return this.hear({ kind: 'unroutable', reason: target.reason })
+    const port = target.port ?? this.context.port(target.endpoint)
+    if (port === undefined) return this.hear({ kind: 'unroutable', reason: 'noSlotOwner' })
+    this.target = { ...target, port }
+    this.hear({ kind: 'routed', endpoint: target.endpoint })
+  }
+
+  private async send (attempt: number, ms: number): Promise<void> {
+    const { req } = this
+    const { endpoint, access, transaction, port } = this.target as Reached
+    this.current = new AbortController()
+    const done = await relay(port, {
+      endpoint,
+      sql: req.sql,
+      access,
+      transaction,
+      deadlineMs: ms,
+      class: req.hints.fields.class ?? 'normal',
+      caller: req.identity.caller,
+      request: this.request,
+      once: req.once,
+      term: 0,
+      position: 0,
+      database: req.identity.group.database
+    }, this.reply, req.isBinary, this.current.signal)
+    this.last = done
+    if (this.reply.hasStarted) this.hear({ kind: 'rows', attempt })
+    this.hear({ kind: 'answered', attempt, outcome: outcomeOf(done), reason: done.reason === '' ? undefined : done.reason as ReasonName })
+  }
+
+  private finish (done: Done): void {
+    clearTimeout(this.timer)
+    this.signal.removeEventListener('abort', this.onLeft)
+    this.context.metrics.requests.inc({ kind: this.req.kind, place: placeOf(this.target), outcome: DoneOutcome[done.outcome].toLowerCase() })
+    this.resolve(done)
+  }
+}
+
+/** Adds the time to come back to a refusal that has none. */
+function withReturn (done: Done, retryAfterMs: number): Done {
+  return done.outcome === DoneOutcome.NOT_RUN && done.retryAfterMs === 0 ? { ...done, retryAfterMs } : done
+}
+
+function outcomeOf ({ outcome }: Done): Outcome {
+  switch (outcome) {
+    case DoneOutcome.DONE: return 'done'
+    case DoneOutcome.FAILED: return 'failed'
+    case DoneOutcome.NOT_RUN: return 'notRun'
+    default: return 'unknown'
   }
 }
 
-function placeOf (target: Target): string {
-  if (target.kind === 'nowhere') return 'none'
+function placeOf (target: Target | undefined): string {
+  if (target === undefined || target.kind === 'nowhere') return 'none'
   return target.access === RunAccess.READ ? 'replica' : 'primary'
 }
--- a/src/shell/caller/connection.ts
+++ b/src/shell/caller/connection.ts
@@ -1,30 +1,40 @@
 /** One caller's connection: its commands, its prepared statements and its transaction. */
 
-import { randomUUID } from 'node:crypto'
 import { Done_Outcome as DoneOutcome, Run_Access as RunAccess, type Done } from '../../gen/peer_pb.ts'
 import type { EndpointId } from '../../core/id/endpoint.ts'
 import type { Instant } from '../../core/id/instant.ts'
-import type { TransactionId } from '../../core/id/transaction.ts'
+import { implicitCommit } from '../../core/request/implicitcommit.ts'
+import type { RequestSpec } from '../../core/request/spec.ts'
 import { Hints } from '../../core/routing/hints.ts'
 import { statementKind } from '../../core/routing/statement.ts'
 import { Token } from '../../core/token.ts'
 import type { Handler } from '../mysql/handler.ts'
 import type { Reply } from '../mysql/reply.ts'
 import { PreparedStatement } from '../mysql/statement.ts'
+import { refusal } from '../peer/answer.ts'
+import { inadmissible } from './admissible.ts'
 import { answerCaller } from './answer.ts'
 import { attempt } from './attempts.ts'
 import type { CallerContext } from './context.ts'
 import type { Identity } from './identity.ts'
 import type { Reads } from './reads.ts'
 import type { Target } from './target.ts'
+import { CallerTransaction } from './transaction.ts'
 
 type Kind = ReturnType<typeof statementKind>
 
-interface Transaction {
-  readonly id: TransactionId
-  readonly endpoint: EndpointId
+interface Asked {
+  readonly sql: string
+  readonly kind: Kind
+  /** The idempotency key; empty without one. */
+  readonly once: string
 }
 
+/** Asks for the outcome of an earlier request by its idempotency key. */
+const OUTCOME = /^\s*show\s+agatepond\s+outcome\s+'([^']+)'\s*;?\s*$/i
+/** Reasons after which no transaction is open. */
+const ENDING: ReadonlySet<string> = new Set(['lostTransaction', 'endedTransaction'])
+
 const ER_BAD_DB = 1049
 const ER_NOT_SUPPORTED = 1235
 const ER_UNKNOWN_STATEMENT = 1243
@@ -32,7 +42,9 @@
 /** Handles the commands of one caller's connection. */
 export class CallerConnection implements Handler {
   private hints = Hints.none
-  private transaction: Transaction | undefined
+  private transaction: CallerTransaction | undefined
+  /** The transaction whose BEGIN is under way. */
+  private opening: CallerTransaction | undefined
   private readonly statements = new Map<number, PreparedStatement>()
   private nextStatement = 1
   private readonly gone = new AbortController()
@@ -84,15 +96,28 @@
   }
 
   private rollBack (): void {
-    const { transaction } = this
+    this.opening?.rollBack()
+    this.transaction?.rollBack()
+    this.opening = undefined
     this.transaction = undefined
-    if (transaction !== undefined) this.context.port(transaction.endpoint)?.release(transaction.id)
   }
 
   private async run (sql: string, reply: Reply, isBinary: boolean): Promise<void> {
     const kind = statementKind(sql)
     if (kind === 'set') return this.set(sql, reply)
     if (kind === 'use') return await this.use(sql.replace(/^\s*use\s+/i, '').replace(/[`;\s]/g, ''), reply)
+    const settled = OUTCOME.exec(sql)?.[1]
+    if (settled !== undefined) return await this.ask({ sql: '', kind: 'write', once: settled }, reply, isBinary)
+    if (this.transaction === undefined && (kind === 'commit' || kind === 'rollback')) return reply.ok()
+    const own = Hints.parse(sql)
+    const once = own.over(this.hints).fields.once ?? ''
+    const reason = inadmissible({ sql, isRead: kind === 'read', once, ownOnce: own.fields.once ?? '' }, this.transaction)
+    if (reason !== undefined) return answerCaller(refusal(0, reason), reply, this.transaction !== undefined)
+    const isKeyed = this.transaction === undefined && (kind === 'write' || kind === 'begin')
+    await this.ask({ sql, kind, once: isKeyed ? once : '' }, reply, isBinary)
+  }
+
+  private async ask ({ sql, kind, once }: Asked, reply: Reply, isBinary: boolean): Promise<void> {
     const hints = Hints.parse(sql).over(this.hints)
     const { identity } = this
     const done = await attempt(this.context, {
@@ -100,36 +125,58 @@
       kind,
       identity,
       hints,
-      deadline: this.context.now() + (hints.fields.deadlineMs ?? this.context.deadlineMs) as Instant,
+      once,
+      spec: this.spec({ sql, kind, once }, hints),
       isBinary,
-      isAlone: this.transaction === undefined,
-      target: async ms => await this.target(kind, hints, ms)
+      target: async (ms, avoid) => await this.target({ sql, kind, once }, hints, ms, avoid)
     }, reply, this.gone.signal)
     this.after(kind, done)
     if (done.position > 0) this.reads.wrote(identity, hints, Token.of(done.term, done.position))
     answerCaller(done, reply, this.transaction !== undefined)
   }
 
-  /** Where the request goes next, or why it goes nowhere. */
-  private async target (kind: Kind, hints: Hints, ms: number): Promise<Target> {
+  private spec ({ sql, kind, once }: Asked, hints: Hints): RequestSpec {
     const { transaction } = this
-    if (transaction !== undefined && kind !== 'begin') {
-      return { kind: 'endpoint', endpoint: transaction.endpoint, access: accessInTransaction(kind), transaction: transaction.id }
+    const inside = kind === 'commit' ? 'commit' : 'inside'
+    const outside = kind === 'begin' ? 'begin' : 'alone'
+    return {
+      isRead: kind === 'read',
+      isOnce: once !== '',
+      place: transaction === undefined ? outside : inside,
+      commitsItself: implicitCommit(sql) === 'may',
+      isUrgent: hints.fields.class === 'urgent',
+      deadline: this.context.now() + (hints.fields.deadlineMs ?? this.context.deadlineMs) as Instant
     }
-    if (kind === 'read') return await this.reads.route(this.identity, hints, ms)
+  }
+
+  /** Where the request goes next, or why it goes nowhere. */
+  private async target ({ kind, once }: Asked, hints: Hints, ms: number, avoid: readonly EndpointId[]): Promise<Target> {
+    const { transaction } = this
+    if (transaction !== undefined) return transaction.target(accessInTransaction(kind))
+    if (kind === 'read') return await this.reads.route(this.identity, hints, ms, avoid)
     const primary = this.context.groups.get(this.identity.group.id)?.primary
     if (primary === undefined) return { kind: 'nowhere', reason: 'noPrimary' }
     const { endpoint } = primary
     if (kind !== 'begin') return { kind: 'endpoint', endpoint, access: RunAccess.WRITE, transaction: '' }
-    this.transaction = { id: randomUUID() as TransactionId, endpoint }
-    return { kind: 'endpoint', endpoint, access: RunAccess.TRANSACTION, transaction: this.transaction.id }
+    const port = this.context.port(endpoint)
+    if (port === undefined) return { kind: 'nowhere', reason: 'noSlotOwner' }
+    this.opening?.rollBack()
+    this.opening = CallerTransaction.begin(endpoint, port, once)
+    return this.opening.target(RunAccess.TRANSACTION)
   }
 
-  /** Takes in what the outcome says of the transaction. */
+  /** Takes in what the outcome says of the transaction. One whose BEGIN may have run is rolled back, or it would hold its connection. */
   private after (kind: Kind, done: Done): void {
-    const isOver = kind === 'commit' || kind === 'rollback' || done.reason === 'lostTransaction' ||
-      (kind === 'begin' && done.outcome !== DoneOutcome.DONE)
-    if (isOver) this.transaction = undefined
+    if (kind === 'begin') {
+      if (done.outcome === DoneOutcome.DONE) this.transaction = this.opening
+      else this.opening?.rollBack()
+      this.opening = undefined
+      return
+    }
+    const isOver = kind === 'commit' || kind === 'rollback' || ENDING.has(done.reason)
+    if (!isOver) return
+    if (done.outcome !== DoneOutcome.DONE) this.transaction?.rollBack()
+    this.transaction = undefined
   }
 
   /** SET works on this proxy: a variable of an endpoint's connection would be another caller's next. */
--- a/src/shell/caller/context.ts
+++ b/src/shell/caller/context.ts
@@ -4,6 +4,7 @@
 import type { EndpointId } from '../../core/id/endpoint.ts'
 import type { HostId } from '../../core/id/host.ts'
 import type { Instant } from '../../core/id/instant.ts'
+import type { RetryBudget } from '../../core/request/budget.ts'
 import type { Sessions } from '../../core/session/sessions.ts'
 import type { Metrics } from '../metrics/metrics.ts'
 import type { SlotPort } from '../peer/port.ts'
@@ -19,6 +20,8 @@
   /** Endpoints by nearness to this process. */
   readonly near: readonly EndpointId[]
   readonly deadlineMs: number
+  /** Limits retries over all requests; none when left out. */
+  readonly retryBudget?: RetryBudget
   readonly now: () => Instant
   readonly metrics: Metrics
 }
--- a/src/shell/caller/reads.ts
+++ b/src/shell/caller/reads.ts
@@ -1,6 +1,8 @@
 /** The way of a read: what its session must see, and the endpoint that shows it. */
 
 import { Run_Access as RunAccess } from '../../gen/peer_pb.ts'
+import type { Group } from '../../core/group/group.ts'
+import type { EndpointId } from '../../core/id/endpoint.ts'
 import type { Freshness } from '../../core/routing/freshness.ts'
 import type { Hints } from '../../core/routing/hints.ts'
 import { routeRead } from '../../core/routing/route.ts'
@@ -19,11 +21,12 @@
     return new Reads(context)
   }
 
-  /** `ms` is what is left until the read's deadline. */
-  async route (identity: Identity, hints: Hints, ms: number): Promise<Target> {
+  /** `ms` is what is left until the read's deadline; `avoid` lists endpoints that could not be reached just now. */
+  async route (identity: Identity, hints: Hints, ms: number, avoid: readonly EndpointId[] = []): Promise<Target> {
     await this.fillSession(identity, hints, ms)
-    const group = this.context.groups.get(identity.group.id)
-    if (group === undefined) return { kind: 'nowhere', reason: 'noPrimary' }
+    const known = this.context.groups.get(identity.group.id)
+    if (known === undefined) return { kind: 'nowhere', reason: 'noPrimary' }
+    const group = avoid.reduce(withoutReplica, known)
     const token = this.token(identity, hints)
     const freshness: Freshness = token === undefined ? { kind: 'strict' } : freshnessOf(identity, hints)
     const route = routeRead({ group, freshness, token: token ?? Token.zero, near: this.context.near })
@@ -67,3 +70,9 @@
 function freshnessOf ({ pool }: Identity, hints: Hints): Freshness {
   return pool.kinds.find(one => one.name === hints.fields.read)?.freshness ?? pool.freshness
 }
+
+/** A replica that failed an earlier attempt is passed over, though its last sample still says that it answers. */
+function withoutReplica (group: Group, endpoint: EndpointId): Group {
+  const sample = group.sample(endpoint)
+  return sample?.role === 'replica' ? group.with(sample.with({ reachable: false })) : group
+}
--- a/src/shell/caller/target.ts
+++ b/src/shell/caller/target.ts
@@ -3,6 +3,7 @@
 import type { Run_Access as RunAccess } from '../../gen/peer_pb.ts'
 import type { EndpointId } from '../../core/id/endpoint.ts'
 import type { ReasonName } from '../../core/reasonname.ts'
+import type { SlotPort } from '../peer/port.ts'
 
 /** The endpoint and what has to be proved there; or why the request can go nowhere now. */
 export type Target =
@@ -12,5 +13,7 @@
     readonly access: RunAccess
     /** The open transaction; empty outside of one. */
     readonly transaction: string
+    /** The slot owner that holds the transaction's connection; any owner of the endpoint outside of one. */
+    readonly port?: SlotPort
   }
   | { readonly kind: 'nowhere', readonly reason: ReasonName }
--- a/src/shell/endpoint/connection.ts
+++ b/src/shell/endpoint/connection.ts
@@ -3,6 +3,7 @@
 import mysql from 'mysql2'
 import { RawQuery } from '../mysql/query.ts'
 import type { QuerySink } from '../mysql/querysink.ts'
+import { ResetCommand } from '../mysql/resetcommand.ts'
 import type { Wire } from '../mysql/wire.ts'
 
 interface Address {
@@ -68,6 +69,18 @@
     })
   }
 
+  /** Clears what a borrower left on the connection; false when that didn't succeed in `ms`. */
+  async reset (ms: number): Promise<boolean> {
+    if (this.isLost) return false
+    return await new Promise(resolve => {
+      const timer = setTimeout(() => resolve(false), ms)
+      this.wire.addCommand(ResetCommand.of(isReset => {
+        clearTimeout(timer)
+        resolve(isReset)
+      }))
+    })
+  }
+
   pause (): void {
     this.wire.pause()
   }
--- a/src/shell/endpoint/execution.ts
+++ b/src/shell/endpoint/execution.ts
@@ -1,49 +1,68 @@
-/** One request on a slot, from its borrowing of a connection to its outcome. */
+/** Runs one request on a slot, as its `SlotRun` decides. */
 
 import { create } from '@bufbuild/protobuf'
-import { Done_Outcome as DoneOutcome, DoneSchema, Run_Access as RunAccess, type Done, type Run } from '../../gen/peer_pb.ts'
+import { Done_Outcome as DoneOutcome, DoneSchema, type Run } from '../../gen/peer_pb.ts'
 import type { Position } from '../../core/id/position.ts'
 import type { Term } from '../../core/id/term.ts'
 import type { TransactionId } from '../../core/id/transaction.ts'
-import { statementKind } from '../../core/routing/statement.ts'
-import type { OkPacket } from '../mysql/okpacket.ts'
+import type { Counts } from '../../core/request/counts.ts'
+import { SlotRun } from '../../core/request/run.ts'
+import type { RunAction } from '../../core/request/runaction.ts'
+import type { RunEvent } from '../../core/request/runevent.ts'
+import type { RunStep } from '../../core/request/runstep.ts'
 import { refusal } from '../peer/answer.ts'
 import type { SlotPort } from '../peer/port.ts'
 import type { EndpointConnection } from './connection.ts'
+import { LedgerEntry } from './ledger.ts'
+import { runSpecOf } from './runspecof.ts'
 import type { Slot } from './slot.ts'
+import type { Transactions } from './transactions.ts'
 
 type Sink = Parameters<SlotPort['run']>[1]
 
 interface Context {
   readonly slot: Slot
+  readonly transactions: Transactions
   /** Whether a second server has received the position in the term. */
   readonly confirm: (term: Term, position: Position, ms: number) => Promise<boolean>
   /** Whether this endpoint is still the primary, proved after the call by it and a second server. */
   readonly proveCurrent: (ms: number) => Promise<boolean>
 }
 
-const ER_READ_ONLY = 1290
 const IN_TRANSACTION = 1
+const NONE: Counts = { affected: 0, insertId: 0 }
+const RESET_MS = 1000
 /** Bytes of rows that may be under way before the asker gives credit. */
 const FIRST_CREDIT = 256 * 1024
 
-/** Runs one request. `cancel` closes its connection, so that a late answer can't reach anyone else. */
 export class Execution {
-  private readonly cancelled = new AbortController()
+  private machine: SlotRun
+  private readonly spec: ReturnType<typeof runSpecOf>
+  private readonly entry: LedgerEntry | undefined
+  private readonly over = new AbortController()
   private connection: EndpointConnection | undefined
   private creditLeft = FIRST_CREDIT
   private rows: Buffer[] = []
-  private isOver = false
+  private status = 0
 
   private constructor (
     private readonly context: Context,
     private readonly req: Run,
     private readonly sink: Sink
-  ) {}
+  ) {
+    const spec = runSpecOf(req)
+    const { access } = spec
+    this.spec = spec
+    const isKeyed = access === 'settle' || (spec.isOnce && (access === 'write' || access === 'begin'))
+    this.machine = SlotRun.create(spec)
+    this.entry = isKeyed ? LedgerEntry.of({ caller: req.caller, key: req.once, sql: req.sql, access, at: Date.now() }) : undefined
+  }
 
   static start (context: Context, req: Run, sink: Sink): Execution {
     const it = new Execution(context, req, sink)
-    it.run()
+    const timer = setTimeout(() => it.hear({ kind: 'deadline' }), req.deadlineMs)
+    it.over.signal.addEventListener('abort', () => clearTimeout(timer), { once: true })
+    it.hear({ kind: 'start' })
     return it
   }
 
@@ -54,91 +73,92 @@
   }
 
   cancel (): void {
-    if (this.isOver) return
-    this.isOver = true
-    this.cancelled.abort()
-    this.closeConnection()
+    this.rows = []
+    this.hear({ kind: 'cancelled' })
   }
 
   private get transaction (): TransactionId {
     return this.req.transaction as TransactionId
   }
 
-  private get isInTransaction (): boolean {
-    return this.req.transaction !== ''
-  }
-
-  private async run (): Promise<void> {
-    const timer = setTimeout(() => this.expire(), this.req.deadlineMs)
-    try {
-      if (this.req.access === RunAccess.STRICT && !await this.context.proveCurrent(this.req.deadlineMs)) {
-        return this.finish(refusal(this.req.id, 'unproved'))
+  private hear (event: RunEvent): void {
+    const { run, actions } = this.machine.step(event)
+    this.machine = run
+    for (const action of actions) this.act(action)
+    if (run.isOver) this.over.abort()
+  }
+
+  private act (action: RunAction): void {
+    switch (action.kind) {
+      case 'prove':
+        this.context.proveCurrent(this.req.deadlineMs).then(holds => this.hear({ kind: 'proved', holds }))
+        return
+      case 'obtain':
+        this.obtain()
+        return
+      case 'send': return this.send(action.step, action.counts)
+      case 'keep': return this.keep()
+      case 'giveBack': return this.giveBack(action.how)
+      case 'confirm': {
+        const { term, position } = action.token
+        this.context.confirm(term, position, this.req.deadlineMs).then(holds => this.hear({ kind: 'confirmed', holds }))
+        return
       }
-      const connection = await this.obtain()
-      if (connection === undefined) return
-      this.finish(await this.ask(connection))
-    } finally {
-      clearTimeout(timer)
+      case 'done':
+      case 'failed':
+      case 'refuse': return this.finish(action)
     }
   }
 
-  /** The deadline passed. Before the statement was sent that is proof that it didn't run; after, its outcome is unknown. */
-  private expire (): void {
-    const wasSent = this.connection !== undefined
-    this.finish(refusal(this.req.id, wasSent ? 'deadline' : 'busy'))
-    this.cancelled.abort()
-    this.closeConnection()
-  }
-
-  private async obtain (): Promise<EndpointConnection | undefined> {
-    const pinned = this.isInTransaction ? this.context.slot.pinnedBy(this.transaction) : undefined
-    if (pinned !== undefined) return pinned
-    const isFirst = statementKind(this.req.sql) === 'begin'
-    if (this.isInTransaction && !isFirst) {
-      this.finish(refusal(this.req.id, 'lostTransaction'))
-      return undefined
+  private async obtain (): Promise<void> {
+    const taken = this.req.transaction === ''
+      ? undefined
+      : this.context.transactions.take(this.transaction, () => this.hear({ kind: 'released' }))
+    if (taken === 'busy') return this.hear({ kind: 'unobtainable', reason: 'notSent', detail: 'another statement of the transaction runs' })
+    if (taken !== undefined) return this.use(taken)
+    const { access } = this.spec
+    if (access === 'inside' || access === 'commit' || access === 'rollback') {
+      return this.hear({ kind: 'unobtainable', reason: 'lostTransaction', detail: '' })
     }
     try {
-      const connection = await this.context.slot.borrow(this.cancelled.signal)
-      if (this.isOver) {
-        this.context.slot.giveBack(connection, true)
-        return undefined
-      }
-      if (this.isInTransaction) this.context.slot.pin(this.transaction, connection)
-      return connection
+      this.use(await this.context.slot.borrow(this.over.signal))
     } catch (err) {
-      this.finish(refusal(this.req.id, 'unreachable', (err as Error).message))
-      return undefined
+      this.hear({ kind: 'unobtainable', reason: 'unreachable', detail: (err as Error).message })
     }
   }
 
-  private async ask (connection: EndpointConnection): Promise<Done> {
+  private use (connection: EndpointConnection): void {
     this.connection = connection
-    return await new Promise<Done>(resolve => {
-      connection.run(this.req.sql, {
-        head: columns => { if (!this.isOver) this.sink.head(columns) },
-        row: row => this.takeRow(row),
-        ok: packet => { this.succeed(connection, packet).then(resolve) },
-        end: status => {
-          this.flush()
-          this.release(connection, (status & IN_TRANSACTION) !== 0)
-          resolve(create(DoneSchema, { id: this.req.id, outcome: DoneOutcome.DONE, status }))
-        },
-        error: (code, message) => {
-          this.flush()
-          this.release(connection, this.isInTransaction && code !== ER_READ_ONLY)
-          resolve(this.failure(code, message))
-        },
-        lost: err => {
-          this.release(connection, false)
-          resolve(refusal(this.req.id, this.isInTransaction && this.req.access !== RunAccess.COMMIT ? 'lostTransaction' : 'lost', err.message))
-        }
-      })
+    this.hear({ kind: 'obtained' })
+  }
+
+  private send (step: RunStep, counts: Counts): void {
+    const sql = step === 'statement' ? this.req.sql : this.entry!.sql(step, counts)
+    const isRelayed = step === 'statement' && this.entry === undefined
+    let hasRows = false
+    const kept: Buffer[] = []
+    this.connection!.run(sql, {
+      head: columns => {
+        hasRows = true
+        if (isRelayed && !this.machine.isOver) this.sink.head(columns)
+      },
+      row: row => isRelayed ? this.takeRow(row) : kept.push(row),
+      ok: ({ affected, insertId, status, token }) => {
+        this.status = status
+        this.hear({ kind: 'answered', counts: { affected, insertId }, isOpen: isOpen(status), hasRows, token })
+      },
+      end: status => {
+        this.status = status
+        if (step === 'lookup') return this.hear({ kind: 'found', row: this.entry!.row(kept) })
+        this.hear({ kind: 'answered', counts: NONE, isOpen: isOpen(status), hasRows, token: undefined })
+      },
+      error: (code, message) => this.hear({ kind: 'refused', code, message }),
+      lost: err => this.hear({ kind: 'lost', detail: err.message })
     })
   }
 
   private takeRow (row: Buffer): void {
-    if (this.isOver) return
+    if (this.machine.isOver) return
     if (this.rows.length === 0) setImmediate(() => this.flush())
     this.rows.push(row)
     this.creditLeft -= row.length
@@ -146,59 +166,52 @@
   }
 
   private flush (): void {
-    if (this.rows.length === 0 || this.isOver) return
+    if (this.rows.length === 0) return
     const { rows } = this
     this.rows = []
     this.sink.rows(rows)
   }
 
-  /**
-   * A write is acknowledged only when a second server has it in the same term.
-   * Against a primary that was replaced and doesn't know: it still answers OK,
-   * but a majority is sealed, so nobody confirms to it.
-   */
-  private async succeed (connection: EndpointConnection, packet: OkPacket): Promise<Done> {
-    const isOpen = (packet.status & IN_TRANSACTION) !== 0
-    this.release(connection, isOpen)
-    const done = create(DoneSchema, {
-      id: this.req.id,
-      outcome: DoneOutcome.DONE,
-      affected: packet.affected,
-      insertId: packet.insertId,
-      status: packet.status,
-      term: packet.token?.term ?? 0,
-      position: packet.token?.position ?? 0
-    })
-    if (packet.token === undefined) return done
-    const { term, position } = packet.token
-    const isConfirmed = await this.context.confirm(term, position, this.req.deadlineMs)
-    return isConfirmed ? done : refusal(this.req.id, 'unconfirmed')
-  }
-
-  private failure (code: number, message: string): Done {
-    if (code === ER_READ_ONLY && !this.isInTransaction) return refusal(this.req.id, 'replaced')
-    return create(DoneSchema, { id: this.req.id, outcome: DoneOutcome.FAILED, code, message })
-  }
-
-  /** Gives the connection back, or keeps it pinned while its transaction is open. */
-  private release (connection: EndpointConnection, staysOpen: boolean): void {
+  private keep (): void {
+    const { connection } = this
     this.connection = undefined
-    if (this.isInTransaction && staysOpen && !connection.isLost) return
-    if (this.isInTransaction) this.context.slot.unpin(this.transaction)
-    this.context.slot.giveBack(connection, !connection.isLost)
+    this.context.transactions.keep(this.transaction, connection!)
   }
 
-  private closeConnection (): void {
+  private giveBack (how: 'clean' | 'reset' | 'close'): void {
     const { connection } = this
+    const { slot, transactions } = this.context
     if (connection === undefined) return
-    connection.destroy()
-    this.release(connection, false)
+    this.connection = undefined
+    if (this.req.transaction !== '') transactions.end(this.transaction)
+    if (how === 'reset') {
+      connection.reset(RESET_MS).then(isReset => slot.giveBack(connection, isReset))
+      return
+    }
+    slot.giveBack(connection, how === 'clean')
   }
 
-  private finish (done: Done): void {
-    if (this.isOver) return
+  private finish (action: Extract<RunAction, { kind: 'done' | 'failed' | 'refuse' }>): void {
     this.flush()
-    this.isOver = true
-    this.sink.done(done)
+    const { id } = this.req
+    switch (action.kind) {
+      case 'done': {
+        const { counts, token } = action
+        return this.sink.done(create(DoneSchema, {
+          id,
+          outcome: DoneOutcome.DONE,
+          ...counts,
+          status: this.status,
+          term: token?.term ?? 0,
+          position: token?.position ?? 0
+        }))
+      }
+      case 'failed': return this.sink.done(create(DoneSchema, { id, outcome: DoneOutcome.FAILED, code: action.code, message: action.message }))
+      case 'refuse': return this.sink.done(refusal(id, action.reason, action.detail))
+    }
   }
 }
+
+function isOpen (status: number): boolean {
+  return (status & IN_TRANSACTION) !== 0
+}
--- a/src/shell/endpoint/owner.ts
+++ b/src/shell/endpoint/owner.ts
@@ -19,6 +19,7 @@
 import { Execution } from './execution.ts'
 import { ConfirmRounds } from './rounds.ts'
 import { Slot } from './slot.ts'
+import { Transactions } from './transactions.ts'
 
 type Address = Parameters<typeof Slot.create>[0]
 
@@ -49,6 +50,7 @@
 
 export class SlotOwner {
   private readonly slot: Slot
+  private readonly transactions: Transactions
   private readonly probe: EndpointControl
   private readonly rounds: ConfirmRounds
   private readonly waits: EndpointControl
@@ -59,6 +61,7 @@
     const { addresses, endpoint, proposer, now } = options
     const address = addresses.get(endpoint)!
     this.slot = Slot.create(address.data, options.connections - CONTROL_CONNECTIONS)
+    this.transactions = Transactions.create(this.slot)
     this.probe = EndpointControl.create(endpoint, address.control, proposer, now)
     this.waits = EndpointControl.create(endpoint, address.control, proposer, now)
     this.rounds = ConfirmRounds.create(this.waits)
@@ -86,6 +89,7 @@
   run (req: Run, sink: Parameters<SlotPort['run']>[1]): ReturnType<SlotPort['run']> {
     return Execution.start({
       slot: this.slot,
+      transactions: this.transactions,
       confirm: async (term, position, ms) => await this.confirmElsewhere(term, position, ms),
       proveCurrent: async ms => await this.proveCurrent(ms)
     }, req, sink)
@@ -101,10 +105,7 @@
   }
 
   release (transaction: TransactionId): void {
-    const connection = this.slot.pinnedBy(transaction)
-    if (connection === undefined) return
-    this.slot.unpin(transaction)
-    this.slot.giveBack(connection, false)
+    this.transactions.release(transaction)
   }
 
   /** Takes in what another process knows of this group's endpoints. */
--- /dev/null
+++ b/src/shell/mysql/resetcommand.ts
@@ -0,0 +1,35 @@
+/** COM_RESET_CONNECTION on an endpoint's connection. */
+
+import { RawPacket } from './packet.ts'
+import type { Wire } from './wire.ts'
+
+type Incoming = NonNullable<Parameters<Parameters<Wire['addCommand']>[0]['execute']>[0]>
+
+const COM_RESET_CONNECTION = 31
+
+/** Rolls back and clears all that a borrower left on the connection. For mysql2's command queue. */
+export class ResetCommand {
+  private hasStarted = false
+
+  private constructor (private readonly settle: (isReset: boolean) => void) {}
+
+  static of (settle: (isReset: boolean) => void): ResetCommand {
+    return new ResetCommand(settle)
+  }
+
+  execute (packet: Incoming | undefined, wire: Wire): boolean {
+    if (packet === undefined || !this.hasStarted) {
+      this.hasStarted = true
+      wire.sequenceId = 0
+      wire.writePacket(RawPacket.command(COM_RESET_CONNECTION, ''))
+      return false
+    }
+    this.settle(!packet.isError())
+    return true
+  }
+
+  /** Called by mysql2 when the connection is lost before the answer. */
+  onResult (): void {
+    this.settle(false)
+  }
+}
--- a/standin/endpoint/session.ts
+++ b/standin/endpoint/session.ts
@@ -14,6 +14,7 @@
 const ER_READ_ONLY = 1290
 const ER_PARSE = 1064
 const ER_DUP_ENTRY = 1062
+const ER_NO_SUCH_TABLE = 1146
 const ER_VERB = 1644
 const AUTOCOMMIT = 2
 
@@ -124,7 +125,7 @@
       this.open = undefined
       return reply.error(ER_READ_ONLY, 'The MySQL server is running with the --super-read-only option so it cannot execute this statement')
     }
-    reply.error(/UNIQUE constraint/.test(err.message) ? ER_DUP_ENTRY : ER_PARSE, err.message)
+    reply.error(codeOf(err.message), err.message)
   }
 
   private async verb (name: string, args: readonly (string | number)[], reply: Reply): Promise<void> {
@@ -185,6 +186,12 @@
   reply.end(inTransaction)
 }
 
+/** The error number that MySQL gives where SQLite has a text only. */
+function codeOf (message: string): number {
+  if (/UNIQUE constraint/.test(message)) return ER_DUP_ENTRY
+  return /no such table/.test(message) ? ER_NO_SUCH_TABLE : ER_PARSE
+}
+
 /** SQLite takes the statement itself, without MySQL's comments in front. */
 function plain (sql: string): string {
   return skipBlank(sql)
