--- /dev/null
+++ b/src/shell/endpoint/execution.test.ts
@@ -0,0 +1,142 @@
+import { create } from '@bufbuild/protobuf'
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
+import { Done_Outcome as DoneOutcome, Run_Access as RunAccess, RunSchema, type Done } from '../../gen/peer_pb.ts'
+import type { TransactionId } from '../../core/id/transaction.ts'
+import type { OkPacket } from '../mysql/okpacket.ts'
+import type { QuerySink } from '../mysql/querysink.ts'
+import { Execution } from './execution.ts'
+import type { Slot } from './slot.ts'
+import { Transactions } from './transactions.ts'
+
+const IDLE_MS = 1000
+const tx = 'tx-1' as TransactionId
+
+/** A slot with connections that answer when the test says so. */
+class Bench {
+  readonly events: string[] = []
+  readonly dones: Array<Pick<Done, 'outcome' | 'reason'>> = []
+  readonly rows: string[] = []
+  readonly sinks: QuerySink[] = []
+  isReset = true
+  readonly slot = {
+    borrow: async () => ({
+      isLost: false,
+      run: (sql: string, sink: QuerySink) => {
+        this.events.push(sql)
+        this.sinks.push(sink)
+      },
+      reset: async () => this.isReset,
+      pause: () => undefined,
+      resume: () => undefined,
+      destroy: () => undefined
+    }),
+    giveBack: (_: unknown, isClean: boolean) => { this.events.push(isClean ? 'lent again' : 'closed') },
+    pin: () => undefined,
+    unpin: () => undefined
+  } as unknown as Slot
+
+  readonly transactions = Transactions.create(this.slot, IDLE_MS)
+
+  async run (sql: string, access: RunAccess, transaction = ''): Promise<Execution> {
+    const context = {
+      slot: this.slot,
+      transactions: this.transactions,
+      cleaner: { used: () => undefined },
+      confirm: async () => true,
+      proveCurrent: async () => true
+    }
+    const it = Execution.start(context, create(RunSchema, { sql, access, transaction, deadlineMs: 500 }), {
+      head: () => undefined,
+      rows: rows => this.rows.push(...rows.map(row => Buffer.from(row).toString())),
+      done: ({ outcome, reason }) => this.dones.push({ outcome, reason })
+    })
+    await settle()
+    return it
+  }
+
+  /** Answers the oldest statement that has no answer yet. */
+  async ok (status: number): Promise<void> {
+    this.sinks.shift()!.ok({ affected: 1, insertId: 0, status, token: undefined } as OkPacket)
+    await settle()
+  }
+}
+
+const OPEN = 1
+const run = RunAccess.TRANSACTION
+
+describe('Execution', () => {
+  let bench: Bench
+  beforeEach(() => {
+    vi.useFakeTimers()
+    bench = new Bench()
+  })
+  afterEach(() => { vi.useRealTimers() })
+
+  // A station's connection dies while its UPDATE runs. The slot closed the transaction's
+  // connection twice and counted it twice, so it opened more connections than it may.
+  it('closes the connection of a transaction that is released while a statement runs, once', async () => {
+    await bench.run('BEGIN', run, tx)
+    await bench.ok(OPEN)
+    await bench.run('UPDATE', run, tx)
+    bench.transactions.release(tx)
+    bench.transactions.release(tx)
+    bench.sinks.shift()!.lost(new Error('closed'))
+    await settle()
+    expect(bench.events).toEqual(['BEGIN', 'UPDATE', 'closed'])
+    expect(bench.dones.at(-1)?.reason).toBe('lostTransaction')
+  })
+
+  // Two statements of one transaction at once would get each other's answers.
+  it('refuses a second statement while the first runs', async () => {
+    await bench.run('BEGIN', run, tx)
+    await bench.ok(OPEN)
+    await bench.run('UPDATE a', run, tx)
+    await bench.run('UPDATE b', run, tx)
+    expect(bench.dones.at(-1)).toEqual({ outcome: DoneOutcome.NOT_RUN, reason: 'notSent' })
+    await bench.ok(OPEN)
+    expect(bench.dones.at(-1)?.outcome).toBe(DoneOutcome.DONE)
+    expect(bench.events).toEqual(['BEGIN', 'UPDATE a'])
+  })
+
+  it('rolls a transaction back that waits too long for its next statement', async () => {
+    await bench.run('BEGIN', run, tx)
+    await bench.ok(OPEN)
+    await vi.advanceTimersByTimeAsync(IDLE_MS)
+    expect(bench.events).toEqual(['BEGIN', 'closed'])
+    await bench.run('UPDATE', run, tx)
+    expect(bench.dones.at(-1)?.reason).toBe('lostTransaction')
+  })
+
+  // A temporary table or a lock of one transaction shows in the next caller's.
+  it.each([[true, 'lent again'], [false, 'closed']])('lends the connection of a committed transaction only after a reset (%s: %s)', async (isReset, last) => {
+    bench.isReset = isReset
+    await bench.run('BEGIN', run, tx)
+    await bench.ok(OPEN)
+    await bench.run('COMMIT', RunAccess.COMMIT, tx)
+    await bench.ok(0)
+    expect(bench.events).toEqual(['BEGIN', 'COMMIT', last])
+  })
+
+  // A read is given up at its deadline; its rows arrive after that and must not be anybody's.
+  it('passes nothing on after the deadline, and never lends the connection again', async () => {
+    await bench.run('SELECT', RunAccess.READ)
+    await vi.advanceTimersByTimeAsync(500)
+    const sink = bench.sinks.shift()!
+    sink.row(Buffer.from('late'))
+    sink.end(0)
+    await settle()
+    expect([bench.events, bench.rows, bench.dones.length]).toEqual([['SELECT', 'closed'], [], 1])
+  })
+
+  it('passes no rows on after a cancel', async () => {
+    const execution = await bench.run('SELECT', RunAccess.READ)
+    bench.sinks[0]!.row(Buffer.from('waiting'))
+    execution.cancel()
+    await settle()
+    expect([bench.events, bench.rows, bench.dones]).toEqual([['SELECT', 'closed'], [], []])
+  })
+})
+
+async function settle (): Promise<void> {
+  await vi.advanceTimersByTimeAsync(0)
+}
--- a/src/shell/endpoint/execution.ts
+++ b/src/shell/endpoint/execution.ts
@@ -14,6 +14,7 @@
 import type { SlotPort } from '../peer/port.ts'
 import type { EndpointConnection } from './connection.ts'
 import { LedgerEntry } from './ledger.ts'
+import type { LedgerCleaner } from './ledgercleaner.ts'
 import { runSpecOf } from './runspecof.ts'
 import type { Slot } from './slot.ts'
 import type { Transactions } from './transactions.ts'
@@ -23,6 +24,7 @@
 interface Context {
   readonly slot: Slot
   readonly transactions: Transactions
+  readonly cleaner: Pick<LedgerCleaner, 'used'>
   /** Whether a second server has received the position in the term. */
   readonly confirm: (term: Term, position: Position, ms: number) => Promise<boolean>
   /** Whether this endpoint is still the primary, proved after the call by it and a second server. */
@@ -197,6 +199,7 @@
     switch (action.kind) {
       case 'done': {
         const { counts, token } = action
+        if (this.entry !== undefined) this.context.cleaner.used()
         return this.sink.done(create(DoneSchema, {
           id,
           outcome: DoneOutcome.DONE,
--- /dev/null
+++ b/src/shell/endpoint/ledgercleaner.ts
@@ -0,0 +1,52 @@
+/** Removes old keys from the ledger. */
+
+import type { EndpointConnection } from './connection.ts'
+import { textValues } from './textrow.ts'
+
+interface Options {
+  /** Lends a connection for the work; rejects when none is free. */
+  readonly use: (work: (connection: Pick<EndpointConnection, 'ask'>) => Promise<void>) => Promise<void>
+  /** Milliseconds since 1970. */
+  readonly clock: () => number
+}
+
+/** A key protects its request for this long; a try that comes later would run again. */
+const KEEP_MS = 24 * 60 * 60 * 1000
+const EVERY_MS = 10 * 60 * 1000
+const BATCH = 500
+
+/**
+ * Cleans up while keys are in use, a batch at a time. The ids are read first
+ * and deleted by primary key, since a delete by age would lock every row that
+ * it passes and hold up new claims.
+ */
+export class LedgerCleaner {
+  private last: number
+
+  private constructor (private readonly options: Options) {
+    this.last = options.clock()
+  }
+
+  static create (options: Options): LedgerCleaner {
+    return new LedgerCleaner(options)
+  }
+
+  /** A request under a key is done. */
+  used (): void {
+    const now = this.options.clock()
+    if (now - this.last < EVERY_MS) return
+    this.last = now
+    // What isn't cleaned now is cleaned next time; a replica or a busy slot refuses.
+    this.options.use(async connection => await clean(connection, now - KEEP_MS)).catch(() => undefined)
+  }
+}
+
+async function clean (connection: Pick<EndpointConnection, 'ask'>, before: number): Promise<void> {
+  for (;;) {
+    const rows = await connection.ask(`SELECT id FROM agatepond_ledger WHERE at < ${before} LIMIT ${BATCH}`)
+    if (rows.length === 0) return
+    const ids = rows.map(row => `'${textValues(row)[0]}'`)
+    await connection.ask(`DELETE FROM agatepond_ledger WHERE id IN (${ids.join(', ')})`)
+    if (rows.length < BATCH) return
+  }
+}
--- a/src/shell/endpoint/owner.ts
+++ b/src/shell/endpoint/owner.ts
@@ -17,9 +17,11 @@
 import type { SlotPort } from '../peer/port.ts'
 import { EndpointControl } from './control.ts'
 import { Execution } from './execution.ts'
+import { LedgerCleaner } from './ledgercleaner.ts'
 import { ConfirmRounds } from './rounds.ts'
 import { Slot } from './slot.ts'
 import { Transactions } from './transactions.ts'
+import { useConnection } from './useconnection.ts'
 
 type Address = Parameters<typeof Slot.create>[0]
 
@@ -51,6 +53,7 @@
 export class SlotOwner {
   private readonly slot: Slot
   private readonly transactions: Transactions
+  private readonly cleaner: LedgerCleaner
   private readonly probe: EndpointControl
   private readonly rounds: ConfirmRounds
   private readonly waits: EndpointControl
@@ -62,6 +65,7 @@
     const address = addresses.get(endpoint)!
     this.slot = Slot.create(address.data, options.connections - CONTROL_CONNECTIONS)
     this.transactions = Transactions.create(this.slot)
+    this.cleaner = LedgerCleaner.create({ clock: () => Date.now(), use: async work => await useConnection(this.slot, work) })
     this.probe = EndpointControl.create(endpoint, address.control, proposer, now)
     this.waits = EndpointControl.create(endpoint, address.control, proposer, now)
     this.rounds = ConfirmRounds.create(this.waits)
@@ -90,6 +94,7 @@
     return Execution.start({
       slot: this.slot,
       transactions: this.transactions,
+      cleaner: this.cleaner,
       confirm: async (term, position, ms) => await this.confirmElsewhere(term, position, ms),
       proveCurrent: async ms => await this.proveCurrent(ms)
     }, req, sink)
--- /dev/null
+++ b/src/shell/endpoint/useconnection.ts
@@ -0,0 +1,18 @@
+/** Borrows a connection for work of the proxy's own. */
+
+import type { EndpointConnection } from './connection.ts'
+import type { Slot } from './slot.ts'
+
+const WAIT_MS = 1000
+
+/** Gives the connection back as clean only when all of the work was answered. */
+export async function useConnection (slot: Slot, work: (connection: EndpointConnection) => Promise<void>): Promise<void> {
+  const connection = await slot.borrow(AbortSignal.timeout(WAIT_MS))
+  let isClean = false
+  try {
+    await work(connection)
+    isClean = true
+  } finally {
+    slot.giveBack(connection, isClean)
+  }
+}
