--- a/src/cli/settingsfile.ts
+++ b/src/cli/settingsfile.ts
@@ -2,7 +2,7 @@
 
 import { readFileSync } from 'node:fs'
 import { err, type Result } from 'neverthrow'
-import { parse } from 'smol-toml'
+import { parse, TomlError } from 'smol-toml'
 import { parseSettings } from '../core/settings/settings.ts'
 
 /** The settings of the file, or one line with file, key, what is wrong and the remedy. */
@@ -10,6 +10,15 @@
   try {
     return parseSettings(parse(readFileSync(file, 'utf8'))).mapErr(problem => `${file}: ${problem}`)
   } catch (cause) {
-    return err(`${file}: ${(cause as Error).message.split('\n')[0]}; write the file as TOML`)
+    return err(`${file}${problemOf(cause as Error)}`)
   }
 }
+
+function problemOf (cause: NodeJS.ErrnoException): string {
+  if (cause instanceof TomlError) {
+    const [what] = cause.message.replace('Invalid TOML document: ', '').split('\n')
+    return `:${cause.line}:${cause.column}: ${what}; write the line as TOML`
+  }
+  if (cause.code === 'ENOENT') return ': there is no such file; name the settings file of this host'
+  return `: ${cause.message}; make the file readable`
+}
--- a/src/core/settings/problem.ts
+++ b/src/core/settings/problem.ts
@@ -4,6 +4,9 @@
 
 type Issue = z.core.$ZodIssue
 
+/** How the library begins its own messages, which name no remedy. */
+const DEFAULT_MESSAGE = /^(Invalid|Too (small|big))/
+
 /** `where` says where the known keys are listed; entries of lists are named by their id where they have one. */
 export function problemOf (issue: Issue, document: unknown, where: string): string {
   const path = pathOf(issue.path, document)
@@ -15,7 +18,7 @@
 }
 
 function reasonOf (issue: Issue, value: unknown): string {
-  if (issue.code === 'custom') return issue.message
+  if (issue.code === 'custom' || !DEFAULT_MESSAGE.test(issue.message)) return issue.message
   if (issue.code === 'invalid_type') {
     return value === undefined ? `is missing; write a ${kindOf(issue.expected)}` : `has the wrong type; write a ${kindOf(issue.expected)}`
   }
--- a/src/core/settings/settings.ts
+++ b/src/core/settings/settings.ts
@@ -2,19 +2,29 @@
 
 import { err, ok, type Result } from 'neverthrow'
 import { z } from 'zod'
+import { parseAddress } from './address.ts'
+import { contradictionIn } from './contradiction.ts'
 import { parseDuration } from './duration.ts'
+import { problemOf } from './problem.ts'
 
-const duration = z.string().transform((text, context) => {
+const LIST_OF_KEYS = '"Settings" in docs/OPERATIONS.md'
+
+const duration = z.string({ error: 'write a duration as text with a unit, such as "250ms" or "1.5s"' }).transform((text, context) => {
   const parsed = parseDuration(text)
   if (parsed.isOk()) return parsed.value
   context.addIssue({ code: 'custom', message: parsed.error })
   return z.NEVER
 })
 
-const address = z.string().regex(/^\d+\.\d+\.\d+\.\d+:\d+$/, 'write an address as "ip:port"')
+const address = z.string().superRefine((text, context) => {
+  const parsed = parseAddress(text)
+  if (parsed.isErr()) context.addIssue({ code: 'custom', message: parsed.error })
+})
+
+const name = z.string().regex(/^[\w.-]{1,64}$/, 'write a name of letters, digits, "_", "-" and "."')
 
 const shape = z.strictObject({
-  host: z.strictObject({ id: z.string().min(1), dataCentre: z.string().min(1) }),
+  host: z.strictObject({ id: name, dataCentre: name }),
   listen: z.strictObject({ callers: address, peers: address, metrics: address }),
   platform: z.strictObject({
     tableService: z.url(),
@@ -57,10 +67,7 @@
 /** The checked settings, or one line that names the key, what is wrong and the remedy. */
 export function parseSettings (document: unknown): Result<Settings, string> {
   const parsed = shape.safeParse(document)
-  if (parsed.success) return ok(parsed.data)
-  const issue = parsed.error.issues[0]!
-  if (issue.code === 'unrecognized_keys') {
-    return err(`${[...issue.path, issue.keys[0]].join('.')}: unknown key; remove it or see the list of settings in docs/OPERATIONS.md`)
-  }
-  return err(`${issue.path.join('.')}: ${issue.message}`)
+  if (!parsed.success) return err(problemOf(parsed.error.issues[0]!, document, LIST_OF_KEYS))
+  const contradiction = contradictionIn(parsed.data)
+  return contradiction === undefined ? ok(parsed.data) : err(contradiction)
 }
