--- a/src/shell/node/slots.ts
+++ b/src/shell/node/slots.ts
@@ -1,7 +1,7 @@
 /** The slots of this process and the ways to those of others: one port for each endpoint. */
 
 import { create } from '@bufbuild/protobuf'
-import { WroteSchema, type Sample as SampleFrame, type Wrote } from '../../gen/peer_pb.ts'
+import { WroteSchema, type Frame, type Sample as SampleFrame, type Wrote } from '../../gen/peer_pb.ts'
 import type { Config } from '../../core/config/config.ts'
 import { Group } from '../../core/group/group.ts'
 import type { EndpointId } from '../../core/id/endpoint.ts'
@@ -39,6 +39,8 @@
   readonly broadcast: (frame: SampleFrame) => void
   /** Tells every linked peer of a write on a slot of this process. */
   readonly broadcastWrite: (frame: Wrote) => void
+  readonly onLinked: (host: HostId) => void
+  readonly onConfig: (from: HostId, body: Frame['body']) => void
 }
 
 interface Held<T> {
@@ -92,6 +94,11 @@
     for (const owner of this.owners.values()) owner.value.release(transaction)
   }
 
+  /** Sends a frame to a host if it's linked. */
+  tell (host: HostId, body: Frame['body']): void {
+    this.links.get(host)?.value.tell(body)
+  }
+
   learn (frame: SampleFrame): void {
     const sample = sampleFrame.decode(frame, this.options.now())
     this.options.groups.learn(sample)
@@ -147,7 +154,9 @@
         retryMs: settings.peers.retry,
         log,
         onSample: frame => this.learn(frame),
-        onWrote: frame => this.note(frame)
+        onWrote: frame => this.note(frame),
+        onLinked: () => this.options.onLinked(host.id),
+        onConfig: body => this.options.onConfig(host.id, body)
       }, stop.signal)
       this.links.set(host.id, { value, stop })
     }
