Reads wait out a failover, browsing doesn't

The new primary answered while its replicas had yet to be told to follow it, and only urgent requests waited.

Ruled out: a wrong proof (the proof is right to fail: no replica confirms the new term yet); a slower follow (it takes one probe).

Change: reads wait up to their deadline unless they're browsing.

--- a/src/core/request/attempts.test.ts
+++ b/src/core/request/attempts.test.ts
@@ -15,7 +15,7 @@
 const DEADLINE = 1000 as Instant
 const endpoint = 'shop-1' as EndpointId
 const spec = (change: Partial<RequestSpec> = {}): RequestSpec => ({
-  isRead: false, isOnce: false, place: 'alone', commitsItself: false, isUrgent: false, deadline: DEADLINE, ...change
+  isRead: false, isOnce: false, place: 'alone', commitsItself: false, waitsForPrimary: false, deadline: DEADLINE, ...change
 })
 const answered = (outcome: Outcome, reason?: ReasonName, attempt = 1): AttemptsEvent => ({ kind: 'answered', attempt, outcome, reason })
 const routed: AttemptsEvent = { kind: 'routed', endpoint }
@@ -31,18 +31,18 @@
 describe('Attempts', () => {
   it.each<[string, string, RequestSpec, AttemptsEvent[]]>([
     ['a normal write learns of a failover at once', 'refuse noPrimary', spec(), [{ kind: 'unroutable', reason: 'noPrimary' }]],
-    ['an urgent write waits for the new primary', 'wait', spec({ isUrgent: true }), [{ kind: 'unroutable', reason: 'noPrimary' }]],
+    ['an urgent write waits for the new primary', 'wait', spec({ waitsForPrimary: true }), [{ kind: 'unroutable', reason: 'noPrimary' }]],
     ['a normal write that was refused by a replaced primary', 'answer', spec(), [routed, answered('notRun', 'replaced')]],
-    ['an urgent write that was refused by a replaced primary', 'wait', spec({ isUrgent: true }), [routed, answered('notRun', 'replaced')]],
+    ['an urgent write that was refused by a replaced primary', 'wait', spec({ waitsForPrimary: true }), [routed, answered('notRun', 'replaced')]],
     ['a write whose slot owner is gone finds another', 'wait', spec(), [routed, answered('notRun', 'noSlotOwner')]],
-    ['a write whose answer was lost is never tried again', 'answer', spec({ isUrgent: true }), [routed, answered('unknown', 'lost')]],
+    ['a write whose answer was lost is never tried again', 'answer', spec({ waitsForPrimary: true }), [routed, answered('unknown', 'lost')]],
     ['a read whose answer was lost is', 'wait', spec({ isRead: true }), [routed, answered('unknown', 'lost')]],
     ['but not once rows were passed on', 'answer', spec({ isRead: true }), [routed, { kind: 'rows', attempt: 1 }, answered('unknown', 'lost')]],
     ['a request with a key is tried again under it', 'wait', spec({ isOnce: true }), [routed, answered('unknown', 'lost')]],
     ['a statement of a lost transaction', 'refuse lostTransaction', spec({ place: 'inside' }), [routed, answered('unknown', 'lost')]],
     ['a procedure of a lost transaction', 'answer', spec({ place: 'inside', commitsItself: true }), [routed, answered('unknown', 'lost')]],
     ['a lost COMMIT is unknown', 'answer', spec({ place: 'commit' }), [routed, answered('unknown', 'lost')]],
-    ['a statement of a transaction is never tried again', 'answer', spec({ place: 'inside', isUrgent: true }), [routed, answered('notRun', 'noSlotOwner')]],
+    ['a statement of a transaction is never tried again', 'answer', spec({ place: 'inside', waitsForPrimary: true }), [routed, answered('notRun', 'noSlotOwner')]],
     ['a caller that left takes its attempt with it', 'cancel, refuse lost', spec(), [routed, { kind: 'left' }]],
     ['an answer to an attempt that was given up changes nothing', '', spec({ isRead: true }), [routed, answered('unknown', 'lost'), { kind: 'resumed' }, routed, answered('done')]]
   ])('%s: %s', (_, expected, of, events) => {
@@ -78,7 +78,7 @@
   isOnce: fc.boolean(),
   place: fc.constantFrom('alone', 'begin', 'inside', 'commit'),
   commitsItself: fc.constant(false),
-  isUrgent: fc.boolean(),
+  waitsForPrimary: fc.boolean(),
   deadline: fc.constant(DEADLINE)
 }) satisfies fc.Arbitrary<RequestSpec>
 
--- a/src/core/request/recovery.ts
+++ b/src/core/request/recovery.ts
@@ -4,7 +4,7 @@
 
 /**
  * - `elsewhere`: another slot owner or endpoint may take the request now.
- * - `newPrimary`: nothing but a promotion, which urgent requests wait for.
+ * - `newPrimary`: nothing but a promotion, which some requests wait for, see RequestSpec.
  * - `never`: trying again right away would end the same way.
  */
 type Recovery = 'elsewhere' | 'newPrimary' | 'never'
--- a/src/core/request/spec.ts
+++ b/src/core/request/spec.ts
@@ -11,6 +11,7 @@
   readonly place: 'alone' | 'begin' | 'inside' | 'commit'
   /** Commits by itself (a stored procedure may), so that a lost connection proves no rollback. */
   readonly commitsItself: boolean
-  readonly isUrgent: boolean
+  /** Waits for a promotion up to its deadline, in place of an answer at once that says when to come back. */
+  readonly waitsForPrimary: boolean
   readonly deadline: Instant
 }
--- a/src/shell/caller/connection.ts
+++ b/src/shell/caller/connection.ts
@@ -5,6 +5,7 @@
 import type { Instant } from '../../core/id/instant.ts'
 import { implicitCommit } from '../../core/request/implicitcommit.ts'
 import type { RequestSpec } from '../../core/request/spec.ts'
+import { waitsForPrimary } from '../../core/request/patience.ts'
 import { Hints } from '../../core/routing/hints.ts'
 import { statementKind } from '../../core/routing/statement.ts'
 import { Token } from '../../core/token.ts'
@@ -145,7 +146,7 @@
       isOnce: once !== '',
       place: transaction === undefined ? outside : inside,
       commitsItself: implicitCommit(sql) === 'may',
-      isUrgent: hints.fields.class === 'urgent',
+      waitsForPrimary: waitsForPrimary(kind, hints.fields.class),
       deadline: this.context.now() + (hints.fields.deadlineMs ?? this.context.deadlineMs) as Instant
     }
   }
