--- a/src/shell/caller/attempts.ts
+++ b/src/shell/caller/attempts.ts
@@ -3,6 +3,7 @@
 import { randomUUID } from 'node:crypto'
 import { Done_Outcome as DoneOutcome, Run_Access as RunAccess, type Done } from '../../gen/peer_pb.ts'
 import type { EndpointId } from '../../core/id/endpoint.ts'
+import type { Instant } from '../../core/id/instant.ts'
 import type { Outcome } from '../../core/outcome.ts'
 import type { ReasonName } from '../../core/reasonname.ts'
 import { alwaysRetry } from '../../core/request/always.ts'
@@ -11,6 +12,8 @@
 import type { AttemptsEvent } from '../../core/request/attemptsevent.ts'
 import type { RequestSpec } from '../../core/request/spec.ts'
 import type { Hints } from '../../core/routing/hints.ts'
+import { fingerprint } from '../../core/session/fingerprint.ts'
+import type { Audit } from '../audit/audit.ts'
 import type { Reply } from '../mysql/reply.ts'
 import { refusal } from '../peer/answer.ts'
 import type { CallerContext } from './context.ts'
@@ -46,6 +49,10 @@
   private current = new AbortController()
   private timer: NodeJS.Timeout | undefined
   private readonly request = randomUUID()
+  private readonly trail: ReturnType<Audit['begin']>
+  private began: Instant
+  /** The newest attempt has no answer yet. */
+  private isSent = false
   private readonly onLeft = (): void => this.hear({ kind: 'left' })
 
   private constructor (
@@ -56,6 +63,8 @@
     private readonly resolve: (done: Done) => void
   ) {
     this.attempts = Attempts.create(req.spec, context.retryBudget ?? alwaysRetry)
+    this.began = context.now()
+    this.trail = context.audit.begin({ ...req, deadline: req.spec.deadline })
   }
 
   static start (context: CallerContext, req: Request, reply: Reply, signal: AbortSignal, resolve: (done: Done) => void): void {
@@ -97,12 +106,18 @@
     }
   }
 
+  private hearUnroutable (reason: ReasonName): void {
+    this.trail.attempted({ kind: 'nowhere', reason }, refusal(0, reason), this.began)
+    this.hear({ kind: 'unroutable', reason })
+  }
+
   private async route (ms: number, avoid: readonly EndpointId[]): Promise<void> {
+    this.began = this.context.now()
     const target = await this.req.target(ms, avoid)
     this.target = target
-    if (target.kind === 'nowhere') return this.hear({ kind: 'unroutable', reason: target.reason })
+    if (target.kind === 'nowhere') return this.hearUnroutable(target.reason)
     const port = target.port ?? this.context.port(target.endpoint)
-    if (port === undefined) return this.hear({ kind: 'unroutable', reason: 'noSlotOwner' })
+    if (port === undefined) return this.hearUnroutable('noSlotOwner')
     this.target = { ...target, port }
     this.hear({ kind: 'routed', endpoint: target.endpoint })
   }
@@ -111,6 +126,7 @@
     const { req } = this
     const { endpoint, access, transaction, port } = this.target as Reached
     this.current = new AbortController()
+    this.isSent = true
     const done = await relay(port, {
       endpoint,
       sql: req.sql,
@@ -121,11 +137,15 @@
       caller: req.identity.caller,
       request: this.request,
       once: req.once,
+      session: fingerprint(req.hints.fields.session ?? req.identity.session),
       term: 0,
       position: 0,
       database: req.identity.group.database
     }, this.reply, req.isBinary, this.current.signal)
+    if (this.attempts.isOver) return
+    this.isSent = false
     this.last = done
+    this.trail.attempted(this.target!, done, this.began)
     if (this.reply.hasStarted) this.hear({ kind: 'rows', attempt })
     this.hear({ kind: 'answered', attempt, outcome: outcomeOf(done), reason: done.reason === '' ? undefined : done.reason as ReasonName })
   }
@@ -134,7 +154,8 @@
     clearTimeout(this.timer)
     this.signal.removeEventListener('abort', this.onLeft)
     this.context.metrics.requests.inc({ kind: this.req.kind, place: placeOf(this.target), outcome: DoneOutcome[done.outcome].toLowerCase() })
-    this.resolve(done)
+    if (this.isSent) this.trail.attempted(this.target!, done, this.began)
+    this.resolve(this.trail.end(done))
   }
 }
 
--- a/src/shell/caller/target.ts
+++ b/src/shell/caller/target.ts
@@ -1,6 +1,7 @@
 /** Where one attempt of a request goes. */
 
 import type { Run_Access as RunAccess } from '../../gen/peer_pb.ts'
+import type { Evidence } from '../../core/audit/evidence.ts'
 import type { EndpointId } from '../../core/id/endpoint.ts'
 import type { ReasonName } from '../../core/reasonname.ts'
 import type { SlotPort } from '../peer/port.ts'
@@ -15,5 +16,7 @@
     readonly transaction: string
     /** The slot owner that holds the transaction's connection; any owner of the endpoint outside of one. */
     readonly port?: SlotPort
+    /** What routing checked before it chose the endpoint. */
+    readonly evidence?: Evidence
   }
   | { readonly kind: 'nowhere', readonly reason: ReasonName }
--- a/src/shell/endpoint/execution.test.ts
+++ b/src/shell/endpoint/execution.test.ts
@@ -43,7 +43,8 @@
       transactions: this.transactions,
       cleaner: { used: () => undefined },
       confirm: async () => true,
-      proveCurrent: async () => true
+      proveCurrent: async () => true,
+      wrote: () => undefined
     }
     const it = Execution.start(context, create(RunSchema, { sql, access, transaction, deadlineMs: 500 }), {
       head: () => undefined,
--- a/src/shell/endpoint/execution.ts
+++ b/src/shell/endpoint/execution.ts
@@ -29,6 +29,8 @@
   readonly confirm: (term: Term, position: Position, ms: number) => Promise<boolean>
   /** Whether this endpoint is still the primary, proved after the call by it and a second server. */
   readonly proveCurrent: (ms: number) => Promise<boolean>
+  /** Told of a write before it's acknowledged; see RecentWrites. */
+  readonly wrote: (term: Term, position: Position, session: number) => void
 }
 
 const IN_TRANSACTION = 1
@@ -103,6 +105,7 @@
       case 'giveBack': return this.giveBack(action.how)
       case 'confirm': {
         const { term, position } = action.token
+        if (this.req.session !== 0) this.context.wrote(term, position, this.req.session)
         this.context.confirm(term, position, this.req.deadlineMs).then(holds => this.hear({ kind: 'confirmed', holds }))
         return
       }
