--- a/standin/endpoint/session.ts
+++ b/standin/endpoint/session.ts
@@ -70,8 +70,8 @@
 
   forget (): void {}
 
+  /** A statement that runs now ends inside of its transaction, which is then forgotten with this session. */
   closed (): void {
-    this.open = undefined
     this.context.onClosed()
   }
 
