--- a/src/shell/caller/attempts.ts
+++ b/src/shell/caller/attempts.ts
@@ -13,8 +13,8 @@
 import type { RequestSpec } from '../../core/request/spec.ts'
 import type { Hints } from '../../core/routing/hints.ts'
 import { fingerprint } from '../../core/session/fingerprint.ts'
-import type { Reply } from '../mysql/reply.ts'
 import type { Audit } from '../audit/audit.ts'
+import type { Reply } from '../mysql/reply.ts'
 import { refusal } from '../peer/answer.ts'
 import type { CallerContext } from './context.ts'
 import type { Identity } from './identity.ts'
@@ -51,6 +51,8 @@
   private readonly request = randomUUID()
   private readonly trail: ReturnType<Audit['begin']>
   private began: Instant
+  /** The newest attempt has no answer yet. */
+  private isSent = false
   private readonly onLeft = (): void => this.hear({ kind: 'left' })
 
   private constructor (
@@ -61,8 +63,8 @@
     private readonly resolve: (done: Done) => void
   ) {
     this.attempts = Attempts.create(req.spec, context.retryBudget ?? alwaysRetry)
-    this.trail = context.audit.begin({ ...req, deadline: req.spec.deadline })
     this.began = context.now()
+    this.trail = context.audit.begin({ ...req, deadline: req.spec.deadline })
   }
 
   static start (context: CallerContext, req: Request, reply: Reply, signal: AbortSignal, resolve: (done: Done) => void): void {
@@ -104,26 +106,27 @@
     }
   }
 
+  private hearUnroutable (reason: ReasonName): void {
+    this.trail.attempted({ kind: 'nowhere', reason }, refusal(0, reason), this.began)
+    this.hear({ kind: 'unroutable', reason })
+  }
+
   private async route (ms: number, avoid: readonly EndpointId[]): Promise<void> {
     this.began = this.context.now()
     const target = await this.req.target(ms, avoid)
     this.target = target
-    if (target.kind === 'nowhere') return this.unroutable(target.reason)
+    if (target.kind === 'nowhere') return this.hearUnroutable(target.reason)
     const port = target.port ?? this.context.port(target.endpoint)
-    if (port === undefined) return this.unroutable('noSlotOwner')
+    if (port === undefined) return this.hearUnroutable('noSlotOwner')
     this.target = { ...target, port }
     this.hear({ kind: 'routed', endpoint: target.endpoint })
   }
 
-  private unroutable (reason: ReasonName): void {
-    this.trail.attempted(this.target!, refusal(0, reason), this.began)
-    this.hear({ kind: 'unroutable', reason })
-  }
-
   private async send (attempt: number, ms: number): Promise<void> {
     const { req } = this
     const { endpoint, access, transaction, port } = this.target as Reached
     this.current = new AbortController()
+    this.isSent = true
     const done = await relay(port, {
       endpoint,
       sql: req.sql,
@@ -139,6 +142,8 @@
       position: 0,
       database: req.identity.group.database
     }, this.reply, req.isBinary, this.current.signal)
+    if (this.attempts.isOver) return
+    this.isSent = false
     this.last = done
     this.trail.attempted(this.target!, done, this.began)
     if (this.reply.hasStarted) this.hear({ kind: 'rows', attempt })
@@ -149,6 +154,7 @@
     clearTimeout(this.timer)
     this.signal.removeEventListener('abort', this.onLeft)
     this.context.metrics.requests.inc({ kind: this.req.kind, place: placeOf(this.target), outcome: DoneOutcome[done.outcome].toLowerCase() })
+    if (this.isSent) this.trail.attempted(this.target!, done, this.began)
     this.resolve(this.trail.end(done))
   }
 }
