--- a/src/shell/caller/reads.ts
+++ b/src/shell/caller/reads.ts
@@ -1,18 +1,21 @@
 /** The way of a read: what its session must see, and the endpoint that shows it. */
 
 import { Run_Access as RunAccess } from '../../gen/peer_pb.ts'
+import type { Group } from '../../core/group/group.ts'
 import type { EndpointId } from '../../core/id/endpoint.ts'
 import type { GroupId } from '../../core/id/group.ts'
 import type { Instant } from '../../core/id/instant.ts'
 import type { SessionId } from '../../core/id/session.ts'
 import type { Freshness } from '../../core/routing/freshness.ts'
 import type { Hints } from '../../core/routing/hints.ts'
+import { appliedEvidence } from '../../core/audit/applied.ts'
 import { routeRead } from '../../core/routing/route.ts'
 import { fingerprint } from '../../core/session/fingerprint.ts'
 import { requiredToken } from '../../core/session/required.ts'
 import { Token } from '../../core/token.ts'
 import { BoundRounds } from './bound.ts'
 import type { CallerContext } from './context.ts'
+import { freshnessOf } from './freshness.ts'
 import type { Identity } from './identity.ts'
 import type { Target } from './target.ts'
 
@@ -25,6 +28,8 @@
   /** Asked for after the read arrived; undefined for a session that writes nowhere else. */
   readonly bound: Token | undefined
   readonly near: ReadonlySet<EndpointId>
+  /** Endpoints that an earlier attempt of the same read could not reach. */
+  readonly avoid: readonly EndpointId[]
   readonly since: Instant
 }
 
@@ -38,8 +43,8 @@
     return new Reads(context)
   }
 
-  /** `ms` is what is left until the read's deadline. */
-  async route (identity: Identity, hints: Hints, ms: number): Promise<Target> {
+  /** `ms` is what is left until the read's deadline; `avoid` lists endpoints that could not be reached just now. */
+  async route (identity: Identity, hints: Hints, ms: number, avoid: readonly EndpointId[] = []): Promise<Target> {
     const since = this.context.now()
     const group = identity.group.id
     const bound = mayRoam(identity, hints) ? await this.roundsOf(group).ask(ms) : undefined
@@ -52,6 +57,7 @@
       known: this.token(identity, hints),
       bound,
       near: this.near(identity),
+      avoid,
       since
     }, ms)
   }
@@ -71,8 +77,9 @@
   private async place (read: Read, ms: number): Promise<Target> {
     const { groups, now } = this.context
     for (let isRefreshed = read.bound !== undefined; ;) {
-      const group = groups.get(read.group)
-      if (group === undefined) return { kind: 'nowhere', reason: 'noPrimary' }
+      const known = groups.get(read.group)
+      if (known === undefined) return { kind: 'nowhere', reason: 'noPrimary' }
+      const group = read.avoid.reduce(withoutReplica, known)
       const writes = groups.writes(read.group)
       const token = requiredToken({ ...read, group, writes, session: fingerprint(read.session) })
       const isNoteDue = read.bound !== undefined && writes.gap(read.bound, group.leastApplied) !== undefined
@@ -82,7 +89,10 @@
       switch (route.kind) {
         case 'lost': return this.tellLost(read)
         case 'none': return { kind: 'nowhere', reason: 'noPrimary' }
-        case 'replica': return { kind: 'endpoint', endpoint: route.endpoint, access: RunAccess.READ, transaction: '' }
+        case 'replica': {
+          const evidence = appliedEvidence(token, group.sample(route.endpoint)!)
+          return { kind: 'endpoint', endpoint: route.endpoint, access: RunAccess.READ, transaction: '', evidence }
+        }
         case 'primary': return { kind: 'endpoint', endpoint: route.endpoint, access: RunAccess.STRICT, transaction: '' }
         case 'note':
           await groups.changed(route.ms)
@@ -134,6 +144,8 @@
   return isNamed && hints.fields.token === undefined
 }
 
-function freshnessOf ({ pool }: Identity, hints: Hints): Freshness {
-  return pool.kinds.find(one => one.name === hints.fields.read)?.freshness ?? pool.freshness
+/** A replica that failed an earlier attempt is passed over, though its last sample still says that it answers. */
+function withoutReplica (group: Group, endpoint: EndpointId): Group {
+  const sample = group.sample(endpoint)
+  return sample?.role === 'replica' ? group.with(sample.with({ reachable: false })) : group
 }
