--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -4,6 +4,7 @@
 import { check } from './check.ts'
 import { diff } from './diff.ts'
 import { exit } from './exit.ts'
+import { explain } from './explain.ts'
 import { history } from './history.ts'
 import { patch } from './patch.ts'
 import { serve } from './serve.ts'
@@ -26,6 +27,7 @@
     show,
     diff,
     status,
+    explain,
     version
   }
 })
--- a/src/shell/endpoint/owner.ts
+++ b/src/shell/endpoint/owner.ts
@@ -17,8 +17,11 @@
 import type { SlotPort } from '../peer/port.ts'
 import { EndpointControl } from './control.ts'
 import { Execution } from './execution.ts'
+import { LedgerCleaner } from './ledgercleaner.ts'
 import { ConfirmRounds } from './rounds.ts'
 import { Slot } from './slot.ts'
+import { Transactions } from './transactions.ts'
+import { useConnection } from './useconnection.ts'
 
 type Address = Parameters<typeof Slot.create>[0]
 
@@ -41,6 +44,8 @@
   /** Asks the owner of another endpoint's slot. */
   readonly confirmAt: (endpoint: EndpointId, term: Term, position: Position, ms: number) => Promise<Confirmed>
   readonly onSample: (sample: Sample) => void
+  /** Hears of every write on the slot before it's acknowledged to anybody. */
+  readonly onWrote: (term: Term, position: Position, session: number) => void
   readonly record: (action: Extract<FailoverAction, { kind: 'record' }>) => void
 }
 
@@ -49,6 +54,8 @@
 
 export class SlotOwner {
   private readonly slot: Slot
+  private readonly transactions: Transactions
+  private readonly cleaner: LedgerCleaner
   private readonly probe: EndpointControl
   private readonly rounds: ConfirmRounds
   private readonly waits: EndpointControl
@@ -59,6 +66,8 @@
     const { addresses, endpoint, proposer, now } = options
     const address = addresses.get(endpoint)!
     this.slot = Slot.create(address.data, options.connections - CONTROL_CONNECTIONS)
+    this.transactions = Transactions.create(this.slot)
+    this.cleaner = LedgerCleaner.create({ clock: () => Date.now(), use: async work => await useConnection(this.slot, work) })
     this.probe = EndpointControl.create(endpoint, address.control, proposer, now)
     this.waits = EndpointControl.create(endpoint, address.control, proposer, now)
     this.rounds = ConfirmRounds.create(this.waits)
@@ -86,25 +95,25 @@
   run (req: Run, sink: Parameters<SlotPort['run']>[1]): ReturnType<SlotPort['run']> {
     return Execution.start({
       slot: this.slot,
+      transactions: this.transactions,
+      cleaner: this.cleaner,
       confirm: async (term, position, ms) => await this.confirmElsewhere(term, position, ms),
-      proveCurrent: async ms => await this.proveCurrent(ms)
+      proveCurrent: async ms => await this.proveCurrent(ms),
+      wrote: this.options.onWrote
     }, req, sink)
   }
 
   async confirm (term: Term, position: Position, ms: number): Promise<Confirmed> {
     try {
       const sample = await this.rounds.confirm(term, position, ms)
-      return create(ConfirmedSchema, { ok: true, term: sample.term, received: sample.received })
+      return create(ConfirmedSchema, { ok: true, term: sample.term, received: sample.received, applied: sample.applied })
     } catch {
       return create(ConfirmedSchema, { ok: false })
     }
   }
 
   release (transaction: TransactionId): void {
-    const connection = this.slot.pinnedBy(transaction)
-    if (connection === undefined) return
-    this.slot.unpin(transaction)
-    this.slot.giveBack(connection, false)
+    this.transactions.release(transaction)
   }
 
   /** Takes in what another process knows of this group's endpoints. */
--- a/src/shell/peer/link.ts
+++ b/src/shell/peer/link.ts
@@ -24,6 +24,7 @@
   readonly retryMs: number
   readonly log: Log
   readonly onSample: (frame: Extract<Frame['body'], { case: 'sample' }>['value']) => void
+  readonly onWrote: (frame: Extract<Frame['body'], { case: 'wrote' }>['value']) => void
   readonly onLinked: () => void
   /** A frame of the gossip of configurations. */
   readonly onConfig: (body: Frame['body']) => void
@@ -140,6 +141,7 @@
       case 'configDigest':
       case 'configBody': return this.options.onConfig(body)
       case 'sample': return this.options.onSample(body.value)
+      case 'wrote': return this.options.onWrote(body.value)
       case 'head': return this.asked.get(body.value.id)?.head(body.value.columns)
       case 'rows': return this.asked.get(body.value.id)?.rows(body.value.rows)
       case 'done': return this.finish(body.value)
