--- a/src/shell/node/node.ts
+++ b/src/shell/node/node.ts
@@ -117,7 +117,7 @@
       tracksSession: false,
       accept: async login => await acceptCaller(context, reads, login)
     }, signal)
-    it.serveMetrics(addressOf(settings.listen.metrics), signal)
+    await it.serveMetrics(addressOf(settings.listen.metrics), signal)
     it.pollHosts(hostList, signal)
     log.write('started', { callers: settings.listen.callers, peers: settings.listen.peers })
     return it
@@ -172,7 +172,8 @@
     }
   }
 
-  private serveMetrics ({ ip, port }: { readonly ip: string, readonly port: number }, signal: AbortSignal): void {
+  /** Resolves when it listens, so that whoever reads that the process started can ask whether it's ready. */
+  private async serveMetrics ({ ip, port }: { readonly ip: string, readonly port: number }, signal: AbortSignal): Promise<void> {
     const server = createServer((req, res) => {
       if (req.url === '/health') {
         res.end('ok\n')
@@ -185,7 +186,10 @@
       }
       this.metrics.registry.metrics().then(text => res.end(text))
     })
-    server.listen(port, ip)
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject)
+      server.listen(port, ip, resolve)
+    })
     signal.addEventListener('abort', () => server.close(), { once: true })
   }
 }
