Scripts and a runner over the core, first script end to end

The thinnest whole: a line language, fakes round the core's monitor, routing, sessions and placement under virtual time, and the checker on what callers saw.

--- /dev/null
+++ b/scenarios/world/endpoint.ts
@@ -0,0 +1,234 @@
+/** A fake database server: terms, votes, a log, transactions, and asynchronous replication. */
+
+import { Sample } from '../../src/core/group/sample.ts'
+import { History } from '../../src/core/history.ts'
+import type { EndpointId } from '../../src/core/id/endpoint.ts'
+import type { Instant } from '../../src/core/id/instant.ts'
+import type { Position } from '../../src/core/id/position.ts'
+import type { Term } from '../../src/core/id/term.ts'
+import { Token } from '../../src/core/token.ts'
+import type { Clock } from './clock.ts'
+import type { Connection } from './connection.ts'
+import { Log } from './log.ts'
+import type { Network } from './network.ts'
+import type { Node } from './node.ts'
+import type { Statement } from './statement.ts'
+
+interface Answer {
+  readonly rows?: ReturnType<Log['read']>
+  readonly token?: Token
+}
+
+type Entries = ReturnType<Log['after']>
+
+const STATEMENT_MS = 0.5
+const IDLE_MS = 200
+const RETRY_MS = 50
+const PULL_MS = 1000
+
+/** Term, vote and log outlive a restart, as a database's do. */
+export class Endpoint {
+  lagMs = 5
+  private role: Sample['role'] = 'replica'
+  private term = 0
+  private proposer = ''
+  /** The newest term whose primary this log is known to be a prefix of. */
+  private alignedTerm = 0
+  private history = History.empty
+  private applied = 0
+  private readonly log = Log.empty()
+  private readonly open = new Map<Connection, Array<Extract<Statement, { kind: 'append' }>>>()
+  private readonly waiting = new Set<() => void>()
+  private upstream: { readonly endpoint: Endpoint, readonly term: number } | undefined
+
+  private constructor (
+    readonly id: EndpointId,
+    readonly node: Node,
+    private readonly clock: Clock,
+    private readonly network: Network
+  ) {}
+
+  static create (id: EndpointId, node: Node, clock: Clock, network: Network): Endpoint {
+    return new Endpoint(id, node, clock, network)
+  }
+
+  get isPrimary (): boolean {
+    return this.role === 'primary' && this.node.isUp
+  }
+
+  status (): Sample {
+    return Sample.of({
+      endpoint: this.id,
+      role: this.role,
+      term: this.term as Term,
+      lastTerm: this.log.lastTerm as Term,
+      received: this.log.length as Position,
+      applied: this.applied as Position,
+      history: this.history,
+      at: 0 as Instant,
+      queued: 0,
+      reachable: true
+    })
+  }
+
+  seal (term: number, proposer: string): Sample {
+    const isNew = term > this.term || (term === this.term && proposer === this.proposer)
+    if (!isNew) throw new Error(`term ${this.term} is held by another proposer`)
+    this.term = term
+    this.proposer = proposer
+    this.role = 'sealed'
+    this.upstream = undefined
+    this.changed()
+    return this.status()
+  }
+
+  promote (term: number, proposer: string): Sample {
+    if (term !== this.term || proposer !== this.proposer) throw new Error(`term ${this.term} is held by another proposer`)
+    if (this.role !== 'primary') {
+      this.role = 'primary'
+      this.alignedTerm = term
+      this.history = this.history.with(term as Term, this.log.length as Position)
+      this.applied = this.log.length
+      this.changed()
+    }
+    return this.status()
+  }
+
+  follow (primary: Endpoint, term: number): Sample {
+    if (term < this.term) throw new Error(`term ${this.term} is newer`)
+    if (term === this.term && this.role === 'primary') throw new Error('the primary of a term can not follow in it')
+    this.term = term
+    this.role = 'replica'
+    this.upstream = { endpoint: primary, term }
+    this.replicate(this.upstream)
+    this.changed()
+    return this.status()
+  }
+
+  /** Resolves when the position is received in the term; a log that isn't cut at the fork confirms nothing. */
+  async received (term: number, position: number, ms: number): Promise<Sample> {
+    const end = this.clock.now + ms
+    for (;;) {
+      if (this.term !== term || this.role === 'sealed') throw new Error(`term is ${this.term}, role is ${this.role}`)
+      if (this.alignedTerm === term && this.log.length >= position) return this.status()
+      const left = end - this.clock.now
+      if (left <= 0) throw new Error(`received is ${this.log.length}`)
+      await this.nextChange(left)
+    }
+  }
+
+  async run (connection: Connection, statement: Statement): Promise<Answer> {
+    await this.clock.sleep(STATEMENT_MS)
+    await this.node.awake()
+    if (!this.node.isUp || connection.isBroken) return await new Promise(() => undefined)
+    const open = this.open.get(connection)
+    switch (statement.kind) {
+      case 'begin':
+        this.open.set(connection, [])
+        connection.onBreak(() => this.open.delete(connection))
+        return {}
+      case 'read': return { rows: this.log.read(statement.keys, this.applied, open) }
+      case 'append': return this.append(statement, open)
+      case 'commit':
+        this.open.delete(connection)
+        return open === undefined || open.length === 0 ? {} : this.write(open)
+    }
+  }
+
+  /** A primary comes back read-only, since it can't know whether it was replaced. */
+  restart (): void {
+    this.node.isUp = true
+    this.open.clear()
+    if (this.role === 'primary') this.role = 'sealed'
+    if (this.upstream !== undefined) this.replicate(this.upstream)
+  }
+
+  private append (statement: Extract<Statement, { kind: 'append' }>, open: Array<typeof statement> | undefined): Answer {
+    if (this.role !== 'primary') throw new Error('read-only')
+    if (open === undefined) return this.write([statement])
+    open.push(statement)
+    return {}
+  }
+
+  private write (appends: ReadonlyArray<Extract<Statement, { kind: 'append' }>>): Answer {
+    if (this.role !== 'primary') throw new Error('read-only')
+    const once = appends.find(one => one.once !== undefined)?.once
+    const first = once === undefined ? undefined : this.log.first(once)
+    if (first !== undefined) return { token: Token.of(first.term, first.position) }
+    const position = this.log.push({ term: this.term, once, appends })
+    this.applied = position
+    this.changed()
+    return { token: Token.of(this.term, position) }
+  }
+
+  private async replicate (upstream: NonNullable<typeof this.upstream>): Promise<void> {
+    while (this.upstream === upstream && this.node.isUp) {
+      const connection = this.network.connect(this.node, upstream.endpoint.node)
+      try {
+        const starts = await this.network.ask(connection, PULL_MS, () => upstream.endpoint.greet(upstream.term))
+        if (this.upstream !== upstream) return
+        this.align(upstream.term, starts)
+        await this.pull(upstream, connection)
+      } catch {
+        connection.break()
+        await this.clock.sleep(RETRY_MS)
+      }
+    }
+  }
+
+  private async pull (upstream: NonNullable<typeof this.upstream>, connection: Connection): Promise<void> {
+    while (this.upstream === upstream && this.node.isUp) {
+      const from = this.log.length
+      const entries = await this.network.ask(connection, PULL_MS, async () => await upstream.endpoint.entries(upstream.term, from))
+      await this.node.awake()
+      if (this.upstream !== upstream || !this.node.isUp) return
+      for (const entry of entries) this.log.push(entry)
+      this.changed()
+      this.applyLater(this.log.length, upstream)
+    }
+  }
+
+  private applyLater (position: number, upstream: typeof this.upstream): void {
+    this.clock.after(this.lagMs, () => {
+      if (this.upstream !== upstream) return
+      this.applied = Math.max(this.applied, position)
+      this.changed()
+    })
+  }
+
+  private greet (term: number): History {
+    if (this.role !== 'primary' || this.term !== term) throw new Error('not primary')
+    return this.history
+  }
+
+  private async entries (term: number, from: number): Promise<Entries> {
+    if (this.log.length === from) await this.nextChange(IDLE_MS)
+    if (this.role !== 'primary' || this.term !== term) throw new Error('not primary')
+    return this.log.after(from)
+  }
+
+  /** Cuts the log past the fork with the primary's history, and takes that history over. */
+  private align (term: number, history: History): void {
+    const next = history.starts.find(start => start.term > this.log.lastTerm)
+    if (next !== undefined) {
+      this.log.cut(next.position)
+      this.applied = Math.min(this.applied, next.position)
+    }
+    this.history = history
+    this.alignedTerm = term
+    this.changed()
+  }
+
+  private async nextChange (ms: number): Promise<void> {
+    await new Promise<void>(resolve => {
+      this.waiting.add(resolve)
+      this.clock.after(ms, resolve)
+    })
+  }
+
+  private changed (): void {
+    const waiting = [...this.waiting]
+    this.waiting.clear()
+    for (const wake of waiting) wake()
+  }
+}
--- /dev/null
+++ b/scenarios/world/owner.ts
@@ -0,0 +1,183 @@
+/** The owner of a slot round the core's `Monitor`; mirrors src/shell/endpoint/owner.ts. */
+
+import type { FailoverAction } from '../../src/core/failover/action.ts'
+import type { FailoverEvent } from '../../src/core/failover/event.ts'
+import { Monitor } from '../../src/core/failover/monitor.ts'
+import type { Pace } from '../../src/core/failover/pace.ts'
+import type { Group } from '../../src/core/group/group.ts'
+import type { Sample } from '../../src/core/group/sample.ts'
+import type { EndpointId } from '../../src/core/id/endpoint.ts'
+import { Token } from '../../src/core/token.ts'
+import { Control } from './control.ts'
+import type { Endpoint } from './endpoint.ts'
+import { Execution } from './execution.ts'
+import { LinkError } from './linkerror.ts'
+import type { Process } from './process.ts'
+import type { Reply } from './reply.ts'
+import type { Request } from './request.ts'
+import { Slot } from './slot.ts'
+
+interface Options {
+  readonly process: Process
+  readonly endpoint: Endpoint
+  readonly endpoints: ReadonlyMap<EndpointId, Endpoint>
+  readonly group: Group
+  readonly connections: number
+  readonly rank: number
+  readonly pace: Pace
+  readonly probeMs: number
+  readonly probeTimeoutMs: number
+  /** Asks the owner of another endpoint's slot; undefined when it isn't confirmed. */
+  readonly confirmAt: (endpoint: EndpointId, token: Token, ms: number) => Promise<Sample | undefined>
+  readonly onSample: (sample: Sample) => void
+  readonly onAction: (action: FailoverAction) => void
+}
+
+const CONTROL_CONNECTIONS = 2
+const TICK_MS = 20
+const REPLY_MS = 200
+
+export class Owner {
+  private readonly slot: Slot
+  private readonly probe: Control
+  private readonly waits: Control
+  private monitor: Monitor
+  private isOver = false
+
+  private constructor (private readonly options: Options) {
+    const { process, endpoint } = options
+    this.slot = Slot.create(process, endpoint, options.connections - CONTROL_CONNECTIONS)
+    this.probe = Control.create(process, endpoint)
+    this.waits = Control.create(process, endpoint)
+    this.monitor = Monitor.create(options.group, options.rank, options.pace)
+  }
+
+  static start (options: Options): Owner {
+    const it = new Owner(options)
+    it.probeLoop()
+    it.tickLoop()
+    return it
+  }
+
+  get endpoint (): EndpointId {
+    return this.options.endpoint.id
+  }
+
+  stop (): void {
+    this.isOver = true
+    this.slot.close()
+    this.probe.close()
+    this.waits.close()
+  }
+
+  async run (req: Request, isStrict: boolean, ms: number): Promise<Reply> {
+    const { process, endpoint } = this.options
+    return await Execution.run({
+      process,
+      endpoint,
+      slot: this.slot,
+      confirm: async (token, left) => await this.confirmElsewhere(token, left),
+      proveCurrent: async left => await this.proveCurrent(left)
+    }, req, isStrict, ms)
+  }
+
+  async confirm (token: Token, ms: number): Promise<Sample | undefined> {
+    return await this.waits
+      .ask(ms + REPLY_MS, async endpoint => await endpoint.received(token.term, token.position, ms))
+      .catch(() => undefined)
+  }
+
+  learn (sample: Sample): void {
+    const known = this.monitor.group.sample(sample.endpoint)
+    if (sample.endpoint === this.endpoint || known === undefined || known.term > sample.term) return
+    this.hear({ kind: 'sampled', sample })
+  }
+
+  private async confirmElsewhere (token: Token, ms: number): Promise<boolean> {
+    const others = this.options.group.samples.filter(sample => sample.endpoint !== this.endpoint)
+    return await Promise.any(others.map(async ({ endpoint }) => {
+      if (await this.options.confirmAt(endpoint, token, ms) === undefined) throw new Error('not confirmed')
+      return true
+    })).catch(() => false)
+  }
+
+  private async proveCurrent (ms: number): Promise<boolean> {
+    const { term, role } = this.monitor.group.sample(this.endpoint)!
+    if (role !== 'primary') return false
+    const token = Token.of(term, 0)
+    const [own, other] = await Promise.all([this.confirm(token, ms), this.confirmElsewhere(token, ms)])
+    return own !== undefined && other
+  }
+
+  private async probeLoop (): Promise<void> {
+    const { process, probeMs } = this.options
+    while (!this.isOver) {
+      const began = process.now()
+      await this.probeOnce()
+      await process.sleep(Math.max(1, probeMs - (process.now() - began)))
+    }
+  }
+
+  private async probeOnce (): Promise<void> {
+    const { probeTimeoutMs, onSample } = this.options
+    const ask = async (): Promise<Sample> => await this.probe.ask(probeTimeoutMs, endpoint => endpoint.status())
+    const sample = await ask().catch(ask).catch(() => undefined)
+    if (this.isOver) return
+    if (sample === undefined) {
+      this.hear({ kind: 'missed', endpoint: this.endpoint })
+      return onSample(this.monitor.group.sample(this.endpoint)!.with({ reachable: false }))
+    }
+    const fresh = sample.with({ queued: this.slot.queued })
+    this.hear({ kind: 'sampled', sample: fresh })
+    onSample(fresh)
+  }
+
+  private async tickLoop (): Promise<void> {
+    while (!this.isOver) {
+      await this.options.process.sleep(TICK_MS)
+      this.hear({ kind: 'tick' })
+    }
+  }
+
+  private hear (event: FailoverEvent): void {
+    if (this.isOver) return
+    const { process } = this.options
+    const step = this.monitor.step(event, process.now(), process.chance.next())
+    this.monitor = step.monitor
+    for (const action of step.actions) this.act(action)
+  }
+
+  private act (action: FailoverAction): void {
+    this.options.onAction(action)
+    if (action.kind === 'record') this.options.onSample(this.monitor.group.sample(action.primary)!)
+    else this.order(action)
+  }
+
+  private async order (action: Exclude<FailoverAction, { kind: 'record' }>): Promise<void> {
+    const { endpoints, process, pace } = this.options
+    const { endpoint, term } = action
+    const control = Control.create(process, endpoints.get(endpoint)!)
+    const proposer = `${process.node.id}/${process.incarnation}`
+    try {
+      switch (action.kind) {
+        case 'seal': {
+          const sample = await control.ask(pace.roundMs, at => at.seal(term, proposer))
+          return this.hear({ kind: 'sealed', term, sample })
+        }
+        case 'promote': {
+          const sample = await control.ask(pace.roundMs, at => at.promote(term, proposer))
+          this.hear({ kind: 'sampled', sample })
+          return this.hear({ kind: 'promoted', endpoint, term })
+        }
+        case 'follow': {
+          const primary = endpoints.get(action.primary)!
+          await control.ask(pace.roundMs, at => at.follow(primary, term))
+        }
+      }
+    } catch (err) {
+      this.hear({ kind: err instanceof LinkError ? 'failed' : 'refused', endpoint, term })
+    } finally {
+      control.close()
+    }
+  }
+}
--- /dev/null
+++ b/scenarios/world/run.ts
@@ -0,0 +1,64 @@
+/** Runs one script from its begin to the report. */
+
+import type { GroupId } from '../../src/core/id/group.ts'
+import type { SessionId } from '../../src/core/id/session.ts'
+import type { Script } from '../language/script.ts'
+import { Callers } from './callers.ts'
+import { bringAbout } from './faults.ts'
+import { reportOf } from './report.ts'
+import { World } from './world.ts'
+
+const KEYS = ['k1', 'k2', 'k3', 'k4', 'k5', 'k6', 'k7', 'k8']
+/** Proxies know their groups before a script's time begins. */
+const WARM_UP_MS = 2000
+/** Time for what is still under way when the script ends; then all faults are mended and the group is read. */
+const SETTLE_MS = 10_000
+
+/** The same script and seed yield the same report, trace included, to the byte. */
+export async function runScript (given: Script, seed = given.seed): Promise<ReturnType<typeof reportOf>> {
+  const script = shifted(given)
+  const world = await World.start(script, seed)
+  script.loads.forEach((load, i) => Callers.start(world, load, `s${i === 0 ? '' : `${i}-`}`))
+  for (const { at, fault } of script.faults) world.clock.after(at, () => bringAbout(world, fault))
+  await world.clock.runUntil(script.runMs)
+  mend(world)
+  await world.clock.runUntil(script.runMs + SETTLE_MS)
+  const isSettled = await readAll(world, script)
+  world.recorder.close()
+  return reportOf(script, world, isSettled)
+}
+
+function shifted (script: Script): Script {
+  return {
+    ...script,
+    runMs: script.runMs + WARM_UP_MS,
+    faults: script.faults.map(one => ({ ...one, at: one.at + WARM_UP_MS })),
+    loads: script.loads.map(load => ({ ...load, from: load.from + WARM_UP_MS, to: load.to + WARM_UP_MS }))
+  }
+}
+
+function mend (world: World): void {
+  world.recorder.note('mend')
+  world.platform.mode = { kind: 'up' }
+  world.network.heal()
+  for (const node of world.nodes('all')) world.restart(node)
+}
+
+/** Reads every key strictly, through a proxy. False when some group can't be read any more. */
+async function readAll (world: World, script: Script): Promise<boolean> {
+  const { recorder, clock } = world
+  let settled = 0
+  for (const group of script.groups) {
+    const proxy = world.live[0]
+    if (proxy === undefined) return false
+    const strict = { kind: 'strict' } as const
+    const base = { session: 'auditor', host: proxy.id, group, keys: KEYS, freshness: strict, rows: [], isFinal: true } as const
+    const id = recorder.begin({ ...base, kind: 'read', from: clock.now })
+    proxy.run({ session: 'auditor' as SessionId, group: group as GroupId, statement: { kind: 'read', keys: KEYS }, freshness: strict }).then(reply => {
+      recorder.end(id, { outcome: reply.outcome, rows: reply.rows })
+      if (reply.outcome === 'done') settled++
+    })
+  }
+  await clock.runUntil(clock.now + SETTLE_MS)
+  return settled === script.groups.length
+}
--- /dev/null
+++ b/scenarios/world/world.ts
@@ -0,0 +1,166 @@
+/** The nodes of a run, and how scripts name them. */
+
+import type { EndpointId } from '../../src/core/id/endpoint.ts'
+import type { HostId } from '../../src/core/id/host.ts'
+import type { DataCentreId } from '../../src/core/id/datacentre.ts'
+import { parseSettings } from '../../src/core/settings/settings.ts'
+import { Chance } from './chance.ts'
+import { Clock } from './clock.ts'
+import { Endpoint } from './endpoint.ts'
+import { Network } from './network.ts'
+import { Node } from './node.ts'
+import { Platform } from './platform.ts'
+import { Process } from './process.ts'
+import { Proxy } from './proxy.ts'
+import { Recorder } from './recorder.ts'
+
+interface Sizes {
+  readonly hosts: number
+  readonly groups: readonly string[]
+}
+
+const DATA_CENTRES = ['data-centre-a', 'data-centre-b', 'data-centre-c']
+const PER_GROUP = 3
+const LIST_LAG_MS = 2000
+const SETTINGS = parseSettings({
+  host: { id: 'any', dataCentre: 'any' },
+  listen: { callers: '127.0.0.1:1', peers: '127.0.0.1:2', metrics: '127.0.0.1:3' },
+  platform: { tableService: 'http://127.0.0.1:4', objectStore: 'http://127.0.0.1:5', hostList: 'http://127.0.0.1:6' },
+  endpoints: { user: '', password: '', controlUser: '', controlPassword: '' }
+})._unsafeUnwrap()
+
+export class World {
+  readonly clock = Clock.create()
+  readonly chance: Chance
+  readonly network: Network
+  readonly recorder: Recorder
+  readonly platform: Platform
+  readonly endpoints = new Map<EndpointId, Endpoint>()
+  private readonly hosts: readonly Node[]
+  private readonly proxies = new Map<HostId, Proxy>()
+  private incarnations = 0
+
+  private constructor (readonly sizes: Sizes, seed: number) {
+    const { clock } = this
+    this.chance = Chance.of(seed)
+    this.network = Network.create(clock, this.chance)
+    this.recorder = Recorder.create(clock)
+    this.platform = Platform.create(Node.create(clock, 'store', DATA_CENTRES[0]!), clock)
+    this.hosts = Array.from({ length: sizes.hosts }, (_, i) => Node.create(clock, `host-${i + 1}`, DATA_CENTRES[i % DATA_CENTRES.length]!))
+    for (const group of sizes.groups) this.addGroup(group)
+  }
+
+  static async start (sizes: Sizes, seed: number): Promise<World> {
+    const it = new World(sizes, seed)
+    it.platform.useHosts(it.listed, 0)
+    it.platform.create({ version: 1, body: it.body })
+    await it.clock.runUntil(0)
+    for (const host of it.hosts) it.startProxy(host)
+    return it
+  }
+
+  get live (): readonly Proxy[] {
+    return [...this.proxies.values()].filter(proxy => !proxy.process.isOver && proxy.isReady)
+  }
+
+  /** The configuration as operators write it. */
+  get body (): string {
+    const groups = this.sizes.groups.map(id => ({
+      id,
+      database: id,
+      endpoints: this.endpointsOf(id).map(one => ({ id: one.id, address: '127.0.0.1:1', dataCentre: one.node.dataCentre }))
+    }))
+    return JSON.stringify({ groups, pools: [{ id: 'all', groups: this.sizes.groups, callers: [] }] })
+  }
+
+  proxy (id: string): Proxy | undefined {
+    const proxy = this.proxies.get(id as HostId)
+    return proxy?.process.isOver === true ? undefined : proxy
+  }
+
+  /** The nodes that a place of a script names; `near` is what `group` and `all` leave out. */
+  nodes (place: string, near: readonly Node[] = []): readonly Node[] {
+    const endpoints = [...this.endpoints.values()]
+    const all = [...this.hosts, ...endpoints.map(one => one.node), this.platform.node]
+    const [group, part] = [place.slice(0, place.lastIndexOf('-')), place.slice(place.lastIndexOf('-') + 1)]
+    if (place === 'all') return all.filter(node => !near.includes(node))
+    if (place === 'hosts') return this.hosts
+    if (place === 'group') return this.groupOf(near).map(one => one.node).filter(node => !near.includes(node))
+    if (part === 'primary') return this.endpointsOf(group).filter(one => one.isPrimary).map(one => one.node)
+    if (part === 'replicas') return this.endpointsOf(group).filter(one => !one.isPrimary).map(one => one.node)
+    const found = all.filter(node => node.id === place || node.dataCentre === place || node.id.replace(/-\d+$/, '') === place)
+    if (found.length === 0) throw new Error(`no node is called "${place}"; see the places in scenarios/README.md`)
+    return found
+  }
+
+  endpointsOf (group: string): readonly Endpoint[] {
+    return [...this.endpoints.values()].filter(one => one.id.replace(/-\d+$/, '') === group)
+  }
+
+  kill (node: Node): void {
+    node.isUp = false
+    this.network.drop(node)
+    const proxy = this.proxies.get(node.id as HostId)
+    if (proxy === undefined) return
+    proxy.process.isOver = true
+    this.listHosts()
+  }
+
+  restart (node: Node): void {
+    if (node.isUp) return
+    this.endpoints.get(node.id as EndpointId)?.restart()
+    node.isUp = true
+    if (this.proxies.has(node.id as HostId)) this.startProxy(node)
+    this.listHosts()
+  }
+
+  /** The platform drops hosts that stand still from its list, and takes them back. */
+  listHosts (): void {
+    this.platform.useHosts(this.listed, LIST_LAG_MS)
+  }
+
+  private get listed (): Parameters<Platform['useHosts']>[0] {
+    return this.hosts
+      .filter(host => host.isUp && !host.isFrozen)
+      .map(host => ({ id: host.id as HostId, dataCentre: host.dataCentre as DataCentreId, state: 'live' }))
+  }
+
+  private groupOf (nodes: readonly Node[]): readonly Endpoint[] {
+    return this.endpointsOf(nodes[0]?.id.replace(/-\d+$/, '') ?? '')
+  }
+
+  private addGroup (group: string): void {
+    for (let i = 0; i < PER_GROUP; i++) {
+      const id = `${group}-${i + 1}` as EndpointId
+      const node = Node.create(this.clock, id, DATA_CENTRES[i % DATA_CENTRES.length]!)
+      this.endpoints.set(id, Endpoint.create(id, node, this.clock, this.network))
+    }
+    const [primary, ...others] = this.endpointsOf(group)
+    primary!.seal(1, 'platform')
+    primary!.promote(1, 'platform')
+    for (const other of others) other.follow(primary!, 1)
+    this.recorder.promotions.push({ group, term: 1, position: 0, at: 0 })
+  }
+
+  private startProxy (host: Node): void {
+    const { clock, network, chance, recorder } = this
+    const process = Process.start(host, ++this.incarnations, clock, network, chance)
+    recorder.note(`start ${host.id}`)
+    this.proxies.set(host.id as HostId, Proxy.start({
+      process,
+      settings: SETTINGS,
+      platform: this.platform,
+      endpoints: this.endpoints,
+      peer: id => this.proxy(id),
+      onAction: (id, action) => {
+        recorder.note(`order ${id} ${JSON.stringify(action)}`)
+        if (action.kind !== 'record') return
+        recorder.promotions.push({ group: action.group, term: action.term, position: action.position, at: clock.now })
+      },
+      onVersion: (id, version) => {
+        recorder.note(`version ${id} ${version}`)
+        recorder.versions.push({ host: id, version, at: clock.now })
+      }
+    }))
+  }
+}
