--- a/eslint.config.js
+++ b/eslint.config.js
@@ -7,13 +7,13 @@
 export default [
   ...neostandard({ ts: true, ignores: ['dist/**', 'src/gen/**', 'node_modules/**'] }),
   {
-    files: ['src/**/*.ts', 'standin/**/*.ts', 'bench/**/*.ts', 'demo/**/*.ts'],
+    files: ['src/**/*.ts', 'standin/**/*.ts', 'bench/**/*.ts', 'demo/**/*.ts', 'scenarios/**/*.ts'],
     ignores: ['src/gen/**'],
     plugins: { house: { rules: { ...oneExport.rules, ...headComment.rules } } },
     rules: { 'house/one-export': 'error' }
   },
   {
-    files: ['src/**/*.ts', 'standin/**/*.ts', 'bench/**/*.ts', 'demo/**/*.ts'],
+    files: ['src/**/*.ts', 'standin/**/*.ts', 'bench/**/*.ts', 'demo/**/*.ts', 'scenarios/**/*.ts'],
     ignores: ['src/gen/**', '**/*.test.ts'],
     rules: { 'house/head-comment': 'error' }
   }
--- a/scenarios/world/clock.ts
+++ b/scenarios/world/clock.ts
@@ -3,7 +3,8 @@
 interface Due {
   readonly at: number
   readonly order: number
-  readonly run: () => void
+  /** Undefined once it's called off. */
+  run: (() => void) | undefined
 }
 
 /** Milliseconds from the start of a run. Nothing in a run reads another clock. */
@@ -19,18 +20,22 @@
     return new Clock()
   }
 
-  after (ms: number, run: () => void): void {
-    this.push({ at: this.now + Math.max(0, ms), order: this.order++, run })
+  /** Returns the call that calls it off. */
+  after (ms: number, run: () => void): () => void {
+    const due: Due = { at: this.now + Math.max(0, ms), order: this.order++, run }
+    this.push(due)
+    return () => { due.run = undefined }
   }
 
   async sleep (ms: number): Promise<void> {
-    await new Promise<void>(resolve => this.after(ms, resolve))
+    await new Promise<void>(resolve => { this.after(ms, resolve) })
   }
 
   /** Runs what is due until the instant. */
   async runUntil (end: number): Promise<void> {
     while (this.heap.length > 0 && this.heap[0]!.at <= end) {
       const due = this.pop()
+      if (due.run === undefined) continue
       this.now = due.at
       due.run()
       // Whatever waited for this continues now, before time moves on.
--- a/scenarios/world/endpoint.ts
+++ b/scenarios/world/endpoint.ts
@@ -221,8 +221,11 @@
 
   private async nextChange (ms: number): Promise<void> {
     await new Promise<void>(resolve => {
-      this.waiting.add(resolve)
-      this.clock.after(ms, resolve)
+      const callOff = this.clock.after(ms, resolve)
+      this.waiting.add(() => {
+        callOff()
+        resolve()
+      })
     })
   }
 
--- a/scenarios/world/execution.ts
+++ b/scenarios/world/execution.ts
@@ -30,11 +30,16 @@
 
   static async run (context: Context, req: Request, isStrict: boolean, ms: number): Promise<Reply> {
     const it = new Execution(context, req, isStrict, ms)
-    return await Promise.race([it.expire(), it.work()])
+    return await new Promise(resolve => {
+      const callOff = context.process.after(ms, () => resolve(it.expire()))
+      it.work().then(reply => {
+        callOff()
+        resolve(reply)
+      })
+    })
   }
 
-  private async expire (): Promise<Reply> {
-    await this.context.process.sleep(this.ms)
+  private expire (): Reply {
     const wasSent = this.connection !== undefined
     this.isOver = true
     if (this.connection !== undefined) {
--- a/scenarios/world/log.ts
+++ b/scenarios/world/log.ts
@@ -54,7 +54,11 @@
 
   /** A row a key: its values up to the position, then those of an open transaction. */
   read (keys: readonly string[], position: number, open: readonly Append[] = []): readonly Row[] {
-    const appends = [...this.entries.slice(0, position).flatMap(entry => entry.appends), ...open]
-    return keys.map(key => ({ key, values: appends.filter(one => one.key === key).map(one => one.value) }))
+    const rows = new Map(keys.map(key => [key, [] as string[]]))
+    for (let i = 0; i < position; i++) {
+      for (const one of this.entries[i]!.appends) rows.get(one.key)?.push(one.value)
+    }
+    for (const one of open) rows.get(one.key)?.push(one.value)
+    return keys.map(key => ({ key, values: rows.get(key)! }))
   }
 }
--- a/scenarios/world/network.ts
+++ b/scenarios/world/network.ts
@@ -58,9 +58,10 @@
     if (connection.isBroken) throw LinkError.refused
     return await new Promise<T>((resolve, reject) => {
       const off = connection.onBreak(() => reject(LinkError.broken))
-      this.clock.after(ms, () => reject(LinkError.silent))
+      const callOff = this.clock.after(ms, () => reject(LinkError.silent))
       const settle = (end: () => void): void => {
         off()
+        callOff()
         end()
       }
       this.roundTrip(connection, work).then(
--- a/scenarios/world/process.ts
+++ b/scenarios/world/process.ts
@@ -32,6 +32,11 @@
     return this.clock.now + this.offset as Instant
   }
 
+  /** Returns the call that calls it off. */
+  after (ms: number, run: () => void): () => void {
+    return this.clock.after(ms, () => { this.running().then(run) })
+  }
+
   async sleep (ms: number): Promise<void> {
     await this.clock.sleep(ms)
     await this.running()
--- a/scenarios/world/world.ts
+++ b/scenarios/world/world.ts
@@ -86,6 +86,7 @@
     if (place === 'all') return all.filter(node => !near.includes(node))
     if (place === 'hosts') return this.hosts
     if (place === 'group') return this.groupOf(near).map(one => one.node).filter(node => !near.includes(node))
+    if (part === 'owners') return this.ownersOf(this.nodes(group))
     if (part === 'primary') return this.endpointsOf(group).filter(one => one.isPrimary).map(one => one.node)
     if (part === 'replicas') return this.endpointsOf(group).filter(one => !one.isPrimary).map(one => one.node)
     const found = all.filter(node => node.id === place || node.dataCentre === place || node.id.replace(/-\d+$/, '') === place)
@@ -125,6 +126,11 @@
       .map(host => ({ id: host.id as HostId, dataCentre: host.dataCentre as DataCentreId, state: 'live' }))
   }
 
+  /** The hosts that hold slots of the endpoints. */
+  private ownersOf (endpoints: readonly Node[]): readonly Node[] {
+    return this.live.filter(proxy => endpoints.some(one => proxy.owner(one.id as EndpointId) !== undefined)).map(proxy => proxy.process.node)
+  }
+
   private groupOf (nodes: readonly Node[]): readonly Endpoint[] {
     return this.endpointsOf(nodes[0]?.id.replace(/-\d+$/, '') ?? '')
   }
--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -14,6 +14,7 @@
   entryPoints: {
     'standin-platform': 'standin/platform/main.ts',
     'standin-endpoint': 'standin/endpoint/main.ts',
-    demo: 'demo/main.ts'
+    demo: 'demo/main.ts',
+    scenarios: 'scenarios/main.ts'
   }
 })
