--- a/src/shell/node/node.ts
+++ b/src/shell/node/node.ts
@@ -7,12 +7,15 @@
 import { ConfirmedSchema, type Frame } from '../../gen/peer_pb.ts'
 import type { Config } from '../../core/config/config.ts'
 import { parseConfig } from '../../core/config/document.ts'
+import type { DataCentreId } from '../../core/id/datacentre.ts'
 import type { EndpointId } from '../../core/id/endpoint.ts'
 import type { HostId } from '../../core/id/host.ts'
 import type { Instant } from '../../core/id/instant.ts'
 import type { ConfigVersion } from '../../core/id/version.ts'
 import { Sessions } from '../../core/session/sessions.ts'
 import type { parseSettings } from '../../core/settings/settings.ts'
+import type { Audit } from '../audit/audit.ts'
+import { openAudit } from '../audit/open.ts'
 import type { CallerContext } from '../caller/context.ts'
 import { acceptCaller } from '../caller/frontend.ts'
 import { Groups } from '../caller/groups.ts'
@@ -42,7 +45,8 @@
   private constructor (
     private readonly slots: Slots,
     private readonly log: Log,
-    private readonly metrics: Metrics
+    private readonly metrics: Metrics,
+    readonly audit: Audit
   ) {}
 
   static async start (settings: Settings, signal: AbortSignal): Promise<Node> {
@@ -52,6 +56,7 @@
     const groups = Groups.create()
     const incarnation = randomUUID()
     const now = (): Instant => performance.now() as Instant
+    const chance = seededChance(incarnation)
     const table = DynamoTable.open({ url: platform.tableService, table: platform.table, region: platform.region, timeoutMs: platform.timeout }, signal)
     const hostList = HttpHostList.of(platform.hostList, platform.timeout)
     const slots = Slots.create({
@@ -62,10 +67,12 @@
       log,
       metrics,
       now,
-      chance: seededChance(incarnation),
-      broadcast: frame => it.peers?.broadcast({ case: 'sample', value: frame })
+      chance,
+      broadcast: frame => it.peers?.broadcast({ case: 'sample', value: frame }),
+      broadcastWrite: frame => it.peers?.broadcast({ case: 'wrote', value: frame })
     })
-    const it: Node = new Node(slots, log, metrics)
+    const audit = openAudit({ settings, incarnation, log, metrics, now, configVersion: () => it.config?.version })
+    const it: Node = new Node(slots, log, metrics, audit)
     it.peers = await PeerServer.listen({
       ...addressOf(settings.listen.peers),
       host: host.id as HostId,
@@ -81,10 +88,12 @@
       groups,
       sessions: Sessions.create(settings.requests.sessions),
       port: endpoint => slots.port(endpoint),
-      near: [],
+      dataCentre: host.dataCentre as DataCentreId,
+      chance,
       deadlineMs: settings.requests.deadline,
       now,
-      metrics
+      metrics,
+      audit: it.audit
     }
     const reads = Reads.create(context)
     const callers = addressOf(settings.listen.callers)
