--- a/scenarios/world/execution.ts
+++ b/scenarios/world/execution.ts
@@ -1,6 +1,7 @@
 /** One request on a slot; mirrors src/shell/endpoint/execution.ts, its order of steps above all. */
 
-import { Token } from '../../src/core/token.ts'
+import { fingerprint } from '../../src/core/session/fingerprint.ts'
+import type { Token } from '../../src/core/token.ts'
 import type { Connection } from './connection.ts'
 import type { Endpoint } from './endpoint.ts'
 import { LinkError } from './linkerror.ts'
@@ -15,6 +16,7 @@
   readonly slot: Slot
   readonly confirm: (token: Token, ms: number) => Promise<boolean>
   readonly proveCurrent: (ms: number) => Promise<boolean>
+  readonly wrote: (token: Token, session: number) => void
 }
 
 export class Execution {
@@ -74,6 +76,7 @@
       const answer = await process.ask(connection, this.ms * 2, async () => await endpoint.run(connection, statement))
       if (this.isOver) return await new Promise(() => undefined)
       this.release(connection, statement.kind !== 'commit')
+      if (answer.token !== undefined) this.context.wrote(answer.token, fingerprint(this.req.session))
       if (answer.token !== undefined && !await this.context.confirm(answer.token, this.ms)) return Reply.refuse('unconfirmed')
       return Reply.of({ outcome: 'done', rows: answer.rows, token: answer.token })
     } catch (err) {
--- a/scenarios/world/link.ts
+++ b/scenarios/world/link.ts
@@ -29,6 +29,11 @@
     return await this.process.ask(this.connection, ms, work)
   }
 
+  /** Sends news that nobody waits for. */
+  tell (work: () => void): void {
+    if (this.connection !== undefined) this.process.network.tell(this.connection, work)
+  }
+
   private async keep (): Promise<void> {
     const { process } = this
     for (;;) {
--- a/scenarios/world/network.ts
+++ b/scenarios/world/network.ts
@@ -70,8 +70,15 @@
     })
   }
 
+  /** Runs `work` at the other end, if what is sent arrives; nothing comes back. */
+  async tell (connection: Connection, work: () => void): Promise<void> {
+    await this.travel(connection, connection.from, connection.to)
+    await connection.to.awake()
+    if (connection.to.isUp && !connection.isBroken) work()
+  }
+
   /** Resolves when what is sent arrives; never, when it's lost. */
-  async travel (connection: Connection, from: Node, to: Node): Promise<void> {
+  private async travel (connection: Connection, from: Node, to: Node): Promise<void> {
     if (connection.isSilent || this.isCut(from, to)) return await new Promise(() => undefined)
     const near = from.dataCentre === to.dataCentre
     await this.clock.sleep((near ? NEAR_MS : FAR_MS) + this.chance.next() * JITTER_MS)
--- a/scenarios/world/owner.ts
+++ b/scenarios/world/owner.ts
@@ -30,6 +30,8 @@
   /** Asks the owner of another endpoint's slot; undefined when it isn't confirmed. */
   readonly confirmAt: (endpoint: EndpointId, token: Token, ms: number) => Promise<Sample | undefined>
   readonly onSample: (sample: Sample) => void
+  /** Hears of every write before it's acknowledged, and of its session's fingerprint. */
+  readonly onWrote: (token: Token, session: number) => void
   readonly onAction: (action: FailoverAction) => void
 }
 
@@ -77,7 +79,8 @@
       endpoint,
       slot: this.slot,
       confirm: async (token, left) => await this.confirmElsewhere(token, left),
-      proveCurrent: async left => await this.proveCurrent(left)
+      proveCurrent: async left => await this.proveCurrent(left),
+      wrote: this.options.onWrote
     }, req, isStrict, ms)
   }
 
