--- a/src/shell/caller/reads.ts
+++ b/src/shell/caller/reads.ts
@@ -1,6 +1,7 @@
 /** The way of a read: what its session must see, and the endpoint that shows it. */
 
 import { Run_Access as RunAccess } from '../../gen/peer_pb.ts'
+import type { Group } from '../../core/group/group.ts'
 import type { EndpointId } from '../../core/id/endpoint.ts'
 import type { GroupId } from '../../core/id/group.ts'
 import type { Instant } from '../../core/id/instant.ts'
@@ -27,6 +28,8 @@
   /** Asked for after the read arrived; undefined for a session that writes nowhere else. */
   readonly bound: Token | undefined
   readonly near: ReadonlySet<EndpointId>
+  /** Endpoints that an earlier attempt of the same read could not reach. */
+  readonly avoid: readonly EndpointId[]
   readonly since: Instant
 }
 
@@ -40,8 +43,8 @@
     return new Reads(context)
   }
 
-  /** `ms` is what is left until the read's deadline. */
-  async route (identity: Identity, hints: Hints, ms: number): Promise<Target> {
+  /** `ms` is what is left until the read's deadline; `avoid` lists endpoints that could not be reached just now. */
+  async route (identity: Identity, hints: Hints, ms: number, avoid: readonly EndpointId[] = []): Promise<Target> {
     const since = this.context.now()
     const group = identity.group.id
     const bound = mayRoam(identity, hints) ? await this.roundsOf(group).ask(ms) : undefined
@@ -54,6 +57,7 @@
       known: this.token(identity, hints),
       bound,
       near: this.near(identity),
+      avoid,
       since
     }, ms)
   }
@@ -73,8 +77,9 @@
   private async place (read: Read, ms: number): Promise<Target> {
     const { groups, now } = this.context
     for (let isRefreshed = read.bound !== undefined; ;) {
-      const group = groups.get(read.group)
-      if (group === undefined) return { kind: 'nowhere', reason: 'noPrimary' }
+      const known = groups.get(read.group)
+      if (known === undefined) return { kind: 'nowhere', reason: 'noPrimary' }
+      const group = read.avoid.reduce(withoutReplica, known)
       const writes = groups.writes(read.group)
       const token = requiredToken({ ...read, group, writes, session: fingerprint(read.session) })
       const isNoteDue = read.bound !== undefined && writes.gap(read.bound, group.leastApplied) !== undefined
@@ -138,3 +143,9 @@
   const isNamed = identity.isNamed || hints.fields.session !== undefined
   return isNamed && hints.fields.token === undefined
 }
+
+/** A replica that failed an earlier attempt is passed over, though its last sample still says that it answers. */
+function withoutReplica (group: Group, endpoint: EndpointId): Group {
+  const sample = group.sample(endpoint)
+  return sample?.role === 'replica' ? group.with(sample.with({ reachable: false })) : group
+}
