--- a/scenarios/world/process.ts
+++ b/scenarios/world/process.ts
@@ -10,7 +10,7 @@
 const CLOCK_SPREAD_MS = 1_000_000
 
 export class Process {
-  isOver = false
+  private readonly over = new AbortController()
   /** Each process's clock begins elsewhere, so that an instant of another's means nothing here. */
   private readonly offset: number
 
@@ -28,13 +28,21 @@
     return new Process(node, incarnation, clock, network, chance)
   }
 
-  now (): Instant {
-    return this.clock.now + this.offset as Instant
+  get isOver (): boolean {
+    return this.over.signal.aborted
   }
 
-  /** Returns the call that calls it off. */
-  after (ms: number, run: () => void): () => void {
-    return this.clock.after(ms, () => { this.running().then(run) })
+  /** Aborted at the end of the process's life. */
+  get signal (): AbortSignal {
+    return this.over.signal
+  }
+
+  end (): void {
+    this.over.abort()
+  }
+
+  now (): Instant {
+    return this.clock.now + this.offset as Instant
   }
 
   async sleep (ms: number): Promise<void> {
@@ -49,6 +57,7 @@
   }
 
   async ask<T> (connection: Connection, ms: number, work: () => Promise<T> | T): Promise<T> {
+    await this.running()
     try {
       return await this.network.ask(connection, ms, work)
     } finally {
--- a/scenarios/world/report.ts
+++ b/scenarios/world/report.ts
@@ -22,7 +22,7 @@
   const figures: Record<string, number> = {
     breaches: found.reduce((sum, one) => sum + one.count, 0),
     gap: Math.max(...script.groups.map(group => gapOf(script, recorder, group))),
-    'replica share': shareOf(recorder.served, one => one.place === 'replica'),
+    'replica share': shareOf(recorder.served, place => place === 'replica'),
     'unknown share': shareOf(recorder.calls, call => call.outcome === 'unknown'),
     'refused share': shareOf(recorder.calls, call => call.outcome === 'notRun' || call.outcome === 'failed'),
     promotions: recorder.promotions.length - script.groups.length,
--- a/scenarios/world/run.ts
+++ b/scenarios/world/run.ts
@@ -3,9 +3,11 @@
 import type { GroupId } from '../../src/core/id/group.ts'
 import type { SessionId } from '../../src/core/id/session.ts'
 import type { Script } from '../language/script.ts'
+import { CallerReply } from './callerreply.ts'
 import { Callers } from './callers.ts'
 import { Clock } from './clock.ts'
 import { bringAbout } from './faults.ts'
+import { readOf } from './readof.ts'
 import { reportOf } from './report.ts'
 import { withTimers } from './timers.ts'
 import { World } from './world.ts'
@@ -64,8 +66,9 @@
     const strict = { kind: 'strict' } as const
     const base = { session: 'auditor', host: proxy.id, group, keys: KEYS, freshness: strict, rows: [], isFinal: true } as const
     const id = recorder.begin({ ...base, kind: 'read', from: clock.now })
-    proxy.run({ session: 'auditor' as SessionId, group: group as GroupId, statement: { kind: 'read', keys: KEYS }, freshness: strict }).then(reply => {
-      recorder.end(id, { outcome: reply.outcome, rows: reply.rows })
+    const reply = CallerReply.create()
+    proxy.accept('auditor' as SessionId, group as GroupId).query(readOf(KEYS, strict), reply.asReply).then(() => {
+      recorder.end(id, { outcome: reply.outcome, rows: reply.values })
       answered++
       if (reply.outcome === 'done') settled++
     })
--- a/src/shell/config/submission.ts
+++ b/src/shell/config/submission.ts
@@ -6,7 +6,6 @@
  */
 
 import { createHash } from 'node:crypto'
-import { setTimeout as sleep } from 'node:timers/promises'
 import { Change } from '../../core/config/change.ts'
 import { Difference } from '../../core/config/difference.ts'
 import { parseConfig } from '../../core/config/document.ts'
@@ -42,7 +41,7 @@
   async run (): Promise<Verdict> {
     let cause = ''
     for (let i = 0; i < TRIES; i++) {
-      if (i > 0) await sleep(PAUSE_MS)
+      if (i > 0) await new Promise(resolve => { setTimeout(resolve, PAUSE_MS) })
       try {
         return await this.attempt()
       } catch (err) {
