--- a/src/shell/endpoint/connection.ts
+++ b/src/shell/endpoint/connection.ts
@@ -30,6 +30,8 @@
       password: address.password,
       database: address.database,
       connectTimeout: address.connectMs,
+      // Nothing is prepared at endpoints; mysql2 would set half a megabyte aside for it on each connection.
+      maxPreparedStatements: 1,
       flags: ['-FOUND_ROWS']
     })
     const wire = raw as unknown as Wire
--- a/src/shell/mysql/server.ts
+++ b/src/shell/mysql/server.ts
@@ -79,6 +79,9 @@
   }
 
   private accept (wire: Wire): void {
+    // mysql2 gives every connection room for 16,000 prepared statements that it asks for, half a megabyte before the
+    // first request. The accepting side asks for none, and there are thousands of callers.
+    wire._statements = undefined
     const connection = Connection.open(wire, this.options, this.nextConnection++)
     this.wires.add(wire)
     wire.stream.once('close', () => {
--- a/src/shell/mysql/wire.ts
+++ b/src/shell/mysql/wire.ts
@@ -32,6 +32,8 @@
   readonly stream: Socket
   sequenceId: number
   _command: Handshake | null
+  /** Statements that this side has prepared at the other. */
+  _statements?: unknown
   readonly clientHelloReply?: {
     readonly user: string
     readonly database?: string
