--- /dev/null
+++ b/src/core/burn/judge.ts
@@ -0,0 +1,51 @@
+/** Whether a request kept a service level. */
+
+import type { AuditRecord } from '../audit/record.ts'
+import { parseDuration } from '../settings/duration.ts'
+import type { ServiceLevel } from './servicelevel.ts'
+
+type Verdict = 'good' | 'bad'
+
+/** Undefined when the level says nothing of the request. */
+export function judge (level: ServiceLevel, record: AuditRecord): Verdict | undefined {
+  if (record.fields.pool !== level.pool) return undefined
+  const isGood = JUDGES[level.measure](record, level)
+  if (isGood === undefined) return undefined
+  return isGood ? 'good' : 'bad'
+}
+
+const JUDGES: Readonly<Record<ServiceLevel['measure'], (record: AuditRecord, level: ServiceLevel) => boolean | undefined>> = {
+  urgentInTime ({ fields }, { withinMs }) {
+    if (fields.class !== 'urgent') return undefined
+    const isAnswered = fields.outcome === 'done' || fields.outcome === 'failed'
+    return isAnswered && fields.tookMs! <= (withinMs ?? fields.deadlineMs)
+  },
+
+  /** What the endpoint refused, such as a duplicate key, is the caller's own error. */
+  writesSucceed ({ fields }) {
+    if ((fields.kind !== 'write' && fields.kind !== 'commit') || fields.outcome === 'failed') return undefined
+    return fields.outcome === 'done'
+  },
+
+  stalenessKept (record) {
+    return isAloneRead(record) ? hasFreshnessProof(record) : undefined
+  },
+
+  replicaShare (record) {
+    if (!isAloneRead(record) || record.fields.freshness === 'strict') return undefined
+    return record.last?.access === 'read'
+  }
+}
+
+/** A read of a transaction is bound to the transaction's endpoint; routing has no choice there. */
+function isAloneRead ({ fields, last }: AuditRecord): boolean {
+  return fields.freshness !== undefined && fields.outcome === 'done' && last?.access !== 'transaction'
+}
+
+function hasFreshnessProof ({ fields, last }: AuditRecord): boolean {
+  const evidence = last?.evidence
+  if (evidence?.promise === 'strict') return true
+  if (fields.freshness === 'session') return evidence?.promise === 'readYourWrites' || evidence?.promise === 'age'
+  if (fields.freshness === 'strict' || evidence?.promise !== 'age') return false
+  return parseDuration(fields.freshness!).match(limitMs => evidence.ageMs <= limitMs, () => false)
+}
--- /dev/null
+++ b/src/core/burn/report.ts
@@ -0,0 +1,75 @@
+/** The report on service levels: what is left of each budget, and how fast it burns. */
+
+import { budgetOf } from './budget.ts'
+import type { ServiceLevel } from './servicelevel.ts'
+import type { Tally } from './tally.ts'
+
+interface Window {
+  readonly name: string
+  readonly ms: number
+}
+
+interface Gap {
+  readonly count: number
+  readonly from: number
+  readonly to: number
+}
+
+interface Source {
+  readonly now: number
+  /** The arrival of the oldest record that was read; absent when none was. */
+  readonly oldest?: number
+  readonly records: number
+  readonly batchesRead: number
+  readonly batchesThere: number
+  /** Batches that couldn't be read, a line each. */
+  readonly unreadable: readonly string[]
+  readonly gaps: readonly Gap[]
+}
+
+interface Level {
+  readonly level: ServiceLevel
+  readonly windows: ReadonlyArray<Window & ReturnType<typeof budgetOf> & { readonly dropped: number }>
+  /** Burn of each step, oldest first; null without data. */
+  readonly hours: ReadonlyArray<number | null>
+  readonly minutes: ReadonlyArray<number | null>
+}
+
+const MINUTE_MS = 60_000
+const HOUR_MS = 60 * MINUTE_MS
+const WINDOWS: readonly Window[] = [
+  { name: '5 min', ms: 5 * MINUTE_MS },
+  { name: '1 h', ms: HOUR_MS },
+  { name: '6 h', ms: 6 * HOUR_MS },
+  { name: '3 d', ms: 72 * HOUR_MS }
+]
+const HOURS = 72
+const FINE_MS = 5 * MINUTE_MS
+const FINE_STEPS = 72
+
+/** The values of one report. Immutable. */
+export class BurnReport {
+  private constructor (readonly source: Source, readonly levels: readonly Level[]) {}
+
+  /** How far back a report looks. */
+  static readonly spanMs = HOURS * HOUR_MS
+
+  static of (source: Source, tallies: readonly Tally[]): BurnReport {
+    return new BurnReport(source, tallies.map(tally => levelOf(tally, source)))
+  }
+
+  get dropped (): number {
+    return this.source.gaps.reduce((sum, gap) => sum + gap.count, 0)
+  }
+}
+
+function levelOf (tally: Tally, { now, gaps }: Source): Level {
+  const { level } = tally
+  const windows = WINDOWS.map(window => {
+    const dropped = gaps.filter(gap => gap.to > now - window.ms).reduce((sum, gap) => sum + gap.count, 0)
+    return { ...window, dropped, ...budgetOf(tally.window(window.ms), level.target, dropped) }
+  })
+  const burns = (stepMs: number, steps: number): ReadonlyArray<number | null> =>
+    tally.series(stepMs, steps).map(count => budgetOf(count, level.target, 0).burn ?? null)
+  return { level, windows, hours: burns(HOUR_MS, HOURS), minutes: burns(FINE_MS, FINE_STEPS) }
+}
--- /dev/null
+++ b/src/core/burn/table.ts
@@ -0,0 +1,41 @@
+/** The report on service levels as plain text. */
+
+import type { BurnReport } from './report.ts'
+
+type Level = BurnReport['levels'][number]
+type Window = Level['windows'][number]
+
+export function burnTable (report: BurnReport, dateOf: (at: number) => string): string {
+  const rows = [
+    ['service level', 'pool', 'target', 'window', 'requests', 'bad', 'burn', 'budget left'],
+    ...report.levels.flatMap(level => level.windows.map((window, i) => rowOf(level, window, i === 0)))
+  ]
+  const widths = rows[0]!.map((_, column) => Math.max(...rows.map(row => row[column]!.length)))
+  const lines = rows.map(row => row.map((cell, i) => i < 4 ? cell.padEnd(widths[i]!) : cell.padStart(widths[i]!)).join(' | ').trimEnd())
+  lines.splice(1, 0, widths.map(width => '-'.repeat(width)).join('-+-'))
+  return [...sourceLines(report, dateOf), '', ...lines].join('\n')
+}
+
+function rowOf ({ level }: Level, window: Window, isFirst: boolean): string[] {
+  const { name, events, bad, burn, burnAtMost, left } = window
+  const most = burnAtMost === undefined ? '' : ` (at most ${burnAtMost.toFixed(2)})`
+  return [
+    isFirst ? level.name : '', isFirst ? level.pool : '', isFirst ? percent(level.target) : '', name,
+    String(events), String(bad),
+    (burn === undefined ? 'no data' : burn.toFixed(2)) + most,
+    left === undefined ? 'no data' : percent(left)
+  ]
+}
+
+/** Where the figures come from; a figure without its period and its gaps would say more than was measured. */
+function sourceLines (report: BurnReport, dateOf: (at: number) => string): string[] {
+  const { now, oldest, records, batchesRead, batchesThere, unreadable } = report.source
+  const period = oldest === undefined ? 'no records' : `records from ${dateOf(oldest)} to ${dateOf(now)}`
+  const lines = [`${period}: ${records} in ${batchesRead} batches; ${report.dropped} dropped by their processes`]
+  if (batchesRead < batchesThere) lines.push(`only the newest ${batchesRead} of ${batchesThere} batches were read; see --most`)
+  return [...lines, ...unreadable.map(problem => `not counted: ${problem}`)]
+}
+
+function percent (share: number): string {
+  return `${Math.round(share * 100_000) / 1000}%`
+}
--- a/src/shell/audit/reader.ts
+++ b/src/shell/audit/reader.ts
@@ -60,12 +60,16 @@
   }
 
   /** The batches of the keys, in their order, a few at a time. */
-  async readAll (keys: readonly BatchKey[]): Promise<readonly Read[]> {
-    const reads: Read[] = []
+  async * batches (keys: readonly BatchKey[]): AsyncGenerator<Read> {
     for (let i = 0; i < keys.length; i += AT_ONCE) {
       const some = keys.slice(i, i + AT_ONCE)
-      reads.push(...await Promise.all(some.map(async key => ({ key, page: await this.read(key) }))))
+      yield * await Promise.all(some.map(async key => ({ key, page: await this.read(key) })))
     }
+  }
+
+  async readAll (keys: readonly BatchKey[]): Promise<readonly Read[]> {
+    const reads: Read[] = []
+    for await (const read of this.batches(keys)) reads.push(read)
     return reads
   }
 
