agatepond burn: service levels of the configuration, as a table, JSON and a page

Cause: operators need a report on service-level burn.

The report says from which records and batches it comes, how many records were dropped, and what the burn was at most had each of them been bad. Batches whose chain doesn't hold are named and not counted. Without data: 'no data'.

The page was looked at in a headless Chromium with made-up records, light, dark and 560 px wide. Mended then: a label over the bars, a title over the legend, two tick labels on each other, and a linear scale on which a spike hid the line at 1 (now by square roots above 10).

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,6 +1,7 @@
 /** The command line: one binary, one subcommand for each task. */
 
 import { binary, run, subcommands } from 'cmd-ts'
+import { burn } from './burn.ts'
 import { check } from './check.ts'
 import { explain } from './explain.ts'
 import { patch } from './patch.ts'
@@ -10,7 +11,7 @@
 const app = subcommands({
   name: 'agatepond',
   description: 'A database proxy with session consistency.',
-  cmds: { serve, check, patch, explain, version }
+  cmds: { serve, check, patch, explain, burn, version }
 })
 
 run(binary(app), process.argv)
--- a/src/core/burn/chart.ts
+++ b/src/core/burn/chart.ts
@@ -17,6 +17,8 @@
 const BOTTOM = 24
 const RIGHT = 8
 const TICKS = 4
+/** Above this the scale is by square roots, so that a spike leaves the line at 1 in sight. */
+const LINEAR_TOP = 10
 /** A budget that isn't touched still needs a scale that shows where 1 is. */
 const LEAST_TOP = 2
 const LEAST_BAR = 1.5
@@ -26,17 +28,19 @@
 
 export function burnChart ({ title, burns, labelOf }: Options): string {
   const top = niceTop(Math.max(LEAST_TOP, ...burns.map(burn => burn ?? 0)))
-  const y = (burn: number): number => TOP + plotHeight * (1 - burn / top)
+  const isLinear = top <= LINEAR_TOP
+  const y = (burn: number): number => TOP + plotHeight * (1 - (isLinear ? burn / top : Math.sqrt(burn / top)))
+  const ticks = isLinear ? Array.from({ length: TICKS + 1 }, (_, i) => top * i / TICKS) : [1, top / 4, top]
   const step = plotWidth / burns.length
   const bars = burns.map((burn, i) => bar(burn, `${labelOf(i)}: ${words(burn)}`, LEFT + i * step, step, y))
   const hasData = burns.some(burn => burn !== null)
   return [
     `<svg viewBox="0 0 ${WIDTH} ${HEIGHT}" role="img" aria-label="${escapeText(title)}">`,
-    `<text class="chart-title" x="${LEFT}" y="14">${escapeText(title)}</text>`,
-    ...gridLines(top, y),
+    `<text class="chart-title" x="${LEFT}" y="14">${escapeText(title)}${isLinear ? '' : ' (square-root scale)'}</text>`,
+    `<text class="limit-label" x="${WIDTH - RIGHT}" y="14" text-anchor="end">dashed: burn 1</text>`,
+    ...ticks.map(burn => gridLine(burn, y(burn))),
     ...bars,
     `<line class="limit" x1="${LEFT}" x2="${WIDTH - RIGHT}" y1="${fixed(y(1))}" y2="${fixed(y(1))}"/>`,
-    `<text class="limit-label" x="${WIDTH - RIGHT}" y="${fixed(y(1) - 4)}" text-anchor="end">burn 1: spent exactly over 3 days</text>`,
     ...timeLabels(burns.length, labelOf, step),
     hasData ? '' : `<text class="none" x="${LEFT + plotWidth / 2}" y="${TOP + plotHeight / 2 + 18}" text-anchor="middle">no data</text>`,
     '</svg>'
@@ -52,13 +56,9 @@
   return `<rect class="${burn > 1 ? 'over' : 'within'}" x="${fixed(x)}" y="${fixed(y(0) - height)}" width="${width}" height="${fixed(height)}">${tip}</rect>`
 }
 
-function gridLines (top: number, y: (burn: number) => number): string[] {
-  return Array.from({ length: TICKS + 1 }, (_, i) => {
-    const burn = top * i / TICKS
-    const at = fixed(y(burn))
-    return `<line class="grid" x1="${LEFT}" x2="${WIDTH - RIGHT}" y1="${at}" y2="${at}"/>` +
-      `<text class="tick" x="${LEFT - 6}" y="${fixed(y(burn) + 4)}" text-anchor="end">${Number(burn.toFixed(2))}</text>`
-  })
+function gridLine (burn: number, at: number): string {
+  return `<line class="grid" x1="${LEFT}" x2="${WIDTH - RIGHT}" y1="${fixed(at)}" y2="${fixed(at)}"/>` +
+    `<text class="tick" x="${LEFT - 6}" y="${fixed(at + 4)}" text-anchor="end">${Number(burn.toFixed(2))}</text>`
 }
 
 function timeLabels (steps: number, labelOf: (step: number) => string, step: number): string[] {
--- a/src/core/burn/html.ts
+++ b/src/core/burn/html.ts
@@ -36,8 +36,8 @@
 
 function sourceLines (report: BurnReport, dateOf: DateOf): string[] {
   const { now, oldest, records, batchesRead, batchesThere, unreadable } = report.source
-  const period = oldest === undefined ? `No records up to ${dateOf(now)}` : `From ${records} audit records between ${dateOf(oldest)} and ${dateOf(now)}`
-  const lines = [`<p>${period}, in ${batchesRead} batches.</p>`]
+  const period = oldest === undefined ? `No records up to ${dateOf(now)}` : `From ${records} audit records between ${dateOf(oldest)} and ${dateOf(now)} (UTC)`
+  const lines = [`<p>${period}, in ${batchesRead} batches.</p>`, '<p>A burn of 1 spends the error budget exactly over 3 days. Grey at the foot of a chart: no data.</p>']
   if (report.dropped > 0) lines.push(warning(`${report.dropped} records were dropped by their processes and are not counted.`))
   if (batchesRead < batchesThere) lines.push(warning(`Only the newest ${batchesRead} of ${batchesThere} batches were read.`))
   return [...lines, ...unreadable.map(problem => warning(`Not counted: ${problem}`))]
@@ -58,8 +58,8 @@
     ...level.windows.map(row),
     '</table>',
     '<div class="charts">',
-    burnChart({ title: 'Burn by hour, last 3 days', burns: level.hours, labelOf: step => dateOf(now - (level.hours.length - step) * HOUR_MS) }),
-    burnChart({ title: 'Burn by 5 minutes, last 6 hours', burns: level.minutes, labelOf: step => dateOf(now - (level.minutes.length - step) * FINE_MS) }),
+    burnChart({ title: 'Burn in the last 3 days, by hour', burns: level.hours, labelOf: step => dateOf(now - (level.hours.length - step) * HOUR_MS) }),
+    burnChart({ title: 'Burn in the last 6 hours, by 5 minutes', burns: level.minutes, labelOf: step => dateOf(now - (level.minutes.length - step) * FINE_MS) }),
     '</div>',
     '</section>'
   ].join('\n')
@@ -70,9 +70,9 @@
   const most = burnAtMost === undefined ? '' : ` (at most ${burnAtMost.toFixed(2)})`
   return `<tr><td>${name}</td><td>${events}</td><td>${bad}</td>` +
     `<td${mark}>${burn === undefined ? 'no data' : burn.toFixed(2)}${most}</td>` +
-    `<td${mark}>${left === undefined ? 'no data' : percent(left)}</td></tr>`
+    `<td${mark}>${left === undefined ? 'no data' : percent(left, 1)}</td></tr>`
 }
 
-function percent (share: number): string {
-  return `${Math.round(share * 100_000) / 1000}%`
+function percent (share: number, digits = 3): string {
+  return `${Number((share * 100).toFixed(digits))}%`
 }
--- a/src/core/burn/table.ts
+++ b/src/core/burn/table.ts
@@ -23,7 +23,7 @@
     isFirst ? level.name : '', isFirst ? level.pool : '', isFirst ? percent(level.target) : '', name,
     String(events), String(bad),
     (burn === undefined ? 'no data' : burn.toFixed(2)) + most,
-    left === undefined ? 'no data' : percent(left)
+    left === undefined ? 'no data' : percent(left, 1)
   ]
 }
 
@@ -36,6 +36,6 @@
   return [...lines, ...unreadable.map(problem => `not counted: ${problem}`)]
 }
 
-function percent (share: number): string {
-  return `${Math.round(share * 100_000) / 1000}%`
+function percent (share: number, digits = 3): string {
+  return `${Number((share * 100).toFixed(digits))}%`
 }
--- a/src/core/config/config.ts
+++ b/src/core/config/config.ts
@@ -1,5 +1,6 @@
 /** The numbered configuration: what operators change while the system runs. */
 
+import type { ServiceLevel } from '../burn/servicelevel.ts'
 import type { CallerId } from '../id/caller.ts'
 import type { DataCentreId } from '../id/datacentre.ts'
 import type { EndpointId } from '../id/endpoint.ts'
@@ -50,4 +51,5 @@
   readonly version: ConfigVersion
   readonly groups: readonly DatabaseGroup[]
   readonly pools: readonly Pool[]
+  readonly serviceLevels: readonly ServiceLevel[]
 }
--- a/src/core/config/document.ts
+++ b/src/core/config/document.ts
@@ -6,6 +6,7 @@
 import type { ConfigVersion } from '../id/version.ts'
 import type { Freshness } from '../routing/freshness.ts'
 import type { Config } from './config.ts'
+import { serviceLevels } from './servicelevels.ts'
 
 const freshness = z.string().transform((text, context): Freshness => {
   if (text === 'strict' || text === 'session') return { kind: text }
@@ -29,7 +30,8 @@
     callers: z.array(z.strictObject({ id: z.string(), passwordHash: z.string().regex(/^[0-9a-f]{40}$/) })),
     kinds: z.array(z.strictObject({ name: z.string(), freshness })).default([]),
     freshness: freshness.default({ kind: 'session' })
-  }))
+  })),
+  serviceLevels
 })
 
 /** The checked configuration, or one line that says where it's wrong and what to write instead. */
@@ -44,5 +46,7 @@
     const stray = pool.groups.find(id => !known.has(id))
     if (stray !== undefined) return err(`pools.${pool.id}.groups: "${stray}" isn't a group; add it to groups or remove it here`)
   }
+  const strayLevel = parsed.data.serviceLevels.find(level => !parsed.data.pools.some(pool => pool.id === level.pool))
+  if (strayLevel !== undefined) return err(`serviceLevels.${strayLevel.name}.pool: "${strayLevel.pool}" isn't a pool; name one of the pools`)
   return ok({ version, ...parsed.data } as unknown as Config)
 }
--- a/test/audit.test.ts
+++ b/test/audit.test.ts
@@ -1,4 +1,6 @@
-import { readFileSync } from 'node:fs'
+import { readFileSync, rmSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
 import { createConnection, type Connection } from 'mysql2/promise'
 import { afterAll, beforeAll, describe, expect, it } from 'vitest'
 import { S3Store } from '../src/shell/platform/s3store.ts'
@@ -127,6 +129,23 @@
     expect((await stage.cli('explain', '--verify')).code).toBe(0)
   })
 
+  it('reports the burn of service levels, as a table, JSON and a page', async () => {
+    expect(await stage.cli('burn')).toMatchObject({ code: 1, stderr: expect.stringContaining('no service levels') })
+    const level = { name: 'staleness', pool: 'main', measure: 'stalenessKept', target: 0.999 }
+    const others = [{ ...level, name: 'writes', measure: 'writesSucceed' }, { ...level, name: 'urgent', measure: 'urgentInTime', within: '1s' }]
+    expect((await stage.patch(1, { ...stage.config(), serviceLevels: [level, ...others] })).code).toBe(0)
+    const page = join(tmpdir(), `agatepond-burn-${process.pid}.html`)
+    const told = await stage.cli('burn', '--html', page)
+    expect(told.code).toBe(0)
+    expect(told.stdout).toMatch(/^staleness +\| main \| 99.9% +\| 5 min +\| +[1-9]\d* \| +0 \| +0.00 \(at most [\d.]+\) \| +100%$/m)
+    expect(told.stdout).toMatch(/^urgent .* no data \(at most [\d.]+\) \| +no data$/m)
+    expect(readFileSync(page, 'utf8')).toContain('</svg>')
+    rmSync(page)
+    const json = JSON.parse((await stage.cli('burn', '--json', '--most', '1')).stdout) as { batchesRead: number, batchesThere: number }
+    expect(json.batchesRead).toBe(1)
+    expect(json.batchesThere).toBeGreaterThan(1)
+  })
+
   async function keys (): Promise<readonly string[]> {
     return await store.list('audit/', '', 1000)
   }
