Records tell of replays, transactions, given-up attempts and refusals at the door

Change: the run's 'done' says isReplay, told between processes as the reason alreadyDone of a done request (no new field); attempts name their transaction; Running.finish records the attempt that has no answer; connection.ts records what it refuses.

--- a/src/core/audit/evidence.ts
+++ b/src/core/audit/evidence.ts
@@ -13,7 +13,7 @@
  * - `age`: the same, and a proven age of `ageMs` within `limitMs`.
  * - `strict`: the primary and a second endpoint proved, after the read arrived, that no newer term had begun.
  * - `acknowledged`: a second endpoint received the write in its own term.
- * - `firstOutcome`: the idempotency key had run before, at `token`; nothing ran again.
+ * - `firstOutcome`: the idempotency key had run before, at or before `token`; nothing ran again.
  * - `notRun`: the typed refusal that proves that nothing ran.
  */
 export type Evidence =
--- a/src/core/audit/promises.test.ts
+++ b/src/core/audit/promises.test.ts
@@ -29,7 +29,7 @@
     ['a read of another session', [write(0, '3:17'), read(50, onReplica('0:0', '3:1'), 'other')], { readYourWrites: 0 }],
     ['a read that overlaps the write', [write(0, '3:17'), read(5, onReplica('0:0', '3:1'))], { readYourWrites: 0 }],
     ['a read within the skew of clocks', [write(0, '3:17'), read(25, onReplica('0:0', '3:1'))], { readYourWrites: 0 }],
-    ['a replay of the first outcome', [write(0, '3:17', { once: 'k' }), request(50, { once: 'k' }, { token: '3:17', evidence: { promise: 'firstOutcome', token: '3:17' } })], { atMostOnce: 1 }],
+    ['a replay of the first outcome', [write(0, '3:17', { once: 'k' }), request(50, { once: 'k' }, { token: '3:19', evidence: { promise: 'firstOutcome', token: '3:19' } })], { atMostOnce: 1 }],
     ['two terms with a primary each', [write(0, '3:17'), write(50, '4:18', {}, 'shop-2')], { oneAcknowledger: 2 }],
     ['a proof of "not run"', [request(0, {}, { outcome: 'notRun', reason: 'noPrimary', evidence: { promise: 'notRun', reason: 'noPrimary' } })], { notRun: 1 }]
   ])('shows %s as kept', (_, records, kept) => {
@@ -41,7 +41,12 @@
     ['a read by an older token', [write(0, '3:17'), read(50, onReplica('3:16', '3:19'))], /r50/],
     ['a replica of an older term', [write(0, '3:17'), read(50, onReplica('3:17', '2:90'))], /r50/],
     ['a read without evidence', [write(0, '3:17'), read(50)], /r50/],
-    ['a key that ran twice', [write(0, '3:17', { once: 'k' }), write(50, '3:18', { once: 'k' })], /r0, r50: key shop\/k ran 2 times, at 3:17 and 3:18/],
+    ['a key that ran twice', [write(0, '3:17', { once: 'k' }), write(50, '3:18', { once: 'k' })], /key shop\/app\/k ran 2 times: r0 at 3:17, r50 at 3:18/],
+    ['a key whose transaction committed again', [
+      request(0, { once: 'k' }, { access: 'transaction', transaction: 't' }),
+      request(20, {}, { access: 'commit', transaction: 't', token: '3:17', evidence: { promise: 'acknowledged', token: '3:17' } }),
+      write(50, '3:18', { once: 'k' })
+    ], /ran 2 times/],
     ['two endpoints in one term', [write(0, '3:17'), write(50, '3:18', {}, 'shop-2')], /shop, term 3: writes of shop-1 and shop-2/],
     ['"not run" without a proof', [request(0, {}, { outcome: 'notRun', reason: 'busy' })], /r0: said to be not run/],
     ['"not run" on a reason that proves nothing', [request(0, {}, { outcome: 'notRun', reason: 'lost', evidence: { promise: 'notRun', reason: 'lost' } })], /r0: said/]
--- a/src/core/audit/promises.ts
+++ b/src/core/audit/promises.ts
@@ -50,18 +50,26 @@
   return check
 }
 
-/** Each idempotency key has at most one effect: one place in the log. */
+/** Each idempotency key has at most one effect: one place in the log. What only repeats the first outcome is none. */
 function atMostOnce (records: readonly AuditRecord[]): Check {
   const check: Check = { kept: 0, broken: [] }
-  const keyed = records.filter(one => one.fields.once !== undefined)
-  for (const [key, members] of groupBy(keyed, ({ fields }) => `${fields.group}/${fields.once}`)) {
-    const effects = new Set(members.flatMap(one => acknowledged(one)?.toString() ?? []))
-    if (effects.size <= 1) check.kept++
-    else check.broken.push(`${members.map(one => one.fields.id).join(', ')}: key ${key} ran ${effects.size} times, at ${[...effects].join(' and ')}`)
+  const keys = transactionKeys(records)
+  const keyOf = (record: AuditRecord): string | undefined => record.fields.once ?? keys.get(record.last?.transaction ?? '')
+  const keyed = records.filter(one => keyOf(one) !== undefined)
+  for (const [key, members] of groupBy(keyed, one => `${one.fields.group}/${one.fields.caller}/${keyOf(one)}`)) {
+    const effects = members.filter(one => acknowledged(one) !== undefined && one.last?.evidence?.promise !== 'firstOutcome')
+    if (effects.length <= 1) check.kept++
+    else check.broken.push(`key ${key} ran ${effects.length} times: ${effects.map(one => `${one.fields.id} at ${acknowledged(one)}`).join(', ')}`)
   }
   return check
 }
 
+/** The key that a transaction's BEGIN claimed; its effect stands where its COMMIT does. */
+function transactionKeys (records: readonly AuditRecord[]): ReadonlyMap<string, string> {
+  return new Map(records.flatMap(({ fields, last }) =>
+    fields.once === undefined || last?.transaction === undefined ? [] : [[last.transaction, fields.once]]))
+}
+
 /** In one term only one endpoint may have its writes acknowledged. */
 function oneAcknowledger (records: readonly AuditRecord[]): Check {
   const check: Check = { kept: 0, broken: [] }
--- a/src/core/audit/record.ts
+++ b/src/core/audit/record.ts
@@ -26,6 +26,7 @@
   /** Empty when the request could go nowhere. */
   endpoint: z.string(),
   access: z.enum(['read', 'write', 'strict', 'transaction', 'commit', 'rollback', 'none']),
+  transaction: z.string().optional(),
   /** Milliseconds from the arrival of the request to the start of the attempt. */
   startMs: z.number(),
   tookMs: z.number(),
@@ -56,7 +57,6 @@
   class: z.string(),
   /** The idempotency key of a request that isn't repeatable. */
   once: z.string().optional(),
-  transaction: z.string().optional(),
   statement: z.string(),
   deadlineMs: z.number(),
   attempts: z.array(attemptShape),
--- a/src/core/audit/story.ts
+++ b/src/core/audit/story.ts
@@ -20,7 +20,7 @@
   return [
     `Caller ${fields.caller} sent a ${fields.kind} (class ${fields.class}) to group ${fields.group} of pool ${fields.pool} ` +
       `in session ${fields.session}, under version ${fields.config} of the configuration.`,
-    `Its shape: ${fields.statement}`,
+    `Its shape: ${fields.statement === '' ? 'none' : fields.statement}`,
     ...terms(record),
     ...fields.attempts.flatMap((attempt, i) => tellAttempt(attempt, i + 1)),
     `${ending} It took ${round(fields.tookMs ?? 0)} ms of the ${round(fields.deadlineMs)} ms it had.`
@@ -34,13 +34,12 @@
     sentences.push(`It was held to the freshness "${fields.freshness}"${named}.`)
   }
   if (fields.once !== undefined) sentences.push(`It was marked to run at most once, under the key ${fields.once}.`)
-  if (fields.transaction !== undefined) sentences.push(`It belonged to transaction ${fields.transaction}.`)
   return sentences
 }
 
 function tellAttempt (attempt: Attempt, number: number): string[] {
-  const { endpoint, access, startMs, tookMs, outcome, reason, token, evidence } = attempt
-  const where = endpoint === '' ? 'found no endpoint to go to' : `went to ${endpoint} (${access})`
+  const { endpoint, access, transaction, startMs, tookMs, outcome, reason, token, evidence } = attempt
+  const where = endpoint === '' ? 'found no endpoint to go to' : `went to ${endpoint} (${access}${transaction === undefined ? '' : ` ${transaction}`})`
   const why = reason in reasons ? `: ${reasons[reason as keyof typeof reasons].message}` : ''
   const at = token === undefined ? '' : ` at ${token} (term:position)`
   return [
@@ -63,7 +62,7 @@
     case 'acknowledged':
       return `The acknowledgement was checked: a second endpoint had received ${evidence.token} in the same term.`
     case 'firstOutcome':
-      return `At most once was checked: the key had run before, at ${evidence.token}; nothing ran again.`
+      return `At most once was checked: the key had run before, which a second endpoint confirmed up to ${evidence.token}; nothing ran again.`
     case 'notRun':
       return `"Not run" rests on this proof: ${reasons[evidence.reason].message}.`
   }
--- a/src/core/request/ledgerscript.ts
+++ b/src/core/request/ledgerscript.ts
@@ -111,9 +111,9 @@
   }
 
   private ending (token: Token | undefined): Last {
-    const { counts, isVoid, spec } = this.fields
+    const { counts, isVoid, isDuplicate, spec } = this.fields
     if (isVoid) return refuse('voided')
-    if (spec.access !== 'begin') return { kind: 'done', counts, token, isOpen: false }
+    if (spec.access !== 'begin') return { kind: 'done', counts, token, isOpen: false, ...isDuplicate ? { isReplay: true } : {} }
     const { code, message } = reasons.alreadyDone
     return { kind: 'failed', code, message }
   }
--- a/src/core/request/runaction.ts
+++ b/src/core/request/runaction.ts
@@ -12,6 +12,7 @@
  * - `keep`: the connection for the open transaction.
  * - `giveBack`: the connection. `clean`: it may be lent again; `reset`: only after a reset that succeeded; `close`: never.
  * - `confirm`: that a second server has the position; then `confirmed`.
+ * - `done` with `isReplay`: the key had run before, and these are the first run's counts; nothing ran now.
  * - `done`, `failed`, `refuse`: the request's outcome. It's over.
  */
 export type RunAction =
@@ -21,6 +22,6 @@
   | { readonly kind: 'keep' }
   | { readonly kind: 'giveBack', readonly how: 'clean' | 'reset' | 'close' }
   | { readonly kind: 'confirm', readonly token: Token }
-  | { readonly kind: 'done', readonly counts: Counts, readonly token: Token | undefined, readonly isOpen: boolean }
+  | { readonly kind: 'done', readonly counts: Counts, readonly token: Token | undefined, readonly isOpen: boolean, readonly isReplay?: boolean }
   | { readonly kind: 'failed', readonly code: number, readonly message: string }
   | { readonly kind: 'refuse', readonly reason: ReasonName, readonly detail: string }
--- a/src/shell/audit/audit.ts
+++ b/src/shell/audit/audit.ts
@@ -11,6 +11,8 @@
   readonly kind: string
   readonly identity: Identity
   readonly hints: Hints
+  /** The idempotency key that holds for the request; empty for none. */
+  readonly once: string
   readonly deadline: Instant
 }
 
--- a/src/shell/audit/recorder.ts
+++ b/src/shell/audit/recorder.ts
@@ -57,7 +57,7 @@
     return it
   }
 
-  begin ({ sql, kind, identity, hints, deadline }: Parameters<Audit['begin']>[0]): ReturnType<Audit['begin']> {
+  begin ({ sql, kind, identity, hints, once, deadline }: Parameters<Audit['begin']>[0]): ReturnType<Audit['begin']> {
     const { host, incarnation, now, configVersion } = this.options
     const { pool, group, caller, session } = identity
     const { fields } = hints
@@ -75,7 +75,7 @@
       read: kind === 'read' ? fields.read : undefined,
       freshness: kind === 'read' ? textOf(freshnessOf(identity, hints)) : undefined,
       class: fields.class ?? 'normal',
-      once: fields.once,
+      once: once === '' ? undefined : once,
       statement: fingerprint(sql),
       deadlineMs: Math.round(deadline - began)
     })
--- a/src/shell/audit/trail.ts
+++ b/src/shell/audit/trail.ts
@@ -52,6 +52,7 @@
     this.record = this.record.attempted({
       endpoint: isPlaced ? target.endpoint : '',
       access: isPlaced ? ACCESS[target.access] : 'none',
+      transaction: isPlaced && target.transaction !== '' ? target.transaction : undefined,
       startMs: tenths(began - this.options.began),
       tookMs: tenths(this.options.now() - began),
       outcome: OUTCOME[done.outcome],
@@ -75,7 +76,8 @@
   if (done.outcome !== DoneOutcome.DONE || target.kind === 'nowhere') return undefined
   if (target.access === RunAccess.STRICT) return { promise: 'strict' }
   const token = tokenOf(done)
-  return token === undefined ? target.evidence : { promise: 'acknowledged', token }
+  if (token === undefined) return target.evidence
+  return { promise: done.reason === 'alreadyDone' ? 'firstOutcome' : 'acknowledged', token }
 }
 
 function tokenOf (done: Done): string | undefined {
--- a/src/shell/caller/attempts.ts
+++ b/src/shell/caller/attempts.ts
@@ -51,6 +51,8 @@
   private readonly request = randomUUID()
   private readonly trail: ReturnType<Audit['begin']>
   private began: Instant
+  /** Whether an attempt has no answer yet; the record of a request that is given up then still tells of it. */
+  private isSent = false
   private readonly onLeft = (): void => this.hear({ kind: 'left' })
 
   private constructor (
@@ -124,6 +126,7 @@
     const { req } = this
     const { endpoint, access, transaction, port } = this.target as Reached
     this.current = new AbortController()
+    this.isSent = true
     const done = await relay(port, {
       endpoint,
       sql: req.sql,
@@ -140,6 +143,7 @@
       database: req.identity.group.database
     }, this.reply, req.isBinary, this.current.signal)
     this.last = done
+    this.isSent = false
     this.trail.attempted(this.target!, done, this.began)
     if (this.reply.hasStarted) this.hear({ kind: 'rows', attempt })
     this.hear({ kind: 'answered', attempt, outcome: outcomeOf(done), reason: done.reason === '' ? undefined : done.reason as ReasonName })
@@ -149,6 +153,7 @@
     clearTimeout(this.timer)
     this.signal.removeEventListener('abort', this.onLeft)
     this.context.metrics.requests.inc({ kind: this.req.kind, place: placeOf(this.target), outcome: DoneOutcome[done.outcome].toLowerCase() })
+    if (this.isSent) this.trail.attempted(this.target!, done, this.began)
     this.resolve(this.trail.end(done))
   }
 }
--- a/src/shell/caller/connection.ts
+++ b/src/shell/caller/connection.ts
@@ -5,6 +5,7 @@
 import type { Instant } from '../../core/id/instant.ts'
 import { implicitCommit } from '../../core/request/implicitcommit.ts'
 import type { RequestSpec } from '../../core/request/spec.ts'
+import type { ReasonName } from '../../core/reasonname.ts'
 import { Hints } from '../../core/routing/hints.ts'
 import { statementKind } from '../../core/routing/statement.ts'
 import { Token } from '../../core/token.ts'
@@ -113,11 +114,21 @@
     const own = Hints.parse(sql)
     const once = own.over(this.hints).fields.once ?? ''
     const reason = inadmissible({ sql, isRead: kind === 'read', once, ownOnce: own.fields.once ?? '' }, this.transaction)
-    if (reason !== undefined) return answerCaller(refusal(0, reason), reply, this.transaction !== undefined)
+    if (reason !== undefined) return answerCaller(this.refuse({ sql, kind, once }, reason), reply, this.transaction !== undefined)
     const isKeyed = this.transaction === undefined && (kind === 'write' || kind === 'begin')
     await this.ask({ sql, kind, once: isKeyed ? once : '' }, reply, isBinary)
   }
 
+  /** What isn't admissible goes nowhere, and is on record like any other request. */
+  private refuse (asked: Asked, reason: ReasonName): Done {
+    const { context, identity } = this
+    const deadline = context.now()
+    const done = refusal(0, reason)
+    const trail = context.audit.begin({ ...asked, identity, hints: Hints.parse(asked.sql).over(this.hints), deadline })
+    trail.attempted({ kind: 'nowhere', reason }, done, deadline)
+    return trail.end(done)
+  }
+
   private async ask ({ sql, kind, once }: Asked, reply: Reply, isBinary: boolean): Promise<void> {
     const hints = Hints.parse(sql).over(this.hints)
     const { identity } = this
--- a/src/shell/endpoint/execution.ts
+++ b/src/shell/endpoint/execution.ts
@@ -208,6 +208,7 @@
           outcome: DoneOutcome.DONE,
           ...counts,
           status: this.status,
+          reason: action.isReplay === true ? 'alreadyDone' : '',
           term: token?.term ?? 0,
           position: token?.position ?? 0
         }))
--- a/test/audit.test.ts
+++ b/test/audit.test.ts
@@ -29,7 +29,7 @@
     await stage.stop()
   })
 
-  /** A session writes on one proxy and reads on the other; one statement is refused; then the store fails; then all end. */
+  /** A session writes on one proxy and reads on the other; a request under a key is sent on both; one statement is refused; then the store fails; then all end. */
   async function tellRequests (): Promise<void> {
     const [a, b] = await Promise.all([connect(0), connect(1)])
     await until(async () => await a.query('CREATE TABLE crimp (terminal TEXT PRIMARY KEY, passed INTEGER)').then(() => true, () => false))
@@ -38,6 +38,7 @@
       await pause(20)
       await b.query("SELECT * FROM crimp WHERE terminal = 'secret-terminal'")
     }
+    for (const one of [a, b]) await one.query("/* once=kit-17 */ INSERT INTO crimp VALUES ('secret-kit', 1)")
     refused = await refusedId(a)
     await until(async () => (await stage.cli('explain', refused)).code === 0)
     await stage.faults({ down: true })
@@ -90,11 +91,12 @@
 
   // An operator's regulator asks for proof long after the proxies are gone. Only the store is left;
   // the chains and the evidence in the records have to be enough.
-  it('shows read-your-writes from the records alone, with the chains closed', async () => {
-    const report = JSON.parse((await stage.cli('explain', '--verify', '--json')).stdout) as { kept: { readYourWrites: number }, problems: string[], notes: string[] }
+  it('shows read-your-writes and at most once from the records alone, with the chains closed', async () => {
+    const report = JSON.parse((await stage.cli('explain', '--verify', '--json')).stdout) as { kept: { readYourWrites: number, atMostOnce: number }, problems: string[], notes: string[] }
     expect(report.problems).toEqual([])
     expect(report.notes).toEqual([])
     expect(report.kept.readYourWrites).toBeGreaterThan(0)
+    expect(report.kept.atMostOnce).toBe(1)
   })
 
   // The store is down for longer than memory holds; an operator later asks for a request of that time.
