--- a/src/shell/caller/reads.test.ts
+++ b/src/shell/caller/reads.test.ts
@@ -35,7 +35,7 @@
 
   constructor (readonly isNamed: boolean, applied: number) {
     const config = parseConfig(1 as ConfigVersion, {
-      groups: [{ id: 'g', database: 'd', endpoints: IDS.map(id => ({ id, address: '127.0.0.1:1', dataCentre: 'dc' })) }],
+      groups: [{ id: 'g', database: 'd', endpoints: IDS.map((id, i) => ({ id, address: `127.0.0.1:${i + 1}`, dataCentre: 'dc' })) }],
       pools: [{ id: 'p', groups: ['g'], callers: [] }]
     })._unsafeUnwrap()
     const group = config.groups[0]!
--- a/src/shell/peer/link.ts
+++ b/src/shell/peer/link.ts
@@ -25,6 +25,9 @@
   readonly log: Log
   readonly onSample: (frame: Extract<Frame['body'], { case: 'sample' }>['value']) => void
   readonly onWrote: (frame: Extract<Frame['body'], { case: 'wrote' }>['value']) => void
+  readonly onLinked: () => void
+  /** A frame of the gossip of configurations. */
+  readonly onConfig: (body: Frame['body']) => void
 }
 
 type Sink = Parameters<SlotPort['run']>[1]
@@ -80,6 +83,10 @@
     this.send({ case: 'release', value: { $typeName: 'agatepond.peer.v1.Release', transaction } })
   }
 
+  tell (body: Frame['body']): void {
+    if (this.isUp) this.send(body)
+  }
+
   private send (body: Frame['body']): void {
     this.out?.push(create(FrameSchema, { body }))
   }
@@ -129,7 +136,10 @@
     switch (body.case) {
       case 'hello':
         this.isUp = true
-        return this.options.log.write('peerLinked', { peer: this.options.peer })
+        this.options.log.write('peerLinked', { peer: this.options.peer })
+        return this.options.onLinked()
+      case 'configDigest':
+      case 'configBody': return this.options.onConfig(body)
       case 'sample': return this.options.onSample(body.value)
       case 'wrote': return this.options.onWrote(body.value)
       case 'head': return this.asked.get(body.value.id)?.head(body.value.columns)
