--- a/src/core/audit/record.ts
+++ b/src/core/audit/record.ts
@@ -33,6 +33,8 @@
   outcome,
   /** The typed refusal; empty when there was none. */
   reason: z.string(),
+  /** The MySQL error that the endpoint or the proxy answered with. */
+  code: z.number().optional(),
   /** Where the write stands in the log; absent for reads. */
   token: token.optional(),
   evidence: evidence.optional()
--- a/src/core/audit/story.ts
+++ b/src/core/audit/story.ts
@@ -38,12 +38,13 @@
 }
 
 function tellAttempt (attempt: Attempt, number: number): string[] {
-  const { endpoint, access, transaction, startMs, tookMs, outcome, reason, token, evidence } = attempt
+  const { endpoint, access, transaction, startMs, tookMs, outcome, reason, code, token, evidence } = attempt
   const where = endpoint === '' ? 'found no endpoint to go to' : `went to ${endpoint} (${access}${transaction === undefined ? '' : ` ${transaction}`})`
   const why = reason in reasons ? `: ${reasons[reason as keyof typeof reasons].message}` : ''
+  const error = code === undefined ? '' : `, with error ${code}`
   const at = token === undefined ? '' : ` at ${token} (term:position)`
   return [
-    `Attempt ${number}, after ${round(startMs)} ms, ${where} and was ${WORDS[outcome]}${at} within ${round(tookMs)} ms${why}.`,
+    `Attempt ${number}, after ${round(startMs)} ms, ${where} and was ${WORDS[outcome]}${at} within ${round(tookMs)} ms${error}${why}.`,
     evidence === undefined ? 'No promise was checked for it on record.' : tellEvidence(evidence)
   ]
 }
--- a/src/core/burn/burn.test.ts
+++ b/src/core/burn/burn.test.ts
@@ -82,11 +82,11 @@
   const report = BurnReport.of(source, [tally, Tally.create(level('urgentInTime'), NOW, BurnReport.spanMs)])
 
   it('counts each window to the minute', () => {
-    expect(report.levels[0]!.windows.map(({ name, events, bad, dropped }) => ({ name, events, bad, dropped }))).toEqual([
-      { name: '5 min', events: 3, bad: 1, dropped: 0 },
-      { name: '1 h', events: 5, bad: 1, dropped: 0 },
-      { name: '6 h', events: 7, bad: 1, dropped: 5 },
-      { name: '3 d', events: 10, bad: 2, dropped: 5 }
+    expect(report.levels[0]!.windows.map(({ name, events, bad, dropped, isPartial }) => ({ name, events, bad, dropped, isPartial }))).toEqual([
+      { name: '5 min', events: 3, bad: 1, dropped: 0, isPartial: false },
+      { name: '1 h', events: 5, bad: 1, dropped: 0, isPartial: false },
+      { name: '6 h', events: 7, bad: 1, dropped: 5, isPartial: false },
+      { name: '3 d', events: 10, bad: 2, dropped: 5, isPartial: true }
     ])
     expect(report.levels[0]!.minutes.at(-1)).toBeCloseTo(100 / 3, 9)
     expect(report.levels[0]!.hours.filter(burn => burn !== null).length).toBe(5)
@@ -94,9 +94,10 @@
 
   it('prints where the figures come from, and "no data" for none', () => {
     const lines = burnTable(report, at => `T${(at - NOW) / MINUTE_MS}`).split('\n')
-    expect(lines.slice(0, 3)).toEqual([
+    expect(lines.slice(0, 4)).toEqual([
       'records from T-4319 to T0: 10 in 2 batches; 5 dropped by their processes',
       'only the newest 2 of 3 batches were read; see --most',
+      '* of this window only what came after T-4319 is known',
       'not counted: k: damaged'
     ])
     expect(lines.find(line => line.startsWith('urgentInTime'))).toMatch(/0 \|\s+0 \|\s+no data \|\s+no data$/)
--- a/src/core/burn/html.ts
+++ b/src/core/burn/html.ts
@@ -40,6 +40,7 @@
   const lines = [`<p>${period}, in ${batchesRead} batches.</p>`, '<p>A burn of 1 spends the error budget exactly over 3 days. Grey at the foot of a chart: no data.</p>']
   if (report.dropped > 0) lines.push(warning(`${report.dropped} records were dropped by their processes and are not counted.`))
   if (batchesRead < batchesThere) lines.push(warning(`Only the newest ${batchesRead} of ${batchesThere} batches were read.`))
+  if (oldest !== undefined) lines.push(`<p>* Of these windows only what came after ${dateOf(oldest)} is known.</p>`)
   return [...lines, ...unreadable.map(problem => warning(`Not counted: ${problem}`))]
 }
 
@@ -65,10 +66,10 @@
   ].join('\n')
 }
 
-function row ({ name, events, bad, burn, burnAtMost, left }: Window): string {
+function row ({ name, isPartial, events, bad, burn, burnAtMost, left }: Window): string {
   const mark = burn !== undefined && burn > 1 ? ' class="over"' : ''
   const most = burnAtMost === undefined ? '' : ` (at most ${burnAtMost.toFixed(2)})`
-  return `<tr><td>${name}</td><td>${events}</td><td>${bad}</td>` +
+  return `<tr><td>${name}${isPartial ? ' *' : ''}</td><td>${events}</td><td>${bad}</td>` +
     `<td${mark}>${burn === undefined ? 'no data' : burn.toFixed(2)}${most}</td>` +
     `<td${mark}>${left === undefined ? 'no data' : percent(left, 1)}</td></tr>`
 }
--- a/src/core/burn/report.ts
+++ b/src/core/burn/report.ts
@@ -29,7 +29,8 @@
 
 interface Level {
   readonly level: ServiceLevel
-  readonly windows: ReadonlyArray<Window & ReturnType<typeof budgetOf> & { readonly dropped: number }>
+  /** A window is partial when the records that were read begin within it: what came before isn't known. */
+  readonly windows: ReadonlyArray<Window & ReturnType<typeof budgetOf> & { readonly dropped: number, readonly isPartial: boolean }>
   /** Burn of each step, oldest first; null without data. */
   readonly hours: ReadonlyArray<number | null>
   readonly minutes: ReadonlyArray<number | null>
@@ -63,11 +64,12 @@
   }
 }
 
-function levelOf (tally: Tally, { now, gaps }: Source): Level {
+function levelOf (tally: Tally, { now, oldest, gaps }: Source): Level {
   const { level } = tally
   const windows = WINDOWS.map(window => {
     const dropped = gaps.filter(gap => gap.to > now - window.ms).reduce((sum, gap) => sum + gap.count, 0)
-    return { ...window, dropped, ...budgetOf(tally.window(window.ms), level.target, dropped) }
+    const isPartial = oldest === undefined || oldest > now - window.ms
+    return { ...window, isPartial, dropped, ...budgetOf(tally.window(window.ms), level.target, dropped) }
   })
   const burns = (stepMs: number, steps: number): ReadonlyArray<number | null> =>
     tally.series(stepMs, steps).map(count => budgetOf(count, level.target, 0).burn ?? null)
--- a/src/core/burn/table.ts
+++ b/src/core/burn/table.ts
@@ -17,10 +17,10 @@
 }
 
 function rowOf ({ level }: Level, window: Window, isFirst: boolean): string[] {
-  const { name, events, bad, burn, burnAtMost, left } = window
+  const { name, isPartial, events, bad, burn, burnAtMost, left } = window
   const most = burnAtMost === undefined ? '' : ` (at most ${burnAtMost.toFixed(2)})`
   return [
-    isFirst ? level.name : '', isFirst ? level.pool : '', isFirst ? percent(level.target) : '', name,
+    isFirst ? level.name : '', isFirst ? level.pool : '', isFirst ? percent(level.target) : '', isPartial ? `${name} *` : name,
     String(events), String(bad),
     (burn === undefined ? 'no data' : burn.toFixed(2)) + most,
     left === undefined ? 'no data' : percent(left, 1)
@@ -33,6 +33,7 @@
   const period = oldest === undefined ? 'no records' : `records from ${dateOf(oldest)} to ${dateOf(now)}`
   const lines = [`${period}: ${records} in ${batchesRead} batches; ${report.dropped} dropped by their processes`]
   if (batchesRead < batchesThere) lines.push(`only the newest ${batchesRead} of ${batchesThere} batches were read; see --most`)
+  if (oldest !== undefined) lines.push(`* of this window only what came after ${dateOf(oldest)} is known`)
   return [...lines, ...unreadable.map(problem => `not counted: ${problem}`)]
 }
 
--- a/src/shell/audit/trail.ts
+++ b/src/shell/audit/trail.ts
@@ -57,6 +57,7 @@
       tookMs: tenths(this.options.now() - began),
       outcome: OUTCOME[done.outcome],
       reason: done.reason,
+      code: done.code === 0 ? undefined : done.code,
       token: tokenOf(done),
       evidence: evidenceOf(target, done)
     })
--- a/test/audit.test.ts
+++ b/test/audit.test.ts
@@ -139,7 +139,7 @@
     const page = join(tmpdir(), `agatepond-burn-${process.pid}.html`)
     const told = await stage.cli('burn', '--html', page)
     expect(told.code).toBe(0)
-    expect(told.stdout).toMatch(/^staleness +\| main \| 99.9% +\| 5 min +\| +[1-9]\d* \| +0 \| +0.00 \(at most [\d.]+\) \| +100%$/m)
+    expect(told.stdout).toMatch(/^staleness +\| main \| 99.9% +\| 5 min \* +\| +[1-9]\d* \| +0 \| +0.00 \(at most [\d.]+\) \| +100%$/m)
     expect(told.stdout).toMatch(/^urgent .* no data \(at most [\d.]+\) \| +no data$/m)
     expect(readFileSync(page, 'utf8')).toContain('</svg>')
     rmSync(page)
