--- a/src/core/audit/batcher.test.ts
+++ b/src/core/audit/batcher.test.ts
@@ -60,6 +60,16 @@
     expect(it.add(record(4), 0)?.fields).toMatchObject({ first: 4, last: 9, sequence: 1 })
   })
 
+  // The host's clock is set back by an hour between a request and its batch. The id has the later time,
+  // and explain looks for batches that were cut after it: the batch would never be found.
+  it('cuts no batch before its records or the batch before', () => {
+    const it = batcher()
+    it.add(record(1, 5000), 5000)
+    expect(it.add(record(2, 1400), 1400)?.fields.cutAt).toBe(5000)
+    it.add(record(3, 1500), 1500)
+    expect(it.close(1600).fields.cutAt).toBe(5000)
+  })
+
   // An outage of the store: an operator asks later for a request of that time and finds nothing.
   // Memory is bounded, so records are dropped; the next batch has to say how many and of when.
   it('counts what it drops in an outage and says so in the next batch', () => {
--- a/src/core/audit/batcher.ts
+++ b/src/core/audit/batcher.ts
@@ -43,6 +43,7 @@
   private sequence = 0
   private first = 0
   private last = 0
+  private newest = 0
   private openBytes = 0
   private cutBytes = 0
   private gap: Gap | undefined
@@ -80,6 +81,7 @@
     const { count } = AuditId.parse(record.fields.id)!
     this.first = this.first === 0 ? count : Math.min(this.first, count)
     this.last = Math.max(this.last, count)
+    this.newest = Math.max(this.newest, record.fields.at)
     return this.isFull ? this.cut(now) : undefined
   }
 
@@ -136,7 +138,9 @@
     const { host, incarnation } = this.options
     const { previous, lines, first, last } = this
     const hash = this.chain.last
-    const batch = Batch.of({ host, incarnation, sequence: ++this.sequence, cutAt: now, first, last, previous, lines, hash })
+    // Against a clock that was set back: a batch is looked for after its records and after the batch before.
+    const cutAt = this.newest = Math.max(now, this.newest)
+    const batch = Batch.of({ host, incarnation, sequence: ++this.sequence, cutAt, first, last, previous, lines, hash })
     this.previous = hash
     this.lines = []
     this.first = 0
