burn reads the batches of an hour that is over once

Cause: 7 hosts with a batch each 5 s make 362,880 batches in 3 days, so each report would read them all or not see the whole period. Change: counts by minute are a value (Counts) that is kept in the bucket for each hour that is over, under a hash of the levels; the batches stay the source. An hour is counted anew when it has another number of batches than was counted. Tally sums kept and new counts, by whole minutes of the clock.

Ruled out: sampling batches (windows would be estimates), counters in the processes (lost with them; levels change).

--- a/src/cli/auditreader.ts
+++ b/src/cli/auditreader.ts
@@ -1,10 +1,12 @@
-/** The reader of audit records in the store that a settings file names. */
+/** The object store that a settings file names, and the reader of its audit records. */
 
 import { AuditReader } from '../shell/audit/reader.ts'
+import type { ObjectStore } from '../shell/platform/objectstore.ts'
 import { S3Store } from '../shell/platform/s3store.ts'
 import type { settingsOf } from './settingsof.ts'
 
-export function openAuditReader ({ platform }: ReturnType<typeof settingsOf>): AuditReader {
+export function openAuditReader ({ platform }: ReturnType<typeof settingsOf>): { readonly store: ObjectStore, readonly reader: AuditReader } {
   const { objectStore: url, bucket, region, timeout: timeoutMs } = platform
-  return AuditReader.of(S3Store.open({ url, bucket, region, timeoutMs }, new AbortController().signal))
+  const store = S3Store.open({ url, bucket, region, timeoutMs }, new AbortController().signal)
+  return { store, reader: AuditReader.of(store) }
 }
--- a/src/cli/burn.ts
+++ b/src/cli/burn.ts
@@ -37,7 +37,7 @@
     const settings = settingsOf(file)
     const levels = await levelsInForce(openConfigStore(settings))
     if (levels.length === 0) stop('the configuration has no service levels; patch its section serviceLevels', exit.refused)
-    const report = await reading(async () => await measureBurn(openAuditReader(settings), levels, Date.now(), most))
+    const report = await reading(async () => await measureBurn({ ...openAuditReader(settings), levels, now: Date.now(), most }))
     if (html !== undefined) writeFileSync(html, burnPage(report, dateOf))
     process.stdout.write(json ? `${JSON.stringify({ ...report.source, levels: report.levels })}\n` : `${burnTable(report, dateOf)}\n`)
     if (report.source.unreadable.length > 0) stop('some batches could not be read, so the figures miss them; see agatepond explain --verify', exit.refused)
--- a/src/cli/explain.ts
+++ b/src/cli/explain.ts
@@ -39,7 +39,7 @@
     json: options.json
   },
   handler: async ({ settings, id, verify, ...choice }) => {
-    const reader = openAuditReader(settingsOf(settings))
+    const { reader } = openAuditReader(settingsOf(settings))
     if (id !== undefined) return await explainOne(reader, id, choice.json)
     if (verify) return await verifyAll(reader, choice)
     await listAll(reader, choice)
--- a/src/core/burn/burn.test.ts
+++ b/src/core/burn/burn.test.ts
@@ -4,6 +4,7 @@
 import type { PoolId } from '../id/pool.ts'
 import { budgetOf } from './budget.ts'
 import { judge } from './judge.ts'
+import { Counts } from './counts.ts'
 import { BurnReport } from './report.ts'
 import type { ServiceLevel } from './servicelevel.ts'
 import { burnTable } from './table.ts'
@@ -74,12 +75,16 @@
 })
 
 describe('BurnReport', () => {
-  const tally = Tally.create(level('writesSucceed'), NOW, BurnReport.spanMs)
-  const minutesAgo = (minutes: number, outcome: 'done' | 'notRun'): void => tally.add(record({ at: NOW - minutes * MINUTE_MS, outcome }))
-  for (const minutes of [0, 4, 5, 59, 61, 359, 361, 4319]) minutesAgo(minutes, 'done')
-  for (const minutes of [1, 400, 4320, -1]) minutesAgo(minutes, 'notRun')
-  const source = { now: NOW, oldest: NOW - 4319 * MINUTE_MS, records: 10, batchesRead: 2, batchesThere: 3, unreadable: ['k: damaged'], gaps: [{ count: 5, from: NOW - 90 * MINUTE_MS, to: NOW - 80 * MINUTE_MS }] }
-  const report = BurnReport.of(source, [tally, Tally.create(level('urgentInTime'), NOW, BurnReport.spanMs)])
+  const levels = [level('writesSucceed'), level('urgentInTime')]
+  const counts = Counts.create(levels)
+  const minutesAgo = (minutes: number, outcome: 'done' | 'notRun'): AuditRecord => record({ at: NOW - minutes * MINUTE_MS, outcome })
+  counts.add([0, 4, 5, 59, 61, 359, 361, 4319].map(minutes => minutesAgo(minutes, 'done')), [])
+  counts.add([1, 400, 4320, -1].map(minutes => minutesAgo(minutes, 'notRun')), [])
+  const [tally, empty] = levels.map(one => Tally.create(one, NOW, BurnReport.spanMs)) as [Tally, Tally]
+  tally.take(counts.minutesOf(0))
+  empty.take(counts.minutesOf(1))
+  const source = { now: NOW, oldest: NOW - 4319 * MINUTE_MS, records: 10, batchesRead: 2, batchesThere: 4, unreadable: ['k: damaged'], gaps: [{ count: 5, from: NOW - 90 * MINUTE_MS, to: NOW - 80 * MINUTE_MS }] }
+  const report = BurnReport.of(source, [tally, empty])
 
   it('counts each window to the minute', () => {
     expect(report.levels[0]!.windows.map(({ name, events, bad, dropped, isPartial }) => ({ name, events, bad, dropped, isPartial }))).toEqual([
@@ -92,11 +97,19 @@
     expect(report.levels[0]!.hours.filter(burn => burn !== null).length).toBe(5)
   })
 
+  it('counts the same from what was kept', () => {
+    const again = Counts.parse(levels, JSON.stringify(counts))!
+    expect([again.batches, again.records, again.oldest]).toEqual([2, 12, NOW - 4320 * MINUTE_MS])
+    expect([...again.minutesOf(0)]).toEqual([...counts.minutesOf(0)])
+    expect(Counts.parse([levels[0]!], JSON.stringify(counts))).toBeUndefined()
+    expect(Counts.parse(levels, '{"batches":')).toBeUndefined()
+  })
+
   it('prints where the figures come from, and "no data" for none', () => {
     const lines = burnTable(report, at => `T${(at - NOW) / MINUTE_MS}`).split('\n')
     expect(lines.slice(0, 4)).toEqual([
       'records from T-4319 to T0: 10 in 2 batches; 5 dropped by their processes',
-      'only the newest 2 of 3 batches were read; see --most',
+      'only 2 of 4 batches were counted; run it again, or see --most',
       '* of this window only what came after T-4319 is known',
       'not counted: k: damaged'
     ])
--- a/src/core/burn/html.ts
+++ b/src/core/burn/html.ts
@@ -39,7 +39,7 @@
   const period = oldest === undefined ? `No records up to ${dateOf(now)}` : `From ${records} audit records between ${dateOf(oldest)} and ${dateOf(now)} (UTC)`
   const lines = [`<p>${period}, in ${batchesRead} batches.</p>`, '<p>A burn of 1 spends the error budget exactly over 3 days. Grey at the foot of a chart: no data.</p>']
   if (report.dropped > 0) lines.push(warning(`${report.dropped} records were dropped by their processes and are not counted.`))
-  if (batchesRead < batchesThere) lines.push(warning(`Only the newest ${batchesRead} of ${batchesThere} batches were read.`))
+  if (batchesRead + unreadable.length < batchesThere) lines.push(warning(`Only ${batchesRead} of ${batchesThere} batches were counted.`))
   if (oldest !== undefined) lines.push(`<p>* Of these windows only what came after ${dateOf(oldest)} is known.</p>`)
   return [...lines, ...unreadable.map(problem => warning(`Not counted: ${problem}`))]
 }
--- a/src/core/burn/report.ts
+++ b/src/core/burn/report.ts
@@ -20,6 +20,7 @@
   /** The arrival of the oldest record that was read; absent when none was. */
   readonly oldest?: number
   readonly records: number
+  /** Counted now or before. */
   readonly batchesRead: number
   readonly batchesThere: number
   /** Batches that couldn't be read, a line each. */
--- a/src/core/burn/table.ts
+++ b/src/core/burn/table.ts
@@ -32,7 +32,7 @@
   const { now, oldest, records, batchesRead, batchesThere, unreadable } = report.source
   const period = oldest === undefined ? 'no records' : `records from ${dateOf(oldest)} to ${dateOf(now)}`
   const lines = [`${period}: ${records} in ${batchesRead} batches; ${report.dropped} dropped by their processes`]
-  if (batchesRead < batchesThere) lines.push(`only the newest ${batchesRead} of ${batchesThere} batches were read; see --most`)
+  if (batchesRead + unreadable.length < batchesThere) lines.push(`only ${batchesRead} of ${batchesThere} batches were counted; run it again, or see --most`)
   if (oldest !== undefined) lines.push(`* of this window only what came after ${dateOf(oldest)} is known`)
   return [...lines, ...unreadable.map(problem => `not counted: ${problem}`)]
 }
--- a/src/core/burn/tally.ts
+++ b/src/core/burn/tally.ts
@@ -1,8 +1,6 @@
 /** Counts of one service level by minute, back from the time of the report. */
 
 import type { ServiceLevel } from './servicelevel.ts'
-import { judge } from './judge.ts'
-import type { AuditRecord } from '../audit/record.ts'
 
 interface Count {
   readonly events: number
@@ -11,32 +9,32 @@
 
 const MINUTE_MS = 60_000
 
-/** Changes in place: it takes in millions of records. */
+/** Changes in place, like the counts that it sums up. The minute of the report, which isn't over, is its first. */
 export class Tally {
   private readonly events: Uint32Array
   private readonly bad: Uint32Array
 
-  private constructor (readonly level: ServiceLevel, private readonly now: number, minutes: number) {
+  private constructor (readonly level: ServiceLevel, private readonly newest: number, minutes: number) {
     this.events = new Uint32Array(minutes)
     this.bad = new Uint32Array(minutes)
   }
 
   /** For the last `spanMs` before `now`. */
   static create (level: ServiceLevel, now: number, spanMs: number): Tally {
-    return new Tally(level, now, Math.ceil(spanMs / MINUTE_MS))
+    return new Tally(level, Math.floor(now / MINUTE_MS), Math.ceil(spanMs / MINUTE_MS))
   }
 
-  /** Counts the record by its arrival; one outside of the span is passed over. */
-  add (record: AuditRecord): void {
-    const minute = Math.floor((this.now - record.fields.at) / MINUTE_MS)
-    if (minute < 0 || minute >= this.events.length) return
-    const verdict = judge(this.level, record)
-    if (verdict === undefined) return
-    this.events[minute]!++
-    if (verdict === 'bad') this.bad[minute]!++
+  /** Takes in minutes since 1970 with their requests and the bad ones; what is outside of the span is passed over. */
+  take (minutes: Iterable<readonly [number, number, number]>): void {
+    for (const [minute, events, bad] of minutes) {
+      const ago = this.newest - minute
+      if (ago < 0 || ago >= this.events.length) continue
+      this.events[ago]! += events
+      this.bad[ago]! += bad
+    }
   }
 
-  /** The last `ms` before the report. */
+  /** The last `ms` before the report, in whole minutes. */
   window (ms: number): Count {
     return this.between(0, ms)
   }
