Audit records wait compressed while the store is down

Cause: cut batches waited as text, ten times their size in the store, so an outage of a minute at 500 requests a second filled the default buffer (533 characters each: 267 KB a second against 16 MB). Change: a batch is compressed when it's cut, and counts with what it then takes (Batcher.holds in place of stored); the gauge is agatepond_audit_waiting_bytes. 40 tests of src/core/audit and 7 of test/audit.test.ts passed.

--- a/bench/audit.ts
+++ b/bench/audit.ts
@@ -51,7 +51,7 @@
     const batch = batcher.add(record(i), i)
     if (batch === undefined) continue
     texts.push(batch.text)
-    batcher.stored(batch)
+    batcher.holds(batch.fields.sequence, 0)
   }
   const recorded = process.cpuUsage(began)
   const bodies = texts.map(text => gzipSync(text))
--- a/src/core/audit/batcher.ts
+++ b/src/core/audit/batcher.ts
@@ -17,7 +17,7 @@
   readonly bytes: number
   /** or when its first entry is so old. */
   readonly ageMs: number
-  /** Characters of text that may wait in memory, cut or not. */
+  /** Characters of the open batch and bytes of cut ones that may wait in memory. */
   readonly bufferBytes: number
 }
 
@@ -45,6 +45,8 @@
   private last = 0
   private newest = 0
   private openBytes = 0
+  /** What each cut batch takes, until the store has it. */
+  private readonly cut = new Map<number, number>()
   private cutBytes = 0
   private gap: Gap | undefined
   private total = 0
@@ -64,7 +66,7 @@
     return this.total
   }
 
-  /** Characters of text that wait in memory. */
+  /** Characters of the open batch and bytes of the cut ones. */
   get waiting (): number {
     return this.openBytes + this.cutBytes
   }
@@ -82,7 +84,7 @@
     this.first = this.first === 0 ? count : Math.min(this.first, count)
     this.last = Math.max(this.last, count)
     this.newest = Math.max(this.newest, record.fields.at)
-    return this.isFull ? this.cut(now) : undefined
+    return this.isFull ? this.cutOpen(now) : undefined
   }
 
   /** Yields the open batch when it's old enough. A clock that was set back counts as old enough. */
@@ -91,19 +93,21 @@
     if (this.waiting < bufferBytes / 2) this.closeGap(now)
     const age = now - this.openedAt
     const isDue = this.lines.length > 0 && (age >= ageMs || age < 0)
-    return isDue ? this.cut(now) : undefined
+    return isDue ? this.cutOpen(now) : undefined
   }
 
   /** The last batch of the process; its last entry says that nothing follows. */
   close (now: number): Batch {
     this.closeGap(now)
     this.append('"closed":true', now)
-    return this.cut(now)
+    return this.cutOpen(now)
   }
 
-  /** The store has the batch: its room is free again. */
-  stored (batch: Batch): void {
-    this.cutBytes -= sizeOf(batch.fields.lines)
+  /** A cut batch now takes so many bytes: less when it's compressed, 0 when the store has it. */
+  holds (sequence: number, bytes: number): void {
+    this.cutBytes += bytes - (this.cut.get(sequence) ?? 0)
+    if (bytes === 0) this.cut.delete(sequence)
+    else this.cut.set(sequence, bytes)
   }
 
   private get isFull (): boolean {
@@ -134,7 +138,7 @@
     this.openBytes += line.length
   }
 
-  private cut (now: number): Batch {
+  private cutOpen (now: number): Batch {
     const { host, incarnation } = this.options
     const { previous, lines, first, last } = this
     const hash = this.chain.last
@@ -145,12 +149,8 @@
     this.lines = []
     this.first = 0
     this.last = 0
-    this.cutBytes += this.openBytes
+    this.holds(this.sequence, this.openBytes)
     this.openBytes = 0
     return batch
   }
 }
-
-function sizeOf (lines: readonly string[]): number {
-  return lines.reduce((sum, line) => sum + line.length, 0)
-}
--- a/src/shell/audit/recorder.ts
+++ b/src/shell/audit/recorder.ts
@@ -31,6 +31,15 @@
   readonly metrics: Metrics
 }
 
+/** A cut batch, compressed: an outage of the store then fits into a tenth of the memory. */
+interface Packed {
+  readonly key: string
+  readonly sequence: number
+  readonly entries: number
+  readonly hash: string
+  readonly body: Buffer
+}
+
 const TICKS_PER_AGE = 4
 const RETRY_MS = 500
 const compress = promisify(gzip)
@@ -38,7 +47,8 @@
 /** Audits all requests until the signal is aborted. */
 export class Recorder implements Audit {
   private readonly batcher: Batcher
-  private readonly queue: Batch[] = []
+  private readonly queue: Packed[] = []
+  private packing: Promise<void> = Promise.resolve()
   private storing: Promise<void> | undefined
   private count = 0
   private reported = 0
@@ -86,8 +96,9 @@
     if (this.isClosed) return
     this.isClosed = true
     this.enqueue(this.batcher.close(Date.now()))
-    await Promise.race([this.storing, pause(ms)])
-    const lost = this.queue.reduce((sum, batch) => sum + batch.fields.lines.length, 0)
+    const all = this.packing.then(async () => await this.storing)
+    await Promise.race([all, pause(ms)])
+    const lost = this.queue.reduce((sum, batch) => sum + batch.entries, 0)
     if (lost === 0) return
     this.options.metrics.auditDropped.inc(lost)
     this.options.log.write('recordsLost', { count: lost })
@@ -111,13 +122,16 @@
     log.write('recordsDropped', { count })
   }
 
+  /** Batches are packed and stored one after the other, so that one is in the store before the one that names it as previous. */
   private enqueue (batch: Batch | undefined): void {
     if (batch === undefined) return
-    this.queue.push(batch)
-    this.storing ??= this.storeAll().finally(() => { this.storing = undefined })
+    this.packing = this.packing.then(async () => {
+      this.queue.push(await pack(batch))
+      this.batcher.holds(batch.fields.sequence, this.queue.at(-1)!.body.length)
+      this.storing ??= this.storeAll().finally(() => { this.storing = undefined })
+    })
   }
 
-  /** One batch after the other, so that a batch is in the store before the one that names it as previous. */
   private async storeAll (): Promise<void> {
     while (this.queue.length > 0 && !this.signal.aborted) {
       if (await this.store(this.queue[0]!)) this.queue.shift()
@@ -126,16 +140,14 @@
   }
 
   /** A put whose answer was lost is repeated: the same bytes under the same key. */
-  private async store (batch: Batch): Promise<boolean> {
+  private async store ({ key, sequence, entries, hash, body }: Packed): Promise<boolean> {
     const { store, log, metrics } = this.options
     try {
-      const body = await compress(batch.text)
-      const key = BatchKey.of(batch).text
       await store.put(key, body)
-      this.batcher.stored(batch)
+      this.batcher.holds(sequence, 0)
       metrics.auditBatches.inc()
       metrics.auditBytes.inc(body.length)
-      log.write('batchStored', { key, entries: batch.fields.lines.length, bytes: body.length, hash: batch.fields.hash })
+      log.write('batchStored', { key, entries, bytes: body.length, hash })
       this.isFailing = false
       return true
     } catch (err) {
@@ -146,6 +158,11 @@
   }
 }
 
+async function pack (batch: Batch): Promise<Packed> {
+  const { sequence, lines, hash } = batch.fields
+  return { key: BatchKey.of(batch).text, sequence, entries: lines.length, hash, body: await compress(batch.text) }
+}
+
 function textOf (freshness: ReturnType<typeof freshnessOf>): string {
   return freshness.kind === 'age' ? `${freshness.ms}ms` : freshness.kind
 }
--- a/src/shell/metrics/metrics.ts
+++ b/src/shell/metrics/metrics.ts
@@ -17,7 +17,7 @@
   readonly auditDropped = new Counter({ name: 'agatepond_audit_dropped_total', help: 'Audit records dropped or lost', registers: [this.registry] })
   readonly auditBatches = new Counter({ name: 'agatepond_audit_batches_total', help: 'Batches of audit records stored', registers: [this.registry] })
   readonly auditBytes = new Counter({ name: 'agatepond_audit_bytes_total', help: 'Compressed bytes of stored batches', registers: [this.registry] })
-  readonly auditWaiting = new Gauge({ name: 'agatepond_audit_waiting_characters', help: 'Characters of audit records that wait in memory', registers: [this.registry] })
+  readonly auditWaiting = new Gauge({ name: 'agatepond_audit_waiting_bytes', help: 'Audit records that wait in memory: characters of the open batch, bytes of the cut ones', registers: [this.registry] })
 
   private constructor () {
     collectDefaultMetrics({ register: this.registry })
--- a/test/audit.test.ts
+++ b/test/audit.test.ts
@@ -47,7 +47,7 @@
       return await metric('agatepond_audit_dropped_total') > 0
     })
     await stage.faults({ down: false })
-    await until(async () => await metric('agatepond_audit_waiting_characters') === 0)
+    await until(async () => await metric('agatepond_audit_waiting_bytes') === 0)
     a.destroy()
     b.destroy()
     await Promise.all(stage.proxies.map(async proxy => await proxy.child!.end('SIGTERM')))
