--- a/bench/control.ts
+++ b/bench/control.ts
@@ -18,6 +18,7 @@
 import { Session } from '../src/core/session/session.ts'
 import { Sessions } from '../src/core/session/sessions.ts'
 import { Token } from '../src/core/token.ts'
+import { paceOf } from '../src/shell/endpoint/paceof.ts'
 import { sampleFrame } from '../src/shell/peer/frames.ts'
 import type { Benchmark } from './benchmark.ts'
 
@@ -55,7 +56,7 @@
 }
 
 function monitorMicros (count: number): number {
-  let monitor = Monitor.create(Group.of('shop' as GroupId, ENDPOINTS), 0, PACE)
+  let monitor = Monitor.create(Group.of('shop' as GroupId, ENDPOINTS), ENDPOINTS[0]!, 0, paceOf({ pace: PACE, probeMs: 100 }), 0 as Instant)
   return micros(count, i => {
     monitor = monitor.step({ kind: 'sampled', sample: sampleOf(i) }, i as Instant, 0.5).monitor
   })
--- a/demo/main.ts
+++ b/demo/main.ts
@@ -35,7 +35,7 @@
   await settle()
   const [a, b] = await Promise.all([connect(0), connect(1)])
   await step('proxy A: create a table', async () => {
-    await a.query('CREATE TABLE crimp (terminal TEXT PRIMARY KEY, passed INTEGER)')
+    await a.query('/* class=urgent */ CREATE TABLE crimp (terminal TEXT PRIMARY KEY, passed INTEGER)')
     return 'acknowledged'
   })
   await step('proxy A: write a crimp result', async () => {
--- a/scenarios/world/owner.ts
+++ b/scenarios/world/owner.ts
@@ -3,7 +3,6 @@
 import type { FailoverAction } from '../../src/core/failover/action.ts'
 import type { FailoverEvent } from '../../src/core/failover/event.ts'
 import { Monitor } from '../../src/core/failover/monitor.ts'
-import type { Pace } from '../../src/core/failover/pace.ts'
 import type { Group } from '../../src/core/group/group.ts'
 import type { Sample } from '../../src/core/group/sample.ts'
 import type { EndpointId } from '../../src/core/id/endpoint.ts'
@@ -11,6 +10,7 @@
 import type { TransactionId } from '../../src/core/id/transaction.ts'
 import { Execution } from '../../src/shell/endpoint/execution.ts'
 import type { Slot as RealSlot } from '../../src/shell/endpoint/slot.ts'
+import { paceOf } from '../../src/shell/endpoint/paceof.ts'
 import { Transactions } from '../../src/shell/endpoint/transactions.ts'
 import type { SlotPort } from '../../src/shell/peer/port.ts'
 import { Control } from './control.ts'
@@ -26,7 +26,7 @@
   readonly group: Group
   readonly connections: number
   readonly rank: number
-  readonly pace: Pace
+  readonly pace: Parameters<typeof paceOf>[0]['pace']
   readonly probeMs: number
   readonly probeTimeoutMs: number
   /** Asks the owner of another endpoint's slot. */
@@ -55,7 +55,7 @@
     this.transactions = Transactions.create(this.slot as unknown as RealSlot)
     this.probe = Control.create(process, endpoint)
     this.waits = Control.create(process, endpoint)
-    this.monitor = Monitor.create(options.group, options.rank, options.pace)
+    this.monitor = Monitor.create(options.group, endpoint.id, options.rank, paceOf(options), process.now())
   }
 
   static start (options: Options): Owner {
@@ -99,9 +99,8 @@
   }
 
   learn (sample: Sample): void {
-    const known = this.monitor.group.sample(sample.endpoint)
-    if (sample.endpoint === this.endpoint || known === undefined || known.term > sample.term) return
-    this.hear({ kind: 'sampled', sample })
+    if (sample === this.monitor.group.sample(sample.endpoint)) return
+    this.hear({ kind: 'learnt', sample })
   }
 
   private async confirmElsewhere (token: Token, ms: number): Promise<boolean> {
@@ -136,6 +135,7 @@
     if (this.isOver) return
     if (sample === undefined) {
       this.hear({ kind: 'missed', endpoint: this.endpoint })
+      if (this.monitor.isReached(this.endpoint, this.options.process.now())) return
       return onSample(this.monitor.group.sample(this.endpoint)!.with({ reachable: false }))
     }
     const fresh = sample.with({ queued: this.slot.queued })
@@ -165,30 +165,48 @@
   }
 
   private async order (action: Exclude<FailoverAction, { kind: 'record' }>): Promise<void> {
-    const { endpoints, process, pace } = this.options
-    const { endpoint, term } = action
-    const control = Control.create(process, endpoints.get(endpoint)!)
-    const proposer = `${process.node.id}/${process.incarnation}`
+    const { endpoints, process } = this.options
+    const control = Control.create(process, endpoints.get(action.endpoint)!)
     try {
-      switch (action.kind) {
-        case 'seal': {
-          const sample = await control.ask(pace.roundMs, at => at.seal(term, proposer))
-          return this.hear({ kind: 'sealed', term, sample })
-        }
-        case 'promote': {
-          const sample = await control.ask(pace.roundMs, at => at.promote(term, proposer))
-          this.hear({ kind: 'sampled', sample })
-          return this.hear({ kind: 'promoted', endpoint, term })
-        }
-        case 'follow': {
-          const primary = endpoints.get(action.primary)!
-          await control.ask(pace.roundMs, at => at.follow(primary, term))
-        }
-      }
+      const event = await this.ask(control, action)
+      if (event.kind === 'sampled' && action.kind === 'follow') this.options.onSample(event.sample)
+      this.hear(event)
     } catch (err) {
-      this.hear({ kind: err instanceof LinkError ? 'failed' : 'refused', endpoint, term })
+      this.hear(failureOf(action, err))
     } finally {
       control.close()
     }
   }
+
+  /** Mirrors src/shell/endpoint/verbs.ts, over fake connections. */
+  private async ask (control: Control, action: Exclude<FailoverAction, { kind: 'record' }>): Promise<FailoverEvent> {
+    const { endpoints, pace, probeTimeoutMs } = this.options
+    switch (action.kind) {
+      case 'probe': return { kind: 'sampled', sample: await control.ask(probeTimeoutMs, at => at.status()) }
+      case 'seal': {
+        const sample = await control.ask(pace.roundMs, at => at.seal(action.term, this.proposer))
+        return { kind: 'sealed', term: action.term, sample }
+      }
+      case 'promote': {
+        const sample = await control.ask(pace.roundMs, at => at.promote(action.term, this.proposer))
+        return { kind: 'promoted', term: action.term, sample }
+      }
+      case 'follow': {
+        const primary = endpoints.get(action.primary)!
+        return { kind: 'sampled', sample: await control.ask(pace.roundMs, at => at.follow(primary, action.term)) }
+      }
+    }
+  }
+
+  /** Each slot is a proposer of its own, see SlotOwner. */
+  private get proposer (): string {
+    const { process } = this.options
+    return `${process.node.id}/${process.incarnation}/${this.endpoint}`
+  }
+}
+
+function failureOf (action: Exclude<FailoverAction, { kind: 'record' }>, err: unknown): FailoverEvent {
+  const { endpoint } = action
+  if (action.kind === 'probe') return { kind: 'missed', endpoint }
+  return { kind: err instanceof LinkError ? 'failed' : 'refused', endpoint, term: action.term }
 }
--- /dev/null
+++ b/src/core/group/group.test.ts
@@ -0,0 +1,29 @@
+import { describe, expect, it } from 'vitest'
+import type { EndpointId } from '../id/endpoint.ts'
+import type { GroupId } from '../id/group.ts'
+import type { Term } from '../id/term.ts'
+import { Group } from './group.ts'
+import { Sample } from './sample.ts'
+
+type Role = Sample['role']
+
+const group = (...roles: readonly Role[]): Group => {
+  const ids = ['e1', 'e2', 'e3'] as EndpointId[]
+  return roles.reduce(
+    (known, role, i) => known.with(Sample.unknown(ids[i]!).with({ role, term: 1 as Term, reachable: true })),
+    Group.of('g' as GroupId, ids))
+}
+
+// A caller's first write to a proxy that has just started is told "no primary
+// at the moment". The replicas' samples came first; the primary's was on its way.
+describe('a group is heard', () => {
+  it.each([
+    [[], false],
+    [['replica'], false],
+    [['replica', 'replica'], false],
+    [['primary'], true],
+    [['replica', 'sealed', 'sealed'], true]
+  ] as const)('with samples of %j: %s', (roles, isHeard) => {
+    expect(group(...roles).isHeard).toBe(isHeard)
+  })
+})
--- a/src/core/group/group.ts
+++ b/src/core/group/group.ts
@@ -20,6 +20,14 @@
     return Math.max(0, ...this.samples.map(sample => sample.term)) as Term
   }
 
+  /**
+   * Whether enough was heard to tell a group without a primary from one whose
+   * primary's first sample is still on its way: a primary, or all endpoints.
+   */
+  get isHeard (): boolean {
+    return this.samples.some(sample => sample.role === 'primary') || this.samples.every(sample => sample.term > 0)
+  }
+
   /** How many endpoints are more than half of the group. */
   get majority (): number {
     return Math.floor(this.samples.length / 2) + 1
@@ -35,6 +43,13 @@
     return this.samples.find(sample => sample.role === 'primary' && sample.term === term && sample.reachable)
   }
 
+  /** The endpoint that was last known to be primary in the highest term that had one, reachable or not. */
+  get leader (): Sample | undefined {
+    return this.samples
+      .filter(sample => sample.role === 'primary')
+      .reduce<Sample | undefined>((best, sample) => best === undefined || sample.term > best.term ? sample : best, undefined)
+  }
+
   /** The longest known list of term starts. */
   get history (): History {
     return this.samples.reduce(
--- a/src/shell/caller/connection.ts
+++ b/src/shell/caller/connection.ts
@@ -167,7 +167,9 @@
     const { transaction } = this
     if (transaction !== undefined) return transaction.target(accessInTransaction(kind))
     if (kind === 'read') return await this.reads.route(this.identity, hints, ms, avoid)
-    const primary = this.context.groups.get(this.identity.group.id)?.primary
+    const group = this.context.groups.get(this.identity.group.id)
+    if (group?.isHeard !== true) return { kind: 'nowhere', reason: 'notHeard' }
+    const { primary } = group
     if (primary === undefined) return { kind: 'nowhere', reason: 'noPrimary' }
     const { endpoint } = primary
     if (kind !== 'begin') return { kind: 'endpoint', endpoint, access: RunAccess.WRITE, transaction: '' }
--- a/src/shell/caller/reads.ts
+++ b/src/shell/caller/reads.ts
@@ -78,7 +78,7 @@
     const { groups, now } = this.context
     for (let isRefreshed = read.bound !== undefined; ;) {
       const known = groups.get(read.group)
-      if (known === undefined) return { kind: 'nowhere', reason: 'noPrimary' }
+      if (known?.isHeard !== true) return { kind: 'nowhere', reason: 'notHeard' }
       const group = read.avoid.reduce(withoutReplica, known)
       const writes = groups.writes(read.group)
       const token = requiredToken({ ...read, group, writes, session: fingerprint(read.session) })
--- a/src/shell/endpoint/owner.ts
+++ b/src/shell/endpoint/owner.ts
@@ -5,7 +5,6 @@
 import type { FailoverAction } from '../../core/failover/action.ts'
 import type { FailoverEvent } from '../../core/failover/event.ts'
 import { Monitor } from '../../core/failover/monitor.ts'
-import type { Pace } from '../../core/failover/pace.ts'
 import { Group } from '../../core/group/group.ts'
 import type { Sample } from '../../core/group/sample.ts'
 import type { EndpointId } from '../../core/id/endpoint.ts'
@@ -18,10 +17,13 @@
 import { EndpointControl } from './control.ts'
 import { Execution } from './execution.ts'
 import { LedgerCleaner } from './ledgercleaner.ts'
+import { paceOf } from './paceof.ts'
 import { ConfirmRounds } from './rounds.ts'
 import { Slot } from './slot.ts'
 import { Transactions } from './transactions.ts'
+import { Underway } from './underway.ts'
 import { useConnection } from './useconnection.ts'
+import { Verbs } from './verbs.ts'
 
 type Address = Parameters<typeof Slot.create>[0]
 
@@ -33,7 +35,7 @@
   readonly connections: number
   /** 0 for the slot whose owner judges the endpoint first. */
   readonly rank: number
-  readonly pace: Pace
+  readonly pace: Parameters<typeof paceOf>[0]['pace']
   readonly probeMs: number
   readonly probeTimeoutMs: number
   /** This process's name as a proposer of terms; unique for the process's life. */
@@ -49,8 +51,13 @@
   readonly record: (action: Extract<FailoverAction, { kind: 'record' }>) => void
 }
 
-/** Connections of a slot that serve the proxy's own questions: probes and confirmations. */
-const CONTROL_CONNECTIONS = 2
+/**
+ * Connections of a slot that no statement gets: one for probes, one for
+ * confirmations, and one that stays free. Against a failover that fails under
+ * load: verbs come over connections of their own, from the owners of other
+ * endpoints' slots too, and a server whose slots are used up refuses them.
+ */
+const CONTROL_CONNECTIONS = 3
 
 export class SlotOwner {
   private readonly slot: Slot
@@ -59,11 +66,17 @@
   private readonly probe: EndpointControl
   private readonly rounds: ConfirmRounds
   private readonly waits: EndpointControl
+  private readonly verbs: Verbs
   private monitor: Monitor
   private isReachable = true
+  private isLeaving = false
+  /** The last endpoint that was known to be primary. */
+  private leader: EndpointId | undefined
+  private readonly underway = Underway.create()
 
   private constructor (private readonly options: Options) {
-    const { addresses, endpoint, proposer, now } = options
+    const { addresses, endpoint, now } = options
+    const { proposer } = this
     const address = addresses.get(endpoint)!
     this.slot = Slot.create(address.data, options.connections - CONTROL_CONNECTIONS)
     this.transactions = Transactions.create(this.slot)
@@ -71,7 +84,8 @@
     this.probe = EndpointControl.create(endpoint, address.control, proposer, now)
     this.waits = EndpointControl.create(endpoint, address.control, proposer, now)
     this.rounds = ConfirmRounds.create(this.waits)
-    this.monitor = Monitor.create(options.group, options.rank, options.pace)
+    this.verbs = Verbs.create({ ...options, proposer, probeMs: options.probeTimeoutMs, verbMs: options.pace.roundMs })
+    this.monitor = Monitor.create(options.group, endpoint, options.rank, paceOf(options), now())
   }
 
   /** Owns the slot until the signal is aborted. */
@@ -92,15 +106,31 @@
     return this.options.endpoint
   }
 
+  /**
+   * Against two monitors of one process that hold slots of one group: under
+   * one name both would get the votes of the same term, and each could promote
+   * another server in it. So each slot is a proposer of its own.
+   */
+  private get proposer (): string {
+    return `${this.options.proposer}/${this.endpoint}`
+  }
+
+  /** Says whether the endpoint is to be left. A primary is replaced by a planned hand-over first; then no new work goes to it. */
+  leave (isLeaving: boolean): void {
+    if (isLeaving === this.isLeaving) return
+    this.isLeaving = isLeaving
+    this.hear({ kind: isLeaving ? 'leaving' : 'staying', endpoint: this.endpoint })
+  }
+
   run (req: Run, sink: Parameters<SlotPort['run']>[1]): ReturnType<SlotPort['run']> {
-    return Execution.start({
+    return this.underway.start(req, sink, taken => Execution.start({
       slot: this.slot,
       transactions: this.transactions,
       cleaner: this.cleaner,
       confirm: async (term, position, ms) => await this.confirmElsewhere(term, position, ms),
       proveCurrent: async ms => await this.proveCurrent(ms),
       wrote: this.options.onWrote
-    }, req, sink)
+    }, req, taken))
   }
 
   async confirm (term: Term, position: Position, ms: number): Promise<Confirmed> {
@@ -118,10 +148,8 @@
 
   /** Takes in what another process knows of this group's endpoints. */
   learn (sample: Sample): void {
-    if (sample.endpoint === this.endpoint) return
-    const known = this.monitor.group.sample(sample.endpoint)
-    if (known !== undefined && known.term > sample.term) return
-    this.hear({ kind: 'sampled', sample })
+    if (sample === this.monitor.group.sample(sample.endpoint)) return
+    this.hear({ kind: 'learnt', sample })
   }
 
   private async confirmElsewhere (term: Term, position: Position, ms: number): Promise<boolean> {
@@ -170,8 +198,7 @@
     } catch {
       this.reachable(false)
       this.hear({ kind: 'missed', endpoint: this.endpoint })
-      const known = this.monitor.group.sample(this.endpoint)!
-      this.options.onSample(known.with({ reachable: false }))
+      this.publishMiss()
     }
   }
 
@@ -181,19 +208,34 @@
     this.options.log.write(isReachable ? 'endpointReachable' : 'endpointUnreachable', { endpoint: this.endpoint })
   }
 
+  /** A replica that is leaving is shown as one that can't be reached, so that nothing new is sent to it. */
   private publish (sample: Sample): void {
     this.hear({ kind: 'sampled', sample })
-    this.options.onSample(sample)
+    const isShunned = this.isLeaving && sample.role !== 'primary'
+    this.options.onSample(isShunned ? sample.with({ reachable: false }) : sample)
+  }
+
+  /** One owner's miss isn't news while the other owner reaches the endpoint. */
+  private publishMiss (): void {
+    if (this.monitor.isReached(this.endpoint, this.options.now())) return
+    this.options.onSample(this.monitor.group.sample(this.endpoint)!.with({ reachable: false }))
   }
 
   private hear (event: FailoverEvent): void {
     const { now, chance, log } = this.options
     const step = this.monitor.step(event, now(), chance())
     this.monitor = step.monitor
+    this.followLeader(step.monitor.group.leader?.endpoint)
     if (step.actions[0]?.kind === 'seal') log.write('promotionBegun', { group: this.options.group.id, term: step.actions[0].term })
     for (const action of step.actions) this.act(action)
   }
 
+  private followLeader (leader: EndpointId | undefined): void {
+    if (leader === undefined || leader === this.leader) return
+    if (this.leader === this.endpoint) this.underway.endAll()
+    this.leader = leader
+  }
+
   private act (action: FailoverAction): void {
     if (action.kind === 'record') {
       this.options.log.write('promoted', { group: action.group, term: action.term, primary: action.primary, cause: action.cause })
@@ -201,34 +243,10 @@
       this.options.onSample(sample)
       return this.options.record(action)
     }
-    this.order(action)
-  }
-
-  /** Sends a verb over a connection of its own, which lives no longer than the verb. */
-  private async order (action: Exclude<FailoverAction, { kind: 'record' }>): Promise<void> {
-    const { addresses, proposer, now, pace, log } = this.options
-    const control = EndpointControl.create(action.endpoint, addresses.get(action.endpoint)!.control, proposer, now)
-    const { endpoint, term } = action
-    try {
-      switch (action.kind) {
-        case 'seal': {
-          const sample = await control.seal(term, pace.roundMs)
-          return this.hear({ kind: 'sealed', term, sample })
-        }
-        case 'promote': {
-          const sample = await control.promote(term, pace.roundMs)
-          this.hear({ kind: 'sampled', sample })
-          return this.hear({ kind: 'promoted', endpoint, term })
-        }
-        case 'follow':
-          await control.follow(action.primary, term, pace.roundMs)
-      }
-    } catch (err) {
-      log.write('verbFailed', { verb: action.kind, endpoint, term, err: (err as Error).message })
-      this.hear({ kind: EndpointControl.isRefusal(err) ? 'refused' : 'failed', endpoint, term })
-    } finally {
-      control.close()
-    }
+    this.verbs.run(action).then(event => {
+      if (event.kind === 'sampled' && action.kind === 'follow') this.options.onSample(event.sample)
+      this.hear(event)
+    })
   }
 }
 
--- a/test/reads.test.ts
+++ b/test/reads.test.ts
@@ -20,7 +20,7 @@
   beforeAll(async () => {
     stage = await Stage.start({ proxies: 4, lagMs: LAG_MS })
     const first = await connect(0, 'installer')
-    await first.query('CREATE TABLE rebooking (session TEXT, n INTEGER)')
+    await first.query('/* class=urgent deadline=20s */ CREATE TABLE IF NOT EXISTS rebooking (session TEXT, n INTEGER)')
     await first.end()
   })
   afterAll(async () => {
