Failover: monitors ask before they seal, and mend groups that nobody probes

Change: Watch judges (misses, quiet time, orphan time), Survey asks all servers before a seal, Ballot counts votes and refusals, each slot is a proposer of its own and proposes a term once, learnt samples may not go back, rejoin orders come from an endpoint's own owners only, planned hand-over in the core. Unreachable is published only when nobody reached the endpoint in the quiet time.

--- a/src/core/failover/monitor.ts
+++ b/src/core/failover/monitor.ts
@@ -1,10 +1,11 @@
 /**
- * The failover monitor of one group: judges the primary and orders promotions.
+ * The failover monitor of one group: orders promotions when its watch judges
+ * that the primary failed, and planned hand-overs from a leaving primary.
  *
  * Safety rests on votes alone. A server accepts the seal of a term from one
  * proposer only, and a sealed server confirms nothing to a lower term. A round
  * that sealed a majority holds every acknowledged write on at least one sealed
- * server, since an acknowledged write is on a majority, and picks the longest
+ * server, since an acknowledged write is on a majority, and picks the newest
  * log among them. No clock, lease or store is part of that argument, so a
  * monitor that was paused and wakes up can at worst lose a round.
  */
@@ -15,21 +16,24 @@
 import type { Instant } from '../id/instant.ts'
 import type { Term } from '../id/term.ts'
 import type { FailoverAction } from './action.ts'
+import { Ballot } from './ballot.ts'
 import type { FailoverEvent } from './event.ts'
+import { orders } from './orders.ts'
 import type { Pace } from './pace.ts'
-
-type Phase =
-  | { readonly kind: 'watching' }
-  | { readonly kind: 'waiting', readonly until: Instant, readonly cause: string }
-  | { readonly kind: 'sealing', readonly term: Term, readonly until: Instant, readonly sealed: readonly Sample[], readonly cause: string }
-  | { readonly kind: 'promoting', readonly term: Term, readonly until: Instant, readonly endpoint: EndpointId, readonly cause: string }
+import type { Phase } from './phase.ts'
+import { Survey } from './survey.ts'
+import { Watch } from './watch.ts'
 
 interface Fields {
-  readonly group: Group
+  readonly watch: Watch
   /** 0 for the monitor that goes first; others leave it time. */
   readonly rank: number
   readonly pace: Pace
-  readonly misses: number
+  /** The highest term this monitor has asked votes for. */
+  readonly proposed: Term
+  readonly leaving: EndpointId | undefined
+  /** Before this instant no planned hand-over begins. */
+  readonly handAt: Instant
   readonly phase: Phase
 }
 
@@ -38,133 +42,178 @@
   readonly actions: readonly FailoverAction[]
 }
 
+const WATCHING: Phase = { kind: 'watching' }
+const LEAVING = 'the primary is leaving'
+
 /** The state of one monitor. Immutable; `step` takes an event in and yields the next state. */
 export class Monitor {
   private constructor (private readonly fields: Fields) {}
 
-  static create (group: Group, rank: number, pace: Pace): Monitor {
-    return new Monitor({ group, rank, pace, misses: 0, phase: { kind: 'watching' } })
+  static create (group: Group, rank: number, pace: Pace, now: Instant): Monitor {
+    const watch = Watch.create(group, pace, now)
+    return new Monitor({ watch, rank, pace, proposed: 0 as Term, leaving: undefined, handAt: now, phase: WATCHING })
   }
 
   get group (): Group {
-    return this.fields.group
+    return this.fields.watch.group
   }
 
   get isWatching (): boolean {
     return this.fields.phase.kind === 'watching'
   }
 
+  /** Whether this process or another reached the endpoint lately. */
+  isReached (endpoint: EndpointId, now: Instant): boolean {
+    return this.fields.watch.isReached(endpoint, now)
+  }
+
   /** `chance` is a number in [0, 1) from the process's one seeded generator. */
   step (event: FailoverEvent, now: Instant, chance: number): Step {
+    const { watch, rank, pace } = this.fields
     switch (event.kind) {
-      case 'sampled': return this.sampled(event.sample)
-      case 'missed': return this.missed(event.endpoint, now)
-      case 'leaving': return this.leaving(event.endpoint, now)
-      case 'sealed': return this.sealed(event.term, event.sample, now)
-      case 'refused': return this.refused(event.term, now, chance)
+      case 'sampled': return this.with({ watch: watch.withSample(event.sample, now) }).sampled(event.sample, now)
+      case 'learnt': return this.learnt(event.sample, now)
+      case 'missed': return this.with({ watch: watch.withMiss(event.endpoint, now) }).missed(event.endpoint, now)
+      case 'sealed': return this.with({ watch: watch.withSample(event.sample, now) }).sealed(event.term, event.sample, now)
+      case 'refused': return this.refused(event.endpoint, event.term, now, chance)
       case 'failed': return this.idle
-      case 'promoted': return this.promoted(event.endpoint, event.term)
+      case 'promoted': return this.promoted(event.term, event.sample, now)
+      case 'leaving': return this.with({ leaving: event.endpoint, handAt: later(now, rank * pace.orphanMs) }).idle
+      case 'staying': return this.with({ leaving: undefined }).idle
       case 'tick': return this.tick(now, chance)
     }
   }
 
-  private sampled (sample: Sample): Step {
-    const group = this.fields.group.with(sample)
-    const next = this.with({ group })
-    const primary = group.primary
-    if (primary === undefined) return next.idle
-    if (sample.endpoint === primary.endpoint) {
-      const { phase } = this.fields
-      const isSettled = phase.kind === 'watching' || phase.kind === 'waiting'
-      return next.with({ misses: 0, phase: isSettled ? { kind: 'watching' } : phase }).idle
+  private sampled (sample: Sample, now: Instant): Step {
+    const { primary } = this.group
+    if (primary === undefined) return this.answered(sample, now)
+    if (sample.endpoint === primary.endpoint) return this.seen(primary, now)
+    return { monitor: this, actions: orders.rejoin(sample, primary) }
+  }
+
+  private learnt (sample: Sample, now: Instant): Step {
+    const watch = this.fields.watch.withLearnt(sample, now)
+    if (watch === this.fields.watch) return this.idle
+    const next = this.with({ watch })
+    const { primary } = next.group
+    return primary?.endpoint === sample.endpoint ? next.seen(primary, now) : next.idle
+  }
+
+  /** A primary of the highest term is alive: nothing that was begun against an older one matters any more. */
+  private seen (primary: Sample, now: Instant): Step {
+    const { phase, leaving, handAt } = this.fields
+    if (phase.kind === 'promoting' && phase.term === primary.term && phase.endpoint === primary.endpoint) {
+      return this.promoted(phase.term, primary, now)
     }
-    return { monitor: next, actions: next.rejoin(sample, primary) }
+    const isRunning = phase.kind === 'sealing' || phase.kind === 'promoting' || phase.kind === 'handing'
+    if (isRunning && primary.term < phase.term) return this.idle
+    const settled = this.with({ phase: WATCHING })
+    return leaving === primary.endpoint && now >= handAt ? settled.handOver(primary, now) : settled.idle
+  }
+
+  private missed (endpoint: EndpointId, now: Instant): Step {
+    const { phase, watch, rank, pace } = this.fields
+    if (phase.kind === 'watching' && watch.isSuspect(now)) {
+      return this.wait(now, rank * pace.rankDelayMs, 'the primary missed its probes')
+    }
+    if (phase.kind !== 'asking') return this.idle
+    return this.with({ phase: { ...phase, survey: phase.survey.withMiss(endpoint) } }).proposeWhenAsked(now)
+  }
+
+  private wait (now: Instant, ms: number, cause: string): Step {
+    const watch = this.fields.watch.withoutPrimary
+    const next = this.with({ watch, phase: { kind: 'waiting', until: later(now, ms), cause } })
+    return ms === 0 ? next.ask(now, cause) : next.idle
   }
 
   /**
-   * A server that lags in term was cut off during a promotion. It shows by an
-   * old term in its sample, and keeps refusing confirmations to the primary
-   * until it is told whom to follow.
+   * Against a monitor that knows too little: one that was frozen through a
+   * failover and woke up, or one that reaches a single server. Its seals would
+   * stop a healthy primary. So it asks all servers first, and seals only when
+   * a majority answers and none of them is primary in the highest term.
    */
-  private rejoin (sample: Sample, primary: Sample): readonly FailoverAction[] {
-    const isBehind = sample.term < primary.term || sample.role !== 'replica'
-    if (!isBehind || !sample.reachable) return []
-    return [{ kind: 'follow', endpoint: sample.endpoint, primary: primary.endpoint, term: primary.term }]
+  private ask (now: Instant, cause: string): Step {
+    const until = later(now, this.fields.pace.roundMs)
+    const phase: Phase = { kind: 'asking', term: this.group.term, until, survey: Survey.empty, cause }
+    return { monitor: this.with({ phase }), actions: orders.probe(this.group) }
   }
 
-  private missed (endpoint: EndpointId, now: Instant): Step {
-    const { group, misses, pace, phase } = this.fields
-    const known = group.sample(endpoint)
-    if (known === undefined) return this.idle
-    const isPrimary = known.role === 'primary' && known.term === group.term
-    const next = this.with({ group: isPrimary ? group : group.with(known.with({ reachable: false })) })
-    if (!isPrimary || phase.kind !== 'watching') return next.idle
-    if (misses + 1 < pace.misses) return next.with({ misses: misses + 1 }).idle
-    return next.wait(now, this.fields.rank * pace.rankDelayMs, 'the primary missed its probes')
+  /** An endpoint answered while no primary of the highest term is known. */
+  private answered (sample: Sample, now: Instant): Step {
+    const { phase } = this.fields
+    if (phase.kind === 'handing') return this.caughtUp(sample)
+    if (phase.kind !== 'asking') return this.idle
+    return this.with({ phase: { ...phase, survey: phase.survey.withAnswer(sample.endpoint) } }).proposeWhenAsked(now)
   }
 
-  private leaving (endpoint: EndpointId, now: Instant): Step {
-    const { group, phase } = this.fields
-    if (group.primary?.endpoint !== endpoint || phase.kind !== 'watching') return this.idle
-    return this.wait(now, this.fields.rank * this.fields.pace.rankDelayMs, 'the primary is leaving')
+  /**
+   * A primary that has missed its probes already needn't be waited for; a
+   * frozen one would cost its whole timeout. A term that rose meanwhile shows
+   * another proposer at work: it gets the time to finish, or else its primary
+   * would be sealed again at once.
+   */
+  private proposeWhenAsked (now: Instant): Step {
+    const { watch, phase, rank, pace } = this.fields
+    if (phase.kind !== 'asking' || !phase.survey.has(this.group.majority)) return this.idle
+    const isSure = watch.isMissed || phase.survey.isWhole(this.group.samples.length)
+    if (!isSure) return this.idle
+    const isSomebodyFirst = this.group.term > phase.term
+    return isSomebodyFirst ? this.wait(now, (rank + 1) * pace.rankDelayMs, phase.cause) : this.propose(now, phase.cause)
   }
 
-  private wait (now: Instant, ms: number, cause: string): Step {
-    const next = this.with({ phase: { kind: 'waiting', until: now + ms as Instant, cause } })
-    return ms === 0 ? next.propose(now, cause) : next.idle
+  private propose (now: Instant, cause: string): Step {
+    const term = this.nextTerm
+    const until = later(now, this.fields.pace.roundMs)
+    const phase: Phase = { kind: 'sealing', term, until, ballot: Ballot.empty, cause }
+    return { monitor: this.with({ phase, proposed: term }), actions: orders.seal(this.group, term) }
   }
 
-  private propose (now: Instant, cause: string): Step {
-    const { group, pace } = this.fields
-    const term = group.term + 1 as Term
-    const phase: Phase = { kind: 'sealing', term, until: now + pace.roundMs as Instant, sealed: [], cause }
-    const actions = group.samples.map(({ endpoint }): FailoverAction => ({ kind: 'seal', endpoint, term }))
-    return { monitor: this.with({ phase }), actions }
+  /** A term is asked votes for once only, so that a seal that arrives late can't stop the primary of a later round. */
+  private get nextTerm (): Term {
+    return Math.max(this.group.term, this.fields.proposed) + 1 as Term
   }
 
   private sealed (term: Term, sample: Sample, now: Instant): Step {
-    const { group, pace, phase } = this.fields
-    const next = this.with({ group: group.with(sample) })
-    if (phase.kind !== 'sealing' || phase.term !== term) return next.idle
-    const sealed = [...phase.sealed.filter(old => old.endpoint !== sample.endpoint), sample]
-    if (sealed.length < group.majority) return next.with({ phase: { ...phase, sealed } }).idle
-    const best = sealed.reduce((a, b) => isLonger(b, a) ? b : a)
-    const until = now + pace.roundMs as Instant
-    const promoting: Phase = { kind: 'promoting', term, until, endpoint: best.endpoint, cause: phase.cause }
+    const { phase, pace, leaving } = this.fields
+    if (phase.kind === 'handing' && phase.term === term) return this.held(sample)
+    if (phase.kind !== 'sealing' || phase.term !== term) return this.idle
+    const ballot = phase.ballot.withSeal(sample)
+    if (!ballot.isWon(this.group.majority)) return this.with({ phase: { ...phase, ballot } }).idle
+    const { endpoint } = ballot.best(leaving)!
+    const until = later(now, pace.roundMs)
     return {
-      monitor: next.with({ phase: promoting }),
-      actions: [{ kind: 'promote', endpoint: best.endpoint, term }]
+      monitor: this.with({ phase: { kind: 'promoting', term, until, endpoint, cause: phase.cause } }),
+      actions: [{ kind: 'promote', endpoint, term }]
     }
   }
 
-  private refused (term: Term, now: Instant, chance: number): Step {
+  private refused (endpoint: EndpointId, term: Term, now: Instant, chance: number): Step {
     const { phase } = this.fields
-    const isMine = (phase.kind === 'sealing' || phase.kind === 'promoting') && phase.term === term
-    if (!isMine) return this.idle
-    return this.retry(now, chance, phase.cause)
-  }
-
-  private promoted (endpoint: EndpointId, term: Term): Step {
-    const { group, phase } = this.fields
-    if (phase.kind !== 'promoting' || phase.term !== term) return this.idle
-    const known = group.sample(endpoint)
-    if (known === undefined) return this.idle
-    const primary = known.with({ role: 'primary', term, lastTerm: term, history: known.history.with(term, known.received) })
-    const others = group.samples.filter(sample => sample.endpoint !== endpoint)
-    const follows = others.map((sample): FailoverAction =>
-      ({ kind: 'follow', endpoint: sample.endpoint, primary: endpoint, term }))
-    const record: FailoverAction = {
-      kind: 'record', group: group.id, term, primary: endpoint, position: known.received, cause: phase.cause
-    }
-    const monitor = this.with({ group: group.with(primary), misses: 0, phase: { kind: 'watching' } })
-    return { monitor, actions: [...follows, record] }
+    if (phase.kind === 'promoting' && phase.term === term) return this.retry(now, chance, phase.cause)
+    if (phase.kind !== 'sealing' || phase.term !== term) return this.idle
+    const ballot = phase.ballot.withRefusal(endpoint)
+    if (ballot.isLost(this.group.samples.length, this.group.majority)) return this.retry(now, chance, phase.cause)
+    return this.with({ phase: { ...phase, ballot } }).idle
+  }
+
+  private promoted (term: Term, sample: Sample, now: Instant): Step {
+    const { watch, phase } = this.fields
+    if (phase.kind !== 'promoting' || phase.term !== term || sample.role !== 'primary') return this.idle
+    const primary = sample.endpoint
+    const follows = orders.follow(this.group, primary, term)
+    const record: FailoverAction = { kind: 'record', group: this.group.id, term, primary, position: sample.received, cause: phase.cause }
+    return { monitor: this.with({ watch: watch.withSample(sample, now), phase: WATCHING }), actions: [...follows, record] }
   }
 
   private tick (now: Instant, chance: number): Step {
-    const { phase } = this.fields
-    if (phase.kind === 'watching' || now < phase.until) return this.idle
-    if (phase.kind === 'waiting') return this.propose(now, phase.cause)
-    return this.retry(now, chance, phase.cause)
+    const { phase, watch, pace, rank } = this.fields
+    if (phase.kind === 'watching') {
+      if (!watch.isOrphan(now)) return this.idle
+      return this.wait(now, 1 + rank * pace.rankDelayMs + chance * pace.jitterMs, 'the group shows no primary')
+    }
+    if (now < phase.until) return this.idle
+    if (phase.kind === 'waiting') return this.ask(now, phase.cause)
+    return this.retry(now, chance, phase.kind === 'handing' ? LEAVING : phase.cause)
   }
 
   /**
@@ -174,8 +223,46 @@
    */
   private retry (now: Instant, chance: number, cause: string): Step {
     const { pace, rank } = this.fields
-    const ms = rank * pace.rankDelayMs + chance * pace.jitterMs
-    return this.with({ phase: { kind: 'waiting', until: now + ms as Instant, cause } }).idle
+    return this.wait(now, 1 + rank * pace.rankDelayMs + chance * pace.jitterMs, cause)
+  }
+
+  /**
+   * Begins a planned hand-over by sealing the leaving primary alone. That
+   * holds new writes, which are refused as not run and tried again, and fixes
+   * its log; its replicas are in the old term still, so that writes under way
+   * get their confirmations while the replicas copy the rest.
+   */
+  private handOver (primary: Sample, now: Instant): Step {
+    const { pace } = this.fields
+    const hasHeir = this.group.samples.some(one =>
+      one.endpoint !== primary.endpoint && one.reachable && one.role === 'replica' && one.term === primary.term)
+    if (!hasHeir) return this.idle
+    const term = this.nextTerm
+    const phase: Phase = { kind: 'handing', term, until: later(now, pace.roundMs), held: undefined }
+    return {
+      monitor: this.with({ phase, proposed: term, handAt: later(now, pace.orphanMs) }),
+      actions: [{ kind: 'seal', endpoint: primary.endpoint, term }]
+    }
+  }
+
+  /** The leaving primary is sealed: its log grows no more, and the others are asked how far they are. */
+  private held (held: Sample): Step {
+    const { phase } = this.fields
+    if (phase.kind !== 'handing') return this.idle
+    return { monitor: this.with({ phase: { ...phase, held } }), actions: orders.probe(this.group, held.endpoint) }
+  }
+
+  /** A replica answered during a hand-over: it's sealed when it has all that the primary has, and asked again otherwise. */
+  private caughtUp (sample: Sample): Step {
+    const { phase } = this.fields
+    if (phase.kind !== 'handing' || phase.held === undefined || sample.role !== 'replica') return this.idle
+    const { term, until, held } = phase
+    if (held.isAheadOf(sample)) return { monitor: this, actions: [{ kind: 'probe', endpoint: sample.endpoint }] }
+    const ballot = Ballot.empty.withSeal(held)
+    return {
+      monitor: this.with({ phase: { kind: 'sealing', term, until, ballot, cause: LEAVING } }),
+      actions: [{ kind: 'seal', endpoint: sample.endpoint, term }]
+    }
   }
 
   private get idle (): Step {
@@ -187,8 +274,6 @@
   }
 }
 
-/** Whether log `a` is newer than log `b`: by the term of the last entry first, as in any replicated log. */
-function isLonger (a: Sample, b: Sample): boolean {
-  if (a.lastTerm !== b.lastTerm) return a.lastTerm > b.lastTerm
-  return a.received > b.received
+function later (now: Instant, ms: number): Instant {
+  return now + ms as Instant
 }
--- /dev/null
+++ b/src/core/failover/orders.ts
@@ -0,0 +1,37 @@
+/** Lists of actions that go to several endpoints of a group. */
+
+import type { Group } from '../group/group.ts'
+import type { Sample } from '../group/sample.ts'
+import type { EndpointId } from '../id/endpoint.ts'
+import type { Term } from '../id/term.ts'
+import type { FailoverAction } from './action.ts'
+
+/** One action for each endpoint, the one in `except` left out. */
+export const orders = {
+  probe (group: Group, except?: EndpointId): readonly FailoverAction[] {
+    return others(group, except).map(endpoint => ({ kind: 'probe', endpoint }))
+  },
+
+  seal (group: Group, term: Term): readonly FailoverAction[] {
+    return others(group).map(endpoint => ({ kind: 'seal', endpoint, term }))
+  },
+
+  follow (group: Group, primary: EndpointId, term: Term): readonly FailoverAction[] {
+    return others(group, primary).map(endpoint => ({ kind: 'follow', endpoint, primary, term }))
+  },
+
+  /**
+   * A server that lags in term was cut off during a promotion. It shows by an
+   * old term in its sample, and keeps refusing confirmations to the primary
+   * until it is told whom to follow.
+   */
+  rejoin (sample: Sample, primary: Sample): readonly FailoverAction[] {
+    const isBehind = sample.term < primary.term || sample.role !== 'replica'
+    if (!isBehind || !sample.reachable) return []
+    return [{ kind: 'follow', endpoint: sample.endpoint, primary: primary.endpoint, term: primary.term }]
+  }
+}
+
+function others (group: Group, except?: EndpointId): readonly EndpointId[] {
+  return group.samples.map(sample => sample.endpoint).filter(endpoint => endpoint !== except)
+}
--- a/src/core/failover/pace.ts
+++ b/src/core/failover/pace.ts
@@ -3,6 +3,10 @@
 export interface Pace {
   /** Missed probes in a row after which a primary counts as failed. */
   readonly misses: number
+  /** A primary that any slot owner reached within this time isn't suspected, whoever else misses it. */
+  readonly quietMs: number
+  /** How long a group may show no primary before monitors that don't probe the primary act. */
+  readonly orphanMs: number
   /** How long a monitor of rank 1, 2, … waits for the ones before it, per rank. */
   readonly rankDelayMs: number
   /** How long a round of seals may take before it's given up. */
--- /dev/null
+++ b/src/core/failover/watch.ts
@@ -0,0 +1,101 @@
+/** What a failover monitor knows of its group, and its judgement of the primary. */
+
+import type { Group } from '../group/group.ts'
+import type { Sample } from '../group/sample.ts'
+import type { EndpointId } from '../id/endpoint.ts'
+import type { Instant } from '../id/instant.ts'
+import type { Pace } from './pace.ts'
+
+interface Fields {
+  readonly group: Group
+  readonly pace: Pace
+  /** Missed probes of the primary since anybody reached it. */
+  readonly misses: number
+  /** When anybody last reached a primary of the highest term. */
+  readonly seenAt: Instant
+}
+
+/** Immutable; samples and misses yield the next value. */
+export class Watch {
+  private constructor (private readonly fields: Fields) {}
+
+  static create (group: Group, pace: Pace, now: Instant): Watch {
+    return new Watch({ group, pace, misses: 0, seenAt: now })
+  }
+
+  get group (): Group {
+    return this.fields.group
+  }
+
+  /** Whether so many probes in a row missed the primary as count for its failure. */
+  get isMissed (): boolean {
+    return this.fields.misses >= this.fields.pace.misses
+  }
+
+  /**
+   * Against a link of one slot owner that is cut while the primary is well:
+   * this process's probes miss, yet the other owner's samples keep arriving.
+   * So misses alone suspect nothing; nobody may have reached the primary for
+   * the quiet time. When the other owner is gone no samples arrive either, and
+   * the one that is left judges alone.
+   */
+  isSuspect (now: Instant): boolean {
+    return this.isMissed && now - this.fields.seenAt >= this.fields.pace.quietMs
+  }
+
+  /**
+   * Against a group that nobody would mend: both owners of the primary's slots
+   * died with it, or a proposer died after its seals and before its promotion,
+   * so that no probe is missed. It shows by the time without any primary.
+   */
+  isOrphan (now: Instant): boolean {
+    return now - this.fields.seenAt >= this.fields.pace.orphanMs
+  }
+
+  /** Whether this process or another reached the endpoint within the quiet time. */
+  isReached (endpoint: EndpointId, now: Instant): boolean {
+    const known = this.group.sample(endpoint)
+    return known !== undefined && known.reachable && now - known.at < this.fields.pace.quietMs
+  }
+
+  /** Takes in the answer of an endpoint to this process. */
+  withSample (sample: Sample, now: Instant): Watch {
+    const next = this.with({ group: this.group.with(sample) })
+    return next.group.primary?.endpoint === sample.endpoint ? next.with({ misses: 0, seenAt: now }) : next
+  }
+
+  /**
+   * Takes in what another process knows. Frames of two senders overtake each
+   * other, so that a sample may be older than what is known: one of a lower
+   * term, or of the seal that went before a promotion, changes nothing.
+   */
+  withLearnt (sample: Sample, now: Instant): Watch {
+    const known = this.group.sample(sample.endpoint)
+    if (known === undefined || sample.term < known.term) return this
+    if (sample.term === known.term && sample.role === 'sealed' && known.role !== 'sealed') return this
+    if (sample.reachable) return this.withSample(sample, now)
+    return this.isReached(sample.endpoint, now) ? this : this.without(known)
+  }
+
+  withMiss (endpoint: EndpointId, now: Instant): Watch {
+    const known = this.group.sample(endpoint)
+    if (known === undefined) return this
+    const isPrimary = known.role === 'primary' && known.term === this.group.term
+    if (isPrimary) return this.with({ misses: this.fields.misses + 1 })
+    return this.isReached(endpoint, now) ? this : this.without(known)
+  }
+
+  /** The primary counts as unreachable until somebody reaches it. */
+  get withoutPrimary (): Watch {
+    const { primary } = this.group
+    return primary === undefined ? this : this.without(primary)
+  }
+
+  private without (known: Sample): Watch {
+    return this.with({ group: this.group.with(known.with({ reachable: false })) })
+  }
+
+  private with (change: Partial<Fields>): Watch {
+    return new Watch({ ...this.fields, ...change })
+  }
+}
--- a/src/core/group/sample.ts
+++ b/src/core/group/sample.ts
@@ -69,6 +69,23 @@
     })
   }
 
+  /**
+   * The newest term of which the log holds the whole past, as if every
+   * promotion had written an entry. The term of the last entry wouldn't do: a
+   * primary that dies before its first write leaves logs that hold what it
+   * confirmed but end in an older entry, and the log of a loser between the
+   * two terms would count as newer.
+   */
+  get logTerm (): Term {
+    return Math.max(this.lastTerm, this.history.termAt(this.received)) as Term
+  }
+
+  /** Whether this log is newer: by its term first, then by its length. */
+  isAheadOf (other: Sample): boolean {
+    if (this.logTerm !== other.logTerm) return this.logTerm > other.logTerm
+    return this.received > other.received
+  }
+
   with (change: Partial<Fields>): Sample {
     return new Sample({ ...this, ...change })
   }
--- a/src/core/history.test.ts
+++ b/src/core/history.test.ts
@@ -16,4 +16,19 @@
   ])('term %i position %i is held: %s (%s)', (term, position, isHeld) => {
     expect(history([1, 0], [2, 10]).holds(term as Term, position as Position)).toBe(isHeld)
   })
+
+  it.each([
+    [7, false, 'kept by term 4, dropped by term 5'],
+    [6, true, 'kept by both']
+  ])('position %i of term 2 is held: %s (%s)', (position, isHeld) => {
+    expect(history([1, 0], [2, 5], [4, 8], [5, 6]).holds(2 as Term, position as Position)).toBe(isHeld)
+  })
+
+  it.each([
+    [7, 2, 'short of the start of term 4'],
+    [8, 4, 'at it'],
+    [0, 1, 'empty']
+  ])('a log of length %i holds the past of term %i (%s)', (length, term) => {
+    expect(history([1, 0], [2, 5], [4, 8]).termAt(length as Position)).toBe(term)
+  })
 })
--- a/src/core/history.ts
+++ b/src/core/history.ts
@@ -30,13 +30,18 @@
     return this.starts.at(-1)?.term ?? 0 as Term
   }
 
+  /** The newest term of which a log of this history and length holds the whole past. */
+  termAt (position: Position): Term {
+    return this.starts.findLast(start => start.position <= position)?.term ?? 0 as Term
+  }
+
   /**
-   * Whether the position written in the term is part of this history.
-   * Invariant: `true` stays true for every longer history of the same group.
+   * Whether the position written in the term is part of this history. Every
+   * later start counts, not the next one alone: a term may begin lower than
+   * the one before it, when that one's primary died before its log was copied.
    */
   holds (term: Term, position: Position): boolean {
-    const next = this.starts.find(start => start.term > term)
-    return next === undefined || position <= next.position
+    return this.starts.every(start => start.term <= term || position <= start.position)
   }
 
   with (term: Term, position: Position): History {
--- a/src/shell/endpoint/control.ts
+++ b/src/shell/endpoint/control.ts
@@ -49,12 +49,12 @@
     return await this.call(`follow('${primary}',${term})`, ms)
   }
 
-  /** Resolves when the endpoint has received the position in the term; rejects when its term is another or the time is over. */
+  /** Resolves when the endpoint has received the position in the term; rejects with a refusal when its term is higher, else when the time is over. */
   async received (term: Term, position: Position, ms: number): Promise<Sample> {
     return await this.call(`received(${term},${position},${ms})`, ms + REPLY_MS)
   }
 
-  /** Whether a rejection is the endpoint's own refusal, rather than silence. */
+  /** Whether a rejection is the endpoint's own refusal, rather than silence or the end of a wait. */
   static isRefusal (err: unknown): boolean {
     return (err as { code?: number }).code === ER_SIGNAL
   }
@@ -73,15 +73,21 @@
 
   private async ask (verb: string, ms: number): Promise<Sample> {
     const at = this.now()
-    const timer = setTimeout(() => this.close(), ms)
+    let isLate = false
+    const timer = setTimeout(() => {
+      isLate = true
+      this.close()
+    }, ms)
     try {
       if (this.connection === undefined || this.connection.isLost) {
         this.connection = await EndpointConnection.open({ ...this.address, connectMs: ms })
       }
+      // A connection that opens just after the timer would be asked with nothing left to end the wait.
+      if (isLate) throw new Error('the connection opened too late')
       const rows = await this.connection.ask(`CALL agatepond.${verb}`)
       return this.sample(rows[0], at)
     } catch (err) {
-      if (!EndpointControl.isRefusal(err)) this.close()
+      if (!isAnswer(err)) this.close()
       throw err
     } finally {
       clearTimeout(timer)
@@ -107,3 +113,8 @@
 }
 
 const REPLY_MS = 200
+
+/** Errors that a server sent carry MySQL's number; those of the connection carry none, or a name. */
+function isAnswer (err: unknown): boolean {
+  return typeof (err as { code?: unknown }).code === 'number'
+}
--- a/src/shell/endpoint/owner.ts
+++ b/src/shell/endpoint/owner.ts
@@ -30,7 +30,7 @@
   readonly connections: number
   /** 0 for the slot whose owner judges the endpoint first. */
   readonly rank: number
-  readonly pace: Pace
+  readonly pace: Omit<Pace, 'quietMs' | 'orphanMs'>
   readonly probeMs: number
   readonly probeTimeoutMs: number
   /** This process's name as a proposer of terms; unique for the process's life. */
@@ -44,8 +44,13 @@
   readonly record: (action: Extract<FailoverAction, { kind: 'record' }>) => void
 }
 
-/** Connections of a slot that serve the proxy's own questions: probes and confirmations. */
-const CONTROL_CONNECTIONS = 2
+/**
+ * Connections of a slot that no statement gets: one for probes, one for
+ * confirmations, and one that stays free. Against a failover that fails under
+ * load: verbs come over connections of their own, from the owners of other
+ * endpoints' slots too, and a server whose slots are used up refuses them.
+ */
+const CONTROL_CONNECTIONS = 3
 
 export class SlotOwner {
   private readonly slot: Slot
@@ -54,15 +59,17 @@
   private readonly waits: EndpointControl
   private monitor: Monitor
   private isReachable = true
+  private isLeaving = false
 
   private constructor (private readonly options: Options) {
-    const { addresses, endpoint, proposer, now } = options
+    const { addresses, endpoint, now } = options
+    const { proposer } = this
     const address = addresses.get(endpoint)!
     this.slot = Slot.create(address.data, options.connections - CONTROL_CONNECTIONS)
     this.probe = EndpointControl.create(endpoint, address.control, proposer, now)
     this.waits = EndpointControl.create(endpoint, address.control, proposer, now)
     this.rounds = ConfirmRounds.create(this.waits)
-    this.monitor = Monitor.create(options.group, options.rank, options.pace)
+    this.monitor = Monitor.create(options.group, options.rank, paceOf(options), now())
   }
 
   /** Owns the slot until the signal is aborted. */
@@ -83,6 +90,22 @@
     return this.options.endpoint
   }
 
+  /**
+   * Against two monitors of one process that hold slots of one group: under
+   * one name both would get the votes of the same term, and each could promote
+   * another server in it. So each slot is a proposer of its own.
+   */
+  private get proposer (): string {
+    return `${this.options.proposer}/${this.endpoint}`
+  }
+
+  /** Says whether the endpoint is to be left. A primary is replaced by a planned hand-over first; then no new work goes to it. */
+  leave (isLeaving: boolean): void {
+    if (isLeaving === this.isLeaving) return
+    this.isLeaving = isLeaving
+    this.hear({ kind: isLeaving ? 'leaving' : 'staying', endpoint: this.endpoint })
+  }
+
   run (req: Run, sink: Parameters<SlotPort['run']>[1]): ReturnType<SlotPort['run']> {
     return Execution.start({
       slot: this.slot,
@@ -109,10 +132,8 @@
 
   /** Takes in what another process knows of this group's endpoints. */
   learn (sample: Sample): void {
-    if (sample.endpoint === this.endpoint) return
-    const known = this.monitor.group.sample(sample.endpoint)
-    if (known !== undefined && known.term > sample.term) return
-    this.hear({ kind: 'sampled', sample })
+    if (sample === this.monitor.group.sample(sample.endpoint)) return
+    this.hear({ kind: 'learnt', sample })
   }
 
   private async confirmElsewhere (term: Term, position: Position, ms: number): Promise<boolean> {
@@ -161,8 +182,7 @@
     } catch {
       this.reachable(false)
       this.hear({ kind: 'missed', endpoint: this.endpoint })
-      const known = this.monitor.group.sample(this.endpoint)!
-      this.options.onSample(known.with({ reachable: false }))
+      this.publishMiss()
     }
   }
 
@@ -172,9 +192,17 @@
     this.options.log.write(isReachable ? 'endpointReachable' : 'endpointUnreachable', { endpoint: this.endpoint })
   }
 
+  /** A replica that is leaving is shown as one that can't be reached, so that nothing new is sent to it. */
   private publish (sample: Sample): void {
     this.hear({ kind: 'sampled', sample })
-    this.options.onSample(sample)
+    const isShunned = this.isLeaving && sample.role !== 'primary'
+    this.options.onSample(isShunned ? sample.with({ reachable: false }) : sample)
+  }
+
+  /** One owner's miss isn't news while the other owner reaches the endpoint. */
+  private publishMiss (): void {
+    if (this.monitor.isReached(this.endpoint, this.options.now())) return
+    this.options.onSample(this.monitor.group.sample(this.endpoint)!.with({ reachable: false }))
   }
 
   private hear (event: FailoverEvent): void {
@@ -192,13 +220,30 @@
       this.options.onSample(sample)
       return this.options.record(action)
     }
-    this.order(action)
+    if (action.kind === 'probe') this.ask(action.endpoint)
+    else this.order(action)
+  }
+
+  /** Probes any endpoint of the group, over a connection of its own. */
+  private async ask (endpoint: EndpointId): Promise<void> {
+    const control = this.control(endpoint)
+    try {
+      this.hear({ kind: 'sampled', sample: await control.status(this.options.probeTimeoutMs) })
+    } catch {
+      this.hear({ kind: 'missed', endpoint })
+    } finally {
+      control.close()
+    }
+  }
+
+  private control (endpoint: EndpointId): EndpointControl {
+    return EndpointControl.create(endpoint, this.options.addresses.get(endpoint)!.control, this.proposer, this.options.now)
   }
 
   /** Sends a verb over a connection of its own, which lives no longer than the verb. */
-  private async order (action: Exclude<FailoverAction, { kind: 'record' }>): Promise<void> {
-    const { addresses, proposer, now, pace, log } = this.options
-    const control = EndpointControl.create(action.endpoint, addresses.get(action.endpoint)!.control, proposer, now)
+  private async order (action: Exclude<FailoverAction, { kind: 'record' | 'probe' }>): Promise<void> {
+    const { pace, log } = this.options
+    const control = this.control(action.endpoint)
     const { endpoint, term } = action
     try {
       switch (action.kind) {
@@ -208,11 +253,10 @@
         }
         case 'promote': {
           const sample = await control.promote(term, pace.roundMs)
-          this.hear({ kind: 'sampled', sample })
-          return this.hear({ kind: 'promoted', endpoint, term })
+          return this.hear({ kind: 'promoted', term, sample })
         }
         case 'follow':
-          await control.follow(action.primary, term, pace.roundMs)
+          this.options.onSample(await control.follow(action.primary, term, pace.roundMs))
       }
     } catch (err) {
       log.write('verbFailed', { verb: action.kind, endpoint, term, err: (err as Error).message })
@@ -225,6 +269,14 @@
 
 const TICK_MS = 20
 
+/** Probes of both owners come every `probeMs`: the quiet time covers the counted misses and half a probe more. */
+function paceOf ({ pace, probeMs }: Options): Pace {
+  return { ...pace, quietMs: (pace.misses + 0.5) * probeMs, orphanMs: ORPHAN_ROUNDS * pace.roundMs }
+}
+
+/** A round that is under way elsewhere ends by itself within two rounds: one of seals, one of the promotion. */
+const ORPHAN_ROUNDS = 2
+
 /** True as soon as one is; false when all are settled and none is. */
 async function firstTrue (some: ReadonlyArray<Promise<boolean>>): Promise<boolean> {
   return await Promise.any(some.map(async one => {
--- a/src/shell/endpoint/rounds.ts
+++ b/src/shell/endpoint/rounds.ts
@@ -6,7 +6,7 @@
 import type { Sample } from '../../core/group/sample.ts'
 import type { Position } from '../../core/id/position.ts'
 import type { Term } from '../../core/id/term.ts'
-import type { EndpointControl } from './control.ts'
+import { EndpointControl } from './control.ts'
 
 interface Waiting {
   readonly term: Term
@@ -19,7 +19,14 @@
 /** How long one question may wait at the endpoint; a shorter one lets newer questions join sooner. */
 const ROUND_MS = 250
 
-/** Asks rounds of `received` while anybody waits. A question joins only rounds that begin after it. */
+/** Against a loop without rest while the endpoint refuses connections. */
+const PAUSE_MS = 10
+
+/**
+ * Asks rounds of `received` while anybody waits. A question joins only rounds
+ * that begin after it. A replica that lags, or a connection that went silent,
+ * ends a round and not the wait: the next round opens a new connection.
+ */
 export class ConfirmRounds {
   private waiting: Waiting[] = []
   private isRunning = false
@@ -60,7 +67,9 @@
         else this.again(one)
       }
     } catch (err) {
-      this.settle(round, err as Error)
+      if (EndpointControl.isRefusal(err)) return this.settle(round, err as Error)
+      await new Promise(resolve => { setTimeout(resolve, PAUSE_MS) })
+      for (const one of round) this.again(one)
     }
   }
 
--- a/standin/endpoint/replication.ts
+++ b/standin/endpoint/replication.ts
@@ -74,26 +74,29 @@
     this.followers.add(socket)
     socket.on('error', () => undefined)
     socket.on('close', () => this.followers.delete(socket))
+    let term = 0
     createInterface({ input: socket }).on('line', line => {
       const message = JSON.parse(line) as { term?: number, from?: number }
-      if (message.term !== undefined) return this.greet(socket, message.term)
-      if (message.from !== undefined) this.stream(socket, message.from)
+      if (message.term !== undefined) {
+        term = message.term
+        return this.greet(socket, term)
+      }
+      if (message.from !== undefined) this.stream(socket, term, message.from)
     }).on('error', () => undefined)
   }
 
   private greet (socket: Socket, term: number): void {
-    if (this.server.role !== 'primary' || this.server.term !== term) {
+    if (!this.server.serves(term)) {
       socket.destroy()
       return
     }
     socket.write(JSON.stringify({ starts: this.server.status.starts }) + '\n')
   }
 
-  private async stream (socket: Socket, from: number): Promise<void> {
-    const { term } = this.server
+  private async stream (socket: Socket, term: number, from: number): Promise<void> {
     let sent = from
     while (!socket.destroyed) {
-      if (this.server.role !== 'primary' || this.server.term !== term) {
+      if (!this.server.serves(term)) {
         socket.destroy()
         return
       }
--- a/standin/endpoint/server.ts
+++ b/standin/endpoint/server.ts
@@ -46,6 +46,11 @@
     return this.log.length
   }
 
+  /** Whether followers of the term may copy this log: a primary that was sealed still hands out what it has. */
+  serves (term: number): boolean {
+    return this.role !== 'replica' && this.alignedTerm === term
+  }
+
   get status (): Status {
     return {
       role: this.role,
@@ -63,8 +68,10 @@
 
   /** Refuses writes of lower terms from now on, for one proposer. */
   seal (term: number, proposer: string): void {
-    const isNew = term > this.term || (term === this.term && proposer === this.proposer)
-    if (!isNew) throw new Error(`term ${this.term} is held by another proposer`)
+    const isMine = term === this.term && proposer === this.proposer
+    if (term < this.term || (term === this.term && !isMine)) throw new Error(`term ${this.term} is held by another proposer`)
+    // A seal that arrives after its proposer's promotion changes nothing.
+    if (isMine) return
     this.term = term
     this.proposer = proposer
     this.role = 'sealed'
@@ -76,7 +83,8 @@
     if (this.role === 'primary') return
     this.role = 'primary'
     this.alignedTerm = term
-    this.starts = [...this.starts, { term, position: this.received }]
+    // Terms that began past the end of this log have no entry in it.
+    this.starts = [...this.starts.filter(start => start.position <= this.received), { term, position: this.received }]
     this.applyUpTo(this.received)
     this.changed()
   }
@@ -85,6 +93,7 @@
   follow (term: number): void {
     if (term < this.term) throw new Error(`term ${this.term} is newer`)
     if (term === this.term && this.role === 'primary') throw new Error('the primary of a term can not follow in it')
+    if (term > this.term) this.proposer = ''
     this.term = term
     this.role = 'replica'
     this.changed()
@@ -113,17 +122,27 @@
   /** Cuts the log past the fork with the primary's history, and takes that history over. */
   align (term: number, starts: Status['starts']): void {
     if (term !== this.term || this.role !== 'replica') return
-    const next = starts.find(start => start.term > this.lastTerm)
-    if (next !== undefined && next.position < this.received) {
-      this.log = this.log.slice(0, next.position)
-      const applied = Math.min(this.applied, next.position)
-      if (this.applied > next.position) this.rebuild(applied)
+    const fork = this.forkWith(starts)
+    if (fork < this.received) {
+      this.log = this.log.slice(0, fork)
+      if (this.applied > fork) this.rebuild(fork)
     }
     this.starts = [...starts]
     this.alignedTerm = term
     this.changed()
   }
 
+  /** The last position up to which this log and one with the other starts are the same: where either began a term that the other lacks. */
+  private forkWith (starts: Status['starts']): number {
+    const lacks = (some: Status['starts'], start: Status['starts'][number]): boolean =>
+      !some.some(other => other.term === start.term && other.position === start.position)
+    const forks = [
+      ...this.starts.filter(start => lacks(starts, start)),
+      ...starts.filter(start => lacks(this.starts, start))
+    ]
+    return Math.min(this.received, ...forks.map(start => start.position))
+  }
+
   /** Takes an entry from the primary of the term. */
   receive (term: number, entry: Entry): void {
     if (term !== this.term || this.role !== 'replica' || entry.position !== this.received + 1) return
--- a/standin/endpoint/session.ts
+++ b/standin/endpoint/session.ts
@@ -15,6 +15,7 @@
 const ER_PARSE = 1064
 const ER_DUP_ENTRY = 1062
 const ER_VERB = 1644
+const ER_WAIT_TIMEOUT = 1205
 const AUTOCOMMIT = 2
 
 interface Context {
@@ -139,7 +140,8 @@
         rows: [[status.role, status.term, status.lastTerm, status.received, status.applied, JSON.stringify(status.starts)]]
       }, reply)
     } catch (err) {
-      reply.error(ER_VERB, (err as Error).message)
+      const { message } = err as Error
+      reply.error(message.startsWith('received is') ? ER_WAIT_TIMEOUT : ER_VERB, message)
     }
   }
 
@@ -161,15 +163,17 @@
 
   /**
    * Waits until the position has been received in the term; fails when the term
-   * is another or the time is over. A log that isn't cut at the fork yet may
+   * is higher or the time is over. A server that hasn't heard of the term yet
+   * will be told to follow its primary, so it waits as one that lags. A log that isn't cut at the fork yet may
    * hold other entries at these positions, so it confirms nothing before.
    */
   private async waitReceived (term: number, position: number, ms: number): Promise<void> {
     const { server } = this.context
     const end = performance.now() + ms
     for (;;) {
-      if (server.term !== term || server.role === 'sealed') throw new Error(`term is ${server.term}, role is ${server.role}`)
-      if (server.alignedTerm === term && server.received >= position) return
+      if (server.term > term) throw new Error(`term is ${server.term}`)
+      const isInTerm = server.term === term && server.role !== 'sealed' && server.alignedTerm === term
+      if (isInTerm && server.received >= position) return
       const left = end - performance.now()
       if (left <= 0) throw new Error(`received is ${server.received}`)
       await server.nextChange(left)
