--- a/src/core/failover/monitor.ts
+++ b/src/core/failover/monitor.ts
@@ -26,6 +26,8 @@
 
 interface Fields {
   readonly watch: Watch
+  /** The endpoint whose slot this monitor's process holds. */
+  readonly own: EndpointId
   /** 0 for the monitor that goes first; others leave it time. */
   readonly rank: number
   readonly pace: Pace
@@ -44,14 +46,16 @@
 
 const WATCHING: Phase = { kind: 'watching' }
 const LEAVING = 'the primary is leaving'
+/** Slots of an endpoint, and so monitors that probe it. */
+const SLOTS = 2
 
 /** The state of one monitor. Immutable; `step` takes an event in and yields the next state. */
 export class Monitor {
   private constructor (private readonly fields: Fields) {}
 
-  static create (group: Group, rank: number, pace: Pace, now: Instant): Monitor {
+  static create (group: Group, own: EndpointId, rank: number, pace: Pace, now: Instant): Monitor {
     const watch = Watch.create(group, pace, now)
-    return new Monitor({ watch, rank, pace, proposed: 0 as Term, leaving: undefined, handAt: now, phase: WATCHING })
+    return new Monitor({ watch, own, rank, pace, proposed: 0 as Term, leaving: undefined, handAt: now, phase: WATCHING })
   }
 
   get group (): Group {
@@ -161,11 +165,21 @@
     return isSomebodyFirst ? this.wait(now, (rank + 1) * pace.rankDelayMs, phase.cause) : this.propose(now, phase.cause)
   }
 
-  private propose (now: Instant, cause: string): Step {
+  /** The place of this monitor in the order of all the group's: the owners of the primary's slots, then of the next endpoint's. */
+  private get turn (): number {
+    const { own, rank } = this.fields
+    const { samples, leader } = this.group
+    const from = leader === undefined ? 0 : samples.indexOf(leader)
+    const to = samples.findIndex(one => one.endpoint === own)
+    return (to - from + samples.length) % samples.length * SLOTS + rank
+  }
+
+  /** Asks all for their votes; a primary that is cut off isn't asked, since its log would win and nothing be mended. */
+  private propose (now: Instant, cause: string, except?: EndpointId): Step {
     const term = this.nextTerm
     const until = later(now, this.fields.pace.roundMs)
     const phase: Phase = { kind: 'sealing', term, until, ballot: Ballot.empty, cause }
-    return { monitor: this.with({ phase, proposed: term }), actions: orders.seal(this.group, term) }
+    return { monitor: this.with({ phase, proposed: term }), actions: orders.seal(this.group, term, except) }
   }
 
   /** A term is asked votes for once only, so that a seal that arrives late can't stop the primary of a later round. */
@@ -206,10 +220,12 @@
   }
 
   private tick (now: Instant, chance: number): Step {
-    const { phase, watch, pace, rank } = this.fields
+    const { phase, watch, pace } = this.fields
     if (phase.kind === 'watching') {
+      const turnMs = this.turn * pace.rankDelayMs
+      if (watch.isStalled(now, turnMs)) return this.propose(now, 'the primary reaches no replica', this.group.primary?.endpoint)
       if (!watch.isOrphan(now)) return this.idle
-      return this.wait(now, 1 + rank * pace.rankDelayMs + chance * pace.jitterMs, 'the group shows no primary')
+      return this.wait(now, 1 + turnMs + chance * pace.jitterMs, 'the group shows no primary')
     }
     if (now < phase.until) return this.idle
     if (phase.kind === 'waiting') return this.ask(now, phase.cause)
--- a/src/core/failover/orders.ts
+++ b/src/core/failover/orders.ts
@@ -12,8 +12,8 @@
     return others(group, except).map(endpoint => ({ kind: 'probe', endpoint }))
   },
 
-  seal (group: Group, term: Term): readonly FailoverAction[] {
-    return others(group).map(endpoint => ({ kind: 'seal', endpoint, term }))
+  seal (group: Group, term: Term, except?: EndpointId): readonly FailoverAction[] {
+    return others(group, except).map(endpoint => ({ kind: 'seal', endpoint, term }))
   },
 
   follow (group: Group, primary: EndpointId, term: Term): readonly FailoverAction[] {
--- a/src/core/failover/pace.ts
+++ b/src/core/failover/pace.ts
@@ -7,6 +7,8 @@
   readonly quietMs: number
   /** How long a group may show no primary before monitors that don't probe the primary act. */
   readonly orphanMs: number
+  /** How long the replicas may copy nothing of a primary that is ahead of them before it counts as cut off. */
+  readonly stallMs: number
   /** How long a monitor of rank 1, 2, … waits for the ones before it, per rank. */
   readonly rankDelayMs: number
   /** How long a round of seals may take before it's given up. */
--- a/src/core/failover/watch.ts
+++ b/src/core/failover/watch.ts
@@ -4,6 +4,7 @@
 import type { Sample } from '../group/sample.ts'
 import type { EndpointId } from '../id/endpoint.ts'
 import type { Instant } from '../id/instant.ts'
+import type { Position } from '../id/position.ts'
 import type { Pace } from './pace.ts'
 
 interface Fields {
@@ -13,6 +14,9 @@
   readonly misses: number
   /** When anybody last reached a primary of the highest term. */
   readonly seenAt: Instant
+  /** How much of the primary's log its best replica had, and when that was last all or grew. */
+  readonly copied: Position
+  readonly copiedAt: Instant
 }
 
 /** Immutable; samples and misses yield the next value. */
@@ -20,7 +24,7 @@
   private constructor (private readonly fields: Fields) {}
 
   static create (group: Group, pace: Pace, now: Instant): Watch {
-    return new Watch({ group, pace, misses: 0, seenAt: now })
+    return new Watch({ group, pace, misses: 0, seenAt: now, copied: 0 as Position, copiedAt: now })
   }
 
   get group (): Group {
@@ -52,6 +56,15 @@
     return now - this.fields.seenAt >= this.fields.pace.orphanMs
   }
 
+  /**
+   * Against a primary that is cut off from its replicas while the proxies
+   * reach it: its probes are answered, yet no write of it can be confirmed. It
+   * shows by replicas that stay behind it and copy nothing.
+   */
+  isStalled (now: Instant, extraMs: number): boolean {
+    return now - this.fields.copiedAt >= this.fields.pace.stallMs + extraMs
+  }
+
   /** Whether this process or another reached the endpoint within the quiet time. */
   isReached (endpoint: EndpointId, now: Instant): boolean {
     const known = this.group.sample(endpoint)
@@ -60,10 +73,21 @@
 
   /** Takes in the answer of an endpoint to this process. */
   withSample (sample: Sample, now: Instant): Watch {
-    const next = this.with({ group: this.group.with(sample) })
+    const next = this.with({ group: this.group.with(sample) }).measured(now)
     return next.group.primary?.endpoint === sample.endpoint ? next.with({ misses: 0, seenAt: now }) : next
   }
 
+  /** Judges only with fresh samples of the primary and of a majority without it; those who know less mustn't. */
+  private measured (now: Instant): Watch {
+    const { primary, samples, majority } = this.group
+    const fresh = samples.filter(one =>
+      one.endpoint !== primary?.endpoint && one.role === 'replica' && one.term === primary?.term && this.isReached(one.endpoint, now))
+    if (primary === undefined || fresh.length < majority) return this.with({ copiedAt: now })
+    const copied = Math.max(...fresh.map(one => one.received)) as Position
+    const isWell = copied >= primary.received || copied !== this.fields.copied
+    return this.with({ copied, copiedAt: isWell ? now : this.fields.copiedAt })
+  }
+
   /**
    * Takes in what another process knows. Frames of two senders overtake each
    * other, so that a sample may be older than what is known: one of a lower
--- a/src/core/group/group.ts
+++ b/src/core/group/group.ts
@@ -34,6 +34,13 @@
     return this.samples.find(sample => sample.role === 'primary' && sample.term === term && sample.reachable)
   }
 
+  /** The endpoint that was last known to be primary in the highest term that had one, reachable or not. */
+  get leader (): Sample | undefined {
+    return this.samples
+      .filter(sample => sample.role === 'primary')
+      .reduce<Sample | undefined>((best, sample) => best === undefined || sample.term > best.term ? sample : best, undefined)
+  }
+
   /** The longest known list of term starts. */
   get history (): History {
     return this.samples.reduce(
--- a/src/shell/endpoint/owner.ts
+++ b/src/shell/endpoint/owner.ts
@@ -19,6 +19,7 @@
 import { Execution } from './execution.ts'
 import { ConfirmRounds } from './rounds.ts'
 import { Slot } from './slot.ts'
+import { Underway } from './underway.ts'
 
 type Address = Parameters<typeof Slot.create>[0]
 
@@ -30,7 +31,7 @@
   readonly connections: number
   /** 0 for the slot whose owner judges the endpoint first. */
   readonly rank: number
-  readonly pace: Omit<Pace, 'quietMs' | 'orphanMs'>
+  readonly pace: Omit<Pace, 'quietMs' | 'orphanMs' | 'stallMs'>
   readonly probeMs: number
   readonly probeTimeoutMs: number
   /** This process's name as a proposer of terms; unique for the process's life. */
@@ -60,6 +61,9 @@
   private monitor: Monitor
   private isReachable = true
   private isLeaving = false
+  /** The last endpoint that was known to be primary. */
+  private leader: EndpointId | undefined
+  private readonly underway = Underway.create()
 
   private constructor (private readonly options: Options) {
     const { addresses, endpoint, now } = options
@@ -69,7 +73,7 @@
     this.probe = EndpointControl.create(endpoint, address.control, proposer, now)
     this.waits = EndpointControl.create(endpoint, address.control, proposer, now)
     this.rounds = ConfirmRounds.create(this.waits)
-    this.monitor = Monitor.create(options.group, options.rank, paceOf(options), now())
+    this.monitor = Monitor.create(options.group, endpoint, options.rank, paceOf(options), now())
   }
 
   /** Owns the slot until the signal is aborted. */
@@ -107,11 +111,11 @@
   }
 
   run (req: Run, sink: Parameters<SlotPort['run']>[1]): ReturnType<SlotPort['run']> {
-    return Execution.start({
+    return this.underway.start(req, sink, taken => Execution.start({
       slot: this.slot,
       confirm: async (term, position, ms) => await this.confirmElsewhere(term, position, ms),
       proveCurrent: async ms => await this.proveCurrent(ms)
-    }, req, sink)
+    }, req, taken))
   }
 
   async confirm (term: Term, position: Position, ms: number): Promise<Confirmed> {
@@ -209,10 +213,17 @@
     const { now, chance, log } = this.options
     const step = this.monitor.step(event, now(), chance())
     this.monitor = step.monitor
+    this.followLeader(step.monitor.group.leader?.endpoint)
     if (step.actions[0]?.kind === 'seal') log.write('promotionBegun', { group: this.options.group.id, term: step.actions[0].term })
     for (const action of step.actions) this.act(action)
   }
 
+  private followLeader (leader: EndpointId | undefined): void {
+    if (leader === undefined || leader === this.leader) return
+    if (this.leader === this.endpoint) this.underway.endAll()
+    this.leader = leader
+  }
+
   private act (action: FailoverAction): void {
     if (action.kind === 'record') {
       this.options.log.write('promoted', { group: action.group, term: action.term, primary: action.primary, cause: action.cause })
@@ -271,11 +282,18 @@
 
 /** Probes of both owners come every `probeMs`: the quiet time covers the counted misses and half a probe more. */
 function paceOf ({ pace, probeMs }: Options): Pace {
-  return { ...pace, quietMs: (pace.misses + 0.5) * probeMs, orphanMs: ORPHAN_ROUNDS * pace.roundMs }
+  return {
+    ...pace,
+    quietMs: (pace.misses + 0.5) * probeMs,
+    orphanMs: ORPHAN_ROUNDS * pace.roundMs,
+    stallMs: STALL_PROBES * probeMs
+  }
 }
 
 /** A round that is under way elsewhere ends by itself within two rounds: one of seals, one of the promotion. */
 const ORPHAN_ROUNDS = 2
+/** A replica that copies nothing through so many samples isn't just slow. */
+const STALL_PROBES = 8
 
 /** True as soon as one is; false when all are settled and none is. */
 async function firstTrue (some: ReadonlyArray<Promise<boolean>>): Promise<boolean> {
--- a/test/failover.core.test.ts
+++ b/test/failover.core.test.ts
@@ -157,6 +157,21 @@
     expect([old.role, old.log]).toEqual(['replica', world.primary!.log.slice(0, old.log.length)])
   })
 
+  // A partition separates the primary from its replicas, while all proxies
+  // reach it. Its probes are answered, but no write gets a confirmation.
+  it.each(SEEDS)('cut off from its replicas only (seed %i)', seed => {
+    const world = new World(seed)
+    for (const other of ['e2', 'e3']) world.cutBoth('e1', other)
+    world.run(2000)
+    expect(world.promotions).toHaveLength(1)
+    expect(world.primary!.id).not.toBe('e1')
+    expectAcknowledging(world)
+    for (const other of ['e2', 'e3']) world.mendBoth('e1', other)
+    world.run(2000)
+    expect(world.endpoints.get('e1')!.role).toBe('replica')
+    expectAcknowledging(world)
+  })
+
   // The replica that would be chosen lags, and the other one has what was
   // acknowledged. The longer log wins, whichever answers first.
   it.each(SEEDS)('with a replica that lags (seed %i)', seed => {
--- a/test/failover/world.ts
+++ b/test/failover/world.ts
@@ -33,7 +33,7 @@
 const PROBE_MS = 100
 const TIMEOUT_MS = 150
 const CONFIRM_MS = 1000
-const PACE = { misses: 2, quietMs: 250, orphanMs: 1000, rankDelayMs: 150, roundMs: 500, jitterMs: 100 }
+const PACE = { misses: 2, quietMs: 250, orphanMs: 1000, stallMs: 800, rankDelayMs: 150, roundMs: 500, jitterMs: 100 }
 
 export class World {
   readonly network: FakeNetwork
@@ -50,7 +50,7 @@
     this.network = new FakeNetwork(seed, mostDelay)
     const group = Group.of('shop' as GroupId, ENDPOINTS as EndpointId[])
     this.watchers = ENDPOINTS.flatMap((endpoint, i) => [0, 1].map(rank => ({
-      process: PROCESSES[(i + rank) % PROCESSES.length]!, endpoint, monitor: Monitor.create(group, rank, PACE, 0 as Instant)
+      process: PROCESSES[(i + rank) % PROCESSES.length]!, endpoint, monitor: Monitor.create(group, endpoint as EndpointId, rank, PACE, 0 as Instant)
     })))
     this.endpoints.get('e1')!.seal(1, 'installer')
     this.endpoints.get('e1')!.promote(1, 'installer')
