--- a/src/core/history.ts
+++ b/src/core/history.ts
@@ -44,6 +44,11 @@
     return this.starts.every(start => start.term <= term || position <= start.position)
   }
 
+  /** The start of the term that ended the given one; undefined while that one goes on. */
+  startAfter (term: Term): Start | undefined {
+    return this.starts.find(start => start.term > term)
+  }
+
   with (term: Term, position: Position): History {
     const others = this.starts.filter(start => start.term !== term)
     return History.of([...others, { term, position }])
