--- a/src/core/config/config.ts
+++ b/src/core/config/config.ts
@@ -13,6 +13,8 @@
   /** `ip:port` of the database server. */
   readonly address: string
   readonly dataCentre: DataCentreId
+  /** Whether the endpoint is to be left: a primary is handed over, a replica gets nothing new. */
+  readonly leaving: boolean
 }
 
 interface DatabaseGroup {
--- a/src/core/config/document.ts
+++ b/src/core/config/document.ts
@@ -37,7 +37,7 @@
   groups: z.array(z.strictObject({
     id: name,
     database: name,
-    endpoints: z.array(z.strictObject({ id: name, address, dataCentre: name })).min(1),
+    endpoints: z.array(z.strictObject({ id: name, address, dataCentre: name, leaving: z.boolean().default(false) })).min(1),
     slotsPerEndpoint: z.int().min(1).max(MOST_SLOTS).default(2),
     connectionsPerSlot: z.int().min(4).max(MOST_CONNECTIONS).default(16)
   })),
--- a/src/shell/endpoint/owner.ts
+++ b/src/shell/endpoint/owner.ts
@@ -5,7 +5,6 @@
 import type { FailoverAction } from '../../core/failover/action.ts'
 import type { FailoverEvent } from '../../core/failover/event.ts'
 import { Monitor } from '../../core/failover/monitor.ts'
-import type { Pace } from '../../core/failover/pace.ts'
 import { Group } from '../../core/group/group.ts'
 import type { Sample } from '../../core/group/sample.ts'
 import type { EndpointId } from '../../core/id/endpoint.ts'
@@ -18,11 +17,13 @@
 import { EndpointControl } from './control.ts'
 import { Execution } from './execution.ts'
 import { LedgerCleaner } from './ledgercleaner.ts'
+import { paceOf } from './paceof.ts'
 import { ConfirmRounds } from './rounds.ts'
 import { Slot } from './slot.ts'
 import { Transactions } from './transactions.ts'
 import { Underway } from './underway.ts'
 import { useConnection } from './useconnection.ts'
+import { Verbs } from './verbs.ts'
 
 type Address = Parameters<typeof Slot.create>[0]
 
@@ -34,7 +35,7 @@
   readonly connections: number
   /** 0 for the slot whose owner judges the endpoint first. */
   readonly rank: number
-  readonly pace: Omit<Pace, 'quietMs' | 'orphanMs' | 'stallMs'>
+  readonly pace: Parameters<typeof paceOf>[0]['pace']
   readonly probeMs: number
   readonly probeTimeoutMs: number
   /** This process's name as a proposer of terms; unique for the process's life. */
@@ -65,6 +66,7 @@
   private readonly probe: EndpointControl
   private readonly rounds: ConfirmRounds
   private readonly waits: EndpointControl
+  private readonly verbs: Verbs
   private monitor: Monitor
   private isReachable = true
   private isLeaving = false
@@ -82,6 +84,7 @@
     this.probe = EndpointControl.create(endpoint, address.control, proposer, now)
     this.waits = EndpointControl.create(endpoint, address.control, proposer, now)
     this.rounds = ConfirmRounds.create(this.waits)
+    this.verbs = Verbs.create({ ...options, proposer, probeMs: options.probeTimeoutMs, verbMs: options.pace.roundMs })
     this.monitor = Monitor.create(options.group, endpoint, options.rank, paceOf(options), now())
   }
 
@@ -240,70 +243,15 @@
       this.options.onSample(sample)
       return this.options.record(action)
     }
-    if (action.kind === 'probe') this.ask(action.endpoint)
-    else this.order(action)
-  }
-
-  /** Probes any endpoint of the group, over a connection of its own. */
-  private async ask (endpoint: EndpointId): Promise<void> {
-    const control = this.control(endpoint)
-    try {
-      this.hear({ kind: 'sampled', sample: await control.status(this.options.probeTimeoutMs) })
-    } catch {
-      this.hear({ kind: 'missed', endpoint })
-    } finally {
-      control.close()
-    }
-  }
-
-  private control (endpoint: EndpointId): EndpointControl {
-    return EndpointControl.create(endpoint, this.options.addresses.get(endpoint)!.control, this.proposer, this.options.now)
-  }
-
-  /** Sends a verb over a connection of its own, which lives no longer than the verb. */
-  private async order (action: Exclude<FailoverAction, { kind: 'record' | 'probe' }>): Promise<void> {
-    const { pace, log } = this.options
-    const control = this.control(action.endpoint)
-    const { endpoint, term } = action
-    try {
-      switch (action.kind) {
-        case 'seal': {
-          const sample = await control.seal(term, pace.roundMs)
-          return this.hear({ kind: 'sealed', term, sample })
-        }
-        case 'promote': {
-          const sample = await control.promote(term, pace.roundMs)
-          return this.hear({ kind: 'promoted', term, sample })
-        }
-        case 'follow':
-          this.options.onSample(await control.follow(action.primary, term, pace.roundMs))
-      }
-    } catch (err) {
-      log.write('verbFailed', { verb: action.kind, endpoint, term, err: (err as Error).message })
-      this.hear({ kind: EndpointControl.isRefusal(err) ? 'refused' : 'failed', endpoint, term })
-    } finally {
-      control.close()
-    }
+    this.verbs.run(action).then(event => {
+      if (event.kind === 'sampled' && action.kind === 'follow') this.options.onSample(event.sample)
+      this.hear(event)
+    })
   }
 }
 
 const TICK_MS = 20
 
-/** Probes of both owners come every `probeMs`: the quiet time covers the counted misses and half a probe more. */
-function paceOf ({ pace, probeMs }: Options): Pace {
-  return {
-    ...pace,
-    quietMs: (pace.misses + 0.5) * probeMs,
-    orphanMs: ORPHAN_ROUNDS * pace.roundMs,
-    stallMs: STALL_PROBES * probeMs
-  }
-}
-
-/** A round that is under way elsewhere ends by itself within two rounds: one of seals, one of the promotion. */
-const ORPHAN_ROUNDS = 2
-/** A replica that copies nothing through so many samples isn't just slow. */
-const STALL_PROBES = 8
-
 /** True as soon as one is; false when all are settled and none is. */
 async function firstTrue (some: ReadonlyArray<Promise<boolean>>): Promise<boolean> {
   return await Promise.any(some.map(async one => {
--- /dev/null
+++ b/src/shell/endpoint/paceof.ts
@@ -0,0 +1,23 @@
+/** The times of a failover monitor, from the few that are set. */
+
+import type { Pace } from '../../core/failover/pace.ts'
+
+interface Set {
+  readonly pace: Omit<Pace, 'quietMs' | 'orphanMs' | 'stallMs'>
+  readonly probeMs: number
+}
+
+/** A round that is under way elsewhere ends by itself within two rounds: one of seals, one of the promotion. */
+const ORPHAN_ROUNDS = 2
+/** Replicas that copy nothing through so many samples aren't just slow. */
+const STALL_PROBES = 8
+
+/** Probes of both owners come every `probeMs`: the quiet time covers the counted misses and half a probe more. */
+export function paceOf ({ pace, probeMs }: Set): Pace {
+  return {
+    ...pace,
+    quietMs: (pace.misses + 0.5) * probeMs,
+    orphanMs: ORPHAN_ROUNDS * pace.roundMs,
+    stallMs: STALL_PROBES * probeMs
+  }
+}
--- a/src/shell/node/slots.ts
+++ b/src/shell/node/slots.ts
@@ -123,11 +123,12 @@
     this.linkPeers()
     const due = new Set<EndpointId>()
     for (const group of this.config?.groups ?? []) {
-      for (const { id } of group.endpoints) {
+      for (const { id, leaving } of group.endpoints) {
         const rank = this.holders(id).indexOf(this.options.settings.host.id as HostId)
         if (rank < 0) continue
         due.add(id)
         if (!this.owners.has(id)) this.take(group, id, rank)
+        this.owners.get(id)?.value.leave(leaving)
       }
     }
     for (const [id, held] of this.owners) {
--- a/test/failover.test.ts
+++ b/test/failover.test.ts
@@ -4,6 +4,7 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
 import { Stage } from '../standin/stage.ts'
 import { Callers } from './failover/callers.ts'
+import { leave } from './failover/leave.ts'
 
 const PROXIES = [0, 1, 2]
 const SOME_WRITES = 30
@@ -65,6 +66,15 @@
     stage.proxies[0]!.child!.signal('SIGCONT')
     await finish()
   })
+
+  // Operators mark the primary's server as leaving. A replica that has all of
+  // its writes takes over, and nothing is refused for good or lost.
+  it('primary marked as leaving', async () => {
+    await leave(stage, primary)
+    await replaced()
+    await state(primary, 'replica')
+    await finish()
+  })
 })
 
 async function signal (name: NodeJS.Signals): Promise<void> {
--- a/test/failover/callers.ts
+++ b/test/failover/callers.ts
@@ -18,7 +18,7 @@
   private isOver = false
   private running: readonly Promise<void>[] = []
   /** When each write was acknowledged, and when it was asked for. */
-  readonly times: { readonly asked: number, readonly done: number }[] = []
+  readonly times: { readonly proxy: number, readonly asked: number, readonly done: number }[] = []
 
   private constructor (private readonly stage: Stage) {}
 
@@ -42,6 +42,11 @@
     while (this.count < end) await pause(PAUSE_MS)
   }
 
+  /** When the proxy first acknowledged a write that it was asked for after `since`. */
+  resumed (proxy: number, since: number): number {
+    return this.times.find(one => one.proxy === proxy && one.asked > since)?.done ?? Infinity
+  }
+
   async stop (): Promise<Told> {
     this.isOver = true
     await Promise.all(this.running)
@@ -79,7 +84,7 @@
         connection ??= await this.connect(proxy)
         await connection.query(`INSERT INTO crimp VALUES ('${id}')`)
         this.acknowledged.push(id)
-        this.times.push({ asked, done: performance.now() })
+        this.times.push({ proxy, asked, done: performance.now() })
       } catch (err) {
         this.note(id, err as { errno?: number, message: string })
         if (err instanceof Error && !('sqlState' in err)) {
