--- a/scenarios/world/process.ts
+++ b/scenarios/world/process.ts
@@ -28,6 +28,11 @@
     return new Process(node, incarnation, clock, network, chance)
   }
 
+  /** Unlike any other process's of the run. */
+  get name (): string {
+    return `${this.node.id}/${this.incarnation}`
+  }
+
   get isOver (): boolean {
     return this.over.signal.aborted
   }
@@ -50,6 +55,11 @@
     await this.running()
   }
 
+  /** Sends news; a frozen process does so when it wakes up. */
+  tell (connection: Connection, work: () => void): void {
+    this.running().then(async () => await this.network.tell(connection, work))
+  }
+
   /** Resolves when the process may go on: at once, after its freeze, or never. */
   async running (): Promise<void> {
     await this.node.awake()
--- a/scenarios/world/sql.ts
+++ b/scenarios/world/sql.ts
@@ -8,6 +8,7 @@
   | { readonly kind: 'read', readonly keys: readonly string[] }
   | { readonly kind: 'lookup', readonly id: string }
   | { readonly kind: 'change', readonly change: Change }
+  | { readonly kind: 'verb', readonly name: string, readonly args: ReadonlyArray<string | number> }
 
 interface Form {
   readonly pattern: RegExp
@@ -20,6 +21,10 @@
   { pattern: /^BEGIN$/, read: () => ({ kind: 'begin' }) },
   { pattern: /^COMMIT$/, read: () => ({ kind: 'commit' }) },
   { pattern: /^ROLLBACK$/, read: () => ({ kind: 'rollback' }) },
+  {
+    pattern: /^CALL agatepond\.(\w+)\((.*)\)$/,
+    read: ([name, args]) => ({ kind: 'verb', name: name!, args: JSON.parse(`[${args!.replaceAll("'", '"')}]`) as Array<string | number> })
+  },
   { pattern: /^CREATE TABLE /, read: () => ({ kind: 'create' }) },
   { pattern: /^SELECT k, v FROM list WHERE k IN \((.*)\)$/, read: ([keys]) => ({ kind: 'read', keys: keys!.replaceAll("'", '').split(',') }) },
   { pattern: /^INSERT INTO list \(k, v\) VALUES \('(.*)','(.*)'\)$/, read: ([key, value]) => change({ kind: 'append', key: key!, value: value! }) },
