Failover: a monitor judges copying by fresh samples only; guards tested alone

Cause: without any samples for 0.8 s the time since the last copy ran on, so a monitor that was cut off or just woken sealed at once, past the survey. Found by the small test of the monitor: "seals once all have answered and none is primary" got [] because the seals had gone out two events before. Change: stalled only with fresh samples of the primary and of a majority that follows it, at the moment of judging.

src/core/failover/monitor.test.ts holds the guards that no run on the virtual clock had needed. Each out in a scratch copy fails its own test: last entry's term for the log's, a term proposed twice, the first refusal ends the round, a lower term learnt, a seal learnt after its promotion.

--- /dev/null
+++ b/src/core/failover/monitor.test.ts
@@ -0,0 +1,101 @@
+import { describe, expect, it } from 'vitest'
+import { Group } from '../group/group.ts'
+import { Sample } from '../group/sample.ts'
+import { History } from '../history.ts'
+import type { EndpointId } from '../id/endpoint.ts'
+import type { GroupId } from '../id/group.ts'
+import type { Instant } from '../id/instant.ts'
+import type { Position } from '../id/position.ts'
+import type { Term } from '../id/term.ts'
+import { Ballot } from './ballot.ts'
+import type { FailoverEvent } from './event.ts'
+import { Monitor } from './monitor.ts'
+import { Watch } from './watch.ts'
+
+const PACE = { misses: 2, quietMs: 250, orphanMs: 1000, stallMs: 800, rankDelayMs: 150, roundMs: 500, jitterMs: 100 }
+const IDS = ['e1', 'e2', 'e3'] as EndpointId[]
+const at = (ms: number): Instant => ms as Instant
+
+function sample (id: string, role: Sample['role'], term: number, received = 0, starts: readonly [number, number][] = []): Sample {
+  return Sample.unknown(id as EndpointId).with({
+    role,
+    term: term as Term,
+    received: received as Position,
+    history: History.of(starts.map(([term, position]) => ({ term: term as Term, position: position as Position }))),
+    reachable: true
+  })
+}
+
+/** Actions of the last event, as `kind endpoint term`. */
+function play (events: readonly [number, FailoverEvent][]): readonly string[] {
+  let monitor = Monitor.create(Group.of('shop' as GroupId, IDS), IDS[0]!, 0, PACE, at(0))
+  let last: readonly string[] = []
+  for (const [ms, event] of events) {
+    const step = monitor.step(event, at(ms), 0)
+    monitor = step.monitor
+    last = step.actions.map(action => `${action.kind} ${'endpoint' in action ? action.endpoint : ''} ${'term' in action ? action.term : ''}`.trim())
+  }
+  return last
+}
+
+const answers = (ms: number): [number, FailoverEvent][] =>
+  IDS.map(id => [ms, { kind: 'sampled', sample: sample(id, 'replica', 0) }])
+
+describe('Ballot', () => {
+  // Term 2's primary logged 7 and 8 and died. Term 3's logged one entry of its
+  // own and died. Term 4's copied 7 and 8 to a second server, confirmed them,
+  // and died before its first write. The confirmed log must win over term 3's.
+  it('takes a log that was confirmed in a newer term before one that ends in a newer entry', () => {
+    const confirmed = sample('e3', 'sealed', 5, 8, [[1, 0], [2, 5], [4, 8]]).with({ lastTerm: 2 as Term })
+    const loser = sample('e2', 'sealed', 5, 9, [[1, 0], [2, 5], [3, 6]]).with({ lastTerm: 3 as Term })
+    expect(Ballot.empty.withSeal(loser).withSeal(confirmed).best()!.endpoint).toBe('e3')
+  })
+
+  it.each([
+    ['e2', 'e1', 'of equal logs, one that stays'],
+    ['e1', 'e2', 'of equal logs, one that stays']
+  ])('with %s leaving takes %s (%s)', (leaving, best) => {
+    const ballot = Ballot.empty.withSeal(sample('e1', 'sealed', 2, 8)).withSeal(sample('e2', 'sealed', 2, 8))
+    expect(ballot.best(leaving as EndpointId)!.endpoint).toBe(best)
+  })
+})
+
+describe('Monitor', () => {
+  const orphaned: [number, FailoverEvent][] = [[1000, { kind: 'tick' }], [1001, { kind: 'tick' }], ...answers(1002)]
+
+  it('seals once all have answered and none is primary', () => {
+    expect(play(orphaned)).toEqual(['seal e1 1', 'seal e2 1', 'seal e3 1'])
+  })
+
+  // A round got no answer at all. A seal of it may still be under way, and
+  // would stop the primary of the next round if that had the same term.
+  it('never asks votes for one term twice', () => {
+    expect(play([...orphaned, [1600, { kind: 'tick' }], [1700, { kind: 'tick' }], ...answers(1701)]))
+      .toEqual(['seal e1 2', 'seal e2 2', 'seal e3 2'])
+  })
+
+  // One server voted for another proposer; the other two are enough.
+  it('goes on after one refusal', () => {
+    const sealed = (id: string): FailoverEvent => ({ kind: 'sealed', term: 1 as Term, sample: sample(id, 'sealed', 1) })
+    expect(play([
+      ...orphaned,
+      [1003, { kind: 'refused', endpoint: 'e1' as EndpointId, term: 1 as Term }],
+      [1004, sealed('e2')],
+      [1005, sealed('e3')]
+    ])).toEqual(['promote e2 1'])
+  })
+})
+
+describe('Watch', () => {
+  const now = at(100)
+  const watch = Watch.create(Group.of('shop' as GroupId, IDS), PACE, at(0)).withSample(sample('e1', 'primary', 3), now)
+
+  it.each([
+    ['of a lower term', sample('e1', 'primary', 2), 'primary 3'],
+    ['of the seal before its promotion', sample('e1', 'sealed', 3), 'primary 3'],
+    ['of a newer term', sample('e1', 'sealed', 4), 'sealed 4']
+  ])('a sample learnt late, %s', (_, late, expected) => {
+    const known = watch.withLearnt(late, now).group.sample(IDS[0]!)!
+    expect(`${known.role} ${known.term}`).toBe(expected)
+  })
+})
--- a/src/core/failover/watch.ts
+++ b/src/core/failover/watch.ts
@@ -59,10 +59,12 @@
   /**
    * Against a primary that is cut off from its replicas while the proxies
    * reach it: its probes are answered, yet no write of it can be confirmed. It
-   * shows by replicas that stay behind it and copy nothing.
+   * shows by replicas that stay behind it and copy nothing. Only fresh samples
+   * of the primary and of a majority without it count: a monitor that was
+   * frozen or hears of nobody must not judge by what it knew.
    */
   isStalled (now: Instant, extraMs: number): boolean {
-    return now - this.fields.copiedAt >= this.fields.pace.stallMs + extraMs
+    return this.copiers(now) !== undefined && now - this.fields.copiedAt >= this.fields.pace.stallMs + extraMs
   }
 
   /** Whether this process or another reached the endpoint within the quiet time. */
@@ -77,17 +79,22 @@
     return next.group.primary?.endpoint === sample.endpoint ? next.with({ misses: 0, seenAt: now }) : next
   }
 
-  /** Judges only with fresh samples of the primary and of a majority without it; those who know less mustn't. */
   private measured (now: Instant): Watch {
-    const { primary, samples, majority } = this.group
-    const fresh = samples.filter(one =>
-      one.endpoint !== primary?.endpoint && one.role === 'replica' && one.term === primary?.term && this.isReached(one.endpoint, now))
-    if (primary === undefined || fresh.length < majority) return this.with({ copiedAt: now })
-    const copied = Math.max(...fresh.map(one => one.received)) as Position
-    const isWell = copied >= primary.received || copied !== this.fields.copied
+    const copiers = this.copiers(now)
+    if (copiers === undefined) return this.with({ copiedAt: now })
+    const copied = Math.max(...copiers.map(one => one.received)) as Position
+    const isWell = copied >= this.group.primary!.received || copied !== this.fields.copied
     return this.with({ copied, copiedAt: isWell ? now : this.fields.copiedAt })
   }
 
+  /** The replicas that follow the primary, when all of what is known of them and of it is fresh and they are a majority. */
+  private copiers (now: Instant): readonly Sample[] | undefined {
+    const { primary, samples, majority } = this.group
+    if (primary === undefined || !this.isReached(primary.endpoint, now)) return undefined
+    const followers = samples.filter(one => one.role === 'replica' && one.term === primary.term && this.isReached(one.endpoint, now))
+    return followers.length >= majority ? followers : undefined
+  }
+
   /**
    * Takes in what another process knows. Frames of two senders overtake each
    * other, so that a sample may be older than what is known: one of a lower
--- a/test/failover.core.test.ts
+++ b/test/failover.core.test.ts
@@ -88,6 +88,19 @@
     expect(world.promotions).toHaveLength(1)
   })
 
+  // A proxy is paused while all is well. When it wakes, all that it knows is
+  // old: it looks as if nothing was copied and nobody was primary for seconds.
+  it.each(SEEDS)('a monitor that is woken while all is well (seed %i)', seed => {
+    const world = new World(seed)
+    for (const process of ['p1', 'p3']) {
+      world.network.freeze(process)
+      world.run(3000)
+      world.network.wake(process)
+      world.run(1000)
+    }
+    expect(world.promotions).toEqual([])
+  })
+
   // One process loses its links to everything but one replica. It can't win,
   // and must not raise the term of the one server that it reaches.
   it.each(SEEDS)('a process that reaches one replica only (seed %i)', seed => {
--- a/test/failover/callers.ts
+++ b/test/failover/callers.ts
@@ -26,7 +26,8 @@
   static async start (stage: Stage, proxies: readonly number[]): Promise<Callers> {
     const it = new Callers(stage)
     const first = await it.connect(proxies[0]!)
-    await first.query('CREATE TABLE IF NOT EXISTS crimp (id TEXT)')
+    // A proxy that is just up may not have heard of the primary yet.
+    while (!await first.query('CREATE TABLE IF NOT EXISTS crimp (id TEXT)').then(() => true, () => false)) await pause(PAUSE_MS)
     await first.end()
     it.running = proxies.map(async proxy => await it.write(proxy))
     return it
