--- a/src/core/config/document.ts
+++ b/src/core/config/document.ts
@@ -9,6 +9,7 @@
 import type { Freshness } from '../routing/freshness.ts'
 import type { Config } from './config.ts'
 import { repeated } from './names.ts'
+import { serviceLevels } from './servicelevels.ts'
 
 const LIST_OF_KEYS = '"Patch the configuration" in docs/OPERATIONS.md'
 const MOST_SLOTS = 8
@@ -47,7 +48,8 @@
     callers: z.array(z.strictObject({ id: name, passwordHash })),
     kinds: z.array(z.strictObject({ name, freshness })).default([]),
     freshness: freshness.default({ kind: 'session' })
-  }))
+  })),
+  serviceLevels
 })
 
 type Document = z.output<typeof shape>
@@ -61,24 +63,27 @@
   return ok({ version, ...parsed.data } as unknown as Config)
 }
 
-function strayReference ({ groups, pools }: Document): string | undefined {
+function strayReference ({ groups, pools, serviceLevels }: Document): string | undefined {
   const known = new Set(groups.map(group => group.id))
   for (const pool of pools) {
     const stray = pool.groups.find(id => !known.has(id))
     if (stray !== undefined) return `pools.${pool.id}.groups: "${stray}" isn't a group; add it to groups or remove it here`
   }
+  const level = serviceLevels.find(one => !pools.some(pool => pool.id === one.pool))
+  if (level !== undefined) return `serviceLevels.${level.name}.pool: "${level.pool}" isn't a pool; name one of the pools`
   return undefined
 }
 
 /** Ids are unique over the whole document; an endpoint's connections are counted by its address, a caller logs in by its id alone. */
-function repeatedName ({ groups, pools }: Document): string | undefined {
+function repeatedName ({ groups, pools, serviceLevels }: Document): string | undefined {
   const endpoints = groups.flatMap(group => group.endpoints)
   const lists: ReadonlyArray<readonly [string, readonly string[]]> = [
     ['groups', groups.map(group => group.id)],
     ['pools', pools.map(pool => pool.id)],
     ['endpoints', endpoints.map(endpoint => endpoint.id)],
     ['addresses of endpoints', endpoints.map(endpoint => endpoint.address)],
-    ['callers', pools.flatMap(pool => pool.callers.map(caller => caller.id))]
+    ['callers', pools.flatMap(pool => pool.callers.map(caller => caller.id))],
+    ['serviceLevels', serviceLevels.map(level => level.name)]
   ]
   for (const [kind, names] of lists) {
     const twice = repeated(names)
