--- a/scenarios/world/proxy.ts
+++ b/scenarios/world/proxy.ts
@@ -11,7 +11,6 @@
 import type { SessionId } from '../../src/core/id/session.ts'
 import { Sessions } from '../../src/core/session/sessions.ts'
 import type { parseSettings } from '../../src/core/settings/settings.ts'
-import { placeSlots } from '../../src/core/routing/placement.ts'
 import { CallerConnection } from '../../src/shell/caller/connection.ts'
 import type { CallerContext } from '../../src/shell/caller/context.ts'
 import { Groups } from '../../src/shell/caller/groups.ts'
@@ -26,6 +25,7 @@
 import type { ObjectStore } from '../../src/shell/platform/objectstore.ts'
 import { Link } from './link.ts'
 import { ownSlots } from './ownslots.ts'
+import { holdersOf } from './placing.ts'
 import type { Platform } from './platform.ts'
 import type { Process } from './process.ts'
 
@@ -160,7 +160,7 @@
   private holders (endpoint: EndpointId): readonly HostId[] {
     const live = this.hosts.filter(host => host.state === 'live')
     const group = this.configs.config?.groups.find(one => one.endpoints.some(other => other.id === endpoint))
-    return group === undefined ? [] : placeSlots(endpoint, live, group.slotsPerEndpoint)
+    return group === undefined ? [] : holdersOf(endpoint, live, group.slotsPerEndpoint)
   }
 
   private async pollHosts (): Promise<void> {
