Silent connections to endpoints: found, ended and replaced

Cause: mysql2's destroy only ends the sending side and drops the running command without a word. On a connection that went silent the asker waited for good: the probe loop stood still, and a frozen primary was found only by the rule for orphaned groups. And a statement lent a dead idle connection waited out its deadline and was told "unknown".

Change: destroy destroys the stream, which fails the running command; a connection of which nothing was heard for 1 s is asked before a statement is sent on it (500 ms), and replaced if it's silent.

Not covered: a connection that goes silent while its statement runs; that one ends at the request's deadline.

The scenarios' world and bench/control.ts use the monitor's new interface (probe, learnt, promoted with a sample, a proposer a slot).

--- a/bench/control.ts
+++ b/bench/control.ts
@@ -18,6 +18,7 @@
 import { Session } from '../src/core/session/session.ts'
 import { Sessions } from '../src/core/session/sessions.ts'
 import { Token } from '../src/core/token.ts'
+import { paceOf } from '../src/shell/endpoint/paceof.ts'
 import { sampleFrame } from '../src/shell/peer/frames.ts'
 import type { Benchmark } from './benchmark.ts'
 
@@ -26,7 +27,7 @@
 const STEPS = [10_000, 30_000, 100_000] as const
 const PLACEMENTS = 300
 const ENDPOINTS = ['shop-1', 'shop-2', 'shop-3'] as unknown as readonly EndpointId[]
-const PACE = { misses: 2, rankDelayMs: 150, roundMs: 500, jitterMs: 100 }
+const PACE = paceOf({ pace: { misses: 2, rankDelayMs: 150, roundMs: 500, jitterMs: 100 }, probeMs: 100 })
 
 export const control: Benchmark = {
   name: 'control',
@@ -55,7 +56,7 @@
 }
 
 function monitorMicros (count: number): number {
-  let monitor = Monitor.create(Group.of('shop' as GroupId, ENDPOINTS), 0, PACE)
+  let monitor = Monitor.create(Group.of('shop' as GroupId, ENDPOINTS), ENDPOINTS[0]!, 0, PACE, 0 as Instant)
   return micros(count, i => {
     monitor = monitor.step({ kind: 'sampled', sample: sampleOf(i) }, i as Instant, 0.5).monitor
   })
--- a/scenarios/world/owner.ts
+++ b/scenarios/world/owner.ts
@@ -55,7 +55,7 @@
     this.transactions = Transactions.create(this.slot as unknown as RealSlot)
     this.probe = Control.create(process, endpoint)
     this.waits = Control.create(process, endpoint)
-    this.monitor = Monitor.create(options.group, options.rank, options.pace)
+    this.monitor = Monitor.create(options.group, endpoint.id, options.rank, options.pace, process.now())
   }
 
   static start (options: Options): Owner {
@@ -99,9 +99,8 @@
   }
 
   learn (sample: Sample): void {
-    const known = this.monitor.group.sample(sample.endpoint)
-    if (sample.endpoint === this.endpoint || known === undefined || known.term > sample.term) return
-    this.hear({ kind: 'sampled', sample })
+    if (sample === this.monitor.group.sample(sample.endpoint)) return
+    this.hear({ kind: 'learnt', sample })
   }
 
   private async confirmElsewhere (token: Token, ms: number): Promise<boolean> {
@@ -136,6 +135,7 @@
     if (this.isOver) return
     if (sample === undefined) {
       this.hear({ kind: 'missed', endpoint: this.endpoint })
+      if (this.monitor.isReached(this.endpoint, this.options.process.now())) return
       return onSample(this.monitor.group.sample(this.endpoint)!.with({ reachable: false }))
     }
     const fresh = sample.with({ queued: this.slot.queued })
@@ -161,14 +161,23 @@
   private act (action: FailoverAction): void {
     this.options.onAction(action)
     if (action.kind === 'record') this.options.onSample(this.monitor.group.sample(action.primary)!)
+    else if (action.kind === 'probe') this.ask(action.endpoint)
     else this.order(action)
   }
 
-  private async order (action: Exclude<FailoverAction, { kind: 'record' }>): Promise<void> {
+  private async ask (endpoint: EndpointId): Promise<void> {
+    const { endpoints, process, probeTimeoutMs } = this.options
+    const control = Control.create(process, endpoints.get(endpoint)!)
+    const sample = await control.ask(probeTimeoutMs, at => at.status()).catch(() => undefined)
+    control.close()
+    this.hear(sample === undefined ? { kind: 'missed', endpoint } : { kind: 'sampled', sample })
+  }
+
+  private async order (action: Exclude<FailoverAction, { kind: 'record' | 'probe' }>): Promise<void> {
     const { endpoints, process, pace } = this.options
     const { endpoint, term } = action
     const control = Control.create(process, endpoints.get(endpoint)!)
-    const proposer = `${process.node.id}/${process.incarnation}`
+    const proposer = `${process.node.id}/${process.incarnation}/${this.endpoint}`
     try {
       switch (action.kind) {
         case 'seal': {
@@ -177,8 +186,7 @@
         }
         case 'promote': {
           const sample = await control.ask(pace.roundMs, at => at.promote(term, proposer))
-          this.hear({ kind: 'sampled', sample })
-          return this.hear({ kind: 'promoted', endpoint, term })
+          return this.hear({ kind: 'promoted', term, sample })
         }
         case 'follow': {
           const primary = endpoints.get(action.primary)!
--- a/scenarios/world/proxy.ts
+++ b/scenarios/world/proxy.ts
@@ -12,6 +12,7 @@
 import { Sessions } from '../../src/core/session/sessions.ts'
 import type { parseSettings } from '../../src/core/settings/settings.ts'
 import { placeSlots } from '../../src/core/routing/placement.ts'
+import { paceOf } from '../../src/shell/endpoint/paceof.ts'
 import { CallerConnection } from '../../src/shell/caller/connection.ts'
 import type { CallerContext } from '../../src/shell/caller/context.ts'
 import { Groups } from '../../src/shell/caller/groups.ts'
@@ -217,7 +218,7 @@
       group: this.groups.get(group.id)!,
       connections: group.connectionsPerSlot,
       rank,
-      pace: { misses, rankDelayMs: rankDelay, roundMs: round, jitterMs: jitter },
+      pace: paceOf({ pace: { misses, rankDelayMs: rankDelay, roundMs: round, jitterMs: jitter }, probeMs: probe }),
       probeMs: probe,
       probeTimeoutMs: probeTimeout,
       confirmAt: async (at, token, ms) => (await this.port(at)?.confirm(at, token.term, token.position, ms))?.ok === true,
--- a/src/shell/endpoint/connection.ts
+++ b/src/shell/endpoint/connection.ts
@@ -15,9 +15,13 @@
   readonly connectMs: number
 }
 
+/** A connection that was silent for longer is asked before it's used. */
+const FRESH_MS = 1000
+
 /** Runs one statement at a time. Once lost it stays lost. */
 export class EndpointConnection {
   isLost = false
+  private heardAt = performance.now()
 
   private constructor (private readonly wire: Wire) {}
 
@@ -48,6 +52,7 @@
     wire.on('error', () => it.lose())
     wire.on('end', () => it.lose())
     wire.stream.once('close', () => it.lose())
+    wire.stream.on('data', () => { it.heardAt = performance.now() })
     return it
   }
 
@@ -83,6 +88,22 @@
     })
   }
 
+  /** Whether nothing was heard of it for so long that it may have gone silent. */
+  get isStale (): boolean {
+    return performance.now() - this.heardAt >= FRESH_MS
+  }
+
+  /**
+   * Against a connection that something in between lost track of while nobody
+   * used it: it shows no error, and a statement sent on it is never answered.
+   * When false it's closed.
+   */
+  async answers (ms: number): Promise<boolean> {
+    if (this.isLost) return false
+    const timer = setTimeout(() => this.destroy(), ms)
+    return await this.ask('SELECT 1').then(() => true, () => false).finally(() => clearTimeout(timer))
+  }
+
   pause (): void {
     this.wire.pause()
   }
@@ -91,11 +112,16 @@
     this.wire.resume()
   }
 
-  /** Closes at once, without a farewell: what runs on it may still take effect. */
+  /**
+   * Closes at once, without a farewell: what runs on it may still take effect.
+   * Against a wait without end: mysql2's own `destroy` only ends the sending
+   * side and drops the running command unanswered, so on a silent connection
+   * whoever asked would never hear. A destroyed stream fails the command.
+   */
   destroy (): void {
     this.lose()
     this.wire.on('error', () => undefined)
-    this.wire.destroy()
+    this.wire.stream.destroy()
   }
 
   private lose (): void {
--- a/src/shell/endpoint/execution.ts
+++ b/src/shell/endpoint/execution.ts
@@ -36,6 +36,8 @@
 const IN_TRANSACTION = 1
 const NONE: Counts = { affected: 0, insertId: 0 }
 const RESET_MS = 1000
+/** How long an idle connection may take to show that it still works. */
+const ANSWER_MS = 500
 /** Bytes of rows that may be under way before the asker gives credit. */
 const FIRST_CREDIT = 256 * 1024
 
@@ -126,12 +128,23 @@
       return this.hear({ kind: 'unobtainable', reason: 'lostTransaction', detail: '' })
     }
     try {
-      this.use(await this.context.slot.borrow(this.over.signal))
+      const connection = await this.borrow()
+      this.use(connection)
     } catch (err) {
       this.hear({ kind: 'unobtainable', reason: 'unreachable', detail: (err as Error).message })
     }
   }
 
+  /** A connection that answers; one that went silent is closed, and the next one tried. */
+  private async borrow (): Promise<EndpointConnection> {
+    const { slot } = this.context
+    for (;;) {
+      const connection = await slot.borrow(this.over.signal)
+      if (!connection.isStale || await connection.answers(ANSWER_MS)) return connection
+      slot.giveBack(connection, false)
+    }
+  }
+
   private use (connection: EndpointConnection): void {
     this.connection = connection
     this.hear({ kind: 'obtained' })
