--- a/scenarios/world/sql.ts
+++ b/scenarios/world/sql.ts
@@ -26,6 +26,7 @@
     read: ([name, args]) => ({ kind: 'verb', name: name!, args: JSON.parse(`[${args!.replaceAll("'", '"')}]`) as Array<string | number> })
   },
   { pattern: /^CREATE TABLE /, read: () => ({ kind: 'create' }) },
+  { pattern: /^SELECT 1$/, read: () => ({ kind: 'read', keys: [] }) },
   { pattern: /^SELECT k, v FROM list WHERE k IN \((.*)\)$/, read: ([keys]) => ({ kind: 'read', keys: keys!.replaceAll("'", '').split(',') }) },
   { pattern: /^INSERT INTO list \(k, v\) VALUES \('(.*)','(.*)'\)$/, read: ([key, value]) => change({ kind: 'append', key: key!, value: value! }) },
   { pattern: /^INSERT INTO \w+ \(id, .*\) VALUES \('(\w+)', '(\w+)'/, read: ([id, fingerprint]) => change({ kind: 'claim', id: id!, fingerprint: fingerprint! }) },
--- a/scenarios/world/wire.ts
+++ b/scenarios/world/wire.ts
@@ -1,5 +1,6 @@
 /** A proxy's connection to a fake endpoint, in place of src/shell/endpoint/connection.ts. */
 
+import type { EndpointConnection } from '../../src/shell/endpoint/connection.ts'
 import type { QuerySink } from '../../src/shell/mysql/querysink.ts'
 import { OkPacket } from '../../src/shell/mysql/okpacket.ts'
 import { encodeResult } from '../../standin/endpoint/columns.ts'
@@ -10,10 +11,13 @@
 import { SqlError } from './sqlerror.ts'
 
 const IN_TRANSACTION = 1
+const FRESH_MS = 1000
 /** A statement on a silent connection waits until its connection is closed. */
 const FOR_EVER_MS = 1_000_000
 
-export class Wire {
+export class Wire implements Pick<EndpointConnection, keyof EndpointConnection> {
+  private heardAt = performance.now()
+
   private constructor (private readonly process: Process, private readonly endpoint: Endpoint, private readonly connection: Connection) {}
 
   static of (process: Process, endpoint: Endpoint, connection: Connection): Wire {
@@ -61,6 +65,16 @@
     return await process.ask(connection, ms, () => endpoint.reset(connection)).then(() => true, () => false)
   }
 
+  get isStale (): boolean {
+    return performance.now() - this.heardAt >= FRESH_MS
+  }
+
+  async answers (ms: number): Promise<boolean> {
+    if (this.isLost) return false
+    const timer = setTimeout(() => this.destroy(), ms)
+    return await this.ask('SELECT 1').then(() => true, () => false).finally(() => clearTimeout(timer))
+  }
+
   pause (): void {}
 
   resume (): void {}
@@ -73,6 +87,7 @@
     const { process, endpoint, connection } = this
     if (connection.isBroken) throw LinkError.broken
     const answer = await process.ask(connection, FOR_EVER_MS, async () => await endpoint.run(connection, sql))
+    this.heardAt = performance.now()
     return { ...answer, status: answer.isOpen ? IN_TRANSACTION : 0 }
   }
 }
