A proxy with several groups doesn't end: a monitor takes its own group's samples only

Cause: a process hears samples of all groups, and each slot owner's monitor took them all. With three databases a proxy ordered a verb to an endpoint of another group and ended within seconds of its start.

--- a/src/shell/endpoint/owner.ts
+++ b/src/shell/endpoint/owner.ts
@@ -118,6 +118,9 @@
 
   /** Takes in what another process knows of this group's endpoints. */
   learn (sample: Sample): void {
+    // A process hears of all groups. A monitor that took another group's sample would judge by its term and order verbs
+    // to its endpoints, for which it has no address.
+    if (!this.options.addresses.has(sample.endpoint)) return
     if (sample.endpoint === this.endpoint) return
     const known = this.monitor.group.sample(sample.endpoint)
     if (known !== undefined && known.term > sample.term) return
