--- a/bench/idle.ts
+++ b/bench/idle.ts
@@ -6,6 +6,8 @@
 
 const GROUPS = [1, 3, 6] as const
 const PROXIES = [2, 4, 8] as const
+/** Probes and heartbeats, from the default to what the plan's outer bound of 9 s for a failover allows. */
+const PACES = ['100ms', '300ms', '1s'] as const
 const SETTLE_MS = 3000
 const MEASURE_MS = 6000
 
@@ -16,20 +18,20 @@
     const figures: Array<readonly [string, number]> = []
     for (const groups of GROUPS) figures.push(...await measure(groups, 3))
     for (const proxies of PROXIES) figures.push(...await measure(1, proxies))
+    for (const pace of PACES) figures.push(...await measure(6, 3, pace))
     return Object.fromEntries(figures)
   }
 }
 
 /** Means over all proxies; each holds `groups × 6 / proxies` slots. */
-async function measure (groups: number, proxies: number): Promise<ReadonlyArray<readonly [string, number]>> {
-  process.stderr.write(`${groups} groups, ${proxies} proxies\n`)
-  const stage = await Stage.start({ proxies, groups: Array.from({ length: groups }, (_, i) => `shop${i}`) })
+async function measure (groups: number, proxies: number, probe = '100ms'): Promise<ReadonlyArray<readonly [string, number]>> {
+  const stage = await Stage.start({ proxies, groups: Array.from({ length: groups }, (_, i) => `shop${i}`), extraSettings: `[failover]\nprobe = "${probe}"` })
   try {
     await sleep(SETTLE_MS)
     const [before, reads] = [await all(stage), (await stage.counts()).tableReads!]
     await sleep(MEASURE_MS)
     const [after, readsAfter] = [await all(stage), (await stage.counts()).tableReads!]
-    const name = `${groups * 6 / proxies} slots, ${proxies - 1} peers`
+    const name = `${groups * 6 / proxies} slots, ${proxies - 1} peers, a probe each ${probe}`
     const cpu = mean(after.map((one, i) => one.cpuSeconds - before[i]!.cpuSeconds)) / (MEASURE_MS / 1000)
     return [
       [`share of a core with ${name}`, cpu],
