--- a/src/cli/explain.ts
+++ b/src/cli/explain.ts
@@ -5,10 +5,13 @@
 import type { AuditRecord } from '../core/audit/record.ts'
 import { tellStory } from '../core/audit/story.ts'
 import { checkRecords } from '../shell/audit/check.ts'
-import { AuditReader } from '../shell/audit/reader.ts'
-import { S3Store } from '../shell/platform/s3store.ts'
+import type { AuditReader } from '../shell/audit/reader.ts'
+import { openAuditReader } from './auditreader.ts'
 import { exit } from './exit.ts'
-import { readSettings } from './settingsfile.ts'
+import { options } from './options.ts'
+import { reading } from './reading.ts'
+import { settingsOf } from './settingsof.ts'
+import { stop } from './stop.ts'
 import { parseTime } from './time.ts'
 
 interface Choice {
@@ -27,31 +30,25 @@
     { description: 'Check chains and promises', command: 'agatepond explain --settings agatepond.toml --verify --since 1d' }
   ],
   args: {
-    settings: option({ type: string, long: 'settings', description: 'the settings file' }),
+    settings: options.settings,
     id: positional({ type: optional(string), displayName: 'id', description: 'the id of a request' }),
     session: option({ type: optional(string), long: 'session', description: 'only requests of this session' }),
     once: option({ type: optional(string), long: 'once', description: 'only requests with this idempotency key' }),
     since: option({ type: string, long: 'since', defaultValue: () => '1h', description: 'an age or a date; 1h when absent' }),
     verify: flag({ long: 'verify', description: 'check the chains and the promises of the period' }),
-    json: flag({ long: 'json', description: 'print JSON' })
+    json: options.json
   },
-  handler: async ({ settings: file, id, verify, ...choice }) => {
-    const { platform } = readSettings(file).match(value => value, problem => stop(problem, exit.usage))
-    const { objectStore: url, bucket, region, timeout: timeoutMs } = platform
-    const reader = AuditReader.of(S3Store.open({ url, bucket, region, timeoutMs }, new AbortController().signal))
-    try {
-      if (id !== undefined) await explainOne(reader, id, choice.json)
-      else if (verify) await verifyAll(reader, choice)
-      else await listAll(reader, choice)
-    } catch (err) {
-      stop(`the object store does not answer (${(err as Error).message}); try again`, exit.unknown)
-    }
+  handler: async ({ settings, id, verify, ...choice }) => {
+    const { reader } = openAuditReader(settingsOf(settings))
+    if (id !== undefined) return await explainOne(reader, id, choice.json)
+    if (verify) return await verifyAll(reader, choice)
+    await listAll(reader, choice)
   }
 })
 
 async function explainOne (reader: AuditReader, text: string, isJson: boolean): Promise<void> {
   const id = AuditId.parse(text) ?? stop(`"${text}" isn't the id of a request; copy it from the text of the error`, exit.usage)
-  const found = (await reader.find(id)).match(value => value, problem => stop(`${text}: ${problem}`, exit.refused))
+  const found = (await reading(async () => await reader.find(id))).match(value => value, problem => stop(`${text}: ${problem}`, exit.refused))
   const { record, key, problems } = found
   print(isJson ? [JSON.stringify(record)] : [`Request ${text}, ${dateOf(record)}, from ${key}`, ...tellStory(record)])
   if (problems.length > 0) stop(`${key} can't be trusted: ${problems.join('; ')}`, exit.refused)
@@ -91,7 +88,7 @@
 async function readPeriod (reader: AuditReader, { since }: Choice): ReturnType<AuditReader['readAll']> {
   const now = Date.now()
   const from = parseTime(since, now).match(value => value, problem => stop(problem, exit.usage))
-  return await reader.readAll(await reader.keys(from, now))
+  return await reading(async () => await reader.readAll(await reader.keys(from, now)))
 }
 
 function lineOf (record: AuditRecord): string {
@@ -107,8 +104,3 @@
 function print (lines: readonly string[]): void {
   if (lines.length > 0) process.stdout.write(`${lines.join('\n')}\n`)
 }
-
-function stop (problem: string, code: number): never {
-  process.stderr.write(`${problem}\n`)
-  process.exit(code)
-}
--- a/src/shell/caller/reads.ts
+++ b/src/shell/caller/reads.ts
@@ -1,6 +1,7 @@
 /** The way of a read: what its session must see, and the endpoint that shows it. */
 
 import { Run_Access as RunAccess } from '../../gen/peer_pb.ts'
+import { appliedEvidence } from '../../core/audit/applied.ts'
 import type { Group } from '../../core/group/group.ts'
 import type { EndpointId } from '../../core/id/endpoint.ts'
 import type { GroupId } from '../../core/id/group.ts'
@@ -8,7 +9,6 @@
 import type { SessionId } from '../../core/id/session.ts'
 import type { Freshness } from '../../core/routing/freshness.ts'
 import type { Hints } from '../../core/routing/hints.ts'
-import { appliedEvidence } from '../../core/audit/applied.ts'
 import { routeRead } from '../../core/routing/route.ts'
 import { fingerprint } from '../../core/session/fingerprint.ts'
 import { requiredToken } from '../../core/session/required.ts'
@@ -90,7 +90,8 @@
         case 'lost': return this.tellLost(read)
         case 'none': return { kind: 'nowhere', reason: 'noPrimary' }
         case 'replica': {
-          const evidence = appliedEvidence(token, group.sample(route.endpoint)!)
+          const sample = group.sample(route.endpoint)!
+          const evidence = appliedEvidence(read.freshness, token, sample, groups.marks(read.group).age(sample, now()))
           return { kind: 'endpoint', endpoint: route.endpoint, access: RunAccess.READ, transaction: '', evidence }
         }
         case 'primary': return { kind: 'endpoint', endpoint: route.endpoint, access: RunAccess.STRICT, transaction: '' }
