--- a/src/core/settings/settings.test.ts
+++ b/src/core/settings/settings.test.ts
@@ -38,6 +38,10 @@
     ['platform.timeout', 1000, 'platform.timeout: write a duration as text with a unit, such as "250ms" or "1.5s"'],
     ['platform.timeout', '0ms', 'platform.timeout: is zero; write how long the store may take, such as "1s"'],
     ['peers.silent', '300ms', 'peers.silent: is too short for the heartbeat; write at least 600ms or shorten peers.beat'],
+    ['audit.buffer', '64MiB', 'ok'],
+    ['audit.buffer', 20_000, 'ok'],
+    ['audit.buffer', '64MB', 'audit.buffer: "64MB" isn\'t a size; write a whole number and a unit, such as "512KiB" or "64MiB"'],
+    ['audit.buffer', true, 'audit.buffer: write a size such as "512KiB" or "64MiB", or a whole number of bytes'],
     ['failover.misses', 0, 'failover.misses: is too small; write at least 1'],
     ['failover.misses', 1.5, 'failover.misses: has the wrong type; write a whole number']
   ])('%s = %j', (path, value, expected) => {
--- a/src/core/settings/settings.ts
+++ b/src/core/settings/settings.ts
@@ -6,6 +6,7 @@
 import { contradictionIn } from './contradiction.ts'
 import { parseDuration } from './duration.ts'
 import { problemOf } from './problem.ts'
+import { parseSize } from './size.ts'
 
 const LIST_OF_KEYS = '"Settings" in docs/OPERATIONS.md'
 
@@ -16,6 +17,16 @@
   return z.NEVER
 })
 
+/** Bytes, by number or with a unit. */
+const size = z.union([z.int().min(1), z.string()], { error: 'write a size such as "512KiB" or "64MiB", or a whole number of bytes' })
+  .transform((value, context) => {
+    if (typeof value === 'number') return value
+    const parsed = parseSize(value)
+    if (parsed.isOk()) return parsed.value
+    context.addIssue({ code: 'custom', message: parsed.error })
+    return z.NEVER
+  })
+
 const address = z.string().superRefine((text, context) => {
   const parsed = parseAddress(text)
   if (parsed.isErr()) context.addIssue({ code: 'custom', message: parsed.error })
@@ -58,9 +69,9 @@
   audit: z.strictObject({
     enabled: z.boolean().default(true),
     records: z.int().min(1).default(5000),
-    bytes: z.int().min(1).default(4_000_000),
+    bytes: size.default(4_000_000),
     age: duration.default(5000),
-    buffer: z.int().min(1).default(16_000_000),
+    buffer: size.default(16_000_000),
     flush: duration.default(2000)
   }).prefault({}),
   requests: z.strictObject({
