--- a/test/config.test.ts
+++ b/test/config.test.ts
@@ -1,4 +1,8 @@
+import type { MessageInitShape } from '@bufbuild/protobuf'
+import { createClient } from '@connectrpc/connect'
+import { createGrpcTransport } from '@connectrpc/connect-node'
 import { afterAll, beforeAll, describe, expect, it } from 'vitest'
+import { Peer, type BatchSchema, type FrameSchema } from '../src/gen/peer_pb.ts'
 import { Stage } from '../standin/stage.ts'
 
 let stage: Stage
@@ -30,6 +34,28 @@
   await stage.startProxy(i)
 }
 
+/** Sends a body to a proxy as a peer would, then a digest of 0; the version that the proxy answers with. */
+async function toldVersion (i: number, body: { version: number, base: number, json: string }): Promise<number | undefined> {
+  const client = createClient(Peer, createGrpcTransport({ baseUrl: `http://127.0.0.1:${stage.proxies[i]!.peers}` }))
+  const stop = new AbortController()
+  const frames: ReadonlyArray<MessageInitShape<typeof FrameSchema>> = [
+    { body: { case: 'hello', value: { host: 'host-9', incarnation: 'stale' } } },
+    { body: { case: 'configBody', value: body } },
+    { body: { case: 'configDigest', value: { version: 0 } } }
+  ]
+  async function * batches (): AsyncGenerator<MessageInitShape<typeof BatchSchema>> {
+    yield { frames: [...frames] }
+    await new Promise(resolve => stop.signal.addEventListener('abort', resolve))
+  }
+  for await (const batch of client.link(batches())) {
+    const answer = batch.frames.find(frame => frame.body.case === 'configBody')
+    if (answer?.body.case !== 'configBody') continue
+    stop.abort()
+    return answer.body.value.version
+  }
+  return undefined
+}
+
 const change = (connectionsPerSlot: number): object => ({ change: { groups: [{ id: 'shop', connectionsPerSlot }] } })
 
 describe('the configuration of a whole system', () => {
@@ -69,6 +95,14 @@
     await stage.faults({ down: false })
   })
 
+  // A peer that was cut off for an hour sends what was in force then, whole, to a proxy that has gone on since.
+  // The proxy must keep what it has; asked afterwards on the same link, it answers with that.
+  it('is never reverted by a stale peer', async () => {
+    const before = applied(0).at(-1)!
+    expect(await toldVersion(0, { version: 1, base: 0, json: JSON.stringify(stage.config()) })).toBe(before)
+    expect(applied(0).at(-1)).toBe(before)
+  })
+
   // A proxy is replaced while the store is down: it takes what its peers have, and serves.
   it('comes from the peers while the store is down', async () => {
     await stage.faults({ down: true })
