--- a/src/shell/caller/attempts.ts
+++ b/src/shell/caller/attempts.ts
@@ -13,8 +13,8 @@
 import type { RequestSpec } from '../../core/request/spec.ts'
 import type { Hints } from '../../core/routing/hints.ts'
 import { fingerprint } from '../../core/session/fingerprint.ts'
-import type { Audit } from '../audit/audit.ts'
 import type { Reply } from '../mysql/reply.ts'
+import type { Audit } from '../audit/audit.ts'
 import { refusal } from '../peer/answer.ts'
 import type { CallerContext } from './context.ts'
 import type { Identity } from './identity.ts'
@@ -63,8 +63,8 @@
     private readonly resolve: (done: Done) => void
   ) {
     this.attempts = Attempts.create(req.spec, context.retryBudget ?? alwaysRetry)
-    this.began = context.now()
     this.trail = context.audit.begin({ ...req, deadline: req.spec.deadline })
+    this.began = context.now()
   }
 
   static start (context: CallerContext, req: Request, reply: Reply, signal: AbortSignal, resolve: (done: Done) => void): void {
@@ -106,22 +106,22 @@
     }
   }
 
-  private hearUnroutable (reason: ReasonName): void {
-    this.trail.attempted({ kind: 'nowhere', reason }, refusal(0, reason), this.began)
-    this.hear({ kind: 'unroutable', reason })
-  }
-
   private async route (ms: number, avoid: readonly EndpointId[]): Promise<void> {
     this.began = this.context.now()
     const target = await this.req.target(ms, avoid)
     this.target = target
-    if (target.kind === 'nowhere') return this.hearUnroutable(target.reason)
+    if (target.kind === 'nowhere') return this.unroutable(target.reason)
     const port = target.port ?? this.context.port(target.endpoint)
-    if (port === undefined) return this.hearUnroutable('noSlotOwner')
+    if (port === undefined) return this.unroutable('noSlotOwner')
     this.target = { ...target, port }
     this.hear({ kind: 'routed', endpoint: target.endpoint })
   }
 
+  private unroutable (reason: ReasonName): void {
+    this.trail.attempted(this.target!, refusal(0, reason), this.began)
+    this.hear({ kind: 'unroutable', reason })
+  }
+
   private async send (attempt: number, ms: number): Promise<void> {
     const { req } = this
     const { endpoint, access, transaction, port } = this.target as Reached
--- a/src/shell/caller/reads.ts
+++ b/src/shell/caller/reads.ts
@@ -28,6 +28,7 @@
   /** Asked for after the read arrived; undefined for a session that writes nowhere else. */
   readonly bound: Token | undefined
   readonly near: ReadonlySet<EndpointId>
+  /** Endpoints that an earlier attempt of the same read could not reach. */
   readonly avoid: readonly EndpointId[]
   readonly since: Instant
 }
@@ -76,9 +77,9 @@
   private async place (read: Read, ms: number): Promise<Target> {
     const { groups, now } = this.context
     for (let isRefreshed = read.bound !== undefined; ;) {
-      const all = groups.get(read.group)
-      if (all === undefined) return { kind: 'nowhere', reason: 'noPrimary' }
-      const group = read.avoid.reduce(withoutReplica, all)
+      const known = groups.get(read.group)
+      if (known === undefined) return { kind: 'nowhere', reason: 'noPrimary' }
+      const group = read.avoid.reduce(withoutReplica, known)
       const writes = groups.writes(read.group)
       const token = requiredToken({ ...read, group, writes, session: fingerprint(read.session) })
       const isNoteDue = read.bound !== undefined && writes.gap(read.bound, group.leastApplied) !== undefined
--- a/src/shell/caller/target.ts
+++ b/src/shell/caller/target.ts
@@ -14,9 +14,9 @@
     readonly access: RunAccess
     /** The open transaction; empty outside of one. */
     readonly transaction: string
-    /** The slot owner that holds the transaction's connection; any owner of the endpoint outside of one. */
-    readonly port?: SlotPort
     /** What routing checked before it chose the endpoint. */
     readonly evidence?: Evidence
+    /** The slot owner that holds the transaction's connection; any owner of the endpoint outside of one. */
+    readonly port?: SlotPort
   }
   | { readonly kind: 'nowhere', readonly reason: ReasonName }
--- a/src/shell/peer/link.ts
+++ b/src/shell/peer/link.ts
@@ -25,8 +25,13 @@
   readonly log: Log
   readonly onSample: (frame: Extract<Frame['body'], { case: 'sample' }>['value']) => void
   readonly onWrote: (frame: Extract<Frame['body'], { case: 'wrote' }>['value']) => void
+  readonly onLinked: () => void
+  /** A frame of the gossip of configurations. */
+  readonly onConfig: (body: Frame['body']) => void
 }
 
+const MOST_ID = 0xffffffff
+
 type Sink = Parameters<SlotPort['run']>[1]
 
 /** Asks one peer's slots. What can't be sent is refused at once, as proved not run. */
@@ -34,7 +39,7 @@
   private out: AsyncQueue<Frame> | undefined
   private readonly asked = new Map<number, Sink>()
   private readonly confirms = new Map<number, (answer: Confirmed) => void>()
-  private nextId = 1
+  private nextId = 0
   private lastHeard = 0
   private isUp = false
 
@@ -51,7 +56,7 @@
   }
 
   run (req: Run, sink: Sink): ReturnType<SlotPort['run']> {
-    const id = this.nextId++
+    const id = this.newId()
     if (!this.isUp) {
       sink.done(refusal(id, 'noSlotOwner'))
       return { credit: () => undefined, cancel: () => undefined }
@@ -69,7 +74,7 @@
 
   async confirm (endpoint: EndpointId, term: Term, position: Position, ms: number): Promise<Confirmed> {
     if (!this.isUp) return create(ConfirmedSchema, { ok: false })
-    const id = this.nextId++
+    const id = this.newId()
     return await new Promise(resolve => {
       this.confirms.set(id, resolve)
       this.send({ case: 'confirm', value: { $typeName: 'agatepond.peer.v1.Confirm', id, endpoint, term, position, deadlineMs: ms } })
@@ -80,6 +85,17 @@
     this.send({ case: 'release', value: { $typeName: 'agatepond.peer.v1.Release', transaction } })
   }
 
+  tell (body: Frame['body']): void {
+    if (this.isUp) this.send(body)
+  }
+
+  /** Ids are 32 bits wide, and a busy link uses them up within days; one that is still in use is passed over. */
+  private newId (): number {
+    do this.nextId = this.nextId % MOST_ID + 1
+    while (this.asked.has(this.nextId) || this.confirms.has(this.nextId))
+    return this.nextId
+  }
+
   private send (body: Frame['body']): void {
     this.out?.push(create(FrameSchema, { body }))
   }
@@ -129,7 +145,10 @@
     switch (body.case) {
       case 'hello':
         this.isUp = true
-        return this.options.log.write('peerLinked', { peer: this.options.peer })
+        this.options.log.write('peerLinked', { peer: this.options.peer })
+        return this.options.onLinked()
+      case 'configDigest':
+      case 'configBody': return this.options.onConfig(body)
       case 'sample': return this.options.onSample(body.value)
       case 'wrote': return this.options.onWrote(body.value)
       case 'head': return this.asked.get(body.value.id)?.head(body.value.columns)
--- a/src/shell/peer/server.ts
+++ b/src/shell/peer/server.ts
@@ -1,9 +1,9 @@
 /** The accepting side of the links between processes. */
 
 import { createServer, type Http2Server } from 'node:http2'
-import { create } from '@bufbuild/protobuf'
+import { create, type MessageInitShape } from '@bufbuild/protobuf'
 import { connectNodeAdapter } from '@connectrpc/connect-node'
-import { BatchSchema, FrameSchema, Peer, type Batch, type Frame } from '../../gen/peer_pb.ts'
+import { BatchSchema, FrameSchema, Peer, StatusReplySchema, type Batch, type Frame } from '../../gen/peer_pb.ts'
 import type { EndpointId } from '../../core/id/endpoint.ts'
 import type { HostId } from '../../core/id/host.ts'
 import type { Position } from '../../core/id/position.ts'
@@ -22,6 +22,9 @@
   readonly slots: SlotPort
   /** Frames that a new link is sent at once, so that it knows what the others know. */
   readonly greeting: () => readonly Frame['body'][]
+  /** A frame of the gossip of configurations; `reply` answers on the same link. */
+  readonly onConfig: (from: HostId, body: Frame['body'], reply: (body: Frame['body']) => void) => void
+  readonly status: () => MessageInitShape<typeof StatusReplySchema>
 }
 
 /** Serves the slots of this process to its peers. */
@@ -33,7 +36,10 @@
   static async listen (options: Options, signal: AbortSignal): Promise<PeerServer> {
     const it = new PeerServer(options)
     const server: Http2Server = createServer(connectNodeAdapter({
-      routes: router => router.service(Peer, { link: (batches: AsyncIterable<Batch>) => it.link(batches) })
+      routes: router => router.service(Peer, {
+        link: (batches: AsyncIterable<Batch>) => it.link(batches),
+        status: () => create(StatusReplySchema, options.status())
+      })
     }))
     const sessions = new Set<{ destroy: () => void }>()
     server.on('session', session => {
@@ -75,8 +81,10 @@
   readonly out = AsyncQueue.create<Frame>()
   private readonly running = new Map<number, ReturnType<SlotPort['run']>>()
   private readonly transactions = new Set<TransactionId>()
+  private host = '' as HostId
   private lastHeard = performance.now()
   private readonly beat: NodeJS.Timeout
+  private isClosed = false
 
   private constructor (private readonly options: Options) {
     this.beat = setInterval(() => this.onBeat(), options.beatMs)
@@ -105,6 +113,7 @@
   }
 
   close (): void {
+    this.isClosed = true
     clearInterval(this.beat)
     this.out.close()
     for (const running of this.running.values()) running.cancel()
@@ -119,9 +128,19 @@
     this.send({ case: 'beat', value: { $typeName: 'agatepond.peer.v1.Beat' } })
   }
 
+  /**
+   * Against a peer that was frozen: what it had queued still arrives after its
+   * link was given up. A BEGIN that ran then would hold its connection for good.
+   */
   private take (frame: Frame): void {
+    if (this.isClosed) return
     const { body } = frame
     switch (body.case) {
+      case 'hello':
+        this.host = body.value.host as HostId
+        return
+      case 'configDigest':
+      case 'configBody': return this.options.onConfig(this.host, body, reply => this.send(reply))
       case 'run': return this.run(body.value)
       case 'cancel':
         this.running.get(body.value.id)?.cancel()
