--- a/src/core/request/ledgerscript.ts
+++ b/src/core/request/ledgerscript.ts
@@ -38,6 +38,8 @@
 }
 
 const NONE: Counts = { affected: 0, insertId: 0 }
+/** Steps after which the transaction must be open still. */
+const INSIDE: ReadonlySet<RunStep> = new Set(['begin', 'claim', 'statement', 'record'])
 
 export class LedgerScript implements RunScript {
   private constructor (private readonly fields: Fields) {}
@@ -58,9 +60,11 @@
 
   answered (step: RunStep, event: Answered): RunNext {
     const { access } = this.fields.spec
+    // Outside of a transaction the key and the effect would be kept apart.
+    if (INSIDE.has(step) && !event.isOpen) return close(refuse(step === 'begin' ? 'rolledBack' : 'endedTransaction'))
     switch (step) {
       case 'begin': return this.send('claim')
-      case 'claim': return access === 'begin' ? this.began(event) : this.send('statement')
+      case 'claim': return access === 'begin' ? this.began : this.send('statement')
       case 'statement': return access === 'begin' ? this.send('claim') : this.ran(event)
       case 'record': return this.send('commit')
       case 'commit':
@@ -99,14 +103,12 @@
     return spec.access === 'begin' ? 'lostTransaction' : 'rolledBack'
   }
 
-  private began (event: Answered): RunNext {
-    if (!event.isOpen) return close(refuse('lostTransaction', 'no transaction began'))
+  private get began (): RunNext {
     return { kind: 'end', back: { kind: 'keep' }, last: { kind: 'done', counts: NONE, token: undefined, isOpen: true } }
   }
 
   private ran (event: Answered): RunNext {
     if (event.hasRows) return this.rollBack(refuse('onceRows'))
-    if (!event.isOpen) return close(refuse('endedTransaction'))
     return this.with({ counts: event.counts }).send('record')
   }
 
--- a/src/core/request/run.test.ts
+++ b/src/core/request/run.test.ts
@@ -63,6 +63,7 @@
     ['ROLLBACK', 'reset, done', of('rollback'), [ok()]],
     ['a key is claimed before the statement', 'send claim', once, [ok(true)]],
     ['the ledger is made when it is missing', 'send create', once, [ok(true), err(1146), ok(false)]],
+    ['a claim outside of a transaction is no claim', 'close, endedTransaction', once, [ok(true), ok(false)]],
     ['a loss before COMMIT was sent is a rollback', 'close, rolledBack', once, [ok(true), ok(true), lost]],
     ['so is a deadline', 'close, rolledBack', once, [ok(true), ok(true), ok(true), deadline]],
     ['a loss of COMMIT is not', 'close, lost', once, [ok(true), ok(true), ok(true), ok(true), lost]],
