--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,6 +1,7 @@
 /** The command line: one binary, one subcommand for each task. */
 
 import { binary, runSafely, subcommands } from 'cmd-ts'
+import { burn } from './burn.ts'
 import { check } from './check.ts'
 import { diff } from './diff.ts'
 import { exit } from './exit.ts'
@@ -12,6 +13,10 @@
 import { status } from './status.ts'
 import { version } from './version.ts'
 
+// The platform's clients are pinned, so their notice about later versions isn't about this program; it would stand
+// between the lines of every command.
+process.env.AWS_SDK_JS_NODE_VERSION_SUPPORT_WARNING_DISABLED ??= 'true'
+
 const app = subcommands({
   name: 'agatepond',
   description: 'A database proxy with session consistency.',
@@ -24,6 +29,7 @@
     diff,
     status,
     explain,
+    burn,
     version
   }
 })
