Reads of a transaction that wrote nothing are proved at its COMMIT

Promise: no stale answer from a primary that was replaced.

Cause: such a COMMIT has no write to be confirmed, so a cut-off primary's transaction read old rows and ended as done. Weighed: a proof before each statement, which costs a round each. Change: the run asks for the proof after COMMIT's answer; terms only grow, so it covers all reads before. Reads that are rolled back stay without proof.

Also tested now: no strict read without its proof, no statement without a connection, and a link's ids that begin again.

--- a/src/core/request/plainscript.ts
+++ b/src/core/request/plainscript.ts
@@ -32,7 +32,7 @@
       case 'begin': return event.isOpen ? kept(event) : close(refuse('lostTransaction', 'no transaction began'))
       // A statement that ended its transaction has committed what came before it, which nobody asked for.
       case 'inside': return event.isOpen ? kept(event) : close(refuse('endedTransaction'))
-      case 'commit':
+      case 'commit': return event.token === undefined ? proved(event) : written(event, 'reset')
       case 'rollback': return written(event, 'reset')
       default: return written(event, 'clean')
     }
@@ -73,6 +73,19 @@
   return { kind: 'end', back: { kind: 'keep' }, last: { kind: 'done', counts: event.counts, token: undefined, isOpen: true } }
 }
 
+/**
+ * Against a primary that is cut off from its group: a transaction that wrote
+ * nothing has nothing to be confirmed, and its reads were stale. A proof that
+ * is asked for now covers them all, since terms only grow.
+ */
+function proved ({ counts, isOpen }: Answered): RunNext {
+  return {
+    kind: 'prove',
+    back: { kind: 'giveBack', how: isOpen ? 'close' : 'reset' },
+    last: { kind: 'done', counts, token: undefined, isOpen: false }
+  }
+}
+
 function written (event: Answered, how: 'clean' | 'reset'): RunNext {
   const { counts, token, isOpen } = event
   const back: RunAction = { kind: 'giveBack', how: isOpen ? 'close' : how }
--- a/src/core/request/run.ts
+++ b/src/core/request/run.ts
@@ -21,7 +21,7 @@
 type Phase =
   | { readonly kind: 'new' | 'proving' | 'obtaining' | 'over' }
   | { readonly kind: 'running', readonly step: RunStep }
-  | { readonly kind: 'confirming', readonly last: RunAction }
+  | { readonly kind: 'confirming' | 'verifying', readonly last: RunAction }
 
 interface Step {
   readonly run: SlotRun
@@ -50,7 +50,7 @@
     if (phase.kind === 'over') return this.late(event)
     switch (event.kind) {
       case 'start': return this.start()
-      case 'proved': return phase.kind === 'proving' ? this.proved(event.holds) : this.idle
+      case 'proved': return this.proved(event.holds)
       case 'obtained': return phase.kind === 'obtaining' ? this.follow(this.script.first()) : this.idle
       case 'unobtainable': return phase.kind === 'obtaining' ? this.refuse(event.reason, event.detail) : this.idle
       case 'answered': return phase.kind === 'running' ? this.follow(this.script.answered(phase.step, event)) : this.idle
@@ -76,6 +76,9 @@
   }
 
   private proved (holds: boolean): Step {
+    const { phase } = this
+    if (phase.kind !== 'proving' && phase.kind !== 'verifying') return this.idle
+    if (holds && phase.kind === 'verifying') return this.to({ kind: 'over' }, phase.last)
     if (!holds) return this.refuse('unproved')
     return this.to({ kind: 'obtaining' }, { kind: 'obtain' })
   }
@@ -87,6 +90,7 @@
         return { run, actions: [{ kind: 'send', step: next.step, counts: next.counts }] }
       }
       case 'end': return this.to({ kind: 'over' }, next.back, next.last)
+      case 'prove': return this.to({ kind: 'verifying', last: next.last }, next.back, { kind: 'prove' })
       case 'confirm': return this.to({ kind: 'confirming', last: next.last }, next.back, { kind: 'confirm', token: next.token })
     }
   }
@@ -110,7 +114,8 @@
 
   private deadline (): Step {
     switch (this.phase.kind) {
-      case 'proving': return this.refuse('unproved')
+      case 'proving':
+      case 'verifying': return this.refuse('unproved')
       case 'running': return this.broken('deadline', '')
       case 'confirming': return this.refuse('unconfirmed')
       default: return this.refuse('busy')
--- a/src/core/request/runnext.ts
+++ b/src/core/request/runnext.ts
@@ -13,8 +13,10 @@
  * - `send`: the next statement.
  * - `end`: the outcome, and what becomes of the connection.
  * - `confirm`: the same, once a second server has the position.
+ * - `prove`: the same, once the endpoint is proved to be the current primary.
  */
 export type RunNext =
   | { readonly kind: 'send', readonly script: RunScript, readonly step: RunStep, readonly counts: Counts }
   | { readonly kind: 'end', readonly back: Back, readonly last: Last }
+  | { readonly kind: 'prove', readonly back: Back, readonly last: Last }
   | { readonly kind: 'confirm', readonly back: Back, readonly token: Token, readonly last: Last }
--- a/src/shell/endpoint/execution.test.ts
+++ b/src/shell/endpoint/execution.test.ts
@@ -18,18 +18,25 @@
   readonly rows: string[] = []
   readonly sinks: QuerySink[] = []
   isReset = true
+  isCurrent = true
+  isReachable = true
+  private readonly connection = {
+    isLost: false,
+    run: (sql: string, sink: QuerySink) => {
+      this.events.push(sql)
+      this.sinks.push(sink)
+    },
+    reset: async () => this.isReset,
+    pause: () => undefined,
+    resume: () => undefined,
+    destroy: () => undefined
+  }
+
   readonly slot = {
-    borrow: async () => ({
-      isLost: false,
-      run: (sql: string, sink: QuerySink) => {
-        this.events.push(sql)
-        this.sinks.push(sink)
-      },
-      reset: async () => this.isReset,
-      pause: () => undefined,
-      resume: () => undefined,
-      destroy: () => undefined
-    }),
+    borrow: async () => {
+      if (!this.isReachable) throw new Error('refused')
+      return this.connection
+    },
     giveBack: (_: unknown, isClean: boolean) => { this.events.push(isClean ? 'lent again' : 'closed') },
     pin: () => undefined,
     unpin: () => undefined
@@ -43,7 +50,7 @@
       transactions: this.transactions,
       cleaner: { used: () => undefined },
       confirm: async () => true,
-      proveCurrent: async () => true,
+      proveCurrent: async () => this.isCurrent,
       wrote: () => undefined
     }
     const it = Execution.start(context, create(RunSchema, { sql, access, transaction, deadlineMs: 500 }), {
@@ -129,6 +136,18 @@
     expect([bench.events, bench.rows, bench.dones.length]).toEqual([['SELECT', 'closed'], [], 1])
   })
 
+  // A cut-off primary answers a strict read with stale rows.
+  it('sends no strict read without the proof, and no statement without a connection', async () => {
+    bench.isCurrent = false
+    await bench.run('SELECT', RunAccess.STRICT)
+    bench.isReachable = false
+    await bench.run('UPDATE', RunAccess.WRITE)
+    expect([bench.events, bench.dones]).toEqual([[], [
+      { outcome: DoneOutcome.NOT_RUN, reason: 'unproved' },
+      { outcome: DoneOutcome.NOT_RUN, reason: 'unreachable' }
+    ]])
+  })
+
   it('passes no rows on after a cancel', async () => {
     const execution = await bench.run('SELECT', RunAccess.READ)
     bench.sinks[0]!.row(Buffer.from('waiting'))
--- a/src/shell/peer/link.test.ts
+++ b/src/shell/peer/link.test.ts
@@ -93,6 +93,23 @@
   })
 })
 
+describe('PeerLink after four thousand million requests', () => {
+  it('begins its ids again and passes over those in use', async () => {
+    const ids: number[] = []
+    const { link } = await peer(id => {
+      ids.push(id)
+      return id === 1 ? [head(id)] : [done(id)]
+    })
+    const open = ask(link)
+    await until(() => ids.length === 1)
+    Object.assign(link, { nextId: 0xfffffffe })
+    expect([await ask(link), await ask(link)]).toEqual([['done'], ['done']])
+    expect(ids).toEqual([1, 0xffffffff, 2])
+    stop.abort()
+    expect(await open).toEqual(['head', 'lost'])
+  })
+})
+
 describe('PeerServer', () => {
   // A proxy freezes, is given up, and what it had queued arrives after that. A BEGIN that
   // ran then would hold its connection for good: nobody would ever release it.
