--- a/src/shell/peer/hop.test.ts
+++ b/src/shell/peer/hop.test.ts
@@ -16,7 +16,7 @@
 const times = { beatMs: 20, silentMs: 200, retryMs: 10 }
 /** What a link tells its process besides answers; not looked at here. */
 const deaf = { onSample: ignore, onWrote: ignore, onLinked: ignore, onLost: ignore, onHeard: ignore, onHeld: ignore, onConfig: ignore }
-const hello: Frame['body'] = { case: 'hello', value: create(HelloSchema) }
+const hello: Frame['body'] = { case: 'hello', value: create(HelloSchema, { host: 'b', incarnation: '1' }) }
 const done = (id: number): Frame['body'] => ({ case: 'done', value: create(DoneSchema, { id, outcome: DoneOutcome.DONE }) })
 const rows = (id: number, text: string): Frame['body'] => ({ case: 'rows', value: create(RowsSchema, { id, rows: [Buffer.from(text)] }) })
 const head = (id: number): Frame['body'] => ({ case: 'head', value: create(HeadSchema, { id }) })
