Admission to a slot: classes, fair callers, early refusals with a time to come back

A slot lent its connections first in, first out. One caller's burst or a long list of look-ups held up urgent work until its deadline, every waiting request held memory, and nobody was told when to come back.

Change. src/core/admission decides, src/shell/endpoint/slot.ts lends: - classes in their order; higher classes' reserves stay free (1/8 each); a class that was passed over sixteen times has one connection at least; - start-time fair queueing between callers of a class, charged with measured connection time; - transactions pin at most 7/8, 5/8, 1/4 of the connections; - a request that can't make its deadline by the measured service time is refused at once, with the time at which room is booked for it; - a bounded queue; openings spaced, backing off with jitter. Outside our folders: execution.ts asks with class, caller and deadline and passes the refusal on; owner.ts hands the generator in; attempts.ts takes `busy` as final, since trying again every 20 ms is what the refusal is against.

--- /dev/null
+++ b/src/core/admission/opener.ts
@@ -0,0 +1,56 @@
+/** The pace at which a slot opens connections. */
+
+import type { Instant } from '../id/instant.ts'
+import type { Limits } from './limits.ts'
+
+/** Counts the openings under way, spaces them, and backs off after failures. */
+export class Opener {
+  private underWay = 0
+  private failures = 0
+  private nextAt = -Infinity as Instant
+
+  private constructor (private readonly opening: Limits['opening']) {}
+
+  static create (opening: Limits['opening']): Opener {
+    return new Opener(opening)
+  }
+
+  get pending (): number {
+    return this.underWay
+  }
+
+  isBackingOff (now: Instant): boolean {
+    return this.failures > 0 && now < this.nextAt
+  }
+
+  /** Milliseconds until the next try. */
+  left (now: Instant): number {
+    return Math.max(0, this.nextAt - now)
+  }
+
+  /** Takes leave to open one connection. After a failure one try at a time goes out until one succeeds. */
+  take (now: Instant): boolean {
+    const most = this.failures > 0 ? 1 : this.opening.most
+    if (this.underWay >= most || now < this.nextAt) return false
+    this.underWay++
+    this.nextAt = now + this.opening.everyMs as Instant
+    return true
+  }
+
+  succeeded (): void {
+    this.underWay--
+    this.failures = 0
+  }
+
+  /**
+   * Against a server that comes back and is met by every slot owner at once:
+   * tries get rarer with each failure, and chance spreads them.
+   */
+  failed (now: Instant, chance: number): void {
+    this.underWay--
+    const { backOffMs, mostBackOffMs } = this.opening
+    const ms = Math.min(mostBackOffMs, backOffMs * 2 ** this.failures)
+    this.failures++
+    this.nextAt = now + ms * (0.5 + chance / 2) as Instant
+  }
+}
--- a/src/shell/caller/attempts.ts
+++ b/src/shell/caller/attempts.ts
@@ -26,7 +26,7 @@
 }
 
 const RETRY_MS = 20
-const FINAL: ReadonlySet<string> = new Set(['lostWrite', 'lostTransaction'])
+const FINAL: ReadonlySet<string> = new Set(['busy', 'lostWrite', 'lostTransaction'])
 
 /** Tries again only what is proved not run, within the deadline. The signal is the caller's leaving. */
 export async function attempt (context: CallerContext, req: Request, reply: Reply, signal: AbortSignal): Promise<Done> {
--- a/src/shell/endpoint/execution.ts
+++ b/src/shell/endpoint/execution.ts
@@ -10,6 +10,7 @@
 import { refusal } from '../peer/answer.ts'
 import type { SlotPort } from '../peer/port.ts'
 import type { EndpointConnection } from './connection.ts'
+import { SlotRefusal } from './refusal.ts'
 import type { Slot } from './slot.ts'
 
 type Sink = Parameters<SlotPort['run']>[1]
@@ -34,6 +35,7 @@
   private creditLeft = FIRST_CREDIT
   private rows: Buffer[] = []
   private isOver = false
+  private readonly began = performance.now()
 
   private constructor (
     private readonly context: Context,
@@ -99,7 +101,12 @@
       return undefined
     }
     try {
-      const connection = await this.context.slot.borrow(this.cancelled.signal)
+      const connection = await this.context.slot.borrow({
+        class: this.req.class,
+        caller: this.req.caller,
+        deadlineMs: this.req.deadlineMs - (performance.now() - this.began),
+        isTransaction: this.isInTransaction
+      }, this.cancelled.signal)
       if (this.isOver) {
         this.context.slot.giveBack(connection, true)
         return undefined
@@ -107,7 +114,10 @@
       if (this.isInTransaction) this.context.slot.pin(this.transaction, connection)
       return connection
     } catch (err) {
-      this.finish(refusal(this.req.id, 'unreachable', (err as Error).message))
+      const isRefused = err instanceof SlotRefusal
+      this.finish(isRefused
+        ? refusal(this.req.id, err.reason, '', err.retryAfterMs)
+        : refusal(this.req.id, 'unreachable', (err as Error).message))
       return undefined
     }
   }
--- a/src/shell/endpoint/owner.ts
+++ b/src/shell/endpoint/owner.ts
@@ -58,7 +58,7 @@
   private constructor (private readonly options: Options) {
     const { addresses, endpoint, proposer, now } = options
     const address = addresses.get(endpoint)!
-    this.slot = Slot.create(address.data, options.connections - CONTROL_CONNECTIONS)
+    this.slot = Slot.create(address.data, options.connections - CONTROL_CONNECTIONS, options.chance)
     this.probe = EndpointControl.create(endpoint, address.control, proposer, now)
     this.waits = EndpointControl.create(endpoint, address.control, proposer, now)
     this.rounds = ConfirmRounds.create(this.waits)
--- a/src/shell/endpoint/slot.ts
+++ b/src/shell/endpoint/slot.ts
@@ -1,56 +1,96 @@
-/** A slot: the right to a number of connections to one endpoint, and the queue before them. */
-
+/** A slot: the right to a number of connections to one endpoint, lent as its admission decides. */
+
+import type { AdmissionEvent } from '../../core/admission/event.ts'
+import type { AdmissionAction } from '../../core/admission/action.ts'
+import { Admission } from '../../core/admission/admission.ts'
+import { classes } from '../../core/admission/classes.ts'
+import { Limits } from '../../core/admission/limits.ts'
+import type { CallerId } from '../../core/id/caller.ts'
+import type { Instant } from '../../core/id/instant.ts'
 import type { TransactionId } from '../../core/id/transaction.ts'
 import { EndpointConnection } from './connection.ts'
+import { SlotRefusal } from './refusal.ts'
 
 type Address = Parameters<typeof EndpointConnection.open>[0]
 
+interface Wish {
+  /** A name of `classes`; any other counts as normal. */
+  readonly class: string
+  readonly caller: string
+  /** Milliseconds left until the request's deadline. */
+  readonly deadlineMs: number
+  /** Whether the connection will be pinned by a transaction. */
+  readonly isTransaction: boolean
+}
+
 interface Waiter {
   readonly give: (connection: EndpointConnection) => void
   readonly refuse: (err: Error) => void
-  readonly signal: AbortSignal
 }
 
+const TICK_MS = 20
+/** Ticks without work after which the timer rests; enough for the averages to fade. */
+const QUIET_TICKS = 50
+
 /** Lends its connections, one borrower each. Never opens more than its limit, those being opened included. */
 export class Slot {
+  private readonly admission: Admission
   private readonly idle: EndpointConnection[] = []
-  private readonly waiting: Waiter[] = []
+  private readonly waiting = new Map<number, Waiter>()
+  private readonly loans = new Map<EndpointConnection, number>()
   private readonly pinned = new Map<TransactionId, EndpointConnection>()
-  private open = 0
+  private nextId = 1
+  private timer: NodeJS.Timeout | undefined
+  private quietTicks = 0
+  private isClosed = false
 
-  private constructor (private readonly address: Address, private readonly limit: number) {}
+  private constructor (private readonly address: Address, limits: Limits, private readonly chance: () => number) {
+    this.admission = Admission.create(limits)
+  }
 
-  static create (address: Address, limit: number): Slot {
-    return new Slot(address, limit)
+  static create (address: Address, limit: number, chance: () => number): Slot {
+    return new Slot(address, Limits.of(limit), chance)
   }
 
   get queued (): number {
-    return this.waiting.length
+    return this.admission.queued
   }
 
-  /** Resolves with a connection that nobody else uses; rejects when none can be had before the signal is aborted. */
-  async borrow (signal: AbortSignal): Promise<EndpointConnection> {
+  /** Resolves with a connection that nobody else uses; rejects with a `SlotRefusal`, or when the signal is aborted before. */
+  async borrow (wish: Wish, signal: AbortSignal): Promise<EndpointConnection> {
     signal.throwIfAborted()
-    const idle = this.takeIdle()
-    if (idle !== undefined) return idle
+    if (this.isClosed) throw new Error('the slot was given back')
+    const id = this.nextId++
+    const rank = classes.findIndex(name => name === wish.class)
     return await new Promise((resolve, reject) => {
-      const waiter: Waiter = { give: resolve, refuse: reject, signal }
-      this.waiting.push(waiter)
-      signal.addEventListener('abort', () => this.drop(waiter), { once: true })
-      this.grow()
+      const cancel = (): void => this.cancel(id)
+      const settled = (): void => signal.removeEventListener('abort', cancel)
+      signal.addEventListener('abort', cancel, { once: true })
+      this.waiting.set(id, {
+        give: connection => { settled(); resolve(connection) },
+        refuse: err => { settled(); reject(err) }
+      })
+      this.step({
+        kind: 'arrived',
+        request: {
+          id,
+          rank: rank < 0 ? classes.indexOf('normal') : rank,
+          caller: wish.caller as CallerId,
+          deadline: performance.now() + wish.deadlineMs as Instant,
+          isTransaction: wish.isTransaction
+        }
+      })
     })
   }
 
   /** Takes a connection back. One that was lost, or may hold state of its borrower, is closed instead of lent again. */
   giveBack (connection: EndpointConnection, isClean: boolean): void {
-    if (!isClean || connection.isLost) {
-      connection.destroy()
-      this.open--
-      return this.grow()
-    }
-    const next = this.waiting.shift()
-    if (next !== undefined) return next.give(connection)
-    this.idle.push(connection)
+    const id = this.loans.get(connection)
+    if (id === undefined) return
+    this.loans.delete(connection)
+    const isUsable = isClean && !connection.isLost && !this.isClosed
+    if (!isUsable) connection.destroy()
+    this.step({ kind: 'finished', id, isUsable }, isUsable ? connection : undefined)
   }
 
   pin (transaction: TransactionId, connection: EndpointConnection): void {
@@ -66,35 +106,77 @@
   }
 
   close (): void {
+    this.isClosed = true
+    clearInterval(this.timer)
     for (const connection of [...this.idle, ...this.pinned.values()]) connection.destroy()
     this.idle.length = 0
-    for (const waiter of this.waiting.splice(0)) waiter.refuse(new Error('the slot was given back'))
+    for (const waiter of this.waiting.values()) waiter.refuse(new Error('the slot was given back'))
+    this.waiting.clear()
   }
 
-  private takeIdle (): EndpointConnection | undefined {
-    for (;;) {
-      const connection = this.idle.pop()
-      if (connection === undefined || !connection.isLost) return connection
-      this.open--
-    }
+  /** `gained` is the connection that the event makes idle. */
+  private step (event: AdmissionEvent, gained?: EndpointConnection): void {
+    if (this.isClosed) return
+    const now = performance.now() as Instant
+    const lost = this.dropLost()
+    if (lost > 0) this.actAll(this.admission.step({ kind: 'lost', count: lost }, now, this.chance()))
+    if (gained !== undefined) this.idle.push(gained)
+    this.actAll(this.admission.step(event, now, this.chance()))
+    this.keepTime()
+  }
+
+  private actAll (actions: readonly AdmissionAction[]): void {
+    for (const action of actions) this.act(action)
   }
 
-  private drop (waiter: Waiter): void {
-    const at = this.waiting.indexOf(waiter)
-    if (at < 0) return
-    this.waiting.splice(at, 1)
-    waiter.refuse(new Error('no connection became free in time'))
+  private act (action: AdmissionAction): void {
+    if (action.kind === 'open') return this.open()
+    const waiter = this.waiting.get(action.id)
+    this.waiting.delete(action.id)
+    if (action.kind === 'refuse') return waiter?.refuse(SlotRefusal.of(action.reason, action.retryAfterMs))
+    const connection = this.idle.pop()!
+    this.loans.set(connection, action.id)
+    waiter?.give(connection)
   }
 
-  private grow (): void {
-    if (this.waiting.length === 0 || this.open >= this.limit) return
-    this.open++
+  private cancel (id: number): void {
+    const waiter = this.waiting.get(id)
+    if (waiter === undefined) return
+    this.waiting.delete(id)
+    this.step({ kind: 'cancelled', id })
+    waiter.refuse(new Error('the request was given up'))
+  }
+
+  /** Connections that broke while idle must not be counted on, or a request would start on none. */
+  private dropLost (): number {
+    const before = this.idle.length
+    for (let i = before - 1; i >= 0; i--) {
+      if (this.idle[i]!.isLost) this.idle.splice(i, 1)
+    }
+    return before - this.idle.length
+  }
+
+  private open (): void {
     EndpointConnection.open(this.address).then(
-      connection => this.giveBack(connection, true),
-      (err: Error) => {
-        this.open--
-        this.waiting.shift()?.refuse(err)
-        this.grow()
-      })
+      connection => {
+        if (this.isClosed) return connection.destroy()
+        this.step({ kind: 'opened' }, connection)
+      },
+      () => this.step({ kind: 'openFailed' }))
+  }
+
+  private keepTime (): void {
+    this.quietTicks = 0
+    this.timer ??= setInterval(() => this.tick(), TICK_MS)
+  }
+
+  private tick (): void {
+    const isQuiet = this.waiting.size === 0 && this.loans.size === 0
+    const ticks = isQuiet ? this.quietTicks + 1 : 0
+    this.step({ kind: 'tick' })
+    this.quietTicks = ticks
+    if (ticks < QUIET_TICKS) return
+    clearInterval(this.timer)
+    this.timer = undefined
   }
 }
