--- a/src/shell/caller/context.ts
+++ b/src/shell/caller/context.ts
@@ -1,10 +1,13 @@
 /** What the connections of callers share in one process. */
 
 import type { Config } from '../../core/config/config.ts'
+import type { DataCentreId } from '../../core/id/datacentre.ts'
 import type { EndpointId } from '../../core/id/endpoint.ts'
 import type { HostId } from '../../core/id/host.ts'
 import type { Instant } from '../../core/id/instant.ts'
+import type { RetryBudget } from '../../core/request/budget.ts'
 import type { Sessions } from '../../core/session/sessions.ts'
+import type { Audit } from '../audit/audit.ts'
 import type { Metrics } from '../metrics/metrics.ts'
 import type { SlotPort } from '../peer/port.ts'
 import type { Groups } from './groups.ts'
@@ -16,9 +19,14 @@
   readonly sessions: Sessions
   /** The owner of a slot of the endpoint, nearest first; undefined while nobody holds one. */
   readonly port: (endpoint: EndpointId) => SlotPort | undefined
-  /** Endpoints by nearness to this process. */
-  readonly near: readonly EndpointId[]
+  /** Of this process. */
+  readonly dataCentre: DataCentreId
+  /** A number in [0, 1) from the process's one seeded generator. */
+  readonly chance: () => number
   readonly deadlineMs: number
+  /** Limits retries over all requests; none when left out. */
+  readonly retryBudget?: RetryBudget
   readonly now: () => Instant
   readonly metrics: Metrics
+  readonly audit: Audit
 }
