--- a/src/core/request/attempts.ts
+++ b/src/core/request/attempts.ts
@@ -120,7 +120,7 @@
     const { spec, hasRows } = this.fields
     const next = this.with({ reason: reason ?? 'notSent' })
     const isAlone = spec.place === 'alone' || spec.place === 'begin'
-    if (isAlone && !hasRows && next.mayHelp(reason) && next.mayRetry(now)) return next.retry()
+    if (isAlone && !hasRows && next.mayHelp(reason) && next.mayRetry(now, wasSent && recoveryOf(reason) === 'elsewhere')) return next.retry()
     // A key that is settled as not run excludes the earlier attempts as well.
     if (this.fields.mayHaveRun && reason !== 'voided') return next.refuse('lost')
     const retryAfterMs = comeBack(reason)
@@ -141,7 +141,7 @@
     if (this.isRolledBack) return this.refuse('lostTransaction')
     const next = this.with({ mayHaveRun: true, reason })
     const isRepeatable = (spec.isRead || spec.isOnce) && spec.place === 'alone' && !hasRows
-    if (isRepeatable && next.mayHelp(reason) && next.mayRetry(now)) return next.retry()
+    if (isRepeatable && next.mayHelp(reason) && next.mayRetry(now, true)) return next.retry()
     return next.end({ kind: 'answer', retryAfterMs: 0 })
   }
 
@@ -155,9 +155,13 @@
     return (spec.place === 'inside' || spec.place === 'begin') && !spec.commitsItself
   }
 
-  private mayRetry (now: Instant): boolean {
+  /**
+   * Only a retry that loads an endpoint again costs budget. Waiting for a
+   * promotion doesn't: urgent writes would else use it up within a failover.
+   */
+  private mayRetry (now: Instant, costs: boolean): boolean {
     const { spec, budget } = this.fields
-    return now + RETRY_MS < spec.deadline && budget.mayRetry(now)
+    return now + RETRY_MS < spec.deadline && (!costs || budget.mayRetry(now))
   }
 
   private retry (): Step {
--- a/src/shell/caller/attempts.ts
+++ b/src/shell/caller/attempts.ts
@@ -155,6 +155,7 @@
     this.signal.removeEventListener('abort', this.onLeft)
     this.context.metrics.requests.inc({ kind: this.req.kind, place: placeOf(this.target), outcome: DoneOutcome[done.outcome].toLowerCase() })
     if (this.isSent) this.trail.attempted(this.target!, done, this.began)
+    if (done.outcome === DoneOutcome.DONE) this.context.retryBudget?.succeeded()
     this.resolve(this.trail.end(done))
   }
 }
--- a/src/shell/caller/context.ts
+++ b/src/shell/caller/context.ts
@@ -5,7 +5,7 @@
 import type { EndpointId } from '../../core/id/endpoint.ts'
 import type { HostId } from '../../core/id/host.ts'
 import type { Instant } from '../../core/id/instant.ts'
-import type { RetryBudget } from '../../core/request/budget.ts'
+import type { SharedBudget } from '../../core/retry/budget.ts'
 import type { Sessions } from '../../core/session/sessions.ts'
 import type { Audit } from '../audit/audit.ts'
 import type { Metrics } from '../metrics/metrics.ts'
@@ -25,7 +25,7 @@
   readonly chance: () => number
   readonly deadlineMs: number
   /** Limits retries over all requests; none when left out. */
-  readonly retryBudget?: RetryBudget
+  readonly retryBudget?: SharedBudget
   readonly now: () => Instant
   readonly metrics: Metrics
   readonly audit: Audit
--- a/src/shell/node/node.ts
+++ b/src/shell/node/node.ts
@@ -10,6 +10,7 @@
 import type { EndpointId } from '../../core/id/endpoint.ts'
 import type { HostId } from '../../core/id/host.ts'
 import type { Instant } from '../../core/id/instant.ts'
+import { SharedBudget } from '../../core/retry/budget.ts'
 import { Sessions } from '../../core/session/sessions.ts'
 import type { parseSettings } from '../../core/settings/settings.ts'
 import type { Audit } from '../audit/audit.ts'
@@ -105,6 +106,7 @@
       dataCentre: host.dataCentre as DataCentreId,
       chance,
       deadlineMs: settings.requests.deadline,
+      retryBudget: SharedBudget.create(now()),
       now,
       metrics,
       audit: it.audit
