--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,6 +1,7 @@
 /** The command line: one binary, one subcommand for each task. */
 
 import { binary, runSafely, subcommands } from 'cmd-ts'
+import { burn } from './burn.ts'
 import { check } from './check.ts'
 import { diff } from './diff.ts'
 import { exit } from './exit.ts'
@@ -28,6 +29,7 @@
     diff,
     status,
     explain,
+    burn,
     version
   }
 })
--- a/test/audit.test.ts
+++ b/test/audit.test.ts
@@ -1,4 +1,6 @@
-import { readFileSync } from 'node:fs'
+import { readFileSync, rmSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
 import { createConnection, type Connection } from 'mysql2/promise'
 import { afterAll, beforeAll, describe, expect, it } from 'vitest'
 import { S3Store } from '../src/shell/platform/s3store.ts'
@@ -27,7 +29,7 @@
     await stage.stop()
   })
 
-  /** A session writes on one proxy and reads on the other; one statement is refused; then the store fails; then all end. */
+  /** A session writes on one proxy and reads on the other; a request under a key is sent on both; one statement is refused; then the store fails; then all end. */
   async function tellRequests (): Promise<void> {
     const [a, b] = await Promise.all([connect(0), connect(1)])
     await until(async () => await a.query('CREATE TABLE crimp (terminal TEXT PRIMARY KEY, passed INTEGER)').then(() => true, () => false))
@@ -36,6 +38,7 @@
       await pause(20)
       await b.query("SELECT * FROM crimp WHERE terminal = 'secret-terminal'")
     }
+    for (const one of [a, b]) await one.query("/* once=kit-17 */ INSERT INTO crimp VALUES ('secret-kit', 1)")
     refused = await refusedId(a)
     await until(async () => (await stage.cli('explain', refused)).code === 0)
     await stage.faults({ down: true })
@@ -44,7 +47,7 @@
       return await metric('agatepond_audit_dropped_total') > 0
     })
     await stage.faults({ down: false })
-    await until(async () => await metric('agatepond_audit_waiting_characters') === 0)
+    await until(async () => await metric('agatepond_audit_waiting_bytes') === 0)
     a.destroy()
     b.destroy()
     await Promise.all(stage.proxies.map(async proxy => await proxy.child!.end('SIGTERM')))
@@ -88,11 +91,12 @@
 
   // An operator's regulator asks for proof long after the proxies are gone. Only the store is left;
   // the chains and the evidence in the records have to be enough.
-  it('shows read-your-writes from the records alone, with the chains closed', async () => {
-    const report = JSON.parse((await stage.cli('explain', '--verify', '--json')).stdout) as { kept: { readYourWrites: number }, problems: string[], notes: string[] }
+  it('shows read-your-writes and at most once from the records alone, with the chains closed', async () => {
+    const report = JSON.parse((await stage.cli('explain', '--verify', '--json')).stdout) as { kept: { readYourWrites: number, atMostOnce: number }, problems: string[], notes: string[] }
     expect(report.problems).toEqual([])
     expect(report.notes).toEqual([])
     expect(report.kept.readYourWrites).toBeGreaterThan(0)
+    expect(report.kept.atMostOnce).toBe(1)
   })
 
   // The store is down for longer than memory holds; an operator later asks for a request of that time.
@@ -127,6 +131,23 @@
     expect((await stage.cli('explain', '--verify')).code).toBe(0)
   })
 
+  it('reports the burn of service levels, as a table, JSON and a page', async () => {
+    expect(await stage.cli('burn')).toMatchObject({ code: 1, stderr: expect.stringContaining('no service levels') })
+    const level = { name: 'staleness', pool: 'main', measure: 'stalenessKept', target: 0.999 }
+    const others = [{ ...level, name: 'writes', measure: 'writesSucceed' }, { ...level, name: 'urgent', measure: 'urgentInTime', within: '1s' }]
+    expect((await stage.patch(1, { ...stage.config(), serviceLevels: [level, ...others] })).code).toBe(0)
+    const page = join(tmpdir(), `agatepond-burn-${process.pid}.html`)
+    const told = await stage.cli('burn', '--html', page)
+    expect(told.code).toBe(0)
+    expect(told.stdout).toMatch(/^staleness +\| main \| 99.9% +\| 5 min \* +\| +[1-9]\d* \| +0 \| +0.00 \(at most [\d.]+\) \| +100%$/m)
+    expect(told.stdout).toMatch(/^urgent .* no data \(at most [\d.]+\) \| +no data$/m)
+    expect(readFileSync(page, 'utf8')).toContain('</svg>')
+    rmSync(page)
+    const json = JSON.parse((await stage.cli('burn', '--json', '--most', '1')).stdout) as { batchesRead: number, batchesThere: number }
+    expect(json.batchesRead).toBe(1)
+    expect(json.batchesThere).toBeGreaterThan(1)
+  })
+
   async function keys (): Promise<readonly string[]> {
     return await store.list('audit/', '', 1000)
   }
