--- a/src/core/admission/admission.test.ts
+++ b/src/core/admission/admission.test.ts
@@ -179,6 +179,21 @@
   })
 })
 
+/*
+ * The line is quiet for a minute, then thirty-two look-ups come at once, each with
+ * a minute of time. More than half of them are refused although the endpoint is idle.
+ * Cause: the minute of quiet was taken for a minute in which nothing could start.
+ */
+it.each([
+  ['a slot that is warm', () => Drive.warm()],
+  ['a slot without connections', () => new Drive(Limits.of(14))]
+])('quiet isn\'t a stall: %s takes a sudden burst', (_, create) => {
+  const slot = create()
+  slot.now += 60_000
+  slot.many(32, { ms: 5000 })
+  expect(slot.refused).toEqual([])
+})
+
 /*
  * A server is down for a minute. Every slot owner tries to connect all the
  * time, and callers wait for connections that never come. When it's back, all
--- a/src/core/admission/admission.ts
+++ b/src/core/admission/admission.ts
@@ -76,7 +76,6 @@
     this.take(event, now, chance)
     this.startAll(now, chance)
     this.openMore(now)
-    if (this.waiting.size === 0) this.stuckSince = now
     return this.actions
   }
 
@@ -107,6 +106,7 @@
       this.refuse(victim, 'busy', now, chance)
       if (victim === request) return
     }
+    if (this.waiting.size === 0) this.stuckSince = now
     this.waiting.set(request.id, request)
     this.backlog.line(request).queue.push(request)
   }
@@ -210,6 +210,6 @@
 
   /** For how long nothing has started although requests wait: a sign that the measured service time no longer holds. */
   private stalledMs (now: Instant): number {
-    return now - this.stuckSince
+    return this.waiting.size === 0 ? 0 : now - this.stuckSince
   }
 }
--- a/src/core/admission/servicetime.ts
+++ b/src/core/admission/servicetime.ts
@@ -46,10 +46,10 @@
   /**
    * Against a stall that leaves a high mean behind: everything would be refused
    * for it, no sample would come and correct it, and the class would stay shut.
-   * So a mean without samples is halved each second.
+   * So a mean without samples is halved each second, down to the first guess.
    */
   at (now: Instant): number {
     const quiet = now - this.lastAt - HALF_LIFE_MS
-    return quiet <= 0 ? this.mean : Math.max(LEAST_MS, this.mean * 0.5 ** (quiet / HALF_LIFE_MS))
+    return quiet <= 0 || this.mean <= FIRST_MS ? this.mean : Math.max(FIRST_MS, this.mean * 0.5 ** (quiet / HALF_LIFE_MS))
   }
 }
