--- a/src/shell/endpoint/owner.ts
+++ b/src/shell/endpoint/owner.ts
@@ -78,7 +78,7 @@
     const { addresses, endpoint, now } = options
     const { proposer } = this
     const address = addresses.get(endpoint)!
-    this.slot = Slot.create(address.data, options.connections - CONTROL_CONNECTIONS)
+    this.slot = Slot.create(address.data, options.connections - CONTROL_CONNECTIONS, options.chance)
     this.transactions = Transactions.create(this.slot)
     this.cleaner = LedgerCleaner.create({ clock: () => Date.now(), use: async work => await useConnection(this.slot, work) })
     this.probe = EndpointControl.create(endpoint, address.control, proposer, now)
