--- a/src/shell/mysql/server.ts
+++ b/src/shell/mysql/server.ts
@@ -30,6 +30,7 @@
   Ping = 14,
   Prepare = 22,
   Execute = 23,
+  SendLongData = 24,
   CloseStatement = 25,
   ResetStatement = 26,
   SetOption = 27,
@@ -218,6 +219,10 @@
       case Command.Prepare: return await handler.prepare(body.toString('utf8'), Reply.of(wire))
       case Command.Execute: return await handler.execute(body, Reply.of(wire))
       case Command.ResetConnection: return await handler.reset(Reply.of(wire))
+      case Command.SendLongData:
+        // It has no answer, so an error would be taken for the answer to the next command.
+        wire.stream.destroy()
+        return
       case Command.Ping:
       case Command.ResetStatement: return Reply.of(wire).ok()
       case Command.SetOption: return Reply.of(wire).end()
