--- a/test/callersprotocol.test.ts
+++ b/test/callersprotocol.test.ts
@@ -223,6 +223,18 @@
     await next.end()
   })
 
+  // A client sends a piece of a long value, which MySQL never answers. An
+  // error would be taken for the answer to its next command.
+  it('closes the connection of a client that sends a long value in pieces', async () => {
+    const one = await socket()
+    await signIn(one, login(Buffer.from([0])))
+    let answer = 0
+    one.on('data', chunk => { answer += chunk.length })
+    one.write(command(0, Buffer.from([24, 1, 0, 0, 0, 0, 0, 0x78])))
+    await closed(one)
+    expect(answer).toBe(0)
+  })
+
   it('refuses a caller with MySQL\'s own code', async () => {
     await expect(open('nobody')).rejects.toMatchObject({ errno: 1045 })
   })
