--- a/src/core/audit/record.ts
+++ b/src/core/audit/record.ts
@@ -26,12 +26,15 @@
   /** Empty when the request could go nowhere. */
   endpoint: z.string(),
   access: z.enum(['read', 'write', 'strict', 'transaction', 'commit', 'rollback', 'none']),
+  transaction: z.string().optional(),
   /** Milliseconds from the arrival of the request to the start of the attempt. */
   startMs: z.number(),
   tookMs: z.number(),
   outcome,
   /** The typed refusal; empty when there was none. */
   reason: z.string(),
+  /** The MySQL error that the endpoint or the proxy answered with. */
+  code: z.number().optional(),
   /** Where the write stands in the log; absent for reads. */
   token: token.optional(),
   evidence: evidence.optional()
@@ -56,7 +59,6 @@
   class: z.string(),
   /** The idempotency key of a request that isn't repeatable. */
   once: z.string().optional(),
-  transaction: z.string().optional(),
   statement: z.string(),
   deadlineMs: z.number(),
   attempts: z.array(attemptShape),
