Reads: the next mark is asked for before the last is too old

Cause: connections without a session's name ask for no bounds, so where they browse alone the one mark grows as old as the stated age, and all their reads go to the primary until the replicas have reached the next one. Now a read that finds the newest mark older than a quarter of its age asks for another, without waiting for it.

Red without it: "asks for the next mark before the last is too old", expected 1 to be 2. The share gained wasn't measured.

--- a/src/core/routing/marks.ts
+++ b/src/core/routing/marks.ts
@@ -34,6 +34,11 @@
     return new Marks(thin([...kept, { bound: last === undefined ? bound : last.bound.max(bound), at }]))
   }
 
+  /** When the newest bound was asked for; `undefined` without one. */
+  get newest (): Instant | undefined {
+    return this.marks.at(-1)?.at
+  }
+
   /** The least proved age of what the replica shows, in milliseconds; infinite when nothing is proved. */
   age (sample: Sample, now: Instant): number {
     const mark = this.marks.findLast(({ bound }) => hasApplied(sample, bound))
--- a/src/shell/caller/reads.test.ts
+++ b/src/shell/caller/reads.test.ts
@@ -37,7 +37,7 @@
   constructor (readonly isNamed: boolean, applied: number) {
     const config = parseConfig(1 as ConfigVersion, {
       groups: [{ id: 'g', database: 'd', endpoints: IDS.map((id, i) => ({ id, address: `127.0.0.1:${i + 1}`, dataCentre: 'dc' })) }],
-      pools: [{ id: 'p', groups: ['g'], callers: [] }]
+      pools: [{ id: 'p', groups: ['g'], callers: [], kinds: [{ name: 'browse', freshness: '2s' }] }]
     })._unsafeUnwrap()
     const group = config.groups[0]!
     this.identity = { pool: config.pools[0]!, group, caller: 'c', session: 's' as SessionId, isNamed }
@@ -49,8 +49,8 @@
     } as unknown as CallerContext)
   }
 
-  async read (): Promise<string> {
-    const target = await this.reads.route(this.identity, Hints.none, 1000)
+  async read (hints = Hints.none): Promise<string> {
+    const target = await this.reads.route(this.identity, hints, 1000)
     return target.kind === 'nowhere' ? target.reason : RunAccess[target.access]!.toLowerCase()
   }
 
@@ -114,6 +114,20 @@
     expect(await proxy.read()).toBe('noPrimary')
   })
 
+  // Connections without a name browse at 2 s. Nobody else asks for bounds, so
+  // the one mark grows old; replicas lag, and when it no longer proves the age
+  // every read goes to the primary until they have caught up with a new one.
+  it('asks for the next mark before the last is too old', async () => {
+    const proxy = new Proxy(false, 10)
+    const browse = Hints.none.with('read', 'browse')
+    expect([await proxy.read(browse), proxy.rounds]).toEqual(['read', 1])
+    expect([await proxy.read(browse), proxy.rounds]).toEqual(['read', 1])
+    proxy.now += 600
+    expect(await proxy.read(browse)).toBe('read')
+    await new Promise(resolve => setImmediate(resolve))
+    expect(proxy.rounds).toBe(2)
+  })
+
   // The operator accepted acknowledgement by the primary alone; it fails, and
   // the new term starts below the session's last write.
   it('tells a session once of a lost write', async () => {
--- a/src/shell/caller/reads.ts
+++ b/src/shell/caller/reads.ts
@@ -19,6 +19,9 @@
 import type { Identity } from './identity.ts'
 import type { Target } from './target.ts'
 
+/** The share of a stated age after which the next mark is asked for. */
+const MARK_SHARE = 0.25
+
 /** One read on its way. */
 interface Read {
   readonly group: GroupId
@@ -90,6 +93,7 @@
         case 'lost': return this.tellLost(read)
         case 'none': return { kind: 'nowhere', reason: 'noPrimary' }
         case 'replica': {
+          this.keepMarks(read, ms)
           const sample = group.sample(route.endpoint)!
           const evidence = appliedEvidence(read.freshness, token, sample, groups.marks(read.group).age(sample, now()))
           return { kind: 'endpoint', endpoint: route.endpoint, access: RunAccess.READ, transaction: '', evidence }
@@ -106,6 +110,18 @@
     }
   }
 
+  /**
+   * Asks for the next mark while the last still proves the age. Against reads
+   * of a stated age that all go to the primary once in that time: when the
+   * last mark is too old, replicas need their whole lag to reach the next.
+   */
+  private keepMarks ({ group, freshness }: Read, ms: number): void {
+    if (freshness.kind !== 'age') return
+    const { newest } = this.context.groups.marks(group)
+    const isYoung = newest !== undefined && this.context.now() - newest < freshness.ms * MARK_SHARE
+    if (!isYoung) this.roundsOf(group).ask(ms)
+  }
+
   /**
    * A session is told once that a write of it was lost, and then goes on with
    * what the new term kept: it would be refused for ever otherwise.
