--- a/scenarios/world/sqlerror.ts
+++ b/scenarios/world/sqlerror.ts
@@ -6,5 +6,11 @@
   }
 
   static readonly readOnly = new SqlError(1290, 'The MySQL server is running with the --super-read-only option')
+  /** A verb that the endpoint refuses. */
+  static refusal (message: string): SqlError {
+    return new SqlError(1644, message)
+  }
+
+  static readonly lateConfirmation = new SqlError(1205, 'received too little in time')
   static readonly duplicate = new SqlError(1062, 'Duplicate entry')
 }
--- a/src/core/group/group.ts
+++ b/src/core/group/group.ts
@@ -20,6 +20,14 @@
     return Math.max(0, ...this.samples.map(sample => sample.term)) as Term
   }
 
+  /**
+   * Whether enough was heard to tell a group without a primary from one whose
+   * primary's first sample is still on its way: a primary, or all endpoints.
+   */
+  get isHeard (): boolean {
+    return this.samples.some(sample => sample.role === 'primary') || this.samples.every(sample => sample.term > 0)
+  }
+
   /** How many endpoints are more than half of the group. */
   get majority (): number {
     return Math.floor(this.samples.length / 2) + 1
