--- a/src/shell/peer/link.ts
+++ b/src/shell/peer/link.ts
@@ -30,6 +30,8 @@
   readonly onConfig: (body: Frame['body']) => void
 }
 
+const MOST_ID = 0xffffffff
+
 type Sink = Parameters<SlotPort['run']>[1]
 
 /** Asks one peer's slots. What can't be sent is refused at once, as proved not run. */
@@ -37,7 +39,7 @@
   private out: AsyncQueue<Frame> | undefined
   private readonly asked = new Map<number, Sink>()
   private readonly confirms = new Map<number, (answer: Confirmed) => void>()
-  private nextId = 1
+  private nextId = 0
   private lastHeard = 0
   private isUp = false
 
@@ -54,7 +56,7 @@
   }
 
   run (req: Run, sink: Sink): ReturnType<SlotPort['run']> {
-    const id = this.nextId++
+    const id = this.newId()
     if (!this.isUp) {
       sink.done(refusal(id, 'noSlotOwner'))
       return { credit: () => undefined, cancel: () => undefined }
@@ -72,7 +74,7 @@
 
   async confirm (endpoint: EndpointId, term: Term, position: Position, ms: number): Promise<Confirmed> {
     if (!this.isUp) return create(ConfirmedSchema, { ok: false })
-    const id = this.nextId++
+    const id = this.newId()
     return await new Promise(resolve => {
       this.confirms.set(id, resolve)
       this.send({ case: 'confirm', value: { $typeName: 'agatepond.peer.v1.Confirm', id, endpoint, term, position, deadlineMs: ms } })
@@ -87,6 +89,13 @@
     if (this.isUp) this.send(body)
   }
 
+  /** Ids are 32 bits wide, and a busy link uses them up within days; one that is still in use is passed over. */
+  private newId (): number {
+    do this.nextId = this.nextId % MOST_ID + 1
+    while (this.asked.has(this.nextId) || this.confirms.has(this.nextId))
+    return this.nextId
+  }
+
   private send (body: Frame['body']): void {
     this.out?.push(create(FrameSchema, { body }))
   }
