--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -24,8 +24,10 @@
       node.drain().then(() => {
         // What was written last, to callers and peers, leaves before the sockets are closed.
         setTimeout(() => {
-          stopped.abort()
-          process.exit(exit.done)
+          node.audit.flush(settings.value.audit.flush).then(() => {
+            stopped.abort()
+            process.exit(exit.done)
+          })
         }, FLUSH_MS)
       })
     })
--- /dev/null
+++ b/src/shell/node/confirm.ts
@@ -0,0 +1,35 @@
+/** Asks for a confirmation, whoever holds a slot of the endpoint meanwhile. */
+
+import { create } from '@bufbuild/protobuf'
+import { ConfirmedSchema, type Confirmed } from '../../gen/peer_pb.ts'
+import type { EndpointId } from '../../core/id/endpoint.ts'
+import type { Position } from '../../core/id/position.ts'
+import type { Term } from '../../core/id/term.ts'
+import type { SlotPort } from '../peer/port.ts'
+
+interface Question {
+  readonly endpoint: EndpointId
+  readonly term: Term
+  readonly position: Position
+  readonly ms: number
+}
+
+/** How long to wait before looking for the slot's new owner. */
+const MOVED_MS = 20
+
+/**
+ * A slot that moves while it's asked answers "no" for itself and not for its
+ * endpoint; taken at its word, it would make a good write's outcome unknown.
+ */
+export async function confirmWhereHeld ({ endpoint, term, position, ms }: Question, port: () => SlotPort | undefined): Promise<Confirmed> {
+  const end = performance.now() + ms
+  for (;;) {
+    const asked = port()
+    const left = Math.ceil(end - performance.now())
+    if (left <= 0) return create(ConfirmedSchema, { ok: false })
+    const answer = await asked?.confirm(endpoint, term, position, left)
+    if (answer?.ok === true) return answer
+    if (answer !== undefined && port() === asked) return answer
+    await new Promise(resolve => { setTimeout(resolve, MOVED_MS) })
+  }
+}
--- a/src/shell/node/heldslot.ts
+++ b/src/shell/node/heldslot.ts
@@ -83,7 +83,7 @@
     this.phase = 'handingOver'
     await new Promise(resolve => { setTimeout(resolve, SWITCH_MS) })
     this.phase = 'closing'
-    while (this.inProgress > 0 || this.owner.transactions > 0) {
+    while (this.inProgress > 0 || this.owner.openTransactions > 0) {
       await new Promise<void>(resolve => { this.wake = resolve })
     }
     this.close()
--- a/src/shell/node/node.ts
+++ b/src/shell/node/node.ts
@@ -7,12 +7,15 @@
 import { ConfirmedSchema, type Frame } from '../../gen/peer_pb.ts'
 import type { Config } from '../../core/config/config.ts'
 import { parseConfig } from '../../core/config/document.ts'
+import type { DataCentreId } from '../../core/id/datacentre.ts'
 import type { EndpointId } from '../../core/id/endpoint.ts'
 import type { HostId } from '../../core/id/host.ts'
 import type { Instant } from '../../core/id/instant.ts'
 import type { ConfigVersion } from '../../core/id/version.ts'
 import { Sessions } from '../../core/session/sessions.ts'
 import type { parseSettings } from '../../core/settings/settings.ts'
+import type { Audit } from '../audit/audit.ts'
+import { openAudit } from '../audit/open.ts'
 import type { CallerContext } from '../caller/context.ts'
 import { acceptCaller } from '../caller/frontend.ts'
 import { Groups } from '../caller/groups.ts'
@@ -53,7 +56,8 @@
     private readonly slots: Slots,
     private readonly callers: Callers,
     private readonly log: Log,
-    private readonly metrics: Metrics
+    private readonly metrics: Metrics,
+    readonly audit: Audit
   ) {}
 
   static async start (settings: Settings, signal: AbortSignal): Promise<Node> {
@@ -63,6 +67,7 @@
     const groups = Groups.create()
     const incarnation = randomUUID()
     const now = (): Instant => performance.now() as Instant
+    const chance = seededChance(incarnation)
     const table = DynamoTable.open({ url: platform.tableService, table: platform.table, region: platform.region, timeoutMs: platform.timeout }, signal)
     const hostList = HttpHostList.of(platform.hostList, platform.timeout)
     const slots = Slots.create({
@@ -73,7 +78,7 @@
       log,
       metrics,
       now,
-      chance: seededChance(incarnation),
+      chance,
       broadcast: body => it.peers?.broadcast(body)
     }, signal)
     const { transactions, callers: busy, idle, pause: gap } = settings.drain
@@ -82,7 +87,8 @@
       now,
       onCount: open => metrics.callers.set(open)
     })
-    const it: Node = new Node(settings, slots, callers, log, metrics)
+    const audit = openAudit({ settings, incarnation, log, metrics, now, configVersion: () => it.config?.version })
+    const it: Node = new Node(settings, slots, callers, log, metrics, audit)
     it.peers = await PeerServer.listen({
       ...addressOf(settings.listen.peers),
       host: host.id as HostId,
@@ -98,10 +104,12 @@
       groups,
       sessions: Sessions.create(settings.requests.sessions),
       port: endpoint => slots.port(endpoint),
-      near: [],
+      dataCentre: host.dataCentre as DataCentreId,
+      chance,
       deadlineMs: settings.requests.deadline,
       now,
-      metrics
+      metrics,
+      audit: it.audit
     }
     const reads = Reads.create(context)
     const { ip, port } = addressOf(settings.listen.callers)
--- a/src/shell/node/peers.ts
+++ b/src/shell/node/peers.ts
@@ -1,6 +1,6 @@
 /** The other processes: the links to those that are used, and what they say of themselves. */
 
-import type { Sample as SampleFrame } from '../../gen/peer_pb.ts'
+import type { Sample as SampleFrame, Wrote } from '../../gen/peer_pb.ts'
 import type { EndpointId } from '../../core/id/endpoint.ts'
 import type { HostId } from '../../core/id/host.ts'
 import type { Instant } from '../../core/id/instant.ts'
@@ -19,6 +19,7 @@
   readonly log: Log
   readonly now: () => Instant
   readonly onSample: (frame: SampleFrame) => void
+  readonly onWrote: (frame: Wrote) => void
   /** Something was heard that may move a slot. */
   readonly onChange: () => void
 }
@@ -108,6 +109,7 @@
       retryMs: settings.peers.retry,
       log,
       onSample: this.options.onSample,
+      onWrote: this.options.onWrote,
       onHeard: heard => this.hear({ kind: 'heard', host: host.id, incarnation: heard }),
       onHeld: ({ endpoints, leaving }) => {
         this.hear({ kind: 'held', host: host.id, endpoints: endpoints as EndpointId[], isLeaving: leaving })
--- a/src/shell/node/slots.ts
+++ b/src/shell/node/slots.ts
@@ -1,7 +1,7 @@
 /** The slots of this process and the ways to those of others: one port for each endpoint. */
 
 import { create } from '@bufbuild/protobuf'
-import { HeldSchema, type Held as HeldFrame, type Sample as SampleFrame } from '../../gen/peer_pb.ts'
+import { HeldSchema, WroteSchema, type Frame, type Held as HeldFrame, type Wrote } from '../../gen/peer_pb.ts'
 import type { Config } from '../../core/config/config.ts'
 import { Group } from '../../core/group/group.ts'
 import type { Sample } from '../../core/group/sample.ts'
@@ -9,6 +9,8 @@
 import type { GroupId } from '../../core/id/group.ts'
 import type { HostId } from '../../core/id/host.ts'
 import type { Instant } from '../../core/id/instant.ts'
+import type { Position } from '../../core/id/position.ts'
+import type { Term } from '../../core/id/term.ts'
 import type { TransactionId } from '../../core/id/transaction.ts'
 import type { Host } from '../../core/membership/host.ts'
 import { Duties } from '../../core/membership/duties.ts'
@@ -20,9 +22,10 @@
 import { sampleFrame } from '../peer/frames.ts'
 import type { SlotPort } from '../peer/port.ts'
 import type { TableService } from '../platform/tableservice.ts'
-import { EndpointPort } from './endpointport.ts'
+import { confirmWhereHeld } from './confirm.ts'
 import type { HeldSlot } from './heldslot.ts'
 import { Peers } from './peers.ts'
+import { recordPromotion } from './record.ts'
 import { takeSlot } from './take.ts'
 
 type Settings = ReturnType<ReturnType<typeof parseSettings>['_unsafeUnwrap']>
@@ -38,7 +41,7 @@
   readonly now: () => Instant
   readonly chance: () => number
   /** Sends a frame to every linked peer. */
-  readonly broadcast: (body: { case: 'sample', value: SampleFrame } | { case: 'held', value: HeldFrame }) => void
+  readonly broadcast: (body: Frame['body']) => void
 }
 
 /** How often silence is looked for; a change that is heard is acted on at once. */
@@ -49,7 +52,6 @@
 /** Follows the host list, the links and the configuration: holds the slots that fall to this host. */
 export class Slots {
   private readonly held = new Map<EndpointId, HeldSlot>()
-  private readonly ports = new Map<EndpointId, EndpointPort>()
   private readonly usedGroups = new Map<GroupId, number>()
   private readonly peers: Peers
   private duties: Duties
@@ -60,7 +62,13 @@
     const { settings, incarnation, log, now } = options
     this.duties = Duties.of(settings.host.id as HostId)
     this.peers = Peers.create({
-      settings, incarnation, log, now, onSample: frame => this.learn(sampleFrame.decode(frame, now())), onChange: () => this.place()
+      settings,
+      incarnation,
+      log,
+      now,
+      onChange: () => this.place(),
+      onSample: frame => this.learn(sampleFrame.decode(frame, now())),
+      onWrote: frame => this.note(frame)
     })
   }
 
@@ -102,13 +110,12 @@
     if (isNew) this.linkPeers()
   }
 
-  /** The way to the endpoint, whoever holds its slots. */
-  port (endpoint: EndpointId): SlotPort {
-    const known = this.ports.get(endpoint)
-    if (known !== undefined) return known
-    const port = EndpointPort.of(() => this.best(endpoint))
-    this.ports.set(endpoint, port)
-    return port
+  /** Own before others, so that a request makes no hop; a slot that is being handed over only when there is no other. */
+  port (endpoint: EndpointId): SlotPort | undefined {
+    const own = this.held.get(endpoint)
+    if (own?.isOpen === true && !this.peers.members.isLeaving) return own
+    const [peer] = this.peers.ports(endpoint)
+    return peer ?? (own?.takesNew === true ? own : undefined)
   }
 
   /** This process's own slot, whoever else holds one. */
@@ -139,19 +146,16 @@
     while (this.held.size > 0) await new Promise<void>(resolve => { this.wake = resolve })
   }
 
-  /** Own before others, so that a request makes no hop; a slot that is being handed over only when there is no other. */
-  private best (endpoint: EndpointId): SlotPort | undefined {
-    const own = this.held.get(endpoint)
-    if (own?.isOpen === true && !this.peers.members.isLeaving) return own
-    const [peer] = this.peers.ports(endpoint)
-    return peer ?? (own?.takesNew === true ? own : undefined)
-  }
-
   private learn (sample: Sample): void {
     this.options.groups.learn(sample)
     for (const slot of this.held.values()) slot.learn(sample)
   }
 
+  /** Takes in who made a write, from an owner here or elsewhere. */
+  private note ({ endpoint, term, position, session }: Wrote): void {
+    this.options.groups.note(endpoint as EndpointId, term as Term, position as Position, session)
+  }
+
   private place (): void {
     const { members } = this.peers
     const duties = this.duties.withHosts(members.candidates(this.options.now()), members.hosts)
@@ -217,7 +221,7 @@
   }
 
   private take (group: DatabaseGroup, endpoint: EndpointId, rank: number): void {
-    const { settings, incarnation, groups, now, chance, log, metrics, table } = this.options
+    const { settings, incarnation, groups, now, chance, log } = this.options
     const slot = takeSlot(group, endpoint, settings, {
       group: groups.get(group.id)!,
       rank,
@@ -225,20 +229,17 @@
       now,
       chance,
       log,
-      confirmAt: async (at, term, position, ms) => await this.port(at).confirm(at, term, position, ms),
+      confirmAt: async (at, term, position, ms) => await confirmWhereHeld({ endpoint: at, term, position, ms }, () => this.port(at)),
       onSample: sample => {
         this.learn(sample)
         this.options.broadcast({ case: 'sample', value: sampleFrame.encode(sample) })
       },
-      record: action => {
-        metrics.promotions.inc()
-        table.create({
-          pk: `promotion/${action.group}`,
-          sk: String(action.term).padStart(12, '0'),
-          revision: 1,
-          body: JSON.stringify(action)
-        }).catch((err: Error) => log.write('recordFailed', { group: action.group, term: action.term, err: err.message }))
-      }
+      onWrote: (term, position, session) => {
+        const frame = create(WroteSchema, { endpoint, term, position, session })
+        this.note(frame)
+        this.options.broadcast({ case: 'wrote', value: frame })
+      },
+      record: action => recordPromotion(action, this.options)
     })
     this.held.set(endpoint, slot)
     log.write('slotTaken', { endpoint, rank })
--- a/src/shell/peer/link.ts
+++ b/src/shell/peer/link.ts
@@ -29,6 +29,7 @@
   readonly onHeld: (frame: Extract<Frame['body'], { case: 'held' }>['value']) => void
   /** The stream broke or went silent. Called before what was asked on it ends. */
   readonly onLost: () => void
+  readonly onWrote: (frame: Extract<Frame['body'], { case: 'wrote' }>['value']) => void
 }
 
 type Sink = Parameters<SlotPort['run']>[1]
@@ -149,6 +150,7 @@
       case 'hello': return this.greeted(body.value.host, body.value.incarnation)
       case 'held': return this.options.onHeld(body.value)
       case 'sample': return this.options.onSample(body.value)
+      case 'wrote': return this.options.onWrote(body.value)
       case 'head': return this.asked.get(body.value.id)?.head(body.value.columns)
       case 'rows': return this.asked.get(body.value.id)?.rows(body.value.rows)
       case 'done': return this.finish(body.value)
