--- a/src/core/membership/duties.ts
+++ b/src/core/membership/duties.ts
@@ -27,6 +27,12 @@
 export class Duties {
   /** This host's rank for each endpoint that it's due to hold a slot of; 0 for the one that judges the endpoint first. */
   private readonly ranks: ReadonlyMap<EndpointId, number>
+  /**
+   * Endpoints whose slots this host holds or would take over next. It has to
+   * watch their owners: what it doesn't watch it takes from a list that shows
+   * a dead host as live for a long time.
+   */
+  readonly watched: readonly EndpointId[]
 
   private constructor (private readonly fields: Fields) {
     const ranks = new Map<EndpointId, number>()
@@ -35,6 +41,7 @@
       if (rank >= 0) ranks.set(endpoint, rank)
     }
     this.ranks = ranks
+    this.watched = [...fields.groups.keys()].filter(endpoint => this.possible(endpoint).includes(fields.self))
   }
 
   static of (self: HostId): Duties {
--- a/src/core/settings/settings.ts
+++ b/src/core/settings/settings.ts
@@ -42,7 +42,7 @@
   }).prefault({}),
   peers: z.strictObject({
     beat: duration.default(200),
-    silent: duration.default(1500),
+    silent: duration.default(1200),
     gone: duration.default(3000),
     retry: duration.default(100)
   }).prefault({}),
--- a/src/shell/node/node.ts
+++ b/src/shell/node/node.ts
@@ -3,7 +3,6 @@
 import { randomUUID } from 'node:crypto'
 import { createServer } from 'node:http'
 import { create } from '@bufbuild/protobuf'
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import { ConfirmedSchema, type Frame } from '../../gen/peer_pb.ts'
 import type { Config } from '../../core/config/config.ts'
 import { parseConfig } from '../../core/config/document.ts'
@@ -33,13 +32,16 @@
 import { HttpHostList } from '../platform/httphostlist.ts'
 import type { TableService } from '../platform/tableservice.ts'
 import { Callers } from './callers.ts'
+import { firstHeard } from './firstheard.ts'
+import { seededChance } from './seededchance.ts'
 import { Slots } from './slots.ts'
 
 type Settings = ReturnType<ReturnType<typeof parseSettings>['_unsafeUnwrap']>
 
 const POLL_MS = 500
 const ER_SERVER_SHUTDOWN = 1053
-const UINT32 = 0x100000000
+/** The longest that a sign-in waits for the first word of its pool's groups. */
+const HEARD_MS = 1000
 
 /** The process. `start` resolves when it listens. */
 export class Node {
@@ -53,6 +55,7 @@
 
   private constructor (
     private readonly settings: Settings,
+    private readonly groups: Groups,
     private readonly slots: Slots,
     private readonly callers: Callers,
     private readonly log: Log,
@@ -88,7 +91,7 @@
       onCount: open => metrics.callers.set(open)
     })
     const audit = openAudit({ settings, incarnation, log, metrics, now, configVersion: () => it.config?.version })
-    const it: Node = new Node(settings, slots, callers, log, metrics, audit)
+    const it: Node = new Node(settings, groups, slots, callers, log, metrics, audit)
     it.peers = await PeerServer.listen({
       ...addressOf(settings.listen.peers),
       host: host.id as HostId,
@@ -120,7 +123,7 @@
       accept: async login => {
         if (it.isClosed) return { code: ER_SERVER_SHUTDOWN, message: 'this proxy is leaving; connect to another' }
         const handler = await acceptCaller(context, reads, login)
-        return 'code' in handler ? handler : it.guard(handler, login)
+        return 'code' in handler ? handler : await it.guard(handler, login)
       }
     }, signal)
     it.serveMetrics(addressOf(settings.listen.metrics), signal)
@@ -149,11 +152,17 @@
     this.log.write('stopped')
   }
 
-  /** While a caller is connected, its pool's groups are in use here. */
-  private guard (handler: Handler, login: Login): Handler {
+  /**
+   * While a caller is connected, its pool's groups are in use here. The links
+   * to their slot owners may be opened only now, so the sign-in waits for
+   * them; else the first request would be refused for want of a known primary.
+   */
+  private async guard (handler: Handler, login: Login): Promise<Handler> {
     const closed = new AbortController()
     const pools = this.config?.pools.filter(pool => pool.callers.some(caller => caller.id === login.user)) ?? []
-    this.slots.useGroups(pools.flatMap(pool => pool.groups), closed.signal)
+    const ids = pools.flatMap(pool => pool.groups)
+    this.slots.useGroups(ids, closed.signal)
+    await firstHeard(this.groups, ids, HEARD_MS)
     return this.callers.guard(handler, () => login.hangUp(), () => closed.abort())
   }
 
@@ -234,12 +243,6 @@
   return { ip: ip!, port: Number(port) }
 }
 
-/** The one generator for chance, seeded so that no two processes draw the same numbers. */
-function seededChance (seed: string): () => number {
-  const generator = xoroshiro128plus(parseInt(seed.slice(0, 8), 16))
-  return () => (generator.next() >>> 0) / UINT32
-}
-
 async function pause (ms: number): Promise<void> {
   await new Promise(resolve => { setTimeout(resolve, ms) })
 }
--- a/src/shell/node/slots.ts
+++ b/src/shell/node/slots.ts
@@ -188,7 +188,7 @@
   /**
    * Links to the hosts that may hold slots of groups which this process uses:
    * for its callers, and for its own slots, whose owners need the samples of
-   * their group's other endpoints.
+   * their group's other endpoints. And to those whose slots it would take over.
    */
   private linkPeers (): void {
     const used = new Set<DatabaseGroup | undefined>()
@@ -198,7 +198,8 @@
     }
     const now = this.options.now()
     const wanted = new Set<HostId>()
-    for (const { id } of [...used].flatMap(group => group?.endpoints ?? [])) {
+    const endpoints = [...used].flatMap(group => group?.endpoints ?? []).map(endpoint => endpoint.id)
+    for (const id of new Set([...endpoints, ...this.duties.watched])) {
       for (const host of this.duties.possible(id)) wanted.add(host)
       for (const host of this.peers.members.holders(id, now)) wanted.add(host)
     }
--- /dev/null
+++ b/src/shell/peer/link.test.ts
@@ -0,0 +1,38 @@
+import { describe, expect, it } from 'vitest'
+import type { HostId } from '../../core/id/host.ts'
+import { freePorts } from '../../../standin/ports.ts'
+import { Log } from '../log/log.ts'
+import { PeerLink } from './link.ts'
+import { PeerServer } from './server.ts'
+
+// The list is old: host-2's address has been given to host-3 meanwhile. A link that took host-3 for host-2 would send
+// it requests for slots that it doesn't hold, and would keep a dead host-2 alive in the view of the members.
+describe('a link to an address', () => {
+  it.each([['host-2', true], ['host-3', false]])('that %s answers at is linked to host-2: %j', async (answering, isLinked) => {
+    const stop = new AbortController()
+    const [port] = await freePorts(1)
+    const slots = { run: () => { throw new Error('not asked') }, confirm: async () => { throw new Error('not asked') }, release: () => undefined }
+    await PeerServer.listen({
+      ip: '127.0.0.1', port: port!, host: answering as HostId, incarnation: '1', beatMs: 200, silentMs: 60_000, slots, greeting: () => []
+    }, stop.signal)
+    const heard = await new Promise<boolean>(resolve => {
+      PeerLink.open({
+        address: `127.0.0.1:${port}`,
+        self: 'host-1' as HostId,
+        peer: 'host-2' as HostId,
+        incarnation: '1',
+        beatMs: 200,
+        silentMs: 60_000,
+        retryMs: 100,
+        log: Log.silent,
+        onSample: () => undefined,
+        onWrote: () => undefined,
+        onHeld: () => undefined,
+        onHeard: () => resolve(true),
+        onLost: () => resolve(false)
+      }, stop.signal)
+    })
+    stop.abort()
+    expect(heard).toBe(isLinked)
+  })
+})
--- a/standin/stage.ts
+++ b/standin/stage.ts
@@ -8,6 +8,7 @@
 import { promisify } from 'node:util'
 import { Child } from './child.ts'
 import { freePorts } from './ports.ts'
+import { Relay } from './relay.ts'
 
 interface Options {
   readonly proxies: number
@@ -16,6 +17,9 @@
   readonly connectMs?: number
   readonly statementMs?: number
   readonly connectionsPerSlot?: number
+  readonly slotsPerEndpoint?: number
+  /** Puts a relay before every proxy's address for its peers. */
+  readonly relayPeers?: boolean
   /** Lines of TOML appended to every proxy's settings. */
   readonly extraSettings?: string
   readonly kinds?: readonly { readonly name: string, readonly freshness: string }[]
@@ -36,6 +40,7 @@
   readonly peers: number
   readonly metrics: number
   readonly settings: string
+  readonly relay: Relay | undefined
   child: Child | undefined
 }
 
@@ -67,6 +72,7 @@
   async stop (): Promise<void> {
     const children = [...this.proxies.map(one => one.child), ...this.endpoints.map(one => one.child), this.platform]
     await Promise.all(children.map(async child => await child?.end('SIGKILL')))
+    for (const { relay } of this.proxies) relay?.close()
     rmSync(this.dir, { recursive: true })
   }
 
@@ -95,9 +101,10 @@
     return String(best?.id)
   }
 
+  /** Sets the states that the list shows; `gone` takes a host off it. */
   async hosts (state: Readonly<Record<string, string>> = {}): Promise<void> {
-    await this.put('/hosts', this.proxies.map(proxy => ({
-      id: proxy.id, peers: `127.0.0.1:${proxy.peers}`, dataCentre: proxy.dataCentre, state: state[proxy.id] ?? 'live'
+    await this.put('/hosts', this.proxies.filter(proxy => state[proxy.id] !== 'gone').map(proxy => ({
+      id: proxy.id, peers: `127.0.0.1:${proxy.relay?.port ?? proxy.peers}`, dataCentre: proxy.dataCentre, state: state[proxy.id] ?? 'live'
     })))
   }
 
@@ -154,6 +161,7 @@
         endpoints: this.endpoints.filter(one => one.id.startsWith(`${group}-`)).map((one, i) => ({
           id: one.id, address: `127.0.0.1:${one.port}`, dataCentre: dataCentreOf(i)
         })),
+        slotsPerEndpoint: this.options.slotsPerEndpoint ?? 2,
         connectionsPerSlot: this.options.connectionsPerSlot ?? 16
       })),
       pools: [{
@@ -176,12 +184,12 @@
     const addresses = ids.map((id, i) => `${id}=127.0.0.1:${ports[i * 3 + 1]}`).join(',')
     await Promise.all(ids.map(async (id, i) => {
       const [port, replicationPort, adminPort] = ports.slice(i * 3, i * 3 + 3) as [number, number, number]
-      const { lagMs, connectMs, statementMs, connectionsPerSlot } = this.options
+      const { lagMs, connectMs, statementMs, connectionsPerSlot, slotsPerEndpoint } = this.options
       const child = await Child.start(id, ['dist/standin-endpoint.mjs',
         '--id', id, '--group', addresses, '--primary', ids[0]!,
         '--port', String(port), '--replication-port', String(replicationPort), '--admin-port', String(adminPort),
         '--lag', String(lagMs ?? 0), '--connect-ms', String(connectMs ?? 0), '--statement-ms', String(statementMs ?? 0),
-        '--most-connections', String((connectionsPerSlot ?? 16) * 2)], /ready/)
+        '--most-connections', String((connectionsPerSlot ?? 16) * (slotsPerEndpoint ?? 2))], /ready/)
       this.endpoints.push({ id, port, replicationPort, adminPort, child })
     }))
     this.endpoints.sort((a, b) => a.id < b.id ? -1 : 1)
@@ -201,7 +209,8 @@
         '[endpoints]', 'user = "data"', 'password = "data"', 'controlUser = "control"', 'controlPassword = "control"',
         this.options.extraSettings ?? ''
       ].join('\n'))
-      this.proxies.push({ id, dataCentre: dataCentreOf(i), callers, peers, metrics, settings, child: undefined })
+      const relay = this.options.relayPeers === true ? await Relay.listen(peers) : undefined
+      this.proxies.push({ id, dataCentre: dataCentreOf(i), callers, peers, metrics, settings, relay, child: undefined })
     }
     await this.hosts()
   }
