--- a/src/core/membership/placement.ts
+++ b/src/core/membership/placement.ts
@@ -5,6 +5,7 @@
 
 import type { EndpointId } from '../id/endpoint.ts'
 import type { HostId } from '../id/host.ts'
+import { weightOf } from '../weight.ts'
 import type { Host } from './host.ts'
 
 type Candidate = Pick<Host, 'id' | 'dataCentre'>
@@ -41,15 +42,15 @@
     const added = hosts.filter(host => !isKnown(host))
     if (added.length === 0 && hosts.length === old.size) return this
     const staying = new Set(hosts.filter(isKnown).map(host => host.id))
-    const seeds = added.map(host => seedOf(host.id))
+    const seeds = added.map(host => weightOf(host.id))
     const placed = new Map<EndpointId, Placed>()
     for (const [endpoint, one] of this.placed) {
-      const seed = seedOf(endpoint)
+      const seed = weightOf(endpoint)
       const isAsBefore = one.hosts.every(host => staying.has(host.id)) &&
-        seeds.every(other => weightOf(seed, other) < one.least)
+        seeds.every(other => pairWeight(seed, other) < one.least)
       if (isAsBefore) placed.set(endpoint, one)
     }
-    return new Placement(hosts.map(host => ({ host, seed: seedOf(host.id) })), placed)
+    return new Placement(hosts.map(host => ({ host, seed: weightOf(host.id) })), placed)
   }
 
   /**
@@ -65,8 +66,8 @@
   }
 
   private place (endpoint: EndpointId, slots: number): Placed {
-    const seed = seedOf(endpoint)
-    const weighed = this.ranked.map(({ host, seed: other }) => ({ host, weight: weightOf(seed, other) }))
+    const seed = weightOf(endpoint)
+    const weighed = this.ranked.map(({ host, seed: other }) => ({ host, weight: pairWeight(seed, other) }))
     const best = new Map<string, typeof weighed[number]>()
     for (const one of weighed) {
       const other = best.get(one.host.dataCentre)
@@ -86,26 +87,9 @@
   return b.weight - a.weight || (a.host.id < b.host.id ? -1 : 1)
 }
 
-const FNV_OFFSET = 0x811c9dc5
-const FNV_PRIME = 0x01000193
-
-/** 32-bit FNV-1a of an id. */
-function seedOf (text: string): number {
-  let value = FNV_OFFSET
-  for (let i = 0; i < text.length; i++) {
-    value = Math.imul(value ^ text.charCodeAt(i), FNV_PRIME)
-  }
-  return mix(value)
-}
-
-/** The same on every host, which is all that placement needs of it. */
-function weightOf (endpoint: number, host: number): number {
-  return mix(endpoint ^ Math.imul(host, FNV_PRIME))
-}
-
-function mix (seed: number): number {
-  let value = seed
-  value = Math.imul(value ^ value >>> 16, 0x85ebca6b)
+/** Depends on both ids. Each id is hashed once, since 2,000 hosts are weighed for each of 13,500 endpoints. */
+function pairWeight (endpoint: number, host: number): number {
+  let value = Math.imul(endpoint ^ host, 0x85ebca6b)
   value = Math.imul(value ^ value >>> 13, 0xc2b2ae35)
   return (value ^ value >>> 16) >>> 0
 }
--- /dev/null
+++ b/src/core/membership/wanted.ts
@@ -0,0 +1,34 @@
+/**
+ * The hosts that a process links to: those that may hold slots of groups
+ * which it uses, for its callers or because its own slots need the samples of
+ * their group's other endpoints; and those whose slots it would take over.
+ */
+
+import type { Config } from '../config/config.ts'
+import type { EndpointId } from '../id/endpoint.ts'
+import type { HostId } from '../id/host.ts'
+import type { Duties } from './duties.ts'
+
+interface Use {
+  readonly duties: Duties
+  /** Endpoints that it holds a slot of. */
+  readonly held: readonly EndpointId[]
+  /** Groups that its callers use. */
+  readonly groups: ReadonlyArray<Config['groups'][number]>
+  /** Who says that it holds a slot of the endpoint. */
+  readonly holders: (endpoint: EndpointId) => readonly HostId[]
+}
+
+export function wantedHosts ({ duties, held, groups, holders }: Use): Set<HostId> {
+  const used = new Set(groups)
+  for (const endpoint of [...held, ...duties.endpoints]) {
+    const group = duties.group(endpoint)
+    if (group !== undefined) used.add(group)
+  }
+  const endpoints = [...used].flatMap(group => group.endpoints.map(endpoint => endpoint.id))
+  const wanted = new Set<HostId>()
+  for (const endpoint of new Set([...endpoints, ...duties.watched])) {
+    for (const host of [...duties.possible(endpoint), ...holders(endpoint)]) wanted.add(host)
+  }
+  return wanted
+}
--- a/src/shell/node/node.ts
+++ b/src/shell/node/node.ts
@@ -1,16 +1,13 @@
 /** One agatepond process: puts its parts together and keeps them running until its signal is aborted. */
 
 import { randomUUID } from 'node:crypto'
-import { createServer } from 'node:http'
-import { create } from '@bufbuild/protobuf'
-import { ConfirmedSchema, type Frame } from '../../gen/peer_pb.ts'
+import { create, type MessageInitShape } from '@bufbuild/protobuf'
+import { ConfirmedSchema, type Frame, type StatusReplySchema } from '../../gen/peer_pb.ts'
 import type { Config } from '../../core/config/config.ts'
-import { parseConfig } from '../../core/config/document.ts'
 import type { DataCentreId } from '../../core/id/datacentre.ts'
 import type { EndpointId } from '../../core/id/endpoint.ts'
 import type { HostId } from '../../core/id/host.ts'
 import type { Instant } from '../../core/id/instant.ts'
-import type { ConfigVersion } from '../../core/id/version.ts'
 import { Sessions } from '../../core/session/sessions.ts'
 import type { parseSettings } from '../../core/settings/settings.ts'
 import type { Audit } from '../audit/audit.ts'
@@ -19,6 +16,8 @@
 import { acceptCaller } from '../caller/frontend.ts'
 import { Groups } from '../caller/groups.ts'
 import { Reads } from '../caller/reads.ts'
+import { ConfigFollower } from '../config/follower.ts'
+import { ConfigStore } from '../config/store.ts'
 import { Log } from '../log/log.ts'
 import { Metrics } from '../metrics/metrics.ts'
 import type { Handler } from '../mysql/handler.ts'
@@ -30,9 +29,10 @@
 import { DynamoTable } from '../platform/dynamotable.ts'
 import type { HostList } from '../platform/hostlist.ts'
 import { HttpHostList } from '../platform/httphostlist.ts'
-import type { TableService } from '../platform/tableservice.ts'
+import { S3Store } from '../platform/s3store.ts'
 import { Callers } from './callers.ts'
-import { firstHeard } from './firstheard.ts'
+import { FirstHeard } from './firstheard.ts'
+import { servePages } from './pages.ts'
 import { seededChance } from './seededchance.ts'
 import { Slots } from './slots.ts'
 
@@ -40,12 +40,10 @@
 
 const POLL_MS = 500
 const ER_SERVER_SHUTDOWN = 1053
-/** The longest that a sign-in waits for the first word of its pool's groups. */
-const HEARD_MS = 1000
 
 /** The process. `start` resolves when it listens. */
 export class Node {
-  private config: Config | undefined
+  private configs: ConfigFollower | undefined
   private peers: PeerServer | undefined
   private mysql: MysqlServer | undefined
   private hasHosts = false
@@ -55,7 +53,7 @@
 
   private constructor (
     private readonly settings: Settings,
-    private readonly groups: Groups,
+    private readonly firstHeard: FirstHeard,
     private readonly slots: Slots,
     private readonly callers: Callers,
     private readonly log: Log,
@@ -72,6 +70,7 @@
     const now = (): Instant => performance.now() as Instant
     const chance = seededChance(incarnation)
     const table = DynamoTable.open({ url: platform.tableService, table: platform.table, region: platform.region, timeoutMs: platform.timeout }, signal)
+    const objects = S3Store.open({ url: platform.objectStore, bucket: platform.bucket, region: platform.region, timeoutMs: platform.timeout }, signal)
     const hostList = HttpHostList.of(platform.hostList, platform.timeout)
     const slots = Slots.create({
       settings,
@@ -82,7 +81,9 @@
       metrics,
       now,
       chance,
-      broadcast: body => it.peers?.broadcast(body)
+      broadcast: body => it.peers?.broadcast(body),
+      onLinked: peer => it.configs?.linked(peer),
+      onConfig: (from, body) => it.configs?.take(from, body, reply => slots.tell(from, reply))
     }, signal)
     const { transactions, callers: busy, idle, pause: gap } = settings.drain
     const callers = Callers.create({
@@ -90,8 +91,8 @@
       now,
       onCount: open => metrics.callers.set(open)
     })
-    const audit = openAudit({ settings, incarnation, log, metrics, now, configVersion: () => it.config?.version })
-    const it: Node = new Node(settings, groups, slots, callers, log, metrics, audit)
+    const audit = openAudit({ settings, incarnation, log, metrics, now, configVersion: () => it.configs?.config?.version })
+    const it: Node = new Node(settings, FirstHeard.of(groups), slots, callers, log, metrics, audit)
     it.peers = await PeerServer.listen({
       ...addressOf(settings.listen.peers),
       host: host.id as HostId,
@@ -99,11 +100,22 @@
       beatMs: settings.peers.beat,
       silentMs: settings.peers.silent,
       slots: it.ownSlots(),
-      greeting: (): Frame['body'][] => [{ case: 'held', value: slots.heldFrame() }]
+      greeting: (): Frame['body'][] => [{ case: 'held', value: slots.heldFrame() }],
+      onConfig: (from, body, reply) => it.configs?.take(from, body, reply),
+      status: () => it.status(host.id, incarnation)
+    }, signal)
+    it.configs = ConfigFollower.start({
+      self: host.id as HostId,
+      store: ConfigStore.of(table, objects),
+      log,
+      now,
+      chance,
+      tell: (peer, body) => slots.tell(peer, body),
+      onApply: config => it.apply(config)
     }, signal)
     const context: CallerContext = {
       host: host.id as HostId,
-      config: () => it.config,
+      config: () => it.configs?.config,
       groups,
       sessions: Sessions.create(settings.requests.sessions),
       port: endpoint => slots.port(endpoint),
@@ -126,9 +138,8 @@
         return 'code' in handler ? handler : await it.guard(handler, login)
       }
     }, signal)
-    it.serveMetrics(addressOf(settings.listen.metrics), signal)
+    servePages({ ...addressOf(settings.listen.metrics), metrics, problem: () => it.problem }, signal)
     it.pollHosts(hostList, signal)
-    it.pollConfig(table, signal)
     log.write('started', { callers: settings.listen.callers, peers: settings.listen.peers })
     return it
   }
@@ -159,20 +170,13 @@
    */
   private async guard (handler: Handler, login: Login): Promise<Handler> {
     const closed = new AbortController()
-    const pools = this.config?.pools.filter(pool => pool.callers.some(caller => caller.id === login.user)) ?? []
+    const pools = this.configs?.config?.pools.filter(pool => pool.callers.some(caller => caller.id === login.user)) ?? []
     const ids = pools.flatMap(pool => pool.groups)
     this.slots.useGroups(ids, closed.signal)
-    await firstHeard(this.groups, ids, HEARD_MS)
+    await this.firstHeard.wait(ids, this.settings.requests.deadline)
     return this.callers.guard(handler, () => login.hangUp(), () => closed.abort())
   }
 
-  /** Why this process can't serve callers now; undefined when it can. */
-  private get unready (): string | undefined {
-    if (this.isLeaving) return 'leaving'
-    if (this.config === undefined) return 'no configuration yet'
-    return this.hasHosts ? undefined : 'no host list yet'
-  }
-
   /** What this process's peers may ask of it: its own slots only, never a further hop. */
   private ownSlots (): SlotPort {
     return {
@@ -194,47 +198,36 @@
         hosts => {
           this.hasHosts = true
           this.slots.useHosts(hosts)
+          this.configs?.useHosts(hosts)
+          this.slots.keepLinks(this.configs?.partners ?? [])
         },
         (err: Error) => this.log.write('hostListFailed', { err: err.message }))
       await pause(POLL_MS)
     }
   }
 
-  private async pollConfig (table: TableService, signal: AbortSignal): Promise<void> {
-    while (!signal.aborted) {
-      await table.newest('config').then(
-        row => { if (row !== undefined) this.apply(Number(row.sk) as ConfigVersion, row.body) },
-        (err: Error) => this.log.write('storeFailed', { err: err.message }))
-      await pause(POLL_MS)
-    }
+  private apply (config: Config): void {
+    this.slots.useConfig(config)
+    this.metrics.configVersion.set(config.version)
   }
 
-  /** A configuration in force is replaced by a higher version only. */
-  private apply (version: ConfigVersion, body: string): void {
-    if (this.config !== undefined && version <= this.config.version) return
-    const parsed = parseConfig(version, JSON.parse(body))
-    if (parsed.isErr()) return
-    this.config = parsed.value
-    this.slots.useConfig(parsed.value)
-    this.metrics.configVersion.set(version)
-    this.log.write('configApplied', { version })
+  /** Why this process takes no callers; undefined when it does. */
+  private get problem (): string | undefined {
+    if (this.isLeaving) return 'leaving'
+    if (this.configs === undefined) return 'starting'
+    return this.configs.problem ?? (this.hasHosts ? undefined : 'no host list yet: it does not answer')
   }
 
-  private serveMetrics ({ ip, port }: { readonly ip: string, readonly port: number }, signal: AbortSignal): void {
-    const server = createServer((req, res) => {
-      if (req.url === '/health') {
-        res.end('ok\n')
-        return
-      }
-      if (req.url === '/ready') {
-        const { unready } = this
-        res.writeHead(unready === undefined ? 200 : 503).end(`${unready ?? 'ready'}\n`)
-        return
-      }
-      this.metrics.registry.metrics().then(text => res.end(text))
-    })
-    server.listen(port, ip)
-    signal.addEventListener('abort', () => server.close(), { once: true })
+  private status (host: string, incarnation: string): MessageInitShape<typeof StatusReplySchema> {
+    const { problem, configs } = this
+    return {
+      host,
+      incarnation,
+      version: configs?.config?.version ?? 0,
+      ready: problem === undefined,
+      reason: problem ?? '',
+      waiting: [...configs?.waiting ?? []]
+    }
   }
 }
 
--- a/src/shell/node/peers.ts
+++ b/src/shell/node/peers.ts
@@ -1,6 +1,6 @@
 /** The other processes: the links to those that are used, and what they say of themselves. */
 
-import type { Sample as SampleFrame, Wrote } from '../../gen/peer_pb.ts'
+import type { Frame, Sample as SampleFrame, Wrote } from '../../gen/peer_pb.ts'
 import type { EndpointId } from '../../core/id/endpoint.ts'
 import type { HostId } from '../../core/id/host.ts'
 import type { Instant } from '../../core/id/instant.ts'
@@ -20,6 +20,8 @@
   readonly now: () => Instant
   readonly onSample: (frame: SampleFrame) => void
   readonly onWrote: (frame: Wrote) => void
+  readonly onLinked: (host: HostId) => void
+  readonly onConfig: (from: HostId, body: Frame['body']) => void
   /** Something was heard that may move a slot. */
   readonly onChange: () => void
 }
@@ -76,6 +78,11 @@
     }
   }
 
+  /** Sends a frame to a host if it's linked. */
+  tell (host: HostId, body: Frame['body']): void {
+    this.links.get(host)?.link.tell(body)
+  }
+
   /** Closes all links. */
   close (): void {
     for (const id of [...this.links.keys()]) this.unlink(id)
@@ -110,6 +117,8 @@
       log,
       onSample: this.options.onSample,
       onWrote: this.options.onWrote,
+      onLinked: () => this.options.onLinked(host.id),
+      onConfig: body => this.options.onConfig(host.id, body),
       onHeard: heard => this.hear({ kind: 'heard', host: host.id, incarnation: heard }),
       onHeld: ({ endpoints, leaving }) => {
         this.hear({ kind: 'held', host: host.id, endpoints: endpoints as EndpointId[], isLeaving: leaving })
--- a/src/shell/node/slots.ts
+++ b/src/shell/node/slots.ts
@@ -15,6 +15,7 @@
 import type { Host } from '../../core/membership/host.ts'
 import { Duties } from '../../core/membership/duties.ts'
 import { decideTenure } from '../../core/membership/tenure.ts'
+import { wantedHosts } from '../../core/membership/wanted.ts'
 import type { parseSettings } from '../../core/settings/settings.ts'
 import type { Groups } from '../caller/groups.ts'
 import type { Log } from '../log/log.ts'
@@ -42,6 +43,8 @@
   readonly chance: () => number
   /** Sends a frame to every linked peer. */
   readonly broadcast: (body: Frame['body']) => void
+  readonly onLinked: (host: HostId) => void
+  readonly onConfig: (from: HostId, body: Frame['body']) => void
 }
 
 /** How often silence is looked for; a change that is heard is acted on at once. */
@@ -56,6 +59,7 @@
   private readonly peers: Peers
   private duties: Duties
   private config: Config | undefined
+  private kept: readonly HostId[] = []
   private wake: (() => void) | undefined
 
   private constructor (private readonly options: Options) {
@@ -68,7 +72,9 @@
       now,
       onChange: () => this.place(),
       onSample: frame => this.learn(sampleFrame.decode(frame, now())),
-      onWrote: frame => this.note(frame)
+      onWrote: frame => this.note(frame),
+      onLinked: options.onLinked,
+      onConfig: options.onConfig
     })
   }
 
@@ -128,6 +134,17 @@
     for (const slot of this.held.values()) slot.release(transaction)
   }
 
+  /** Sends a frame to a host if it's linked. */
+  tell (host: HostId, body: Frame['body']): void {
+    this.peers.tell(host, body)
+  }
+
+  /** Keeps links to these hosts too, whatever the slots need. */
+  keepLinks (hosts: readonly HostId[]): void {
+    this.kept = hosts
+    this.linkPeers()
+  }
+
   /** What a peer is told of this process when it links, and at every change. */
   heldFrame (): HeldFrame {
     return create(HeldSchema, { endpoints: [...this.held.keys()], leaving: this.peers.members.isLeaving })
@@ -185,24 +202,15 @@
     if (tenure === 'handOver') this.handOver(endpoint, slot!)
   }
 
-  /**
-   * Links to the hosts that may hold slots of groups which this process uses:
-   * for its callers, and for its own slots, whose owners need the samples of
-   * their group's other endpoints. And to those whose slots it would take over.
-   */
   private linkPeers (): void {
-    const used = new Set<DatabaseGroup | undefined>()
-    for (const endpoint of [...this.held.keys(), ...this.duties.endpoints]) used.add(this.duties.group(endpoint))
-    for (const group of this.config?.groups ?? []) {
-      if ((this.usedGroups.get(group.id) ?? 0) > 0) used.add(group)
-    }
     const now = this.options.now()
-    const wanted = new Set<HostId>()
-    const endpoints = [...used].flatMap(group => group?.endpoints ?? []).map(endpoint => endpoint.id)
-    for (const id of new Set([...endpoints, ...this.duties.watched])) {
-      for (const host of this.duties.possible(id)) wanted.add(host)
-      for (const host of this.peers.members.holders(id, now)) wanted.add(host)
-    }
+    const wanted = wantedHosts({
+      duties: this.duties,
+      held: [...this.held.keys()],
+      groups: this.config?.groups.filter(group => (this.usedGroups.get(group.id) ?? 0) > 0) ?? [],
+      holders: endpoint => this.peers.members.holders(endpoint, now)
+    })
+    for (const host of this.kept) wanted.add(host)
     this.peers.use(wanted)
   }
 
--- a/src/shell/peer/link.ts
+++ b/src/shell/peer/link.ts
@@ -30,6 +30,9 @@
   /** The stream broke or went silent. Called before what was asked on it ends. */
   readonly onLost: () => void
   readonly onWrote: (frame: Extract<Frame['body'], { case: 'wrote' }>['value']) => void
+  readonly onLinked: () => void
+  /** A frame of the gossip of configurations. */
+  readonly onConfig: (body: Frame['body']) => void
 }
 
 type Sink = Parameters<SlotPort['run']>[1]
@@ -87,6 +90,10 @@
     this.send({ case: 'release', value: { $typeName: 'agatepond.peer.v1.Release', transaction } })
   }
 
+  tell (body: Frame['body']): void {
+    if (this.isUp) this.send(body)
+  }
+
   private send (body: Frame['body']): void {
     this.out?.push(create(FrameSchema, { body }))
   }
@@ -143,12 +150,15 @@
     this.incarnation = incarnation
     this.options.onHeard(incarnation)
     this.options.log.write('peerLinked', { peer: this.options.peer })
+    this.options.onLinked()
   }
 
   private takeFrame (body: Frame['body']): void {
     switch (body.case) {
       case 'hello': return this.greeted(body.value.host, body.value.incarnation)
       case 'held': return this.options.onHeld(body.value)
+      case 'configDigest':
+      case 'configBody': return this.options.onConfig(body)
       case 'sample': return this.options.onSample(body.value)
       case 'wrote': return this.options.onWrote(body.value)
       case 'head': return this.asked.get(body.value.id)?.head(body.value.columns)
