--- a/src/shell/node/node.ts
+++ b/src/shell/node/node.ts
@@ -138,7 +138,7 @@
         return 'code' in handler ? handler : await it.guard(handler, login)
       }
     }, signal)
-    servePages({ ...addressOf(settings.listen.metrics), metrics, problem: () => it.problem }, signal)
+    await servePages({ ...addressOf(settings.listen.metrics), metrics, problem: () => it.problem }, signal)
     it.pollHosts(hostList, signal)
     log.write('started', { callers: settings.listen.callers, peers: settings.listen.peers })
     return it
--- a/src/shell/node/pages.ts
+++ b/src/shell/node/pages.ts
@@ -11,8 +11,8 @@
   readonly problem: () => string | undefined
 }
 
-/** Serves until the signal is aborted. */
-export function servePages ({ ip, port, metrics, problem }: Options, signal: AbortSignal): void {
+/** Serves until the signal is aborted. Resolves when it listens, so that whoever reads that the process started can ask whether it's ready. */
+export async function servePages ({ ip, port, metrics, problem }: Options, signal: AbortSignal): Promise<void> {
   const server = createServer((req, res) => {
     if (req.url === '/health') {
       res.end('ok\n')
@@ -25,6 +25,9 @@
     }
     metrics.registry.metrics().then(text => res.end(text))
   })
-  server.listen(port, ip)
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(port, ip, resolve)
+  })
   signal.addEventListener('abort', () => server.close(), { once: true })
 }
--- a/test/loadclient.ts
+++ b/test/loadclient.ts
@@ -37,6 +37,12 @@
     return this
   }
 
+  /** Resolves when so many more writes were acknowledged. */
+  async acknowledges (more: number): Promise<void> {
+    const due = this.acknowledged.length + more
+    while (this.acknowledged.length < due) await new Promise(resolve => { setTimeout(resolve, 20) })
+  }
+
   async stop (): Promise<void> {
     this.isStopped = true
     await this.running
