--- a/src/core/membership/duties.ts
+++ b/src/core/membership/duties.ts
@@ -72,6 +72,11 @@
     return this.fields.groups.get(endpoint)
   }
 
+  /** Whether the configuration says that the endpoint is to be left. */
+  isLeaving (endpoint: EndpointId): boolean {
+    return this.group(endpoint)?.endpoints.find(one => one.id === endpoint)?.leaving === true
+  }
+
   rank (endpoint: EndpointId): number | undefined {
     return this.ranks.get(endpoint)
   }
--- a/src/shell/node/heldslot.ts
+++ b/src/shell/node/heldslot.ts
@@ -77,6 +77,11 @@
     this.owner.learn(sample)
   }
 
+  /** Says whether the endpoint is to be left. */
+  leaveEndpoint (isLeaving: boolean): void {
+    this.owner.leave(isLeaving)
+  }
+
   /** Ends what is in progress, then closes the slot's connections. Takes new requests for a moment still. */
   async handOver (): Promise<void> {
     if (this.phase !== 'open') return
--- a/src/shell/node/slots.ts
+++ b/src/shell/node/slots.ts
@@ -194,6 +194,7 @@
     if (tenure === 'take') this.claims.want(endpoint, standing.slots)
     else if (slot === undefined) this.claims.unwant(endpoint)
     if (tenure === 'handOver') this.handOver(endpoint, slot!)
+    slot?.leaveEndpoint(this.duties.isLeaving(endpoint))
   }
 
   private linkPeers (): void {
