A claim in use again isn't given back; the slots' options in a file of their own

Cause: a slot that was handed over and fell to this process again while the store answered the read of its release would have had its claim cleared under it.

--- a/src/shell/node/claims.ts
+++ b/src/shell/node/claims.ts
@@ -105,6 +105,8 @@
     const { host, incarnation, table } = this.options
     const own = (await this.read(endpoint)).filter(claim => claim.host === host && claim.incarnation === incarnation)
     for (const claim of own) {
+      // The slot may have fallen to this process again meanwhile: the claim is in use then.
+      if (this.claimings.has(endpoint)) return
       await table.replace(rowOf(endpoint, { ...claim, revision: claim.revision + 1, host: '' }), claim.revision)
     }
   }
--- a/src/shell/node/slots.ts
+++ b/src/shell/node/slots.ts
@@ -1,13 +1,12 @@
 /** The slots of this process and the ways to those of others: one port for each endpoint. */
 
 import { create } from '@bufbuild/protobuf'
-import { HeldSchema, WroteSchema, type Frame, type Held as HeldFrame, type Wrote } from '../../gen/peer_pb.ts'
+import { HeldSchema, WroteSchema, type Held as HeldFrame, type Wrote } from '../../gen/peer_pb.ts'
 import type { Config } from '../../core/config/config.ts'
 import type { Sample } from '../../core/group/sample.ts'
 import type { EndpointId } from '../../core/id/endpoint.ts'
 import type { GroupId } from '../../core/id/group.ts'
 import type { HostId } from '../../core/id/host.ts'
-import type { Instant } from '../../core/id/instant.ts'
 import type { Position } from '../../core/id/position.ts'
 import type { Term } from '../../core/id/term.ts'
 import type { TransactionId } from '../../core/id/transaction.ts'
@@ -16,39 +15,18 @@
 import { standingAt } from '../../core/membership/standing.ts'
 import { decideTenure } from '../../core/membership/tenure.ts'
 import { wantedHosts } from '../../core/membership/wanted.ts'
-import type { parseSettings } from '../../core/settings/settings.ts'
-import type { Groups } from '../caller/groups.ts'
-import type { Log } from '../log/log.ts'
-import type { Metrics } from '../metrics/metrics.ts'
 import { sampleFrame } from '../peer/frames.ts'
 import type { SlotPort } from '../peer/port.ts'
-import type { TableService } from '../platform/tableservice.ts'
 import { addGroups } from './addgroups.ts'
 import { Claims } from './claims.ts'
 import { confirmWhereHeld } from './confirm.ts'
 import type { HeldSlot } from './heldslot.ts'
 import { Peers } from './peers.ts'
 import { recordPromotion } from './record.ts'
+import type { SlotsOptions } from './slotsoptions.ts'
 import { takeSlot } from './take.ts'
 import { UsedGroups } from './usedgroups.ts'
 
-type Settings = ReturnType<ReturnType<typeof parseSettings>['_unsafeUnwrap']>
-
-interface Options {
-  readonly settings: Settings
-  readonly incarnation: string
-  readonly groups: Groups
-  readonly table: TableService
-  readonly log: Log
-  readonly metrics: Metrics
-  readonly now: () => Instant
-  readonly chance: () => number
-  /** Sends a frame to every linked peer. */
-  readonly broadcast: (body: Frame['body']) => void
-  readonly onLinked: (host: HostId) => void
-  readonly onConfig: (from: HostId, body: Frame['body']) => void
-}
-
 /** How often silence is looked for; a change that is heard is acted on at once. */
 const TICK_MS = 200
 /** How often the links are compared with what is used. */
@@ -65,7 +43,7 @@
   private kept: readonly HostId[] = []
   private wake: (() => void) | undefined
 
-  private constructor (private readonly options: Options, signal: AbortSignal) {
+  private constructor (private readonly options: SlotsOptions, signal: AbortSignal) {
     const { settings, incarnation, log, now, table, chance } = options
     this.duties = Duties.of(settings.host.id as HostId)
     this.peers = Peers.create({
@@ -90,7 +68,7 @@
     }, signal)
   }
 
-  static create (options: Options, signal: AbortSignal): Slots {
+  static create (options: SlotsOptions, signal: AbortSignal): Slots {
     const it = new Slots(options, signal)
     const tickers = [setInterval(() => it.place(), TICK_MS), setInterval(() => it.linkPeers(), LINK_MS)]
     signal.addEventListener('abort', () => {
