--- a/scenarios/world/link.ts
+++ b/scenarios/world/link.ts
@@ -82,7 +82,7 @@
 
   /** Sends news that nobody waits for. */
   tell (work: () => void): void {
-    if (this.connection !== undefined) this.options.process.network.tell(this.connection, work)
+    if (this.connection !== undefined) this.options.process.tell(this.connection, work)
   }
 
   /** The other end: whose asker is gone is given up, and its transactions are rolled back. */
--- a/scenarios/world/proxy.ts
+++ b/scenarios/world/proxy.ts
@@ -11,20 +11,21 @@
 import type { SessionId } from '../../src/core/id/session.ts'
 import { Sessions } from '../../src/core/session/sessions.ts'
 import type { parseSettings } from '../../src/core/settings/settings.ts'
-import { placeSlots } from '../../src/core/membership/placeslots.ts'
 import { CallerConnection } from '../../src/shell/caller/connection.ts'
 import type { CallerContext } from '../../src/shell/caller/context.ts'
 import { Groups } from '../../src/shell/caller/groups.ts'
 import { Reads } from '../../src/shell/caller/reads.ts'
+import { SlotOwner } from '../../src/shell/endpoint/owner.ts'
 import { ConfigFollower } from '../../src/shell/config/follower.ts'
 import { ConfigStore } from '../../src/shell/config/store.ts'
+import { create } from '@bufbuild/protobuf'
+import { ConfirmedSchema } from '../../src/gen/peer_pb.ts'
 import type { Log } from '../../src/shell/log/log.ts'
 import type { SlotPort } from '../../src/shell/peer/port.ts'
 import type { ObjectStore } from '../../src/shell/platform/objectstore.ts'
-import type { Endpoint } from './endpoint.ts'
 import { Link } from './link.ts'
-import { Owner } from './owner.ts'
 import { ownSlots } from './ownslots.ts'
+import { holdersOf } from './placing.ts'
 import type { Platform } from './platform.ts'
 import type { Process } from './process.ts'
 
@@ -36,22 +37,27 @@
   readonly process: Process
   readonly settings: Settings
   readonly platform: Platform
-  readonly endpoints: ReadonlyMap<EndpointId, Endpoint>
   /** The process that runs on a host now. */
   readonly peer: (host: HostId) => Proxy | undefined
-  readonly onAction: (host: HostId, action: FailoverAction) => void
+  readonly onPromotion: (action: Extract<FailoverAction, { kind: 'record' }>) => void
+  readonly onLog: (host: HostId, event: string, fields: object) => void
   readonly onVersion: (host: HostId, version: number) => void
   readonly onRequest: (kind: string, place: string) => void
 }
 
+interface Held {
+  readonly value: SlotOwner
+  readonly stop: AbortController
+}
+
 const POLL_MS = 500
 
 export class Proxy {
   private hosts: readonly Host[] = []
   private readonly groups = Groups.create()
-  private readonly owners = new Map<EndpointId, Owner>()
+  private readonly owners = new Map<EndpointId, Held>()
   private readonly links = new Map<HostId, Link>()
-  private readonly slots: SlotPort = ownSlots(this.owners)
+  private readonly slots: SlotPort = ownSlots(id => this.owners.get(id)?.value, () => [...this.owners.values()].map(held => held.value))
   private readonly context: CallerContext
   private readonly reads: Reads
   private readonly configs: ConfigFollower
@@ -101,8 +107,8 @@
     return CallerConnection.create(this.context, this.reads, { pool: config.pools[0]!, group, caller: 'caller', session, isNamed: true })
   }
 
-  owner (endpoint: EndpointId): Owner | undefined {
-    return this.owners.get(endpoint)
+  holds (endpoint: EndpointId): boolean {
+    return this.owners.has(endpoint)
   }
 
   private followConfig (): ConfigFollower {
@@ -111,7 +117,7 @@
     return ConfigFollower.start({
       self: this.id,
       store: ConfigStore.of(table, undefined as unknown as ObjectStore),
-      log: { write: () => undefined } as unknown as Log,
+      log: this.log,
       now: () => process.now(),
       chance: () => process.chance.next(),
       tell: (host, body) => this.tellConfig(host, body),
@@ -143,7 +149,7 @@
 
   private learn (sample: Sample): void {
     this.groups.learn(sample)
-    for (const owner of this.owners.values()) owner.learn(sample)
+    for (const owner of this.owners.values()) owner.value.learn(sample)
   }
 
   private port (endpoint: EndpointId): SlotPort | undefined {
@@ -154,7 +160,7 @@
   private holders (endpoint: EndpointId): readonly HostId[] {
     const live = this.hosts.filter(host => host.state === 'live')
     const group = this.configs.config?.groups.find(one => one.endpoints.some(other => other.id === endpoint))
-    return group === undefined ? [] : placeSlots(endpoint, live, group.slotsPerEndpoint)
+    return group === undefined ? [] : holdersOf(endpoint, live, group.slotsPerEndpoint)
   }
 
   private async pollHosts (): Promise<void> {
@@ -168,6 +174,7 @@
   private useHosts (hosts: readonly Host[]): void {
     this.hosts = hosts
     this.configs.useHosts(hosts)
+    for (const { id } of hosts) this.link(id)
     if (this.configs.config !== undefined) this.place(this.configs.config)
   }
 
@@ -178,19 +185,19 @@
   }
 
   private place (config: Config): void {
-    for (const { id } of this.hosts) this.link(id)
     const due = new Set<EndpointId>()
     for (const group of config.groups) {
-      for (const { id } of group.endpoints) {
+      for (const { id, leaving } of group.endpoints) {
         const rank = this.holders(id).indexOf(this.id)
         if (rank < 0) continue
         due.add(id)
         if (!this.owners.has(id)) this.take(group, id, rank)
+        this.owners.get(id)?.value.leave(leaving)
       }
     }
     for (const [id, owner] of this.owners) {
       if (due.has(id)) continue
-      owner.stop()
+      owner.stop.abort()
       this.owners.delete(id)
     }
   }
@@ -208,31 +215,52 @@
   }
 
   private take (group: Config['groups'][number], endpoint: EndpointId, rank: number): void {
-    const { process, endpoints, settings, onAction } = this.options
+    const { process, settings, onPromotion } = this.options
     const { misses, rankDelay, round, jitter, probe, probeTimeout } = settings.failover
-    this.owners.set(endpoint, Owner.start({
-      process,
-      endpoint: endpoints.get(endpoint)!,
-      endpoints,
+    const stop = new AbortController()
+    const value = SlotOwner.start({
+      endpoint,
       group: this.groups.get(group.id)!,
+      addresses: this.addressesOf(group),
       connections: group.connectionsPerSlot,
       rank,
       pace: { misses, rankDelayMs: rankDelay, roundMs: round, jitterMs: jitter },
       probeMs: probe,
       probeTimeoutMs: probeTimeout,
-      confirmAt: async (at, token, ms) => (await this.port(at)?.confirm(at, token.term, token.position, ms))?.ok === true,
+      proposer: `${this.id}/${process.incarnation}`,
+      now: () => process.now(),
+      chance: () => process.chance.next(),
+      log: this.log,
+      confirmAt: async (at, term, position, ms) => await this.port(at)?.confirm(at, term, position, ms) ?? create(ConfirmedSchema, { ok: false }),
       onSample: sample => {
         this.learn(sample)
         this.broadcast(peer => peer.hear(sample))
       },
-      onWrote: (token, session) => {
-        this.groups.note(endpoint, token.term, token.position, session)
-        this.broadcast(peer => peer.groups.note(endpoint, token.term, token.position, session))
+      onWrote: (term, position, session) => {
+        this.groups.note(endpoint, term, position, session)
+        this.broadcast(peer => peer.groups.note(endpoint, term, position, session))
       },
-      onAction: action => onAction(this.id, action)
+      record: onPromotion
+    }, AbortSignal.any([stop.signal, process.signal]))
+    this.owners.set(endpoint, { value, stop })
+  }
+
+  /** The user names the process, so that the run knows who opens a connection. */
+  private addressesOf (group: Config['groups'][number]): Parameters<typeof SlotOwner.start>[0]['addresses'] {
+    const { process, settings } = this.options
+    return new Map(group.endpoints.map(({ id, address }) => {
+      const place = {
+        ip: '127.0.0.1', port: Number(address.split(':')[1]), database: group.database, connectMs: settings.endpoints.connectTimeout, user: process.name, password: ''
+      }
+      return [id, { data: place, control: place }]
     }))
   }
 
+  private get log (): Log {
+    const { onLog } = this.options
+    return { write: (event: string, fields: object = {}) => onLog(this.id, event, fields) } as unknown as Log
+  }
+
   private broadcast (tell: (peer: Proxy) => void): void {
     for (const [host, link] of this.links) {
       link.tell(() => {
--- a/scenarios/world/timers.ts
+++ b/scenarios/world/timers.ts
@@ -28,9 +28,11 @@
   }
   const clear = (handle: Handle | undefined): void => handle?.callOff()
   Object.assign(globalThis, { setTimeout: set, clearTimeout: clear, setInterval: repeat, clearInterval: clear })
+  Object.defineProperty(performance, 'now', { value: () => clock.now, configurable: true })
   try {
     return await run()
   } finally {
+    Reflect.deleteProperty(performance, 'now')
     Object.assign(globalThis, { setTimeout, clearTimeout, setInterval, clearInterval })
   }
 }
--- a/scenarios/world/world.ts
+++ b/scenarios/world/world.ts
@@ -5,6 +5,7 @@
 import type { DataCentreId } from '../../src/core/id/datacentre.ts'
 import type { Json } from '../../src/core/json.ts'
 import { parseSettings } from '../../src/core/settings/settings.ts'
+import type { EndpointConnection } from '../../src/shell/endpoint/connection.ts'
 import { ConfigStore } from '../../src/shell/config/store.ts'
 import type { ObjectStore } from '../../src/shell/platform/objectstore.ts'
 import type { ConfigVersion } from '../../src/core/id/version.ts'
@@ -17,6 +18,7 @@
 import { Process } from './process.ts'
 import { Proxy } from './proxy.ts'
 import { Recorder } from './recorder.ts'
+import { Wire } from './wire.ts'
 
 interface Sizes {
   readonly hosts: number
@@ -27,6 +29,7 @@
 const DATA_CENTRES = ['data-centre-a', 'data-centre-b', 'data-centre-c']
 const PER_GROUP = 3
 const FIRST_PORT = 3306
+const CONNECT_MS = 10
 const LIST_LAG_MS = 2000
 const SETTINGS = parseSettings({
   host: { id: 'any', dataCentre: 'any' },
@@ -42,6 +45,7 @@
   readonly platform: Platform
   readonly endpoints = new Map<EndpointId, Endpoint>()
   private readonly hosts: readonly Node[]
+  private readonly processes = new Map<string, Process>()
   private readonly proxies = new Map<HostId, Proxy>()
   private incarnations = 0
   private patches = 0
@@ -55,14 +59,16 @@
     for (const group of sizes.groups) this.addGroup(group)
   }
 
-  static async start (clock: Clock, sizes: Sizes, seed: number): Promise<World> {
-    const it = new World(clock, sizes, seed)
-    it.platform.useHosts(it.listed, 0)
-    const store = ConfigStore.of(it.platform.table(async work => await work()), undefined as unknown as ObjectStore)
-    store.create(1 as ConfigVersion, { id: 'first', digest: '', by: 'operator', why: 'the first', at: 0 }, JSON.stringify(it.documentWith('first')))
-    await it.clock.runUntil(0)
-    for (const host of it.hosts) it.startProxy(host)
-    return it
+  static create (clock: Clock, sizes: Sizes, seed: number): World {
+    return new World(clock, sizes, seed)
+  }
+
+  async start (): Promise<void> {
+    this.platform.useHosts(this.listed, 0)
+    const store = ConfigStore.of(this.platform.table(async work => await work()), undefined as unknown as ObjectStore)
+    store.create(1 as ConfigVersion, { id: 'first', digest: '', by: 'operator', why: 'the first', at: 0 }, JSON.stringify(this.documentWith('first')))
+    await this.clock.runUntil(0)
+    for (const host of this.hosts) this.startProxy(host)
   }
 
   get live (): readonly Proxy[] {
@@ -131,6 +137,18 @@
     this.listHosts()
   }
 
+  /** Opens a connection of a process to an endpoint, which costs the time that the users state. */
+  async dial ({ user, port, connectMs }: Parameters<typeof EndpointConnection.open>[0]): Promise<Wire> {
+    const process = this.processes.get(user)!
+    const endpoint = [...this.endpoints.values()][port - FIRST_PORT]!
+    const connection = this.network.connect(process.node, endpoint.node)
+    await process.ask(connection, connectMs, async () => await this.clock.sleep(CONNECT_MS)).catch((err: unknown) => {
+      connection.break()
+      throw err
+    })
+    return Wire.of(process, endpoint, connection)
+  }
+
   /** The platform drops hosts that stand still from its list, and takes them back. */
   listHosts (): void {
     this.platform.useHosts(this.listed, LIST_LAG_MS)
@@ -144,7 +162,7 @@
 
   /** The hosts that hold slots of the endpoints. */
   private ownersOf (endpoints: readonly Node[]): readonly Node[] {
-    return this.live.filter(proxy => endpoints.some(one => proxy.owner(one.id as EndpointId) !== undefined)).map(proxy => proxy.process.node)
+    return this.live.filter(proxy => endpoints.some(one => proxy.holds(one.id as EndpointId))).map(proxy => proxy.process.node)
   }
 
   private portOf (endpoint: EndpointId): number {
@@ -159,7 +177,7 @@
     for (let i = 0; i < PER_GROUP; i++) {
       const id = `${group}-${i + 1}` as EndpointId
       const node = Node.create(this.clock, id, DATA_CENTRES[i % DATA_CENTRES.length]!)
-      this.endpoints.set(id, Endpoint.create(id, node, this.clock, this.network))
+      this.endpoints.set(id, Endpoint.create(id, node, this.clock, this.network, this.endpoints))
     }
     const [primary, ...others] = this.endpointsOf(group)
     primary!.seal(1, 'platform')
@@ -172,17 +190,14 @@
     const { clock, network, chance, recorder } = this
     const process = Process.start(host, ++this.incarnations, clock, network, chance)
     recorder.note(`start ${host.id}`)
+    this.processes.set(process.name, process)
     this.proxies.set(host.id as HostId, Proxy.start({
       process,
       settings: SETTINGS,
       platform: this.platform,
-      endpoints: this.endpoints,
       peer: id => this.proxy(id),
-      onAction: (id, action) => {
-        recorder.note(`order ${id} ${JSON.stringify(action)}`)
-        if (action.kind !== 'record') return
-        recorder.promotions.push({ group: action.group, term: action.term, position: action.position, at: clock.now })
-      },
+      onPromotion: ({ group, term, position }) => recorder.promotions.push({ group, term, position, at: clock.now }),
+      onLog: (id, event, fields) => recorder.note(`log ${id} ${event} ${JSON.stringify(fields)}`),
       onVersion: (id, version) => {
         recorder.note(`version ${id} ${version}`)
         recorder.versions.push({ host: id, version, at: clock.now })
--- a/src/shell/endpoint/execution.ts
+++ b/src/shell/endpoint/execution.ts
@@ -15,6 +15,7 @@
 import type { EndpointConnection } from './connection.ts'
 import { LedgerEntry } from './ledger.ts'
 import type { LedgerCleaner } from './ledgercleaner.ts'
+import { SlotRefusal } from './refusal.ts'
 import { runSpecOf } from './runspecof.ts'
 import type { Slot } from './slot.ts'
 import type { Transactions } from './transactions.ts'
@@ -35,7 +36,11 @@
 
 const IN_TRANSACTION = 1
 const NONE: Counts = { affected: 0, insertId: 0 }
+/** The one reason of all ends: without one, each abort makes an exception with a stack trace, which took a twentieth of a statement. */
+const OVER = new Error('the request is over')
 const RESET_MS = 1000
+/** How long an idle connection may take to show that it still works. */
+const ANSWER_MS = 500
 /** Bytes of rows that may be under way before the asker gives credit. */
 const FIRST_CREDIT = 256 * 1024
 
@@ -48,6 +53,9 @@
   private creditLeft = FIRST_CREDIT
   private rows: Buffer[] = []
   private status = 0
+  private readonly began = performance.now()
+  /** When to come back, where the slot has said it. */
+  private retryAfterMs = 0
 
   private constructor (
     private readonly context: Context,
@@ -89,7 +97,7 @@
     const { run, actions } = this.machine.step(event)
     this.machine = run
     for (const action of actions) this.act(action)
-    if (run.isOver) this.over.abort()
+    if (run.isOver) this.over.abort(OVER)
   }
 
   private act (action: RunAction): void {
@@ -126,12 +134,32 @@
       return this.hear({ kind: 'unobtainable', reason: 'lostTransaction', detail: '' })
     }
     try {
-      this.use(await this.context.slot.borrow(this.over.signal))
+      const connection = await this.borrow()
+      this.use(connection)
     } catch (err) {
+      if (err instanceof SlotRefusal) {
+        this.retryAfterMs = err.retryAfterMs
+        return this.hear({ kind: 'unobtainable', reason: err.reason, detail: '' })
+      }
       this.hear({ kind: 'unobtainable', reason: 'unreachable', detail: (err as Error).message })
     }
   }
 
+  /** A connection that answers; one that went silent is closed, and the next one tried. */
+  private async borrow (): Promise<EndpointConnection> {
+    const { slot } = this.context
+    for (;;) {
+      const connection = await slot.borrow({
+        class: this.req.class,
+        caller: this.req.caller,
+        deadlineMs: this.req.deadlineMs - (performance.now() - this.began),
+        isTransaction: this.req.transaction !== ''
+      }, this.over.signal)
+      if (!connection.isStale || await connection.answers(ANSWER_MS)) return connection
+      slot.giveBack(connection, false)
+    }
+  }
+
   private use (connection: EndpointConnection): void {
     this.connection = connection
     this.hear({ kind: 'obtained' })
@@ -214,7 +242,7 @@
         }))
       }
       case 'failed': return this.sink.done(create(DoneSchema, { id, outcome: DoneOutcome.FAILED, code: action.code, message: action.message }))
-      case 'refuse': return this.sink.done(refusal(id, action.reason, action.detail))
+      case 'refuse': return this.sink.done(refusal(id, action.reason, action.detail, this.retryAfterMs))
     }
   }
 }
--- a/src/shell/endpoint/owner.ts
+++ b/src/shell/endpoint/owner.ts
@@ -78,7 +78,7 @@
     const { addresses, endpoint, now } = options
     const { proposer } = this
     const address = addresses.get(endpoint)!
-    this.slot = Slot.create(address.data, options.connections - CONTROL_CONNECTIONS)
+    this.slot = Slot.create(address.data, options.connections - CONTROL_CONNECTIONS, options.chance)
     this.transactions = Transactions.create(this.slot)
     this.cleaner = LedgerCleaner.create({ clock: () => Date.now(), use: async work => await useConnection(this.slot, work) })
     this.probe = EndpointControl.create(endpoint, address.control, proposer, now)
@@ -152,6 +152,9 @@
 
   /** Takes in what another process knows of this group's endpoints. */
   learn (sample: Sample): void {
+    // A process hears of all groups. A monitor that took another group's sample would judge by its term and order verbs
+    // to its endpoints, for which it has no address.
+    if (!this.options.addresses.has(sample.endpoint)) return
     if (sample === this.monitor.group.sample(sample.endpoint)) return
     this.hear({ kind: 'learnt', sample })
   }
--- /dev/null
+++ b/src/shell/peer/hop.test.ts
@@ -0,0 +1,163 @@
+import { createServer, type Http2Server, type ServerHttp2Session } from 'node:http2'
+import type { AddressInfo } from 'node:net'
+import { create } from '@bufbuild/protobuf'
+import { createClient } from '@connectrpc/connect'
+import { connectNodeAdapter, createGrpcTransport } from '@connectrpc/connect-node'
+import { afterEach, describe, expect, it } from 'vitest'
+import { BatchSchema, DoneSchema, Done_Outcome as DoneOutcome, FrameSchema, HeadSchema, HelloSchema, Peer, ReleaseSchema, RowsSchema, RunSchema, type Batch, type Done, type Frame } from '../../gen/peer_pb.ts'
+import type { HostId } from '../../core/id/host.ts'
+import type { Log } from '../log/log.ts'
+import { AsyncQueue } from '../queue.ts'
+import { PeerLink } from './link.ts'
+import type { SlotPort } from './port.ts'
+import { PeerServer } from './server.ts'
+
+const log = { write: () => undefined } as unknown as Log
+const times = { beatMs: 20, silentMs: 200, retryMs: 10 }
+/** What a link tells its process besides answers; not looked at here. */
+const deaf = { onSample: ignore, onWrote: ignore, onLinked: ignore, onLost: ignore, onHeard: ignore, onHeld: ignore, onConfig: ignore }
+const hello: Frame['body'] = { case: 'hello', value: create(HelloSchema, { host: 'b', incarnation: '1' }) }
+const done = (id: number): Frame['body'] => ({ case: 'done', value: create(DoneSchema, { id, outcome: DoneOutcome.DONE }) })
+const rows = (id: number, text: string): Frame['body'] => ({ case: 'rows', value: create(RowsSchema, { id, rows: [Buffer.from(text)] }) })
+const head = (id: number): Frame['body'] => ({ case: 'head', value: create(HeadSchema, { id }) })
+
+let stop = new AbortController()
+afterEach(() => {
+  stop.abort()
+  stop = new AbortController()
+})
+
+/** A peer that answers each request with the frames that the test says. */
+async function peer (answer: (id: number, nth: number) => readonly Frame['body'][] | 'break'): Promise<{ link: PeerLink }> {
+  const sessions = new Set<ServerHttp2Session>()
+  let nth = 0
+  const serve = async function * (batches: AsyncIterable<Batch>): AsyncGenerator<Batch> {
+    yield batch([hello])
+    for await (const { frames } of batches) {
+      for (const { body } of frames) {
+        if (body.case !== 'run') continue
+        const bodies = answer(body.value.id, nth++)
+        if (bodies === 'break') for (const session of sessions) session.destroy()
+        else yield batch(bodies)
+      }
+    }
+  }
+  const server: Http2Server = createServer(connectNodeAdapter({ routes: router => router.service(Peer, { link: serve }) }))
+  server.on('session', session => sessions.add(session))
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  stop.signal.addEventListener('abort', () => {
+    server.close()
+    for (const session of sessions) session.destroy()
+  })
+  const { port } = server.address() as AddressInfo
+  const link = PeerLink.open({ ...times, silentMs: 5000, address: `127.0.0.1:${port}`, self: 'a' as HostId, peer: 'b' as HostId, incarnation: '1', log, ...deaf }, stop.signal)
+  await until(() => link.isLinked)
+  return { link }
+}
+
+/** Runs one request and collects all that its sink hears. */
+async function ask (link: PeerLink, heard: string[] = []): Promise<string[]> {
+  await new Promise<Done>(resolve => link.run(create(RunSchema, { sql: 'SELECT 1' }), {
+    head: () => heard.push('head'),
+    rows: some => heard.push(...some.map(row => Buffer.from(row).toString())),
+    done: one => {
+      heard.push(one.reason === '' ? 'done' : one.reason)
+      resolve(one)
+    }
+  }))
+  return heard
+}
+
+describe('PeerLink', () => {
+  // Frames that are late, doubled or meant for nobody arrive between those of two requests.
+  // Each caller must get its own answer, once, and nothing after its end.
+  it('gives each request its own answer only', async () => {
+    const { link } = await peer((id, nth) => nth === 0
+      ? [head(id), rows(id, 'first'), rows(id + 7, 'stray'), done(id), done(id), rows(id, 'late')]
+      : [head(id), rows(id - 1, 'late'), rows(id, 'second'), done(id - 1), done(id)])
+    const first: string[] = []
+    await ask(link, first)
+    expect(await ask(link)).toEqual(['head', 'second', 'done'])
+    expect(first).toEqual(['head', 'first', 'done'])
+  })
+
+  // A slot owner dies after a part of a result. A short list that looks whole would be taken for all there is.
+  it('ends a result that is cut by the loss of the link as lost, and takes no old answer after it', async () => {
+    const { link } = await peer((id, nth) => nth === 0 ? [head(id), rows(id, 'part')] : nth === 1 ? 'break' : [done(1), rows(1, 'old'), done(id)])
+    const cut: string[] = []
+    const whole = ask(link, cut)
+    await until(() => cut.includes('part'))
+    expect(await ask(link)).toEqual(['lost'])
+    expect(await whole).toEqual(['head', 'part', 'lost'])
+    await until(() => link.isLinked)
+    expect(await ask(link)).toEqual(['done'])
+    expect(cut).toEqual(['head', 'part', 'lost'])
+  })
+})
+
+describe('PeerLink after four thousand million requests', () => {
+  it('begins its ids again and passes over those in use', async () => {
+    const ids: number[] = []
+    const { link } = await peer(id => {
+      ids.push(id)
+      return id === 1 ? [head(id)] : [done(id)]
+    })
+    const open = ask(link)
+    await until(() => ids.length === 1)
+    Object.assign(link, { nextId: 0xfffffffe })
+    expect([await ask(link), await ask(link)]).toEqual([['done'], ['done']])
+    expect(ids).toEqual([1, 0xffffffff, 2])
+    stop.abort()
+    expect(await open).toEqual(['head', 'lost'])
+  })
+})
+
+describe('PeerServer', () => {
+  // A proxy freezes, is given up, and what it had queued arrives after that. A BEGIN that
+  // ran then would hold its connection for good: nobody would ever release it.
+  it('runs nothing that arrives after the link was given up', async () => {
+    const events: string[] = []
+    const slots: SlotPort = {
+      run: req => {
+        events.push(`run ${req.sql}`)
+        return { credit: () => undefined, cancel: () => events.push(`cancel ${req.sql}`) }
+      },
+      confirm: async () => { throw new Error('not asked') },
+      release: id => { events.push(`release ${id}`) }
+    }
+    const port = await freePort()
+    await PeerServer.listen({ ip: '127.0.0.1', port, host: 'b' as HostId, incarnation: '1', ...times, slots, greeting: () => [], onConfig: () => undefined, status: () => ({}) }, stop.signal)
+    const out = AsyncQueue.create<Frame['body']>()
+    const answers = createClient(Peer, createGrpcTransport({ baseUrl: `http://127.0.0.1:${port}` })).link(batches(out), { signal: stop.signal })
+    out.push(hello)
+    out.push({ case: 'run', value: create(RunSchema, { id: 1, sql: 'BEGIN', transaction: 'tx-1' }) })
+    const given = answers[Symbol.asyncIterator]()
+    while (!(await given.next()).done) { /* until the server gives the silent link up */ }
+    out.push({ case: 'run', value: create(RunSchema, { id: 2, sql: 'LATE', transaction: 'tx-2' }) })
+    out.push({ case: 'release', value: create(ReleaseSchema, { transaction: 'tx-3' }) })
+    await new Promise(resolve => setTimeout(resolve, 50))
+    expect(events).toEqual(['run BEGIN', 'cancel BEGIN', 'release tx-1'])
+  })
+})
+
+function ignore (): void {}
+
+function batch (bodies: readonly Frame['body'][]): Batch {
+  return create(BatchSchema, { frames: bodies.map(body => create(FrameSchema, { body })) })
+}
+
+async function * batches (out: AsyncQueue<Frame['body']>): AsyncGenerator<Batch> {
+  for await (const bodies of out) yield batch(bodies)
+}
+
+async function freePort (): Promise<number> {
+  const server = createServer()
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  const { port } = server.address() as AddressInfo
+  await new Promise(resolve => server.close(resolve))
+  return port
+}
+
+async function until (isTrue: () => boolean): Promise<void> {
+  while (!isTrue()) await new Promise(resolve => setTimeout(resolve, 5))
+}
--- a/src/shell/peer/server.ts
+++ b/src/shell/peer/server.ts
@@ -84,6 +84,7 @@
   private host = '' as HostId
   private lastHeard = performance.now()
   private readonly beat: NodeJS.Timeout
+  private isClosed = false
 
   private constructor (private readonly options: Options) {
     this.beat = setInterval(() => this.onBeat(), options.beatMs)
@@ -112,6 +113,7 @@
   }
 
   close (): void {
+    this.isClosed = true
     clearInterval(this.beat)
     this.out.close()
     for (const running of this.running.values()) running.cancel()
@@ -126,7 +128,12 @@
     this.send({ case: 'beat', value: { $typeName: 'agatepond.peer.v1.Beat' } })
   }
 
+  /**
+   * Against a peer that was frozen: what it had queued still arrives after its
+   * link was given up. A BEGIN that ran then would hold its connection for good.
+   */
   private take (frame: Frame): void {
+    if (this.isClosed) return
     const { body } = frame
     switch (body.case) {
       case 'hello':
