--- a/scenarios/world/placing.ts
+++ b/scenarios/world/placing.ts
@@ -2,7 +2,7 @@
 
 import type { EndpointId } from '../../src/core/id/endpoint.ts'
 import type { HostId } from '../../src/core/id/host.ts'
-import { placeSlots } from '../../src/core/routing/placement.ts'
+import { placeSlots } from '../../src/core/membership/placeslots.ts'
 
 export function holdersOf (endpoint: EndpointId, hosts: Parameters<typeof placeSlots>[1], slots: number): readonly HostId[] {
   return placeSlots(endpoint, hosts, slots)
--- /dev/null
+++ b/src/core/membership/placement.ts
@@ -0,0 +1,110 @@
+/**
+ * Which host holds which slot, by rendezvous hashing: a host that comes or
+ * goes moves only the slots that it gains or loses.
+ */
+
+import type { EndpointId } from '../id/endpoint.ts'
+import type { HostId } from '../id/host.ts'
+import { weightOf } from '../weight.ts'
+import type { Host } from './host.ts'
+
+type Candidate = Pick<Host, 'id' | 'dataCentre'>
+
+interface Placed {
+  readonly seed: number
+  readonly hosts: readonly HostId[]
+  readonly slots: number
+  /** The weight that a new host has to beat to change the answer; -1 when any may. */
+  readonly least: number
+}
+
+/**
+ * The placement over one set of hosts. Immutable to its users; it remembers
+ * what it has worked out, and `with` carries over what a change of hosts
+ * leaves as it was, so a change costs one comparison an endpoint.
+ */
+export class Placement {
+  private readonly seeds: Uint32Array
+  /** The data centre of each host, by number. */
+  private readonly centres: Uint16Array
+  private readonly centreCount: number
+
+  private constructor (private readonly candidates: readonly Candidate[], private readonly placed: Map<EndpointId, Placed>) {
+    const numbers = new Map([...new Set(candidates.map(host => host.dataCentre))].map((id, i) => [id, i]))
+    this.seeds = Uint32Array.from(candidates, host => weightOf(host.id))
+    this.centres = Uint16Array.from(candidates, host => numbers.get(host.dataCentre)!)
+    this.centreCount = numbers.size
+  }
+
+  static readonly empty = new Placement([], new Map())
+
+  /** The same value when the hosts are the same. */
+  with (hosts: readonly Candidate[]): Placement {
+    const old = new Map(this.candidates.map(host => [host.id, host.dataCentre]))
+    const added = hosts.filter(host => old.get(host.id) !== host.dataCentre)
+    if (added.length === 0 && hosts.length === old.size) return this
+    const staying = new Set(hosts.filter(host => old.get(host.id) === host.dataCentre).map(host => host.id))
+    const seeds = added.map(host => weightOf(host.id))
+    const placed = new Map<EndpointId, Placed>()
+    for (const [endpoint, one] of this.placed) {
+      const isAsBefore = one.hosts.every(id => staying.has(id)) &&
+        seeds.every(seed => pairWeight(one.seed, seed) < one.least)
+      if (isAsBefore) placed.set(endpoint, one)
+    }
+    return new Placement(hosts, placed)
+  }
+
+  /**
+   * The hosts of an endpoint's slots, best first and at most `slots` of them.
+   * The slots of one endpoint go to different data centres where there are
+   * enough, so that a lost data centre never takes all watchers of a server.
+   */
+  hosts (endpoint: EndpointId, slots: number): readonly HostId[] {
+    const known = this.placed.get(endpoint)
+    if (known?.slots === slots) return known.hosts
+    const placed = this.place(weightOf(endpoint), slots)
+    this.placed.set(endpoint, placed)
+    return placed.hosts
+  }
+
+  private place (seed: number, slots: number): Placed {
+    const spread = this.bestOfEachCentre(seed).sort((a, b) => this.compare(seed, a, b))
+    if (spread.length >= slots) {
+      const chosen = spread.slice(0, slots)
+      return { seed, hosts: this.idsOf(chosen), slots, least: this.weight(seed, chosen.at(-1) ?? -1) }
+    }
+    const rest = [...this.candidates.keys()].filter(i => !spread.includes(i)).sort((a, b) => this.compare(seed, a, b))
+    return { seed, hosts: this.idsOf([...spread, ...rest].slice(0, slots)), slots, least: -1 }
+  }
+
+  /** Runs over all hosts for each endpoint, so it's written without an allocation for each: 27 million turns when a node starts. */
+  private bestOfEachCentre (seed: number): number[] {
+    const best = new Array<number>(this.centreCount).fill(-1)
+    for (let i = 0; i < this.seeds.length; i++) {
+      const centre = this.centres[i]!
+      const other = best[centre]!
+      if (other < 0 || this.compare(seed, i, other) < 0) best[centre] = i
+    }
+    return best
+  }
+
+  private compare (seed: number, a: number, b: number): number {
+    return this.weight(seed, b) - this.weight(seed, a) || (this.candidates[a]!.id < this.candidates[b]!.id ? -1 : 1)
+  }
+
+  /** -1 for no host. */
+  private weight (seed: number, i: number): number {
+    return i < 0 ? -1 : pairWeight(seed, this.seeds[i]!)
+  }
+
+  private idsOf (chosen: readonly number[]): readonly HostId[] {
+    return chosen.map(i => this.candidates[i]!.id)
+  }
+}
+
+/** Depends on both ids. Each id is hashed once, since 2,000 hosts are weighed for each of 13,500 endpoints. */
+function pairWeight (endpoint: number, host: number): number {
+  let value = Math.imul(endpoint ^ host, 0x85ebca6b)
+  value = Math.imul(value ^ value >>> 13, 0xc2b2ae35)
+  return (value ^ value >>> 16) >>> 0
+}
--- a/src/core/settings/settings.ts
+++ b/src/core/settings/settings.ts
@@ -63,9 +63,17 @@
   }).prefault({}),
   peers: z.strictObject({
     beat: duration.default(200),
-    silent: duration.default(1500),
+    silent: duration.default(1200),
+    gone: duration.default(3000),
     retry: duration.default(100)
   }).prefault({}),
+  drain: z.strictObject({
+    announce: duration.default(1000),
+    transactions: duration.default(10_000),
+    callers: duration.default(5000),
+    idle: duration.default(500),
+    pause: duration.default(20)
+  }).prefault({}),
   audit: z.strictObject({
     enabled: z.boolean().default(true),
     records: z.int().min(1).default(5000),
--- a/src/shell/config/follower.ts
+++ b/src/shell/config/follower.ts
@@ -74,6 +74,11 @@
     return this.storeProblem === '' ? [] : [`the next poll for a newer configuration: ${this.storeProblem}`]
   }
 
+  /** The hosts that this one tells of news; it needs links to them. */
+  get partners (): readonly HostId[] {
+    return this.roles.partners
+  }
+
   useHosts (hosts: readonly Host[]): void {
     this.roles = Roles.of(this.options.self, hosts)
     this.startup = this.startup.listed(hosts.filter(host => host.id !== this.options.self).map(host => host.id))
--- a/src/shell/endpoint/owner.ts
+++ b/src/shell/endpoint/owner.ts
@@ -106,6 +106,10 @@
     return this.options.endpoint
   }
 
+  get openTransactions (): number {
+    return this.slot.transactions
+  }
+
   /**
    * Against two monitors of one process that hold slots of one group: under
    * one name both would get the votes of the same term, and each could promote
--- a/src/shell/endpoint/slot.ts
+++ b/src/shell/endpoint/slot.ts
@@ -56,6 +56,11 @@
     return this.admission.queued
   }
 
+  /** Open transactions, each with a connection of its own. */
+  get transactions (): number {
+    return this.pinned.size
+  }
+
   /** Resolves with a connection that nobody else uses; rejects with a `SlotRefusal`, or when the signal is aborted before. */
   async borrow (wish: Wish, signal: AbortSignal): Promise<EndpointConnection> {
     signal.throwIfAborted()
--- a/src/shell/node/node.ts
+++ b/src/shell/node/node.ts
@@ -1,9 +1,7 @@
 /** One agatepond process: puts its parts together and keeps them running until its signal is aborted. */
 
 import { randomUUID } from 'node:crypto'
-import { createServer } from 'node:http'
 import { create, type MessageInitShape } from '@bufbuild/protobuf'
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import { ConfirmedSchema, type Frame, type StatusReplySchema } from '../../gen/peer_pb.ts'
 import type { Config } from '../../core/config/config.ts'
 import type { DataCentreId } from '../../core/id/datacentre.ts'
@@ -23,6 +21,8 @@
 import { ConfigStore } from '../config/store.ts'
 import { Log } from '../log/log.ts'
 import { Metrics } from '../metrics/metrics.ts'
+import type { Handler } from '../mysql/handler.ts'
+import type { Login } from '../mysql/login.ts'
 import { MysqlServer } from '../mysql/server.ts'
 import { refusal } from '../peer/answer.ts'
 import type { SlotPort } from '../peer/port.ts'
@@ -31,20 +31,32 @@
 import type { HostList } from '../platform/hostlist.ts'
 import { HttpHostList } from '../platform/httphostlist.ts'
 import { S3Store } from '../platform/s3store.ts'
+import { Callers } from './callers.ts'
+import { FirstHeard } from './firstheard.ts'
+import { servePages } from './pages.ts'
+import { seededChance } from './seededchance.ts'
 import { Slots } from './slots.ts'
 
 type Settings = ReturnType<ReturnType<typeof parseSettings>['_unsafeUnwrap']>
 
 const POLL_MS = 500
-const UINT32 = 0x100000000
+const ER_SERVER_SHUTDOWN = 1053
 
 /** The process. `start` resolves when it listens. */
 export class Node {
   private configs: ConfigFollower | undefined
   private peers: PeerServer | undefined
+  private mysql: MysqlServer | undefined
+  private hasHosts = false
+  private isLeaving = false
+  /** Whether no new callers are taken. */
+  private isClosed = false
 
   private constructor (
+    private readonly settings: Settings,
+    private readonly firstHeard: FirstHeard,
     private readonly slots: Slots,
+    private readonly callers: Callers,
     private readonly log: Log,
     private readonly metrics: Metrics,
     readonly audit: Audit
@@ -70,13 +82,18 @@
       metrics,
       now,
       chance,
-      broadcast: frame => it.peers?.broadcast({ case: 'sample', value: frame }),
-      broadcastWrite: frame => it.peers?.broadcast({ case: 'wrote', value: frame }),
+      broadcast: body => it.peers?.broadcast(body),
       onLinked: peer => it.configs?.linked(peer),
-      onConfig: (from, body) => it.configs?.take(from, body, reply => slots.tell(from, reply))
+      onConfig: (from, body) => it.configs?.take(from, body, reply => slots.peers.tell(from, reply))
+    }, signal)
+    const { transactions, callers: busy, idle, pause: gap } = settings.drain
+    const callers = Callers.create({
+      pace: { transactionsMs: transactions, callersMs: busy, idleMs: idle, pauseMs: gap },
+      now,
+      onCount: open => metrics.callers.set(open)
     })
     const audit = openAudit({ settings, incarnation, log, metrics, now, configVersion: () => it.configs?.config?.version })
-    const it: Node = new Node(slots, log, metrics, audit)
+    const it: Node = new Node(settings, FirstHeard.of(groups), slots, callers, log, metrics, audit)
     it.peers = await PeerServer.listen({
       ...addressOf(settings.listen.peers),
       host: host.id as HostId,
@@ -84,7 +101,7 @@
       beatMs: settings.peers.beat,
       silentMs: settings.peers.silent,
       slots: it.ownSlots(),
-      greeting: () => [] as Frame['body'][],
+      greeting: (): Frame['body'][] => [{ case: 'held', value: slots.heldFrame() }],
       onConfig: (from, body, reply) => it.configs?.take(from, body, reply),
       status: () => it.status(host.id, incarnation)
     }, signal)
@@ -94,7 +111,7 @@
       log,
       now,
       chance,
-      tell: (peer, body) => slots.tell(peer, body),
+      tell: (peer, body) => slots.peers.tell(peer, body),
       onApply: config => it.apply(config)
     }, signal)
     const context: CallerContext = {
@@ -112,30 +129,67 @@
       audit: it.audit
     }
     const reads = Reads.create(context)
-    const callers = addressOf(settings.listen.callers)
-    await MysqlServer.listen({
-      host: callers.ip,
-      port: callers.port,
+    const { ip, port } = addressOf(settings.listen.callers)
+    it.mysql = await MysqlServer.listen({
+      host: ip,
+      port,
       tracksSession: false,
-      accept: async login => await acceptCaller(context, reads, login)
+      accept: async login => {
+        if (it.isClosed) return { code: ER_SERVER_SHUTDOWN, message: 'this proxy is leaving; connect to another' }
+        const handler = await acceptCaller(context, reads, login)
+        return 'code' in handler ? handler : await it.guard(handler, login)
+      }
     }, signal)
-    await it.serveMetrics(addressOf(settings.listen.metrics), signal)
+    await servePages({ ...addressOf(settings.listen.metrics), metrics, problem: () => it.problem }, signal)
     it.pollHosts(hostList, signal)
     log.write('started', { callers: settings.listen.callers, peers: settings.listen.peers })
     return it
   }
 
+  /**
+   * Leaves without cutting anything off; resolves when nothing is in progress
+   * any more. The listening socket stays open for a while, because a balancer
+   * takes some time to see that this process isn't ready.
+   */
+  async drain (): Promise<void> {
+    this.isLeaving = true
+    this.log.write('leaving', {})
+    this.slots.leave()
+    const gone = this.callers.leave()
+    await pause(this.settings.drain.announce)
+    this.isClosed = true
+    this.mysql?.close()
+    await gone
+    await this.callers.leave()
+    await this.slots.left()
+    this.log.write('stopped')
+  }
+
+  /**
+   * While a caller is connected, its pool's groups are in use here. The links
+   * to their slot owners may be opened only now, so the sign-in waits for
+   * them; else the first request would be refused for want of a known primary.
+   */
+  private async guard (handler: Handler, login: Login): Promise<Handler> {
+    const closed = new AbortController()
+    const pools = this.configs?.config?.pools.filter(pool => pool.callers.some(caller => caller.id === login.user)) ?? []
+    const ids = pools.flatMap(pool => pool.groups)
+    this.slots.useGroups(ids, closed.signal)
+    await this.firstHeard.wait(ids, this.settings.requests.deadline)
+    return this.callers.guard(handler, () => login.hangUp(), () => closed.abort())
+  }
+
   /** What this process's peers may ask of it: its own slots only, never a further hop. */
   private ownSlots (): SlotPort {
     return {
       run: (req, sink) => {
-        const owner = this.slots.owner(req.endpoint as EndpointId)
-        if (owner !== undefined) return owner.run(req, sink)
+        const slot = this.slots.own(req.endpoint as EndpointId)
+        if (slot !== undefined) return slot.run(req, sink)
         sink.done(refusal(req.id, 'noSlotOwner'))
         return { credit: () => undefined, cancel: () => undefined }
       },
       confirm: async (endpoint, term, position, ms) =>
-        await this.slots.owner(endpoint)?.confirm(term, position, ms) ?? create(ConfirmedSchema, { ok: false }),
+        await this.slots.own(endpoint)?.confirm(endpoint, term, position, ms) ?? create(ConfirmedSchema, { ok: false }),
       release: transaction => this.slots.release(transaction)
     }
   }
@@ -144,8 +198,10 @@
     while (!signal.aborted) {
       await list.hosts().then(
         hosts => {
+          this.hasHosts = true
           this.slots.useHosts(hosts)
           this.configs?.useHosts(hosts)
+          this.slots.keepLinks(this.configs?.partners ?? [])
         },
         (err: Error) => this.log.write('hostListFailed', { err: err.message }))
       await pause(POLL_MS)
@@ -159,7 +215,9 @@
 
   /** Why this process takes no callers; undefined when it does. */
   private get problem (): string | undefined {
-    return this.configs === undefined ? 'starting' : this.configs.problem
+    if (this.isLeaving) return 'leaving'
+    if (this.configs === undefined) return 'starting'
+    return this.configs.problem ?? (this.hasHosts ? undefined : 'no host list yet: it does not answer')
   }
 
   private status (host: string, incarnation: string): MessageInitShape<typeof StatusReplySchema> {
@@ -170,30 +228,9 @@
       version: configs?.config?.version ?? 0,
       ready: problem === undefined,
       reason: problem ?? '',
-      waiting: [...configs?.waiting ?? []]
+      waiting: [...configs?.waiting ?? [], ...this.slots.waiting]
     }
   }
-
-  /** Resolves when it listens, so that whoever reads that the process started can ask whether it's ready. */
-  private async serveMetrics ({ ip, port }: { readonly ip: string, readonly port: number }, signal: AbortSignal): Promise<void> {
-    const server = createServer((req, res) => {
-      if (req.url === '/health') {
-        res.end('ok\n')
-        return
-      }
-      if (req.url === '/ready') {
-        const { problem } = this
-        res.writeHead(problem === undefined ? 200 : 503).end(`${problem ?? 'ready'}\n`)
-        return
-      }
-      this.metrics.registry.metrics().then(text => res.end(text))
-    })
-    await new Promise<void>((resolve, reject) => {
-      server.once('error', reject)
-      server.listen(port, ip, resolve)
-    })
-    signal.addEventListener('abort', () => server.close(), { once: true })
-  }
 }
 
 function addressOf (text: string): { readonly ip: string, readonly port: number } {
@@ -201,12 +238,6 @@
   return { ip: ip!, port: Number(port) }
 }
 
-/** The one generator for chance, seeded so that no two processes draw the same numbers. */
-function seededChance (seed: string): () => number {
-  const generator = xoroshiro128plus(parseInt(seed.slice(0, 8), 16))
-  return () => (generator.next() >>> 0) / UINT32
-}
-
 async function pause (ms: number): Promise<void> {
   await new Promise(resolve => { setTimeout(resolve, ms) })
 }
--- a/src/shell/node/slots.ts
+++ b/src/shell/node/slots.ts
@@ -1,108 +1,153 @@
 /** The slots of this process and the ways to those of others: one port for each endpoint. */
 
 import { create } from '@bufbuild/protobuf'
-import { WroteSchema, type Frame, type Sample as SampleFrame, type Wrote } from '../../gen/peer_pb.ts'
+import { HeldSchema, WroteSchema, type Held as HeldFrame, type Wrote } from '../../gen/peer_pb.ts'
 import type { Config } from '../../core/config/config.ts'
-import { Group } from '../../core/group/group.ts'
+import type { Sample } from '../../core/group/sample.ts'
 import type { EndpointId } from '../../core/id/endpoint.ts'
+import type { GroupId } from '../../core/id/group.ts'
 import type { HostId } from '../../core/id/host.ts'
-import type { Instant } from '../../core/id/instant.ts'
 import type { Position } from '../../core/id/position.ts'
 import type { Term } from '../../core/id/term.ts'
 import type { TransactionId } from '../../core/id/transaction.ts'
-import { placeSlots } from '../../core/routing/placement.ts'
-import type { parseSettings } from '../../core/settings/settings.ts'
-import type { Groups } from '../caller/groups.ts'
-import { SlotOwner } from '../endpoint/owner.ts'
-import type { Log } from '../log/log.ts'
-import type { Metrics } from '../metrics/metrics.ts'
+import type { Host } from '../../core/membership/host.ts'
+import { Duties } from '../../core/membership/duties.ts'
+import { standingAt } from '../../core/membership/standing.ts'
+import { decideTenure } from '../../core/membership/tenure.ts'
+import { wantedHosts } from '../../core/membership/wanted.ts'
 import { sampleFrame } from '../peer/frames.ts'
-import { PeerLink } from '../peer/link.ts'
 import type { SlotPort } from '../peer/port.ts'
-import type { HostList } from '../platform/hostlist.ts'
-import type { TableService } from '../platform/tableservice.ts'
-
-type Settings = ReturnType<ReturnType<typeof parseSettings>['_unsafeUnwrap']>
-type Host = Awaited<ReturnType<HostList['hosts']>>[number]
-type DatabaseGroup = Config['groups'][number]
-
-interface Options {
-  readonly settings: Settings
-  readonly incarnation: string
-  readonly groups: Groups
-  readonly table: TableService
-  readonly log: Log
-  readonly metrics: Metrics
-  readonly now: () => Instant
-  readonly chance: () => number
-  /** Sends a sample to every linked peer. */
-  readonly broadcast: (frame: SampleFrame) => void
-  /** Tells every linked peer of a write on a slot of this process. */
-  readonly broadcastWrite: (frame: Wrote) => void
-  readonly onLinked: (host: HostId) => void
-  readonly onConfig: (from: HostId, body: Frame['body']) => void
-}
-
-interface Held<T> {
-  readonly value: T
-  readonly stop: AbortController
-}
-
-/** Follows the host list and the configuration: holds the slots that fall to this host, links to the rest. */
+import { addGroups } from './addgroups.ts'
+import { Claims } from './claims.ts'
+import { confirmWhereHeld } from './confirm.ts'
+import type { HeldSlot } from './heldslot.ts'
+import { Peers } from './peers.ts'
+import { recordPromotion } from './record.ts'
+import type { SlotsOptions } from './slotsoptions.ts'
+import { takeSlot } from './take.ts'
+import { UsedGroups } from './usedgroups.ts'
+
+/** How often silence is looked for; a change that is heard is acted on at once. */
+const TICK_MS = 200
+/** How often the links are compared with what is used. */
+const LINK_MS = 1000
+
+/** Follows the host list, the links and the configuration: holds the slots that fall to this host. */
 export class Slots {
-  private readonly owners = new Map<EndpointId, Held<SlotOwner>>()
-  private readonly links = new Map<HostId, Held<PeerLink>>()
-  private hosts: readonly Host[] = []
+  private readonly held = new Map<EndpointId, HeldSlot>()
+  private readonly usedGroups = UsedGroups.create()
+  readonly peers: Peers
+  private readonly claims: Claims
+  private duties: Duties
   private config: Config | undefined
+  private kept: readonly HostId[] = []
+  private wake: (() => void) | undefined
+
+  private constructor (private readonly options: SlotsOptions, signal: AbortSignal) {
+    const { settings, incarnation, log, now, table, chance } = options
+    this.duties = Duties.of(settings.host.id as HostId)
+    this.peers = Peers.create({
+      settings,
+      incarnation,
+      log,
+      now,
+      onChange: () => this.place(),
+      onSample: frame => this.learn(sampleFrame.decode(frame, now())),
+      onWrote: frame => this.note(frame),
+      onLinked: options.onLinked,
+      onConfig: options.onConfig
+    })
+    this.claims = Claims.create({
+      host: settings.host.id as HostId,
+      incarnation,
+      table,
+      now,
+      chance,
+      standing: claim => this.peers.members.standing(claim.host as HostId, claim.incarnation, now()),
+      onTake: endpoint => this.take(endpoint)
+    }, signal)
+  }
 
-  private constructor (private readonly options: Options) {}
-
-  static create (options: Options): Slots {
-    return new Slots(options)
+  static create (options: SlotsOptions, signal: AbortSignal): Slots {
+    const it = new Slots(options, signal)
+    const tickers = [setInterval(() => it.place(), TICK_MS), setInterval(() => it.linkPeers(), LINK_MS)]
+    signal.addEventListener('abort', () => {
+      for (const ticker of tickers) clearInterval(ticker)
+      it.peers.close()
+      for (const slot of it.held.values()) slot.close()
+    }, { once: true })
+    return it
   }
 
   useHosts (hosts: readonly Host[]): void {
-    this.hosts = hosts
+    this.peers.useHosts(hosts)
     this.place()
   }
 
   useConfig (config: Config): void {
     this.config = config
-    for (const group of config.groups) {
-      const known = this.options.groups.get(group.id)
-      if (known === undefined) this.options.groups.set(Group.of(group.id, group.endpoints.map(one => one.id)))
-    }
+    addGroups(config, this.options.groups)
+    this.duties = this.duties.withConfig(config)
+    this.linkPeers()
     this.place()
   }
 
-  /** This process's own slot of the endpoint, else a linked peer's, in the order of placement. */
+  /** Links to the owners of these groups' slots until the signal is aborted: a caller of this process uses them. */
+  useGroups (ids: readonly GroupId[], signal: AbortSignal): void {
+    if (this.usedGroups.add(ids, signal)) this.linkPeers()
+  }
+
+  /** Own before others, so that a request makes no hop; a slot that is being handed over only when there is no other. */
   port (endpoint: EndpointId): SlotPort | undefined {
-    const own = this.owners.get(endpoint)
-    if (own !== undefined) return localPort(own.value)
-    return this.holders(endpoint)
-      .map(host => this.links.get(host)?.value)
-      .find(link => link?.isLinked === true)
+    const own = this.held.get(endpoint)
+    if (own?.isOpen === true && !this.peers.members.isLeaving) return own
+    const [peer] = this.peers.ports(endpoint)
+    return peer ?? (own?.takesNew === true ? own : undefined)
   }
 
   /** This process's own slot, whoever else holds one. */
-  owner (endpoint: EndpointId): SlotOwner | undefined {
-    return this.owners.get(endpoint)?.value
+  own (endpoint: EndpointId): HeldSlot | undefined {
+    return this.held.get(endpoint)
   }
 
   /** Rolls back whatever the transaction has open on a slot of this process. */
   release (transaction: TransactionId): void {
-    for (const owner of this.owners.values()) owner.value.release(transaction)
+    for (const slot of this.held.values()) slot.release(transaction)
+  }
+
+  /** Keeps links to these hosts too, whatever the slots need. */
+  keepLinks (hosts: readonly HostId[]): void {
+    this.kept = hosts
+    this.linkPeers()
+  }
+
+  /** What waits for the store to answer. */
+  get waiting (): readonly string[] {
+    return this.claims.waiting.map(({ endpoint, tries }) => `the claim on a slot of ${endpoint}: ${tries} tries`)
   }
 
-  /** Sends a frame to a host if it's linked. */
-  tell (host: HostId, body: Frame['body']): void {
-    this.links.get(host)?.value.tell(body)
+  /** What a peer is told of this process when it links, and at every change. */
+  heldFrame (): HeldFrame {
+    return create(HeldSchema, { endpoints: [...this.held.keys()], leaving: this.peers.members.isLeaving })
   }
 
-  learn (frame: SampleFrame): void {
-    const sample = sampleFrame.decode(frame, this.options.now())
+  /** Announces that this process leaves. Slots that another host can take are handed over from now on. */
+  leave (): void {
+    this.peers.leave()
+    this.tellHeld()
+    this.place()
+  }
+
+  /** Resolves when what was in progress on any slot has ended and all of them are closed. */
+  async left (): Promise<void> {
+    for (const [endpoint, slot] of this.held) this.handOver(endpoint, slot)
+    while (this.held.size > 0) await new Promise<void>(resolve => { this.wake = resolve })
+    await this.claims.released()
+  }
+
+  private learn (sample: Sample): void {
     this.options.groups.learn(sample)
-    for (const owner of this.owners.values()) owner.value.learn(sample)
+    for (const slot of this.held.values()) slot.learn(sample)
   }
 
   /** Takes in who made a write, from an owner here or elsewhere. */
@@ -110,131 +155,80 @@
     this.options.groups.note(endpoint as EndpointId, term as Term, position as Position, session)
   }
 
-  private get live (): readonly Host[] {
-    return this.hosts.filter(host => host.state === 'live')
+  private place (): void {
+    const { members } = this.peers
+    const duties = this.duties.withHosts(members.candidates(this.options.now()), members.hosts)
+    const hasChanged = duties !== this.duties
+    this.duties = duties
+    if (hasChanged) this.linkPeers()
+    for (const endpoint of new Set([...duties.endpoints, ...this.held.keys(), ...this.claims.pending])) this.placeOne(endpoint)
   }
 
-  private holders (endpoint: EndpointId): readonly HostId[] {
-    const group = this.config?.groups.find(one => one.endpoints.some(other => other.id === endpoint))
-    return group === undefined ? [] : placeSlots(endpoint, this.live, group.slotsPerEndpoint)
+  private placeOne (endpoint: EndpointId): void {
+    const slot = this.held.get(endpoint)
+    const standing = standingAt(endpoint, this.duties, this.peers.members, slot !== undefined, this.options.now())
+    if (standing === undefined) return
+    const tenure = decideTenure(standing)
+    if (tenure === 'take') this.claims.want(endpoint, standing.slots)
+    else if (slot === undefined) this.claims.unwant(endpoint)
+    if (tenure === 'handOver') this.handOver(endpoint, slot!)
+    slot?.leaveEndpoint(this.duties.isLeaving(endpoint))
   }
 
-  private place (): void {
-    this.linkPeers()
-    const due = new Set<EndpointId>()
-    for (const group of this.config?.groups ?? []) {
-      for (const { id, leaving } of group.endpoints) {
-        const rank = this.holders(id).indexOf(this.options.settings.host.id as HostId)
-        if (rank < 0) continue
-        due.add(id)
-        if (!this.owners.has(id)) this.take(group, id, rank)
-        this.owners.get(id)?.value.leave(leaving)
-      }
-    }
-    for (const [id, held] of this.owners) {
-      if (due.has(id)) continue
-      held.stop.abort()
-      this.owners.delete(id)
-      this.options.log.write('slotLeft', { endpoint: id })
-    }
-    this.options.metrics.slots.set(this.owners.size)
+  private linkPeers (): void {
+    const now = this.options.now()
+    const wanted = wantedHosts({
+      duties: this.duties,
+      held: [...this.held.keys()],
+      groups: this.config?.groups.filter(group => this.usedGroups.has(group.id)) ?? [],
+      holders: endpoint => this.peers.members.holders(endpoint, now)
+    })
+    for (const host of this.kept) wanted.add(host)
+    this.peers.use(wanted)
   }
 
-  private linkPeers (): void {
-    const { settings, incarnation, log } = this.options
-    for (const host of this.hosts) {
-      if (host.id === settings.host.id || this.links.has(host.id)) continue
-      const stop = new AbortController()
-      const value = PeerLink.open({
-        address: host.peers,
-        self: settings.host.id as HostId,
-        peer: host.id,
-        incarnation,
-        beatMs: settings.peers.beat,
-        silentMs: settings.peers.silent,
-        retryMs: settings.peers.retry,
-        log,
-        onSample: frame => this.learn(frame),
-        onWrote: frame => this.note(frame),
-        onLinked: () => this.options.onLinked(host.id),
-        onConfig: body => this.options.onConfig(host.id, body)
-      }, stop.signal)
-      this.links.set(host.id, { value, stop })
-    }
-    for (const [id, held] of this.links) {
-      if (this.hosts.some(host => host.id === id)) continue
-      held.stop.abort()
-      this.links.delete(id)
-    }
-  }
-
-  private take (group: DatabaseGroup, endpoint: EndpointId, rank: number): void {
-    const { settings, incarnation, groups, now, chance, log, metrics } = this.options
-    const stop = new AbortController()
-    const value = SlotOwner.start({
-      endpoint,
+  private handOver (endpoint: EndpointId, slot: HeldSlot): void {
+    if (!slot.isOpen) return
+    slot.handOver().then(() => {
+      this.held.delete(endpoint)
+      this.claims.release(endpoint)
+      this.options.log.write('slotLeft', { endpoint })
+      this.tellHeld()
+      this.wake?.()
+    })
+  }
+
+  private tellHeld (): void {
+    this.options.metrics.slots.set(this.held.size)
+    this.options.broadcast({ case: 'held', value: this.heldFrame() })
+  }
+
+  private take (endpoint: EndpointId): void {
+    const group = this.duties.group(endpoint)
+    if (group === undefined) return
+    const rank = this.duties.rank(endpoint) ?? 0
+    const { settings, incarnation, groups, now, chance, log } = this.options
+    const slot = takeSlot(group, endpoint, settings, {
       group: groups.get(group.id)!,
-      addresses: addressesOf(group, settings),
-      connections: group.connectionsPerSlot,
       rank,
-      pace: {
-        misses: settings.failover.misses,
-        rankDelayMs: settings.failover.rankDelay,
-        roundMs: settings.failover.round,
-        jitterMs: settings.failover.jitter
-      },
-      probeMs: settings.failover.probe,
-      probeTimeoutMs: settings.failover.probeTimeout,
       proposer: `${settings.host.id}/${incarnation}`,
       now,
       chance,
       log,
-      confirmAt: async (at, term, position, ms) => {
-        const port = this.port(at)
-        if (port === undefined) throw new Error('nobody holds a slot of the endpoint')
-        return await port.confirm(at, term, position, ms)
-      },
+      confirmAt: async (at, term, position, ms) => await confirmWhereHeld({ endpoint: at, term, position, ms }, () => this.port(at)),
       onSample: sample => {
-        groups.learn(sample)
-        for (const owner of this.owners.values()) owner.value.learn(sample)
-        this.options.broadcast(sampleFrame.encode(sample))
+        this.learn(sample)
+        this.options.broadcast({ case: 'sample', value: sampleFrame.encode(sample) })
       },
       onWrote: (term, position, session) => {
         const frame = create(WroteSchema, { endpoint, term, position, session })
         this.note(frame)
-        this.options.broadcastWrite(frame)
+        this.options.broadcast({ case: 'wrote', value: frame })
       },
-      record: action => {
-        metrics.promotions.inc()
-        this.options.table.create({
-          pk: `promotion/${action.group}`,
-          sk: String(action.term).padStart(12, '0'),
-          revision: 1,
-          body: JSON.stringify(action)
-        }).catch((err: Error) => log.write('recordFailed', { group: action.group, term: action.term, err: err.message }))
-      }
-    }, stop.signal)
-    this.owners.set(endpoint, { value, stop })
+      record: action => recordPromotion(action, this.options)
+    })
+    this.held.set(endpoint, slot)
     log.write('slotTaken', { endpoint, rank })
+    this.tellHeld()
   }
 }
-
-function localPort (owner: SlotOwner): SlotPort {
-  return {
-    run: (req, sink) => owner.run(req, sink),
-    confirm: async (_endpoint, term, position, ms) => await owner.confirm(term, position, ms),
-    release: transaction => owner.release(transaction)
-  }
-}
-
-function addressesOf (group: DatabaseGroup, settings: Settings): Parameters<typeof SlotOwner.start>[0]['addresses'] {
-  const { user, password, controlUser, controlPassword, connectTimeout } = settings.endpoints
-  return new Map(group.endpoints.map(({ id, address }) => {
-    const [ip, port] = address.split(':')
-    const place = { ip: ip!, port: Number(port), database: group.database, connectMs: connectTimeout }
-    return [id, {
-      data: { ...place, user, password },
-      control: { ...place, user: controlUser, password: controlPassword }
-    }]
-  }))
-}
