The failover monitor split: hand-over and the order of turns in files of their own

Change: the steps of a planned hand-over are pure functions from phase to phase in handover.ts; the place of a monitor in the group's order is turn.ts. No behaviour changed. Run: vitest src/core/failover test/failover.core.test.ts test/failover.silent.test.ts: 312 passed.

--- a/src/core/failover/monitor.ts
+++ b/src/core/failover/monitor.ts
@@ -18,10 +18,12 @@
 import type { FailoverAction } from './action.ts'
 import { Ballot } from './ballot.ts'
 import type { FailoverEvent } from './event.ts'
+import { handover } from './handover.ts'
 import { orders } from './orders.ts'
 import type { Pace } from './pace.ts'
 import type { Phase } from './phase.ts'
 import { Survey } from './survey.ts'
+import { turnOf } from './turn.ts'
 import { Watch } from './watch.ts'
 
 interface Fields {
@@ -45,9 +47,6 @@
 }
 
 const WATCHING: Phase = { kind: 'watching' }
-const LEAVING = 'the primary is leaving'
-/** Slots of an endpoint, and so monitors that probe it. */
-const SLOTS = 2
 
 /** The state of one monitor. Immutable; `step` takes an event in and yields the next state. */
 export class Monitor {
@@ -145,7 +144,7 @@
   /** An endpoint answered while no primary of the highest term is known. */
   private answered (sample: Sample, now: Instant): Step {
     const { phase } = this.fields
-    if (phase.kind === 'handing') return this.caughtUp(sample)
+    if (phase.kind === 'handing') return this.moved(handover.replicaAnswered(phase, sample))
     if (phase.kind !== 'asking') return this.idle
     return this.with({ phase: { ...phase, survey: phase.survey.withAnswer(sample.endpoint) } }).proposeWhenAsked(now)
   }
@@ -165,15 +164,6 @@
     return isSomebodyFirst ? this.wait(now, (rank + 1) * pace.rankDelayMs, phase.cause) : this.propose(now, phase.cause)
   }
 
-  /** The place of this monitor in the order of all the group's: the owners of the primary's slots, then of the next endpoint's. */
-  private get turn (): number {
-    const { own, rank } = this.fields
-    const { samples, leader } = this.group
-    const from = leader === undefined ? 0 : samples.indexOf(leader)
-    const to = samples.findIndex(one => one.endpoint === own)
-    return (to - from + samples.length) % samples.length * SLOTS + rank
-  }
-
   /** Asks all for their votes; a primary that is cut off isn't asked, since its log would win and nothing be mended. */
   private propose (now: Instant, cause: string, except?: EndpointId): Step {
     const term = this.nextTerm
@@ -189,7 +179,7 @@
 
   private sealed (term: Term, sample: Sample, now: Instant): Step {
     const { phase, pace, leaving } = this.fields
-    if (phase.kind === 'handing' && phase.term === term) return this.held(sample)
+    if (phase.kind === 'handing' && phase.term === term) return this.moved(handover.primarySealed(phase, sample, this.group))
     if (phase.kind !== 'sealing' || phase.term !== term) return this.idle
     const ballot = phase.ballot.withSeal(sample)
     if (!ballot.isWon(this.group.majority)) return this.with({ phase: { ...phase, ballot } }).idle
@@ -220,16 +210,16 @@
   }
 
   private tick (now: Instant, chance: number): Step {
-    const { phase, watch, pace } = this.fields
+    const { phase, watch, pace, own, rank } = this.fields
     if (phase.kind === 'watching') {
-      const turnMs = this.turn * pace.rankDelayMs
+      const turnMs = turnOf(this.group, own, rank) * pace.rankDelayMs
       if (watch.isStalled(now, turnMs)) return this.propose(now, 'the primary reaches no replica', this.group.primary?.endpoint)
       if (!watch.isOrphan(now)) return this.idle
       return this.wait(now, 1 + turnMs + chance * pace.jitterMs, 'the group shows no primary')
     }
     if (now < phase.until) return this.idle
     if (phase.kind === 'waiting') return this.ask(now, phase.cause)
-    return this.retry(now, chance, phase.kind === 'handing' ? LEAVING : phase.cause)
+    return this.retry(now, chance, phase.kind === 'handing' ? handover.cause : phase.cause)
   }
 
   /**
@@ -242,43 +232,16 @@
     return this.wait(now, 1 + rank * pace.rankDelayMs + chance * pace.jitterMs, cause)
   }
 
-  /**
-   * Begins a planned hand-over by sealing the leaving primary alone. That
-   * holds new writes, which are refused as not run and tried again, and fixes
-   * its log; its replicas are in the old term still, so that writes under way
-   * get their confirmations while the replicas copy the rest.
-   */
   private handOver (primary: Sample, now: Instant): Step {
     const { pace } = this.fields
-    const hasHeir = this.group.samples.some(one =>
-      one.endpoint !== primary.endpoint && one.reachable && one.role === 'replica' && one.term === primary.term)
-    if (!hasHeir) return this.idle
     const term = this.nextTerm
-    const phase: Phase = { kind: 'handing', term, until: later(now, pace.roundMs), held: undefined }
-    return {
-      monitor: this.with({ phase, proposed: term, handAt: later(now, pace.orphanMs) }),
-      actions: [{ kind: 'seal', endpoint: primary.endpoint, term }]
-    }
+    const move = handover.begin(this.group, primary, term, later(now, pace.roundMs))
+    if (move === undefined) return this.idle
+    return { monitor: this.with({ phase: move.phase, proposed: term, handAt: later(now, pace.orphanMs) }), actions: move.actions }
   }
 
-  /** The leaving primary is sealed: its log grows no more, and the others are asked how far they are. */
-  private held (held: Sample): Step {
-    const { phase } = this.fields
-    if (phase.kind !== 'handing') return this.idle
-    return { monitor: this.with({ phase: { ...phase, held } }), actions: orders.probe(this.group, held.endpoint) }
-  }
-
-  /** A replica answered during a hand-over: it's sealed when it has all that the primary has, and asked again otherwise. */
-  private caughtUp (sample: Sample): Step {
-    const { phase } = this.fields
-    if (phase.kind !== 'handing' || phase.held === undefined || sample.role !== 'replica') return this.idle
-    const { term, until, held } = phase
-    if (held.isAheadOf(sample)) return { monitor: this, actions: [{ kind: 'probe', endpoint: sample.endpoint }] }
-    const ballot = Ballot.empty.withSeal(held)
-    return {
-      monitor: this.with({ phase: { kind: 'sealing', term, until, ballot, cause: LEAVING } }),
-      actions: [{ kind: 'seal', endpoint: sample.endpoint, term }]
-    }
+  private moved (move: ReturnType<typeof handover.replicaAnswered>): Step {
+    return { monitor: this.with({ phase: move.phase }), actions: move.actions }
   }
 
   private get idle (): Step {
