A statement that changed nothing is answered only by a current primary

Cause: read through the run of a request as a newcomer. A write whose answer carries no position was done at once. Where an endpoint logs nothing for a statement that changed nothing, a primary that is cut off and replaced answers '0 rows changed' from its old state, and the proxy passed that on as done: a dispatcher learns that a booking isn't there which the new primary holds.

Ruled out: telling it by the count of rows (a statement with rows, such as a locking read, has none); the stand-in shows no such answer, since it logs every write, so no test on processes could see it.

Change: such an answer is proved like a strict read, after it ran. Without the proof its outcome is unknown, since an endpoint may not tell positions at all.

Red run: 4 rows of run.test.ts, 'expected clean, done to be clean, prove'. Not run on a cut-off primary.

--- a/src/core/request/plainscript.ts
+++ b/src/core/request/plainscript.ts
@@ -32,8 +32,9 @@
       case 'begin': return event.isOpen ? kept(event) : close(refuse('lostTransaction', 'no transaction began'))
       // A statement that ended its transaction has committed what came before it, which nobody asked for.
       case 'inside': return event.isOpen ? kept(event) : close(refuse('endedTransaction'))
-      case 'commit': return event.token === undefined ? proved(event) : written(event, 'reset')
+      case 'commit': return event.token === undefined ? proved(event, 'reset') : written(event, 'reset')
       case 'rollback': return written(event, 'reset')
+      case 'write': return event.token === undefined ? proved(event, 'clean') : written(event, 'clean')
       default: return written(event, 'clean')
     }
   }
@@ -74,14 +75,15 @@
 }
 
 /**
- * Against a primary that is cut off from its group: a transaction that wrote
- * nothing has nothing to be confirmed, and its reads were stale. A proof that
- * is asked for now covers them all, since terms only grow.
+ * Against a primary that is cut off from its group: a transaction or statement
+ * that wrote nothing has nothing to be confirmed, and what it saw was stale
+ * ("no such booking", say). A proof that is asked for now covers all that it
+ * saw, since terms only grow.
  */
-function proved ({ counts, isOpen }: Answered): RunNext {
+function proved ({ counts, isOpen }: Answered, how: 'clean' | 'reset'): RunNext {
   return {
     kind: 'prove',
-    back: { kind: 'giveBack', how: isOpen ? 'close' : 'reset' },
+    back: { kind: 'giveBack', how: isOpen ? 'close' : how },
     last: { kind: 'done', counts, token: undefined, isOpen: false }
   }
 }
--- a/src/core/request/run.test.ts
+++ b/src/core/request/run.test.ts
@@ -38,6 +38,10 @@
   it.each<[string, string, RunSpec, RunEvent[]]>([
     ['a write', 'clean, confirm', of('write'), [ok(false, 7)]],
     ['a write that nobody confirms', 'unconfirmed', of('write'), [ok(false, 7), { kind: 'confirmed', holds: false }]],
+    ['a write that changed nothing, which a replaced primary may say as well', 'clean, prove', of('write'), [ok()]],
+    ['and is proved', 'done', of('write'), [ok(), { kind: 'proved', holds: true }]],
+    ['and is not', 'unconfirmed', of('write'), [ok(), { kind: 'proved', holds: false }]],
+    ['and is not in time', 'unconfirmed', of('write'), [ok(), deadline]],
     ['a read', 'clean, done', of('read'), [ok()]],
     ['a read that left a transaction open', 'close, done', of('read'), [ok(true)]],
     ['a write at a replaced primary', 'clean, replaced', of('write'), [READ_ONLY]],
--- a/src/core/request/run.ts
+++ b/src/core/request/run.ts
@@ -79,7 +79,7 @@
     const { phase } = this
     if (phase.kind !== 'proving' && phase.kind !== 'verifying') return this.idle
     if (holds && phase.kind === 'verifying') return this.to({ kind: 'over' }, phase.last)
-    if (!holds) return this.refuse('unproved')
+    if (!holds) return this.unproved()
     return this.to({ kind: 'obtaining' }, { kind: 'obtain' })
   }
 
@@ -104,6 +104,11 @@
     return holds ? this.to({ kind: 'over' }, last) : this.refuse('unconfirmed')
   }
 
+  /** A write without a position isn't known to have changed nothing: an endpoint may not tell positions at all. */
+  private unproved (): Step {
+    return this.refuse(this.spec.access === 'write' ? 'unconfirmed' : 'unproved')
+  }
+
   /** The connection must go: an answer is outstanding on it, or a transaction may be open. */
   private broken (reason: 'lost' | 'deadline', detail: string): Step {
     const { phase } = this
@@ -115,7 +120,7 @@
   private deadline (): Step {
     switch (this.phase.kind) {
       case 'proving':
-      case 'verifying': return this.refuse('unproved')
+      case 'verifying': return this.unproved()
       case 'running': return this.broken('deadline', '')
       case 'confirming': return this.refuse('unconfirmed')
       default: return this.refuse('busy')
