Children of a stage end with the process that started them

Change: a child is killed when its parent exits. The records' test made its table without IF NOT EXISTS in a loop, which never ends when the first answer is unknown; it has it now. Ruled out: a try round the start of a stage (a runner that is ended by a signal would pass it by). Not run: a start that fails.

--- a/standin/child.ts
+++ b/standin/child.ts
@@ -3,6 +3,14 @@
 import { spawn, type ChildProcess } from 'node:child_process'
 import { createInterface } from 'node:readline'
 
+/**
+ * Whatever still runs when this process ends. Against children that outlive a
+ * test or demo that failed half way: nobody is left who knows of them.
+ */
+const running = new Set<ChildProcess>()
+process.once('exit', () => { for (const one of running) one.kill('SIGKILL') })
+process.once('SIGTERM', () => process.exit(1))
+
 /** Starts a bundled program, collects its output, and stops it. */
 export class Child {
   readonly lines: string[] = []
@@ -15,6 +23,8 @@
       stdio: ['ignore', 'pipe', 'pipe'],
       env: { ...process.env, AWS_ACCESS_KEY_ID: 'local', AWS_SECRET_ACCESS_KEY: 'local' }
     })
+    running.add(process_)
+    process_.once('exit', () => running.delete(process_))
     const it = new Child(name, process_)
     await new Promise<void>((resolve, reject) => {
       const take = (line: string): void => {
--- a/test/audit.test.ts
+++ b/test/audit.test.ts
@@ -33,7 +33,7 @@
   /** A session writes on one proxy and reads on the other; a request under a key is sent on both; one statement is refused; then the store fails; then all end. */
   async function tellRequests (): Promise<void> {
     const [a, b] = await Promise.all([connect(0), connect(1)])
-    await until(async () => await a.query('CREATE TABLE crimp (terminal TEXT PRIMARY KEY, passed INTEGER)').then(() => true, () => false))
+    await until(async () => await a.query('CREATE TABLE IF NOT EXISTS crimp (terminal TEXT PRIMARY KEY, passed INTEGER)').then(() => true, () => false))
     await a.query("INSERT INTO crimp VALUES ('secret-terminal', 1)")
     await until(async () => await b.query('SELECT * FROM crimp').then(() => true, () => false))
     for (let i = 0; i < 20; i++) {
