The field's terms for samples, events and explanations

Cause: 'heard', 'hears' and 'story' stood for four different things. Change: Group.isSampled, reason notSampled (it shows in new audit records' JSON; message and code are as before, and explanations of older records leave out an unknown reason's text as they did), recovery 'firstSample'; events are what can happen to or reach their part; explanation.ts in place of story.ts in src/core/audit and test/checker; a run's report lists breaches. The event 'heard' of membership stays: its only users are in src/shell/node.

--- a/demo/main.ts
+++ b/demo/main.ts
@@ -1,4 +1,4 @@
-/** The demo: the whole path as separate processes, a short story on it, and its table. */
+/** The demo: the whole path as separate processes, a few steps on it, and its table. */
 
 import { createConnection, type Connection, type RowDataPacket } from 'mysql2/promise'
 import { Stage } from '../standin/stage.ts'
@@ -17,7 +17,7 @@
 const stage = await Stage.start({ proxies: 3, lagMs: LAG_MS })
 let isWhole = true
 try {
-  await story()
+  await takeSteps()
 } catch (err) {
   isWhole = false
   rows.push({ step: 'stopped here', result: (err as Error).message, ms: 0 })
@@ -31,7 +31,7 @@
 await stage.stop()
 process.exitCode = isWhole ? 0 : 1
 
-async function story (): Promise<void> {
+async function takeSteps (): Promise<void> {
   await settle()
   const [a, b] = await Promise.all([connect(0), connect(1)])
   await step('proxy A: create a table', async () => {
--- a/scenarios/main.ts
+++ b/scenarios/main.ts
@@ -18,15 +18,15 @@
     seed: option({ type: optional(number), long: 'seed', description: 'the seed of the random mix, or of the scripts that are named' }),
     mixes: option({ type: number, long: 'mixes', defaultValue: () => 1, description: 'how many random mixes, with seeds that follow each other' }),
     trace: option({ type: optional(string), long: 'trace', description: 'a file for the trace of the last run' }),
-    stories: flag({ long: 'quiet', description: 'print no stories' }),
+    isQuiet: flag({ long: 'quiet', description: 'print no breaches' }),
     names: restPositionals({ type: string, displayName: 'name', description: 'scripts; all when there are none' })
   },
-  handler: async ({ seed, mixes, trace, names, stories: isQuiet }) => {
+  handler: async ({ seed, mixes, trace, names, isQuiet }) => {
     const due = chosen(names, seed, mixes)
     const rows = []
     for (const { name, script } of due) {
       const report = await runScript(script)
-      rows.push({ name, seed: script.seed, report: isQuiet ? { ...report, stories: [] } : report })
+      rows.push({ name, seed: script.seed, report: isQuiet ? { ...report, breaches: [] } : report })
       if (trace !== undefined) writeFileSync(trace, report.trace)
     }
     process.stdout.write(tableOf(rows))
--- a/scenarios/scenarios.test.ts
+++ b/scenarios/scenarios.test.ts
@@ -14,10 +14,10 @@
 const red = existsSync(KNOWN_RED) ? readFileSync(KNOWN_RED, 'utf8').split('\n') : []
 
 async function expectRun (name: string, script: Parameters<typeof runScript>[0]): Promise<void> {
-  const { failures, stories } = await runScript(script)
+  const { failures, breaches } = await runScript(script)
   const isRed = red.some(line => line.startsWith(`scenarios/${name},`))
-  if (!isRed) return expect([...failures, ...stories]).toEqual([])
-  process.stdout.write(`known red: ${name} (seed ${script.seed})\n${[...failures, ...stories].join('\n')}\n`)
+  if (!isRed) return expect([...failures, ...breaches]).toEqual([])
+  process.stdout.write(`known red: ${name} (seed ${script.seed})\n${[...failures, ...breaches].join('\n')}\n`)
   expect(failures, `passes now; take it off ${KNOWN_RED}`).not.toEqual([])
 }
 
--- a/scenarios/table.ts
+++ b/scenarios/table.ts
@@ -12,13 +12,13 @@
 
 const HEAD = ['scenario', 'seed', 'calls', 'gap', 'replica', 'unknown', 'refused', 'promotions', 'result']
 
-/** One line a scenario, then what failed and the stories of the breaches. */
+/** One line a scenario, then what failed and the breaches in sentences. */
 export function tableOf (rows: readonly Row[]): string {
   const cells = [HEAD, ...rows.map(cellsOf)]
   const widths = HEAD.map((_, i) => Math.max(...cells.map(line => line[i]!.length)))
   const lines = cells.map(line => line.map((cell, i) => cell.padEnd(widths[i]!)).join('  ').trimEnd())
   const bad = rows.filter(({ report }) => report.failures.length > 0).flatMap(({ name, seed, report }) =>
-    ['', `${name} (seed ${seed}):`, ...report.failures, ...report.stories])
+    ['', `${name} (seed ${seed}):`, ...report.failures, ...report.breaches])
   return [...lines, ...bad].join('\n') + '\n'
 }
 
--- a/scenarios/world/endpoint.ts
+++ b/scenarios/world/endpoint.ts
@@ -153,8 +153,8 @@
   }
 
   /**
-   * Returns when the position is received in the term. A server that hasn't
-   * heard of the term waits as one that lags; a log that isn't cut at the fork
+   * Returns when the position is received in the term. A server that doesn't
+   * know the term waits as one that lags; a log that isn't cut at the fork
    * confirms nothing.
    */
   private async received (term: number, position: number, ms: number): Promise<void> {
--- a/scenarios/world/network.ts
+++ b/scenarios/world/network.ts
@@ -43,7 +43,7 @@
     }
   }
 
-  /** Ends a node's connections. The other end hears of it, unless it can't be reached. */
+  /** Ends a node's connections. The other end notices, unless it can't be reached. */
   drop (node: Node): void {
     for (const connection of [...this.connections]) {
       if (connection.from !== node && connection.to !== node) continue
--- a/scenarios/world/report.ts
+++ b/scenarios/world/report.ts
@@ -1,7 +1,7 @@
 /** The figures of a run, by the names that scripts use. */
 
 import { checkHistory } from '../../test/checker/checker.ts'
-import { tellStory } from '../../test/checker/story.ts'
+import { explanationOf } from '../../test/checker/explanation.ts'
 import type { Script } from '../language/script.ts'
 import type { Recorder } from './recorder.ts'
 import type { World } from './world.ts'
@@ -9,8 +9,8 @@
 interface Report {
   readonly figures: Readonly<Record<string, number>>
   readonly calls: number
-  /** The shortest story of each kind of breach. */
-  readonly stories: readonly string[]
+  /** The shortest breach of each kind, in sentences. */
+  readonly breaches: readonly string[]
   /** The expectations that don't hold, with the figure as measured. */
   readonly failures: readonly string[]
   readonly trace: string
@@ -33,8 +33,8 @@
     .filter(({ figure, operator, value }) => !holds(figures[figure]!, operator, value))
     .map(({ figure, text }) => `expected ${text}, measured ${show(figure, figures[figure]!)}`)
   if (!isSettled) failures.push('expected an answer to every final read, and some had none')
-  const stories = found.map(one => tellStory(one.breach).join('\n') + `\n  (${one.count} of this kind)`)
-  return { figures, calls: recorder.calls.length, stories, failures, trace: recorder.trace }
+  const breaches = found.map(one => explanationOf(one.breach).join('\n') + `\n  (${one.count} of this kind)`)
+  return { figures, calls: recorder.calls.length, breaches, failures, trace: recorder.trace }
 }
 
 function holds (figure: number, operator: '<' | '>' | '=', value: number): boolean {
--- a/src/cli/explain.ts
+++ b/src/cli/explain.ts
@@ -3,7 +3,7 @@
 import { command, flag, option, optional, positional, string } from 'cmd-ts'
 import { AuditId } from '../core/audit/id.ts'
 import type { AuditRecord } from '../core/audit/record.ts'
-import { tellStory } from '../core/audit/story.ts'
+import { explanationOf } from '../core/audit/explanation.ts'
 import { checkRecords } from '../shell/audit/check.ts'
 import type { AuditReader } from '../shell/audit/reader.ts'
 import { openAuditReader } from './auditreader.ts'
@@ -50,7 +50,7 @@
   const id = AuditId.parse(text) ?? stop(`"${text}" isn't the id of a request; copy it from the text of the error`, exit.usage)
   const found = (await reading(async () => await reader.find(id))).match(value => value, problem => stop(`${text}: ${problem}`, exit.refused))
   const { record, key, problems } = found
-  print(isJson ? [JSON.stringify(record)] : [`Request ${text}, ${dateOf(record)}, from ${key}`, ...tellStory(record)])
+  print(isJson ? [JSON.stringify(record)] : [`Request ${text}, ${dateOf(record)}, from ${key}`, ...explanationOf(record)])
   if (problems.length > 0) stop(`${key} can't be trusted: ${problems.join('; ')}`, exit.refused)
 }
 
--- a/src/core/admission/event.ts
+++ b/src/core/admission/event.ts
@@ -1,4 +1,4 @@
-/** What happens to a slot, as its admission hears of it. */
+/** What can happen to a slot, as its admission counts it. */
 
 import type { AdmissionRequest } from './request.ts'
 
--- a/src/core/audit/story.ts
+++ b/src/core/audit/explanation.ts
@@ -1,4 +1,4 @@
-/** The story of a request in plain sentences. */
+/** What happened to a request, in plain sentences. */
 
 import { reasons } from '../reason.ts'
 import type { Evidence } from './evidence.ts'
@@ -14,7 +14,7 @@
 } as const
 
 /** Sentences, in the order of events. Times are milliseconds from the request's arrival. */
-export function tellStory (record: AuditRecord): readonly string[] {
+export function explanationOf (record: AuditRecord): readonly string[] {
   const { fields } = record
   const ending = fields.outcome === undefined ? 'It has no outcome on record.' : OUTCOMES[fields.outcome]
   return [
--- a/src/core/audit/promises.test.ts
+++ b/src/core/audit/promises.test.ts
@@ -2,7 +2,7 @@
 import type { Evidence } from './evidence.ts'
 import { checkPromises } from './promises.ts'
 import { AuditRecord } from './record.ts'
-import { tellStory } from './story.ts'
+import { explanationOf } from './explanation.ts'
 
 type Start = Parameters<typeof AuditRecord.begin>[0]
 type Attempt = Parameters<AuditRecord['attempted']>[0]
@@ -59,10 +59,10 @@
   })
 })
 
-describe('tellStory', () => {
+describe('explanationOf', () => {
   it('tells attempts, evidence and ending', () => {
     const record = AuditRecord.parse(JSON.parse(JSON.stringify(write(0, '3:17', { once: 'k' }))))!
-    expect(tellStory(record)).toEqual([
+    expect(explanationOf(record)).toEqual([
       'Caller app sent a x (class normal) to group shop of pool main in session s, under version 1 of the configuration.',
       'Its shape: X',
       'It was marked to run at most once, under the key k.',
--- a/src/core/failover/event.ts
+++ b/src/core/failover/event.ts
@@ -1,4 +1,4 @@
-/** What a failover monitor hears. */
+/** What a failover monitor is told, by its probes, by other processes and by the clock. */
 
 import type { Sample } from '../group/sample.ts'
 import type { EndpointId } from '../id/endpoint.ts'
--- a/src/core/failover/watch.ts
+++ b/src/core/failover/watch.ts
@@ -61,7 +61,7 @@
    * reach it: its probes are answered, yet no write of it can be confirmed. It
    * shows by replicas that stay behind it and copy nothing. Only fresh samples
    * of the primary and of a majority without it count: a monitor that was
-   * frozen or hears of nobody must not judge by what it knew.
+   * frozen or gets no samples must not judge by what it knew.
    */
   isStalled (now: Instant, extraMs: number): boolean {
     return this.copiers(now) !== undefined && now - this.fields.copiedAt >= this.fields.pace.stallMs + extraMs
--- a/src/core/gossip/event.ts
+++ b/src/core/gossip/event.ts
@@ -1,4 +1,4 @@
-/** What the gossip of configurations hears. */
+/** What reaches the gossip of configurations from peers, the store and the clock. */
 
 import type { HostId } from '../id/host.ts'
 import type { ConfigVersion } from '../id/version.ts'
--- a/src/core/group/group.test.ts
+++ b/src/core/group/group.test.ts
@@ -16,14 +16,14 @@
 
 // A caller's first write to a proxy that has just started is told "no primary
 // at the moment". The replicas' samples came first; the primary's was on its way.
-describe('a group is heard', () => {
+describe('a group is sampled', () => {
   it.each([
     [[], false],
     [['replica'], false],
     [['replica', 'replica'], false],
     [['primary'], true],
     [['replica', 'sealed', 'sealed'], true]
-  ] as const)('with samples of %j: %s', (roles, isHeard) => {
-    expect(group(...roles).isHeard).toBe(isHeard)
+  ] as const)('with samples of %j: %s', (roles, isSampled) => {
+    expect(group(...roles).isSampled).toBe(isSampled)
   })
 })
--- a/src/core/group/group.ts
+++ b/src/core/group/group.ts
@@ -21,10 +21,10 @@
   }
 
   /**
-   * Whether enough was heard to tell a group without a primary from one whose
+   * Whether enough samples arrived to tell a group without a primary from one whose
    * primary's first sample is still on its way: a primary, or all endpoints.
    */
-  get isHeard (): boolean {
+  get isSampled (): boolean {
     return this.samples.some(sample => sample.role === 'primary') || this.samples.every(sample => sample.term > 0)
   }
 
--- a/src/core/membership/claiming.ts
+++ b/src/core/membership/claiming.ts
@@ -1,7 +1,7 @@
 /**
  * One process's way to a claim on a slot of one endpoint.
  *
- * The claim arbitrates between processes that don't hear each other, so that
+ * The claim arbitrates between processes that can't reach each other, so that
  * no more of them open connections than the endpoint has slots. It isn't
  * renewed: 27,000 slots would cost more writes than the store has. A claim of
  * a host that is gone, or that says it doesn't hold the slot, may be replaced.
@@ -31,9 +31,9 @@
   readonly slots: number
   /** How long the store may fail to answer before the slot is taken without a claim. */
   readonly unclaimedMs: number
-  /** How long the claim of a host that was never heard of is respected: it may be newer than this process's host list. */
+  /** How long the claim of an unknown host is respected: it may be newer than this process's host list. */
   readonly unknownMs: number
-  /** Whether the claim's process, by all that is heard, is gone. */
+  /** Whether the claim's process, by all that this process knows, is gone. */
   readonly standing: (claim: Claim) => 'held' | 'gone' | 'unknown'
 }
 
--- a/src/core/membership/event.ts
+++ b/src/core/membership/event.ts
@@ -1,4 +1,4 @@
-/** What a process hears of the hosts. */
+/** What a process learns of the hosts. */
 
 import type { EndpointId } from '../id/endpoint.ts'
 import type { HostId } from '../id/host.ts'
--- a/src/core/membership/member.ts
+++ b/src/core/membership/member.ts
@@ -44,7 +44,7 @@
     return this.fields.process?.isLinked === true
   }
 
-  /** Of the process that was heard last; undefined while none was. */
+  /** Of the process that sent the last message; undefined while none did. */
   get incarnation (): string | undefined {
     return this.fields.process?.incarnation
   }
@@ -78,7 +78,7 @@
     return this.isWatched ? this : this.with({ watchedSince: now })
   }
 
-  /** Without a link nothing more is heard, so what was heard is dropped rather than left to grow old. */
+  /** Without a link no more messages come, so what they said is dropped rather than left to grow old. */
   unwatched (): Member {
     return this.with({ watchedSince: undefined, process: undefined })
   }
--- a/src/core/membership/tenure.ts
+++ b/src/core/membership/tenure.ts
@@ -2,8 +2,8 @@
  * Whether a process takes, keeps or hands over a slot of one endpoint.
  *
  * A slot is taken only where fewer others hold one than the endpoint has, and
- * is given away only to a host that talks. So a slot that moves is empty for a
- * moment and never held twice by processes that hear each other.
+ * is given away only to a host that answers. So a slot that moves is empty for a
+ * moment and never held twice by processes that reach each other.
  */
 
 interface Standing {
--- a/src/core/reason.ts
+++ b/src/core/reason.ts
@@ -11,7 +11,7 @@
 
 /** All typed refusals of the proxy. A refusal by an endpoint keeps the endpoint's own code. */
 export const reasons = {
-  notHeard: { code: 1290, message: 'this proxy has not heard from the database yet; try another or come back', provesNotRun: true },
+  notSampled: { code: 1290, message: 'this proxy has not heard from the database yet; try another or come back', provesNotRun: true },
   noPrimary: { code: 1290, message: 'no primary at the moment; come back after the time given', provesNotRun: true },
   replaced: { code: 1290, message: 'the endpoint refused the write because it is no longer primary; try again', provesNotRun: true },
   busy: { code: 1203, message: 'no connection would become free before the deadline; come back after the time given', provesNotRun: true },
--- a/src/core/request/attempts.test.ts
+++ b/src/core/request/attempts.test.ts
@@ -31,7 +31,7 @@
 describe('Attempts', () => {
   it.each<[string, string, RequestSpec, AttemptsEvent[]]>([
     ['a normal write learns of a failover at once', 'refuse noPrimary', spec(), [{ kind: 'unroutable', reason: 'noPrimary' }]],
-    ['a normal write waits while its group was never heard from', 'wait', spec(), [{ kind: 'unroutable', reason: 'notHeard' }]],
+    ['a normal write waits while its group is not sampled yet', 'wait', spec(), [{ kind: 'unroutable', reason: 'notSampled' }]],
     ['an urgent write waits for the new primary', 'wait', spec({ waitsForPrimary: true }), [{ kind: 'unroutable', reason: 'noPrimary' }]],
     ['a normal write that was refused by a replaced primary', 'answer', spec(), [routed, answered('notRun', 'replaced')]],
     ['an urgent write that was refused by a replaced primary', 'wait', spec({ waitsForPrimary: true }), [routed, answered('notRun', 'replaced')]],
--- a/src/core/request/attempts.ts
+++ b/src/core/request/attempts.ts
@@ -131,7 +131,7 @@
     const { spec, retries } = this.fields
     const recovery = recoveryOf(reason)
     if (recovery === 'never') return false
-    if (recovery === 'hearing') return true
+    if (recovery === 'firstSample') return true
     if (spec.waitsForPrimary) return true
     return recovery === 'elsewhere' && (spec.isRead || retries < MOST_ELSEWHERE)
   }
--- a/src/core/request/attemptsevent.ts
+++ b/src/core/request/attemptsevent.ts
@@ -1,4 +1,4 @@
-/** What the attempts of a request hear. */
+/** What can happen to the attempts of a request. */
 
 import type { EndpointId } from '../id/endpoint.ts'
 import type { Outcome } from '../outcome.ts'
--- a/src/core/request/recovery.ts
+++ b/src/core/request/recovery.ts
@@ -5,13 +5,13 @@
 /**
  * - `elsewhere`: another slot owner or endpoint may take the request now.
  * - `newPrimary`: nothing but a promotion, which some requests wait for, see RequestSpec.
- * - `hearing`: the first sample of the group, which comes within a probe of a start or of a first use.
+ * - `firstSample`: the first sample of the group, which comes within a probe of a start or of a first use.
  * - `never`: trying again right away would end the same way.
  */
-type Recovery = 'hearing' | 'elsewhere' | 'newPrimary' | 'never'
+type Recovery = 'firstSample' | 'elsewhere' | 'newPrimary' | 'never'
 
 const RECOVERIES: Partial<Record<ReasonName, Recovery>> = {
-  notHeard: 'hearing',
+  notSampled: 'firstSample',
   noPrimary: 'newPrimary',
   replaced: 'newPrimary',
   unproved: 'newPrimary',
--- a/src/core/request/runevent.ts
+++ b/src/core/request/runevent.ts
@@ -1,4 +1,4 @@
-/** What the run of a request on a slot hears. */
+/** What can happen to the run of a request on a slot. */
 
 import type { ReasonName } from '../reasonname.ts'
 import type { Token } from '../token.ts'
--- a/src/shell/audit/trail.ts
+++ b/src/shell/audit/trail.ts
@@ -85,7 +85,7 @@
   return done.position > 0 ? `${done.term}:${done.position}` : undefined
 }
 
-/** A tenth of a millisecond is as fine as the story needs, and shorter to keep. */
+/** A tenth of a millisecond is as fine as an explanation needs, and shorter to keep. */
 function tenths (ms: number): number {
   return Math.round(ms * 10) / 10
 }
--- a/src/shell/caller/connection.ts
+++ b/src/shell/caller/connection.ts
@@ -183,7 +183,7 @@
     if (transaction !== undefined) return transaction.target(accessInTransaction(kind))
     if (kind === 'read') return await this.reads.route(this.identity, hints, ms, avoid)
     const group = this.context.groups.get(this.identity.group.id)
-    if (group?.isHeard !== true) return { kind: 'nowhere', reason: 'notHeard' }
+    if (group?.isSampled !== true) return { kind: 'nowhere', reason: 'notSampled' }
     const { primary } = group
     if (primary === undefined) return { kind: 'nowhere', reason: 'noPrimary' }
     const { endpoint } = primary
--- a/src/shell/caller/reads.ts
+++ b/src/shell/caller/reads.ts
@@ -81,7 +81,7 @@
     const { groups, now } = this.context
     for (let isRefreshed = read.bound !== undefined; ;) {
       const known = groups.get(read.group)
-      if (known?.isHeard !== true) return { kind: 'nowhere', reason: 'notHeard' }
+      if (known?.isSampled !== true) return { kind: 'nowhere', reason: 'notSampled' }
       const group = read.avoid.reduce(withoutReplica, known)
       const writes = groups.writes(read.group)
       const token = requiredToken({ ...read, group, writes, session: fingerprint(read.session) })
--- a/standin/endpoint/session.ts
+++ b/standin/endpoint/session.ts
@@ -164,7 +164,7 @@
 
   /**
    * Waits until the position has been received in the term; fails when the term
-   * is higher or the time is over. A server that hasn't heard of the term yet
+   * is higher or the time is over. A server that doesn't know the term yet
    * will be told to follow its primary, so it waits as one that lags. A log that isn't cut at the fork yet may
    * hold other entries at these positions, so it confirms nothing before.
    */
--- a/standin/fakegroup.ts
+++ b/standin/fakegroup.ts
@@ -104,7 +104,7 @@
     Object.assign(best, { role: 'primary', alignedTerm: term, applied: best.log.length, starts: [...best.starts, { term, position: best.log.length }] })
   }
 
-  /** Tells a replaced primary to follow; its log stays as it is until it hears from the new one. */
+  /** Tells a replaced primary to follow; its log stays as it is until the new one answers it. */
   rejoin (): void {
     const { term } = this.primary
     for (const one of this.servers) {
--- a/test/checker/checker.test.ts
+++ b/test/checker/checker.test.ts
@@ -5,7 +5,7 @@
 import type { Call } from './call.ts'
 import { checkHistory } from './checker.ts'
 import { partOf } from './part.ts'
-import { tellStory } from './story.ts'
+import { explanationOf } from './explanation.ts'
 
 type Write = Extract<Call, { kind: 'write' }>
 type Read = Extract<Call, { kind: 'read' }>
@@ -73,7 +73,7 @@
     expect(found.map(one => one.breach.kind)).toEqual([kind])
     const [{ breach }] = found as [typeof found[0]]
     expect(checkHistory(breach.part).map(one => one.breach.kind)).toEqual([kind])
-    expect(tellStory(breach).at(-1)).toContain(breach.verdict)
+    expect(explanationOf(breach).at(-1)).toContain(breach.verdict)
   })
 })
 
@@ -126,7 +126,7 @@
   const calls = [write('a', 0), write('b', 100), read([], 5000), read(['a'], 120)]
   const [found] = checkHistory(partOf({ calls }))
   expect(found?.count).toBe(3)
-  expect(tellStory(found!.breach)).toEqual([
+  expect(explanationOf(found!.breach)).toEqual([
     'read-your-writes broken:',
     '  at 0.100s session s1 on host-1 appended b to shop/k, and at 0.110s was told done.',
     '  at 0.120s session s1 on host-1 read k of shop (session), and at 0.130s got k: a.',
--- a/test/checker/story.ts
+++ b/test/checker/explanation.ts
@@ -9,7 +9,7 @@
 }
 
 /** The sentences of the breach's part in order of time, and the verdict. */
-export function tellStory ({ kind, part, verdict }: Breach): readonly string[] {
+export function explanationOf ({ kind, part, verdict }: Breach): readonly string[] {
   const sentences: readonly Sentence[] = [
     ...part.calls.map(call => ({ at: call.from, text: tellCall(call) })),
     ...part.promotions.map(one => ({ at: one.at, text: `a primary of ${one.group} began term ${one.term} after position ${one.position}` })),
