Callers' sign-in of the process tests, the hash's last steps and placement once each

Change: standin/caller.ts connectCaller; src/core/mix.ts; placeslots.ts gone, the runner's placing.ts and bench/control.ts call Placement themselves. What the tests assert is untouched.

--- a/bench/control.ts
+++ b/bench/control.ts
@@ -14,7 +14,7 @@
 import type { Position } from '../src/core/id/position.ts'
 import type { SessionId } from '../src/core/id/session.ts'
 import type { Term } from '../src/core/id/term.ts'
-import { placeSlots } from '../src/core/membership/placeslots.ts'
+import { Placement } from '../src/core/membership/placement.ts'
 import { Session } from '../src/core/session/session.ts'
 import { Sessions } from '../src/core/session/sessions.ts'
 import { Token } from '../src/core/token.ts'
@@ -71,7 +71,7 @@
 function placementMicros (count: number): number {
   const hosts = Array.from({ length: count }, (_, i) => ({ id: `host-${i}` as HostId, dataCentre: `dc-${i % 8}` as DataCentreId }))
   return micros(PLACEMENTS, i => {
-    placeSlots(`booking-${i}` as EndpointId, hosts, 2)
+    Placement.empty.with(hosts).hosts(`booking-${i}` as EndpointId, 2)
   })
 }
 
--- a/demo/main.ts
+++ b/demo/main.ts
@@ -1,6 +1,7 @@
 /** The demo: the whole path as separate processes, a few steps on it, and its table. */
 
-import { createConnection, type Connection, type RowDataPacket } from 'mysql2/promise'
+import type { Connection, RowDataPacket } from 'mysql2/promise'
+import { connectCaller } from '../standin/caller.ts'
 import { Stage } from '../standin/stage.ts'
 
 interface Row {
@@ -88,14 +89,7 @@
 }
 
 async function connect (proxy: number): Promise<Connection> {
-  return await createConnection({
-    host: '127.0.0.1',
-    port: stage.proxies[proxy]!.callers,
-    user: 'app',
-    password: stage.password,
-    database: 'shop',
-    connectAttributes: { agatepond_session: 'line-7' }
-  })
+  return await connectCaller(stage, proxy, { connectAttributes: { agatepond_session: 'line-7' } })
 }
 
 async function settle (): Promise<void> {
--- a/scenarios/world/placing.ts
+++ b/scenarios/world/placing.ts
@@ -1,9 +1,9 @@
-/** The product's placement of slots, as the runner's proxies ask for it. */
+/** The product's placement of one endpoint's slots, worked out anew each time: a run has few hosts. */
 
 import type { EndpointId } from '../../src/core/id/endpoint.ts'
 import type { HostId } from '../../src/core/id/host.ts'
-import { placeSlots } from '../../src/core/membership/placeslots.ts'
+import { Placement } from '../../src/core/membership/placement.ts'
 
-export function holdersOf (endpoint: EndpointId, hosts: Parameters<typeof placeSlots>[1], slots: number): readonly HostId[] {
-  return placeSlots(endpoint, hosts, slots)
+export function holdersOf (endpoint: EndpointId, hosts: Parameters<Placement['with']>[0], slots: number): readonly HostId[] {
+  return Placement.empty.with(hosts).hosts(endpoint, slots)
 }
--- a/src/core/membership/placement.ts
+++ b/src/core/membership/placement.ts
@@ -5,6 +5,7 @@
 
 import type { EndpointId } from '../id/endpoint.ts'
 import type { HostId } from '../id/host.ts'
+import { mix } from '../mix.ts'
 import { weightOf } from '../weight.ts'
 import type { Host } from './host.ts'
 
@@ -104,7 +105,5 @@
 
 /** Depends on both ids. Each id is hashed once, since 2,000 hosts are weighed for each of 13,500 endpoints. */
 function pairWeight (endpoint: number, host: number): number {
-  let value = Math.imul(endpoint ^ host, 0x85ebca6b)
-  value = Math.imul(value ^ value >>> 13, 0xc2b2ae35)
-  return (value ^ value >>> 16) >>> 0
+  return mix(endpoint ^ host)
 }
--- a/src/core/weight.ts
+++ b/src/core/weight.ts
@@ -1,5 +1,7 @@
 /** Weights for rendezvous hashing: every host draws the same number for the same text. */
 
+import { mix } from './mix.ts'
+
 const FNV_OFFSET = 0x811c9dc5
 const FNV_PRIME = 0x01000193
 
@@ -9,7 +11,5 @@
   for (let i = 0; i < text.length; i++) {
     value = Math.imul(value ^ text.charCodeAt(i), FNV_PRIME)
   }
-  value = Math.imul(value ^ value >>> 16, 0x85ebca6b)
-  value = Math.imul(value ^ value >>> 13, 0xc2b2ae35)
-  return (value ^ value >>> 16) >>> 0
+  return mix(value ^ value >>> 16)
 }
--- a/test/audit.test.ts
+++ b/test/audit.test.ts
@@ -1,9 +1,10 @@
 import { readFileSync, rmSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
-import { createConnection, type Connection } from 'mysql2/promise'
+import type { Connection } from 'mysql2/promise'
 import { afterAll, beforeAll, describe, expect, it } from 'vitest'
 import { S3Store } from '../src/shell/platform/s3store.ts'
+import { connectCaller } from '../standin/caller.ts'
 import { Stage } from '../standin/stage.ts'
 
 const SESSION = 'line-7'
@@ -56,14 +57,7 @@
   }
 
   async function connect (proxy: number): Promise<Connection> {
-    return await createConnection({
-      host: '127.0.0.1',
-      port: stage.proxies[proxy]!.callers,
-      user: 'app',
-      password: stage.password,
-      database: 'shop',
-      connectAttributes: { agatepond_session: SESSION }
-    })
+    return await connectCaller(stage, proxy, { connectAttributes: { agatepond_session: SESSION } })
   }
 
   async function refusedId (connection: Connection): Promise<string> {
--- a/test/callers.test.ts
+++ b/test/callers.test.ts
@@ -1,7 +1,8 @@
 /* What callers see of a whole system; the examples of docs/CALLERS.md are run here. */
 
-import { createConnection, type Connection, type ConnectionOptions, type RowDataPacket } from 'mysql2/promise'
+import type { Connection, ConnectionOptions, RowDataPacket } from 'mysql2/promise'
 import { afterAll, beforeAll, describe, expect, it } from 'vitest'
+import { connectCaller } from '../standin/caller.ts'
 import { Stage } from '../standin/stage.ts'
 
 describe('callers', () => {
@@ -17,9 +18,7 @@
   })
   afterAll(async () => await stage.stop())
 
-  const connect = async (proxy: number, change: ConnectionOptions = {}): Promise<Connection> => await createConnection({
-    host: '127.0.0.1', port: stage.proxies[proxy]!.callers, user: 'app', password: stage.password, database: 'shop', ...change
-  })
+  const connect = async (proxy: number, change: ConnectionOptions = {}): Promise<Connection> => await connectCaller(stage, proxy, change)
   const reels = async (one: Connection, id: string, hint = ''): Promise<unknown> => {
     const [rows] = await one.query<RowDataPacket[]>(`${hint}SELECT reels FROM kit WHERE id = '${id}'`)
     return rows[0]?.reels
--- a/test/failover/callers.ts
+++ b/test/failover/callers.ts
@@ -1,6 +1,7 @@
 /** Callers that write numbered rows through every proxy of a stage, and remember what they were told. */
 
-import { createConnection, type Connection, type RowDataPacket } from 'mysql2/promise'
+import type { Connection, RowDataPacket } from 'mysql2/promise'
+import { connectCaller } from '../../standin/caller.ts'
 import type { Stage } from '../../standin/stage.ts'
 
 interface Told {
@@ -69,9 +70,7 @@
   }
 
   async connect (proxy: number): Promise<Connection> {
-    const connection = await createConnection({
-      host: '127.0.0.1', port: this.stage.proxies[proxy]!.callers, user: 'app', password: this.stage.password, database: 'shop'
-    })
+    const connection = await connectCaller(this.stage, proxy)
     connection.on('error', () => undefined)
     return connection
   }
--- a/test/limits.test.ts
+++ b/test/limits.test.ts
@@ -1,7 +1,8 @@
 /** Limits on a whole system of processes. */
 
-import { createConnection, type Connection } from 'mysql2/promise'
+import type { Connection } from 'mysql2/promise'
 import { afterAll, beforeAll, expect, it } from 'vitest'
+import { connectCaller } from '../standin/caller.ts'
 import { Stage } from '../standin/stage.ts'
 
 const CONNECTIONS = 6
@@ -19,9 +20,7 @@
 afterAll(async () => await stage?.stop())
 
 async function connect (): Promise<Connection> {
-  return await createConnection({
-    host: '127.0.0.1', port: stage.proxies[0]!.callers, user: 'app', password: stage.password, database: 'shop'
-  })
+  return await connectCaller(stage, 0)
 }
 
 /*
--- a/test/loadclient.ts
+++ b/test/loadclient.ts
@@ -1,4 +1,5 @@
-import { createConnection, type Connection, type ResultSetHeader, type RowDataPacket } from 'mysql2/promise'
+import type { Connection, ResultSetHeader, RowDataPacket } from 'mysql2/promise'
+import { connectCaller } from '../standin/caller.ts'
 import type { Stage } from '../standin/stage.ts'
 
 type Kind = 'write' | 'transaction' | 'read'
@@ -96,23 +97,15 @@
     await new Promise(resolve => { setImmediate(resolve) })
     if (!this.isClosed) return this.connection!
     for (;;) {
-      const { callers } = this.stage.proxies[this.proxy % this.stage.proxies.length]!
-      const connection = await this.connect(callers).catch(() => undefined)
+      const connection = await this.connect(this.proxy % this.stage.proxies.length).catch(() => undefined)
       if (connection !== undefined) return connection
       this.proxy++
       await new Promise(resolve => { setTimeout(resolve, 20) })
     }
   }
 
-  private async connect (port: number): Promise<Connection> {
-    const connection = await createConnection({
-      host: '127.0.0.1',
-      port,
-      user: 'app',
-      password: this.stage.password,
-      database: 'shop',
-      connectAttributes: { agatepond_session: this.options.name }
-    })
+  private async connect (proxy: number): Promise<Connection> {
+    const connection = await connectCaller(this.stage, proxy, { connectAttributes: { agatepond_session: this.options.name } })
     this.isClosed = false
     connection.on('error', () => { this.isClosed = true })
     connection.on('end', () => { this.isClosed = true })
--- a/test/membership-outage.test.ts
+++ b/test/membership-outage.test.ts
@@ -1,5 +1,6 @@
-import { createConnection, type Connection, type RowDataPacket } from 'mysql2/promise'
+import type { Connection, RowDataPacket } from 'mysql2/promise'
 import { afterEach, describe, expect, it } from 'vitest'
+import { connectCaller } from '../standin/caller.ts'
 import { Stage } from '../standin/stage.ts'
 
 const SLOT_TAKEN = 2001
@@ -9,9 +10,7 @@
 afterEach(async () => { await stage.stop() })
 
 async function connect (proxy: number): Promise<Connection> {
-  return await createConnection({
-    host: '127.0.0.1', port: stage.proxies[proxy]!.callers, user: 'app', password: stage.password, database: 'shop'
-  })
+  return await connectCaller(stage, proxy)
 }
 
 /** Tries a write with a new key each time until one is acknowledged. */
--- a/test/outcomes.test.ts
+++ b/test/outcomes.test.ts
@@ -1,5 +1,6 @@
-import { createConnection, type Connection, type ResultSetHeader, type RowDataPacket } from 'mysql2/promise'
+import type { Connection, ResultSetHeader, RowDataPacket } from 'mysql2/promise'
 import { afterAll, beforeAll, describe, expect, it } from 'vitest'
+import { connectCaller } from '../standin/caller.ts'
 import { Stage } from '../standin/stage.ts'
 
 type Told = 'done' | 'not run' | 'unknown'
@@ -122,9 +123,7 @@
 }
 
 async function connect (proxy: number): Promise<Connection> {
-  const connection = await createConnection({
-    host: '127.0.0.1', port: stage.proxies[proxy]!.callers, user: 'app', password: stage.password, database: 'shop'
-  })
+  const connection = await connectCaller(stage, proxy)
   connection.on('error', () => undefined)
   open.push(connection)
   return connection
--- a/test/reads.test.ts
+++ b/test/reads.test.ts
@@ -1,8 +1,9 @@
 /* Reads of sessions that roam, on whole processes. */
 
-import { createConnection, type Connection, type RowDataPacket } from 'mysql2/promise'
+import type { Connection, RowDataPacket } from 'mysql2/promise'
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import { afterAll, beforeAll, describe, expect, it } from 'vitest'
+import { connectCaller } from '../standin/caller.ts'
 import { Stage } from '../standin/stage.ts'
 
 const LAG_MS = 100
@@ -31,9 +32,7 @@
   })
 
   const connect = async (proxy: number, session: string): Promise<Connection> => {
-    const connection = await createConnection({
-      host: '127.0.0.1', port: stage.proxies[proxy]!.callers, user: 'app', password: stage.password, database: 'shop', connectAttributes: { agatepond_session: session }
-    })
+    const connection = await connectCaller(stage, proxy, { connectAttributes: { agatepond_session: session } })
     // A killed proxy shows as an error event too; the failed statement tells the test all it needs.
     connection.on('error', () => undefined)
     return connection
