The fake endpoint's fork and waiting, and the fake proxy's addresses, in files of their own

Change: scenarios/world/fork.ts, condition.ts and addresses.ts; the fake proxy's learnFromPeer and the wire's answeredAt in place of hear and heardAt.

--- a/scenarios/world/endpoint.ts
+++ b/scenarios/world/endpoint.ts
@@ -8,7 +8,9 @@
 import { Token } from '../../src/core/token.ts'
 import type { Change } from './change.ts'
 import type { Clock } from './clock.ts'
+import { Condition } from './condition.ts'
 import type { Connection } from './connection.ts'
+import { forkOf } from './fork.ts'
 import { Log } from './log.ts'
 import type { Network } from './network.ts'
 import type { Node } from './node.ts'
@@ -41,7 +43,7 @@
   private applied = 0
   private readonly log = Log.empty()
   private readonly open = new Map<Connection, Change[]>()
-  private readonly waiting = new Set<() => void>()
+  private readonly changes: Condition
   private upstream: { readonly endpoint: Endpoint, readonly term: number } | undefined
 
   private constructor (
@@ -51,7 +53,9 @@
     private readonly network: Network,
     /** All endpoints by id, for "follow". */
     private readonly others: ReadonlyMap<EndpointId, Endpoint>
-  ) {}
+  ) {
+    this.changes = Condition.create(clock)
+  }
 
   static create (id: EndpointId, node: Node, clock: Clock, network: Network, others: ReadonlyMap<EndpointId, Endpoint>): Endpoint {
     return new Endpoint(id, node, clock, network, others)
@@ -70,7 +74,7 @@
     this.proposer = proposer
     this.role = 'sealed'
     this.upstream = undefined
-    this.changed()
+    this.changes.notify()
   }
 
   promote (term: number, proposer: string): void {
@@ -82,7 +86,7 @@
     const kept = this.history.starts.filter(start => start.position <= this.log.length)
     this.history = History.of(kept).with(term as Term, this.log.length as Position)
     this.applied = this.log.length
-    this.changed()
+    this.changes.notify()
   }
 
   follow (primary: Endpoint, term: number): void {
@@ -93,7 +97,7 @@
     this.role = 'replica'
     this.upstream = { endpoint: primary, term }
     this.replicate(this.upstream)
-    this.changed()
+    this.changes.notify()
   }
 
   async run (connection: Connection, sql: string): Promise<Answer> {
@@ -165,7 +169,7 @@
       if (isInTerm && this.log.length >= position) return
       const left = end - this.clock.now
       if (left <= 0) throw SqlError.lateConfirmation
-      await this.nextChange(left)
+      await this.changes.wait(left)
     }
   }
 
@@ -212,7 +216,7 @@
   private write (changes: readonly Change[]): Answer {
     const position = this.log.push({ term: this.term, changes })
     this.applied = position
-    this.changed()
+    this.changes.notify()
     return { token: Token.of(this.term, position), isOpen: false }
   }
 
@@ -238,7 +242,7 @@
       await this.node.awake()
       if (this.upstream !== upstream || !this.node.isUp) return
       for (const entry of entries) this.log.push(entry)
-      this.changed()
+      this.changes.notify()
       this.applyLater(this.log.length, upstream)
     }
   }
@@ -247,7 +251,7 @@
     this.clock.after(this.lagMs, () => {
       if (this.upstream !== upstream) return
       this.applied = Math.max(this.applied, position)
-      this.changed()
+      this.changes.notify()
     })
   }
 
@@ -262,43 +266,18 @@
   }
 
   private async entries (term: number, from: number): Promise<Entries> {
-    if (this.log.length === from) await this.nextChange(IDLE_MS)
+    if (this.log.length === from) await this.changes.wait(IDLE_MS)
     if (!this.serves(term)) throw new Error('not primary')
     return this.log.after(from)
   }
 
   /** Cuts the log past the fork with the primary's history, and takes that history over. */
   private align (term: number, history: History): void {
-    const fork = this.forkWith(history.starts)
+    const fork = forkOf(this.history.starts, history.starts, this.log.length)
     this.log.cut(fork)
     this.applied = Math.min(this.applied, fork)
     this.history = history
     this.alignedTerm = term
-    this.changed()
-  }
-
-  /** The last position up to which both logs are the same: where either began a term that the other lacks. */
-  private forkWith (starts: History['starts']): number {
-    const own = this.history.starts
-    const lacks = (some: History['starts'], start: History['starts'][number]): boolean =>
-      !some.some(other => other.term === start.term && other.position === start.position)
-    const forks = [...own.filter(start => lacks(starts, start)), ...starts.filter(start => lacks(own, start))]
-    return Math.min(this.log.length, ...forks.map(start => start.position))
-  }
-
-  private async nextChange (ms: number): Promise<void> {
-    await new Promise<void>(resolve => {
-      const callOff = this.clock.after(ms, resolve)
-      this.waiting.add(() => {
-        callOff()
-        resolve()
-      })
-    })
-  }
-
-  private changed (): void {
-    const waiting = [...this.waiting]
-    this.waiting.clear()
-    for (const wake of waiting) wake()
+    this.changes.notify()
   }
 }
--- a/scenarios/world/proxy.ts
+++ b/scenarios/world/proxy.ts
@@ -23,6 +23,7 @@
 import type { Log } from '../../src/shell/log/log.ts'
 import type { SlotPort } from '../../src/shell/peer/port.ts'
 import type { ObjectStore } from '../../src/shell/platform/objectstore.ts'
+import { addressesOf } from './addresses.ts'
 import { Link } from './link.ts'
 import { ownSlots } from './ownslots.ts'
 import { holdersOf } from './placing.ts'
@@ -143,7 +144,7 @@
   }
 
   /** Takes in a sample from a peer, whose clock means nothing here. */
-  private hear (sample: Sample): void {
+  private learnFromPeer (sample: Sample): void {
     this.learn(sample.with({ at: this.process.now() }))
   }
 
@@ -221,7 +222,7 @@
     const value = SlotOwner.start({
       endpoint,
       group: this.groups.get(group.id)!,
-      addresses: this.addressesOf(group),
+      addresses: addressesOf(group, process.name, settings.endpoints.connectTimeout),
       connections: group.connectionsPerSlot,
       rank,
       pace: { misses, rankDelayMs: rankDelay, roundMs: round, jitterMs: jitter },
@@ -234,7 +235,7 @@
       confirmAt: async (at, term, position, ms) => await this.port(at)?.confirm(at, term, position, ms) ?? create(ConfirmedSchema, { ok: false }),
       onSample: sample => {
         this.learn(sample)
-        this.broadcast(peer => peer.hear(sample))
+        this.broadcast(peer => peer.learnFromPeer(sample))
       },
       onWrote: (term, position, session) => {
         this.groups.note(endpoint, term, position, session)
@@ -245,17 +246,6 @@
     this.owners.set(endpoint, { value, stop })
   }
 
-  /** The user names the process, so that the run knows who opens a connection. */
-  private addressesOf (group: Config['groups'][number]): Parameters<typeof SlotOwner.start>[0]['addresses'] {
-    const { process, settings } = this.options
-    return new Map(group.endpoints.map(({ id, address }) => {
-      const place = {
-        ip: '127.0.0.1', port: Number(address.split(':')[1]), database: group.database, connectMs: settings.endpoints.connectTimeout, user: process.name, password: ''
-      }
-      return [id, { data: place, control: place }]
-    }))
-  }
-
   private get log (): Log {
     const { onLog } = this.options
     return { write: (event: string, fields: object = {}) => onLog(this.id, event, fields) } as unknown as Log
--- a/scenarios/world/wire.ts
+++ b/scenarios/world/wire.ts
@@ -16,7 +16,7 @@
 const FOR_EVER_MS = 1_000_000
 
 export class Wire implements Pick<EndpointConnection, keyof EndpointConnection> {
-  private heardAt = performance.now()
+  private answeredAt = performance.now()
 
   private constructor (private readonly process: Process, private readonly endpoint: Endpoint, private readonly connection: Connection) {}
 
@@ -66,7 +66,7 @@
   }
 
   get isStale (): boolean {
-    return performance.now() - this.heardAt >= FRESH_MS
+    return performance.now() - this.answeredAt >= FRESH_MS
   }
 
   async answers (ms: number): Promise<boolean> {
@@ -87,7 +87,7 @@
     const { process, endpoint, connection } = this
     if (connection.isBroken) throw LinkError.broken
     const answer = await process.ask(connection, FOR_EVER_MS, async () => await endpoint.run(connection, sql))
-    this.heardAt = performance.now()
+    this.answeredAt = performance.now()
     return { ...answer, status: answer.isOpen ? IN_TRANSACTION : 0 }
   }
 }
