--- a/standin/endpoint/main.ts
+++ b/standin/endpoint/main.ts
@@ -20,7 +20,7 @@
 const replication = Replication.listen(server, ip, Number(arg('replication-port')))
 const switches = { connectMs: Number(arg('connect-ms', '0')), statementMs: Number(arg('statement-ms', '0')) }
 const most = Number(arg('most-connections', '32'))
-const counts = { connections: 0, mostConnections: 0, refused: 0 }
+const counts = { connections: 0, mostConnections: 0, refused: 0, statements: 0 }
 
 if (arg('primary', '') === arg('id')) {
   server.seal(1, 'installer')
@@ -48,7 +48,8 @@
       addresses,
       mayControl: login.user === 'control',
       statementMs: () => switches.statementMs,
-      onClosed: () => { counts.connections-- }
+      onClosed: () => { counts.connections-- },
+      onStatement: () => { counts.statements++ }
     })
   }
 }, new AbortController().signal)
--- a/standin/endpoint/session.ts
+++ b/standin/endpoint/session.ts
@@ -28,6 +28,8 @@
   /** Time that each statement takes. */
   readonly statementMs: () => number
   readonly onClosed: () => void
+  /** Called for each statement that isn't a verb. */
+  readonly onStatement: () => void
 }
 
 /** Handles the commands of one connection. */
@@ -43,6 +45,7 @@
   async query (sql: string, reply: Reply): Promise<void> {
     const verb = /^CALL agatepond\.(\w+)\((.*)\)$/i.exec(sql)
     if (verb !== null) return await this.verb(verb[1]!, argsOf(verb[2]!), reply)
+    this.context.onStatement()
     const ms = this.context.statementMs()
     if (ms > 0) await sleep(ms)
     try {
