--- a/test/failover.silent.test.ts
+++ b/test/failover.silent.test.ts
@@ -73,7 +73,7 @@
   server.seal(1, 'installer')
   server.promote(1, 'installer')
   const accept = async (): Promise<EndpointSession> => EndpointSession.create({
-    server, replication, addresses: new Map(), mayControl: true, statementMs: () => 0, onClosed: () => undefined
+    server, replication, addresses: new Map(), mayControl: true, statementMs: () => 0, onClosed: () => undefined, onStatement: () => undefined
   })
   await MysqlServer.listen({ host: '127.0.0.1', port, tracksSession: true, accept }, stop.signal)
 }
