--- a/src/shell/mysql/query.ts
+++ b/src/shell/mysql/query.ts
@@ -61,7 +61,8 @@
   private header (packet: Incoming, wire: Wire): boolean {
     const first = packet.peekByte()
     if (first === 0) {
-      const ok = OkPacket.read(packet)
+      const ok = readable(() => OkPacket.read(packet))
+      if (ok instanceof Error) return this.giveUp(ok, wire)
       if ((ok.status & MORE_RESULTS) !== 0) return this.refuseMore(wire)
       this.sink.ok(ok)
       return true
@@ -71,12 +72,20 @@
       wire.destroy()
       return true
     }
-    this.columnCount = packet.readLengthCodedNumber() ?? 0
+    const count = readable(() => packet.readLengthCodedNumber() ?? 0)
+    if (count instanceof Error) return this.giveUp(count, wire)
+    this.columnCount = count
     this.columns = []
     this.state = 'columns'
     return false
   }
 
+  private giveUp (err: Error, wire: Wire): boolean {
+    this.sink.lost(err)
+    wire.destroy()
+    return true
+  }
+
   private column (packet: Incoming): boolean {
     if (this.columns.length < this.columnCount) {
       this.columns.push(payloadOf(packet))
@@ -105,3 +114,12 @@
     return true
   }
 }
+
+/** Against an endpoint that sends what can't be read: an error thrown to mysql2's reader would end the process. */
+function readable<T> (read: () => T): T | Error {
+  try {
+    return read()
+  } catch (err) {
+    return err as Error
+  }
+}
--- a/standin/stage.ts
+++ b/standin/stage.ts
@@ -213,7 +213,7 @@
         '[host]', `id = "${id}"`, `dataCentre = "${dataCentreOf(i)}"`,
         '[listen]', `callers = "127.0.0.1:${callers}"`, `peers = "127.0.0.1:${peers}"`, `metrics = "127.0.0.1:${metrics}"`,
         '[platform]', `tableService = "${url}"`, `objectStore = "${url}"`, `hostList = "${url}/hosts"`,
-        '[endpoints]', 'user = "data"', 'password = "data"', 'controlUser = "control"', 'controlPassword = "control"',
+        '[endpoints]', 'user = "data"', 'password = "data-password"', 'controlUser = "control"', 'controlPassword = "control-password"',
         (this.options.extraSettings ?? '').replaceAll('{host}', id)
       ].join('\n'))
       const relay = this.options.relayPeers === true ? await Relay.listen(peers) : undefined
--- a/test/fuzz.test.ts
+++ b/test/fuzz.test.ts
@@ -3,7 +3,7 @@
 import { fromBinary } from '@bufbuild/protobuf'
 import * as fc from 'fast-check'
 import { parse, TomlError } from 'smol-toml'
-import { describe, expect, it } from 'vitest'
+import { beforeEach, describe, expect, it, vi } from 'vitest'
 import { parseScript } from '../scenarios/language/parse.ts'
 import { Change } from '../src/core/config/change.ts'
 import { parseConfig } from '../src/core/config/document.ts'
@@ -18,6 +18,7 @@
 import { BatchSchema } from '../src/gen/peer_pb.ts'
 import { BinaryRows } from '../src/shell/mysql/binaryrow.ts'
 import { OkPacket } from '../src/shell/mysql/okpacket.ts'
+import { RawQuery } from '../src/shell/mysql/query.ts'
 import { PreparedStatement } from '../src/shell/mysql/statement.ts'
 
 type Incoming = Parameters<typeof OkPacket.read>[0]
@@ -48,6 +49,9 @@
   }
 }
 
+/** The library's packet prints a trace for each length that it can't read. */
+beforeEach(() => { vi.spyOn(console, 'trace').mockImplementation(() => undefined) })
+
 describe('any input', () => {
   it.each<[string, fc.Arbitrary<unknown>, (input: never) => void]>([
     ['settings as TOML', textOf('[peers.tls]\n', '[host]\n', 'id = ', '"a"\n', '"1s"', '[[', ']]', '= ', '1', '{', '}', '\n'),
@@ -67,6 +71,16 @@
     ['rows of each type', fc.tuple(fc.integer({ min: 0, max: 20 }), fc.string({ maxLength: 30 })), ([type, text]: [number, string]) =>
       only([RangeError], () => BinaryRows.of([Buffer.from([0, 0, 0, 0, 0, 0, 12, 0, 0, 0, 0, 0, 0, type])]).encode(Buffer.concat([Buffer.from([Buffer.byteLength(text)]), Buffer.from(text)])))],
     ['an OK packet', bytes, (payload: Buffer) => only([RangeError], () => OkPacket.read(new Packet(0, payload, 0, payload.length)))],
+    ['answers of an endpoint', fc.array(fc.oneof(bytes.map(rest => Buffer.concat([Buffer.from([0]), rest])), bytes.filter(one => one.length > 0)), { maxLength: 4 }), (payloads: Buffer[]) => {
+      const calls: string[] = []
+      const call = (name: string) => () => { calls.push(name) }
+      const query = RawQuery.of('SELECT 1', { head: call('head'), row: call('row'), ok: call('last'), end: call('last'), error: call('last'), lost: call('last') })
+      const wire = { writePacket: () => undefined, destroy: () => undefined } as unknown as Parameters<RawQuery['execute']>[1]
+      query.execute(undefined, wire)
+      // Packets begin after a header of four bytes, as on a connection.
+      const ended = payloads.some(payload => query.execute(new Packet(0, Buffer.concat([Buffer.alloc(4), payload]), 0, payload.length + 4), wire))
+      expect(calls.filter(name => name === 'last').length).toBe(ended ? 1 : 0)
+    }],
     ['frames', bytes, (payload: Buffer) => only([Error], () => fromBinary(BatchSchema, payload))]
   ])('%s ends in a value or a typed error', (_, input, read) => {
     fc.assert(fc.property(input, value => { read(value as never) }), runs)
