The load goes on while callers wait at hosts that are cut off

The gap is from 7.096 to 10.194: by then each of the 60 sessions waited at one of the hosts that are cut off, and calls that found no free session were left out, so that nobody asked the living hosts until the reads there ended at their deadline of 5 s.

Ruled out: probe misses, rank delay and the time of orphans (the promotion comes 0.81 s after the cut); relays to slot owners in the cut-off part (their writes end as unknown after 1.59 s, while others go on).

Change: a call that finds every session busy comes from a session more. That measures the same thing more strictly, since writes are asked for at the stated rate throughout, in all scripts.

Conclusion: a fault of the measure, none of the product. What callers of the cut-off hosts see is unchanged: reads there end at their deadline.

--- a/scenarios/scenarios.test.ts
+++ b/scenarios/scenarios.test.ts
@@ -8,6 +8,11 @@
 
 const KNOWN_RED = 'KNOWN-RED.txt'
 const MIXES = [1, 2, 3]
+/** Scripts whose faults were met at some seeds only: run with these as well as their own. */
+const SEEDS: ReadonlyArray<readonly [script: string, seed: number]> = [
+  ['data-centre-cut', 2],
+  ['data-centre-cut', 5]
+]
 
 const scripts = readScripts('scenarios')
 /** Scripts that show a fault of the product that isn't mended yet: run and printed, and passed over. */
@@ -25,6 +30,10 @@
   it.each([...scripts])('%s', expectRun)
 })
 
+describe('scripts with other seeds', () => {
+  it.each(SEEDS)('%s, seed %i', async (name, seed) => await expectRun(name, { ...scripts.get(name)!, seed }))
+})
+
 describe('random mixes', () => {
   it.each(MIXES)('seed %i', async seed => await expectRun(`mix-${seed}`, randomMix(seed)))
 })
--- a/scenarios/world/callers.ts
+++ b/scenarios/world/callers.ts
@@ -44,16 +44,11 @@
 const TRY_AGAIN_MS = 200
 
 export class Callers {
-  private readonly callers: readonly Caller[]
+  private readonly callers: Caller[] = []
   private values = 0
 
-  private constructor (private readonly world: World, private readonly load: Load, name: string) {
-    this.callers = Array.from({ length: load.sessions }, (_, i) => ({
-      session: `${name}${i + 1}` as SessionId,
-      node: Node.create(world.clock, `caller-${name}${i + 1}`, 'callers'),
-      host: undefined,
-      isBusy: false
-    }))
+  private constructor (private readonly world: World, private readonly load: Load, private readonly name: string) {
+    for (let i = 0; i < load.sessions; i++) this.join()
   }
 
   /** Calls from the load's begin to its end. Values of two loads differ by the name. */
@@ -63,17 +58,33 @@
     return it
   }
 
-  /** Arrivals don't wait for answers; one that finds every session busy is left out. */
+  /**
+   * Arrivals don't wait for answers: one that finds every session busy comes
+   * from a session more. Against a measure that stops with the callers: those
+   * that wait at a host which is cut off would take up all sessions, nobody
+   * would ask the others, and that pause would count as theirs, or hide one.
+   */
   private async arrive (action: Action): Promise<void> {
     const { clock, chance } = this.world
     await clock.sleep(this.load.from - clock.now)
     while (clock.now < this.load.to) {
-      const caller = chance.pick(this.callers.filter(one => !one.isBusy))
-      if (caller !== undefined) this.act(caller, action)
+      this.act(chance.pick(this.callers.filter(one => !one.isBusy)) ?? this.join(), action)
       await clock.sleep(1000 / this.load[action] * (0.5 + chance.next()))
     }
   }
 
+  private join (): Caller {
+    const id = `${this.name}${this.callers.length + 1}`
+    const caller: Caller = {
+      session: id as SessionId,
+      node: Node.create(this.world.clock, `caller-${id}`, 'callers'),
+      host: undefined,
+      isBusy: false
+    }
+    this.callers.push(caller)
+    return caller
+  }
+
   private async act (caller: Caller, action: Action): Promise<void> {
     const group = this.world.chance.pick(this.world.sizes.groups)! as GroupId
     caller.isBusy = true
