A small result and its end leave in one write

Cause: rows are uncorked in the next tick, which runs before the promises that lead from the last row to the result's end, so the end packet left in a write of its own.

Change: the uncork waits for those promises and then a tick.

--- a/src/shell/mysql/reply.ts
+++ b/src/shell/mysql/reply.ts
@@ -115,9 +115,13 @@
     this.wire.sequenceId = 0
   }
 
-  /** Packets of one tick leave in one write; a write each cost most of the time of a small result. */
+  /**
+   * Packets of one turn leave in one write; a write each cost most of the time
+   * of a small result. A tick alone runs before the promises that lead from the
+   * last row to the result's end, so it waits for those first.
+   */
   private uncork (): void {
-    process.nextTick(() => this.wire.stream.uncork())
+    queueMicrotask(() => process.nextTick(() => this.wire.stream.uncork()))
   }
 }
 
