--- a/demo/main.ts
+++ b/demo/main.ts
@@ -1,6 +1,7 @@
-/** The demo: the whole path as separate processes, a short story on it, and its table. */
+/** The demo: the whole path as separate processes, a few steps on it, and its table. */
 
-import { createConnection, type Connection, type RowDataPacket } from 'mysql2/promise'
+import type { Connection, RowDataPacket } from 'mysql2/promise'
+import { connectCaller } from '../standin/caller.ts'
 import { Stage } from '../standin/stage.ts'
 
 interface Row {
@@ -17,7 +18,7 @@
 const stage = await Stage.start({ proxies: 3, lagMs: LAG_MS })
 let isWhole = true
 try {
-  await story()
+  await takeSteps()
 } catch (err) {
   isWhole = false
   rows.push({ step: 'stopped here', result: (err as Error).message, ms: 0 })
@@ -31,7 +32,7 @@
 await stage.stop()
 process.exitCode = isWhole ? 0 : 1
 
-async function story (): Promise<void> {
+async function takeSteps (): Promise<void> {
   await settle()
   const [a, b] = await Promise.all([connect(0), connect(1)])
   await step('proxy A: create a table', async () => {
@@ -88,14 +89,7 @@
 }
 
 async function connect (proxy: number): Promise<Connection> {
-  return await createConnection({
-    host: '127.0.0.1',
-    port: stage.proxies[proxy]!.callers,
-    user: 'app',
-    password: stage.password,
-    database: 'shop',
-    connectAttributes: { agatepond_session: 'line-7' }
-  })
+  return await connectCaller(stage, proxy, { connectAttributes: { agatepond_session: 'line-7' } })
 }
 
 async function settle (): Promise<void> {
--- a/src/core/group/group.ts
+++ b/src/core/group/group.ts
@@ -9,7 +9,7 @@
 
 /** What the samples say together. */
 interface Summary {
-  readonly isHeard: boolean
+  readonly isSampled: boolean
   readonly primary: Sample | undefined
   readonly history: History
   readonly leastApplied: Position
@@ -36,11 +36,11 @@
   }
 
   /**
-   * Whether enough was heard to tell a group without a primary from one whose
+   * Whether enough samples arrived to tell a group without a primary from one whose
    * primary's first sample is still on its way: a primary, or all endpoints.
    */
-  get isHeard (): boolean {
-    return this.summary.isHeard
+  get isSampled (): boolean {
+    return this.summary.isSampled
   }
 
   /** How many endpoints are more than half of the group. */
@@ -106,7 +106,7 @@
     (best, sample) => sample.history.term > best.term ? sample.history : best,
     History.empty)
   return {
-    isHeard: samples.some(sample => sample.role === 'primary') || samples.every(sample => sample.term > 0),
+    isSampled: samples.some(sample => sample.role === 'primary') || samples.every(sample => sample.term > 0),
     primary: samples.find(sample => sample.role === 'primary' && sample.term === term && sample.reachable),
     history,
     leastApplied: (replicas.length === 0 ? 0 : Math.min(...replicas.map(sample => sample.applied))) as Position,
