--- a/src/shell/endpoint/execution.ts
+++ b/src/shell/endpoint/execution.ts
@@ -2,8 +2,6 @@
 
 import { create } from '@bufbuild/protobuf'
 import { Done_Outcome as DoneOutcome, DoneSchema, type Run } from '../../gen/peer_pb.ts'
-import type { Position } from '../../core/id/position.ts'
-import type { Term } from '../../core/id/term.ts'
 import type { TransactionId } from '../../core/id/transaction.ts'
 import type { Counts } from '../../core/request/counts.ts'
 import { SlotRun } from '../../core/request/run.ts'
@@ -13,27 +11,13 @@
 import { refusal } from '../peer/answer.ts'
 import type { SlotPort } from '../peer/port.ts'
 import type { EndpointConnection } from './connection.ts'
+import type { ExecutionContext } from './executioncontext.ts'
 import { LedgerEntry } from './ledger.ts'
-import type { LedgerCleaner } from './ledgercleaner.ts'
 import { SlotRefusal } from './refusal.ts'
 import { runSpecOf } from './runspecof.ts'
-import type { Slot } from './slot.ts'
-import type { Transactions } from './transactions.ts'
 
 type Sink = Parameters<SlotPort['run']>[1]
 
-interface Context {
-  readonly slot: Slot
-  readonly transactions: Transactions
-  readonly cleaner: Pick<LedgerCleaner, 'used'>
-  /** Whether a second server has received the position in the term. */
-  readonly confirm: (term: Term, position: Position, ms: number) => Promise<boolean>
-  /** Whether this endpoint is still the primary, proved after the call by it and a second server. */
-  readonly proveCurrent: (ms: number) => Promise<boolean>
-  /** Told of a write before it's acknowledged; see RecentWrites. */
-  readonly wrote: (term: Term, position: Position, session: number) => void
-}
-
 const IN_TRANSACTION = 1
 const NONE: Counts = { affected: 0, insertId: 0 }
 const RESET_MS = 1000
@@ -58,7 +42,7 @@
   private retryAfterMs = 0
 
   private constructor (
-    private readonly context: Context,
+    private readonly context: ExecutionContext,
     private readonly req: Run,
     private readonly sink: Sink
   ) {
@@ -70,7 +54,7 @@
     this.entry = isKeyed ? LedgerEntry.of({ caller: req.caller, key: req.once, sql: req.sql, access, at: Date.now() }) : undefined
   }
 
-  static start (context: Context, req: Run, sink: Sink): Execution {
+  static start (context: ExecutionContext, req: Run, sink: Sink): Execution {
     const it = new Execution(context, req, sink)
     it.timer = setTimeout(() => it.hear({ kind: 'deadline' }), req.deadlineMs)
     it.hear({ kind: 'start' })
--- a/src/shell/endpoint/owner.ts
+++ b/src/shell/endpoint/owner.ts
@@ -5,18 +5,16 @@
 import type { FailoverAction } from '../../core/failover/action.ts'
 import type { FailoverEvent } from '../../core/failover/event.ts'
 import { Monitor } from '../../core/failover/monitor.ts'
-import { Group } from '../../core/group/group.ts'
 import type { Sample } from '../../core/group/sample.ts'
 import type { EndpointId } from '../../core/id/endpoint.ts'
-import type { Instant } from '../../core/id/instant.ts'
 import type { Position } from '../../core/id/position.ts'
 import type { Term } from '../../core/id/term.ts'
 import type { TransactionId } from '../../core/id/transaction.ts'
-import type { Log } from '../log/log.ts'
 import type { SlotPort } from '../peer/port.ts'
 import { EndpointControl } from './control.ts'
 import { Execution } from './execution.ts'
 import { LedgerCleaner } from './ledgercleaner.ts'
+import type { OwnerOptions } from './owneroptions.ts'
 import { paceOf } from './paceof.ts'
 import { ConfirmRounds } from './rounds.ts'
 import { Slot } from './slot.ts'
@@ -25,32 +23,6 @@
 import { useConnection } from './useconnection.ts'
 import { Verbs } from './verbs.ts'
 
-type Address = Parameters<typeof Slot.create>[0]
-
-interface Options {
-  readonly endpoint: EndpointId
-  readonly group: Group
-  /** Data and control addresses of every endpoint of the group. */
-  readonly addresses: ReadonlyMap<EndpointId, { readonly data: Address, readonly control: Address }>
-  readonly connections: number
-  /** 0 for the slot whose owner judges the endpoint first. */
-  readonly rank: number
-  readonly pace: Parameters<typeof paceOf>[0]['pace']
-  readonly probeMs: number
-  readonly probeTimeoutMs: number
-  /** This process's name as a proposer of terms; unique for the process's life. */
-  readonly proposer: string
-  readonly now: () => Instant
-  readonly chance: () => number
-  readonly log: Log
-  /** Asks the owner of another endpoint's slot. */
-  readonly confirmAt: (endpoint: EndpointId, term: Term, position: Position, ms: number) => Promise<Confirmed>
-  readonly onSample: (sample: Sample) => void
-  /** Hears of every write on the slot before it's acknowledged to anybody. */
-  readonly onWrote: (term: Term, position: Position, session: number) => void
-  readonly record: (action: Extract<FailoverAction, { kind: 'record' }>) => void
-}
-
 /**
  * Connections of a slot that no statement gets: one for probes, one for
  * confirmations, and one that stays free. Against a failover that fails under
@@ -74,7 +46,7 @@
   private leader: EndpointId | undefined
   private readonly underway = Underway.create()
 
-  private constructor (private readonly options: Options) {
+  private constructor (private readonly options: OwnerOptions) {
     const { addresses, endpoint, now } = options
     const { proposer } = this
     const address = addresses.get(endpoint)!
@@ -89,7 +61,7 @@
   }
 
   /** Owns the slot until the signal is aborted. */
-  static start (options: Options, signal: AbortSignal): SlotOwner {
+  static start (options: OwnerOptions, signal: AbortSignal): SlotOwner {
     const it = new SlotOwner(options)
     it.probeLoop(signal)
     const ticker = setInterval(() => it.hear({ kind: 'tick' }), TICK_MS)
