Head comments on test modules; the monitor's state in a file of its own

No behaviour, no check changed. Ruled out: splitting admission.test.ts and run.test.ts, one table of cases each.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -14,7 +14,7 @@
   },
   {
     files: ['src/**/*.ts', 'standin/**/*.ts', 'bench/**/*.ts', 'demo/**/*.ts', 'scenarios/**/*.ts'],
-    ignores: ['src/gen/**', '**/*.test.ts'],
+    ignores: ['src/gen/**', 'scenarios/**/*.test.ts', 'standin/**/*.test.ts', 'bench/**/*.test.ts'],
     rules: { 'house/head-comment': 'error' }
   }
 ]
--- a/src/core/admission/admission.test.ts
+++ b/src/core/admission/admission.test.ts
@@ -1,3 +1,5 @@
+/** Who is admitted to a slot, in which order, and who is refused with which time to come back. */
+
 import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
 import type { CallerId } from '../id/caller.ts'
--- a/src/core/admission/servicetime.test.ts
+++ b/src/core/admission/servicetime.test.ts
@@ -1,3 +1,5 @@
+/** The estimate of service times: what it learns from and what must not mislead it. */
+
 import { expect, it } from 'vitest'
 import type { Instant } from '../id/instant.ts'
 import { ServiceTime } from './servicetime.ts'
--- a/src/core/audit/batcher.test.ts
+++ b/src/core/audit/batcher.test.ts
@@ -1,3 +1,5 @@
+/** When a batch is cut, what is dropped when memory is full, and that a drop is told. */
+
 import { describe, expect, it } from 'vitest'
 import { createHash } from 'node:crypto'
 import type { HostId } from '../id/host.ts'
--- a/src/core/audit/fingerprint.test.ts
+++ b/src/core/audit/fingerprint.test.ts
@@ -1,3 +1,5 @@
+/** That a statement's fingerprint keeps its shape and none of its values. */
+
 import { describe, expect, it } from 'vitest'
 import { fingerprint } from './fingerprint.ts'
 
--- a/src/core/audit/promises.test.ts
+++ b/src/core/audit/promises.test.ts
@@ -1,3 +1,5 @@
+/** What records alone prove of the promises, and which breaches they show. */
+
 import { describe, expect, it } from 'vitest'
 import type { Evidence } from './evidence.ts'
 import { checkPromises } from './promises.ts'
--- a/src/core/burn/burn.test.ts
+++ b/src/core/burn/burn.test.ts
@@ -1,3 +1,5 @@
+/** The arithmetic of budgets and burn rates, and windows without data. */
+
 import { describe, expect, it } from 'vitest'
 import type { Evidence } from '../audit/evidence.ts'
 import { AuditRecord } from '../audit/record.ts'
--- a/src/core/burn/html.test.ts
+++ b/src/core/burn/html.test.ts
@@ -1,3 +1,5 @@
+/** What the page of the burn report contains, also for text that isn't safe in HTML. */
+
 import { describe, expect, it } from 'vitest'
 import type { PoolId } from '../id/pool.ts'
 import { burnChart } from './chart.ts'
--- a/src/core/config/change.test.ts
+++ b/src/core/config/change.test.ts
@@ -1,3 +1,5 @@
+/** Patches applied to a configuration, and those that are refused. */
+
 import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
 import type { Json } from '../json.ts'
--- a/src/core/config/document.test.ts
+++ b/src/core/config/document.test.ts
@@ -1,3 +1,5 @@
+/** Which configuration documents are accepted, and what the others are told. */
+
 import { describe, expect, it } from 'vitest'
 import type { ConfigVersion } from '../id/version.ts'
 import type { Json } from '../json.ts'
--- a/src/core/config/holder.test.ts
+++ b/src/core/config/holder.test.ts
@@ -1,3 +1,5 @@
+/** That the configuration in force only moves to higher versions. */
+
 import { describe, expect, it } from 'vitest'
 import type { HostId } from '../id/host.ts'
 import type { Instant } from '../id/instant.ts'
--- a/src/core/config/servicelevels.test.ts
+++ b/src/core/config/servicelevels.test.ts
@@ -1,3 +1,5 @@
+/** The section of service levels in a configuration document. */
+
 import { describe, expect, it } from 'vitest'
 import type { ConfigVersion } from '../id/version.ts'
 import { parseConfig } from './document.ts'
--- a/src/core/failover/monitor.test.ts
+++ b/src/core/failover/monitor.test.ts
@@ -1,3 +1,5 @@
+/** The parts of a failover monitor by themselves, each guard with the failure that it's against. */
+
 import { describe, expect, it } from 'vitest'
 import { Group } from '../group/group.ts'
 import { Sample } from '../group/sample.ts'
--- a/src/core/failover/monitor.ts
+++ b/src/core/failover/monitor.ts
@@ -19,6 +19,7 @@
 import { Ballot } from './ballot.ts'
 import type { FailoverEvent } from './event.ts'
 import { handover } from './handover.ts'
+import type { MonitorFields } from './fields.ts'
 import { orders } from './orders.ts'
 import type { Pace } from './pace.ts'
 import type { Phase } from './phase.ts'
@@ -26,23 +27,6 @@
 import { turnOf } from './turn.ts'
 import { Watch } from './watch.ts'
 
-interface Fields {
-  readonly watch: Watch
-  /** The endpoint whose slot this monitor's process holds. */
-  readonly own: EndpointId
-  /** 0 for the monitor that goes first; others leave it time. */
-  readonly rank: number
-  readonly pace: Pace
-  /** The highest term this monitor has asked votes for. */
-  readonly proposed: Term
-  readonly leaving: EndpointId | undefined
-  /** Before this instant no planned hand-over begins. */
-  readonly handAt: Instant
-  /** Whether the last questions to all reached no majority: this process may be what is cut off. */
-  readonly isAlone: boolean
-  readonly phase: Phase
-}
-
 interface Step {
   readonly monitor: Monitor
   readonly actions: readonly FailoverAction[]
@@ -52,7 +36,7 @@
 
 /** The state of one monitor. Immutable; `step` takes an event in and yields the next state. */
 export class Monitor {
-  private constructor (private readonly fields: Fields) {}
+  private constructor (private readonly fields: MonitorFields) {}
 
   static create (group: Group, own: EndpointId, rank: number, pace: Pace, now: Instant): Monitor {
     const watch = Watch.create(group, pace, now)
@@ -254,7 +238,7 @@
     return { monitor: this, actions: [] }
   }
 
-  private with (change: Partial<Fields>): Monitor {
+  private with (change: Partial<MonitorFields>): Monitor {
     return new Monitor({ ...this.fields, ...change })
   }
 }
--- a/src/core/group/group.test.ts
+++ b/src/core/group/group.test.ts
@@ -1,3 +1,5 @@
+/** What a process may conclude from the samples of a group. */
+
 import { describe, expect, it } from 'vitest'
 import type { EndpointId } from '../id/endpoint.ts'
 import type { GroupId } from '../id/group.ts'
--- a/src/core/history.test.ts
+++ b/src/core/history.test.ts
@@ -1,3 +1,5 @@
+/** Which positions of old terms are part of a log after a promotion. */
+
 import { describe, expect, it } from 'vitest'
 import { History } from './history.ts'
 import type { Position } from './id/position.ts'
--- a/src/core/membership/claiming.test.ts
+++ b/src/core/membership/claiming.test.ts
@@ -1,3 +1,5 @@
+/** Claims on slots under races, lost answers and dead holders. */
+
 import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
 import type { HostId } from '../id/host.ts'
--- a/src/core/membership/closing.test.ts
+++ b/src/core/membership/closing.test.ts
@@ -1,3 +1,5 @@
+/** When a proxy that drains closes a caller's connection. */
+
 import { describe, expect, it } from 'vitest'
 import { decideClosing } from './closing.ts'
 
--- a/src/core/membership/members.test.ts
+++ b/src/core/membership/members.test.ts
@@ -1,3 +1,5 @@
+/** The state of hosts from a lagging list and from silence. */
+
 import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
 import type { DataCentreId } from '../id/datacentre.ts'
--- a/src/core/membership/placement.test.ts
+++ b/src/core/membership/placement.test.ts
@@ -1,3 +1,5 @@
+/** Where slots go, and how little moves when hosts change. */
+
 import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
 import type { DataCentreId } from '../id/datacentre.ts'
--- a/src/core/membership/tenure.test.ts
+++ b/src/core/membership/tenure.test.ts
@@ -1,3 +1,5 @@
+/** When a slot is taken, kept and given back. */
+
 import { describe, expect, it } from 'vitest'
 import { decideTenure } from './tenure.ts'
 
--- a/src/core/request/attempts.test.ts
+++ b/src/core/request/attempts.test.ts
@@ -1,3 +1,5 @@
+/** The attempts of a request: what is tried again and what callers are told. */
+
 import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
 import type { EndpointId } from '../id/endpoint.ts'
--- a/src/core/request/patience.test.ts
+++ b/src/core/request/patience.test.ts
@@ -1,3 +1,5 @@
+/** Which requests wait out a failover. */
+
 import { describe, expect, it } from 'vitest'
 import { waitsForPrimary } from './patience.ts'
 
--- a/src/core/request/run.test.ts
+++ b/src/core/request/run.test.ts
@@ -1,3 +1,5 @@
+/** The run of a request on a slot: outcomes, connections and idempotency keys. */
+
 import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
 import { reasons } from '../reason.ts'
--- a/src/core/retry/budget.test.ts
+++ b/src/core/retry/budget.test.ts
@@ -1,3 +1,5 @@
+/** That retries stay a share of the traffic in an outage. */
+
 import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
 import type { EndpointId } from '../id/endpoint.ts'
--- a/src/core/routing/hints.test.ts
+++ b/src/core/routing/hints.test.ts
@@ -1,3 +1,5 @@
+/** Hints of a leading comment, and those of a connection behind them. */
+
 import { expect, it } from 'vitest'
 import { Hints } from './hints.ts'
 
--- a/src/core/routing/reads.test.ts
+++ b/src/core/routing/reads.test.ts
@@ -1,3 +1,5 @@
+/** Reads of sessions over random orders of writes, failovers and evictions. */
+
 import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
 import { FakeGroup } from '../../../standin/fakegroup.ts'
--- a/src/core/routing/route.test.ts
+++ b/src/core/routing/route.test.ts
@@ -1,3 +1,5 @@
+/** Where a read goes, by what the samples prove. */
+
 import { describe, expect, it } from 'vitest'
 import { Group } from '../group/group.ts'
 import { Sample } from '../group/sample.ts'
--- a/src/core/routing/statement.test.ts
+++ b/src/core/routing/statement.test.ts
@@ -1,3 +1,5 @@
+/** What a statement does, told from its first words. */
+
 import { describe, expect, it } from 'vitest'
 import { statementKind } from './statement.ts'
 
--- a/src/core/session/sessions.test.ts
+++ b/src/core/session/sessions.test.ts
@@ -1,3 +1,5 @@
+/** The bounded table of sessions and what it must not forget. */
+
 import { describe, expect, it } from 'vitest'
 import type { GroupId } from '../id/group.ts'
 import type { SessionId } from '../id/session.ts'
--- a/src/core/session/writes.test.ts
+++ b/src/core/session/writes.test.ts
@@ -1,3 +1,5 @@
+/** How notes of writes narrow a bound, and when they must not. */
+
 import { describe, expect, it } from 'vitest'
 import type { Position } from '../id/position.ts'
 import type { Term } from '../id/term.ts'
--- a/src/core/settings/settings.test.ts
+++ b/src/core/settings/settings.test.ts
@@ -1,3 +1,5 @@
+/** Which settings are accepted, and the one line that each fault is told in. */
+
 import { describe, expect, it } from 'vitest'
 import { parseAddress } from './address.ts'
 import { parseDuration } from './duration.ts'
--- a/src/core/token.test.ts
+++ b/src/core/token.test.ts
@@ -1,3 +1,5 @@
+/** The order of tokens and the texts that aren't one. */
+
 import { describe, expect, it } from 'vitest'
 import { Token } from './token.ts'
 
--- a/src/shell/caller/reads.test.ts
+++ b/src/shell/caller/reads.test.ts
@@ -1,3 +1,5 @@
+/** A proxy's reads before a group whose replicas lag, and sessions that roam. */
+
 import { create } from '@bufbuild/protobuf'
 import { describe, expect, it } from 'vitest'
 import { ConfirmedSchema, Run_Access as RunAccess } from '../../gen/peer_pb.ts'
--- a/src/shell/endpoint/execution.test.ts
+++ b/src/shell/endpoint/execution.test.ts
@@ -1,3 +1,5 @@
+/** Statements, transactions and connections of a slot on a virtual clock. */
+
 import { create } from '@bufbuild/protobuf'
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import { Done_Outcome as DoneOutcome, Run_Access as RunAccess, RunSchema, type Done } from '../../gen/peer_pb.ts'
--- a/src/shell/endpoint/ledger.test.ts
+++ b/src/shell/endpoint/ledger.test.ts
@@ -1,3 +1,5 @@
+/** The ledger's statements on real SQL. */
+
 import initSqlJs from 'sql.js'
 import { describe, expect, it } from 'vitest'
 import type { RunStep } from '../../core/request/runstep.ts'
--- a/src/shell/log/events.test.ts
+++ b/src/shell/log/events.test.ts
@@ -1,3 +1,5 @@
+/** That the code's events and their page are the same list. */
+
 import { readFileSync } from 'node:fs'
 import { describe, expect, it } from 'vitest'
 import { events } from './events.ts'
--- a/src/shell/node/confirm.test.ts
+++ b/src/shell/node/confirm.test.ts
@@ -1,3 +1,5 @@
+/** Which owner of a slot is asked for a confirmation when slots move. */
+
 import { create } from '@bufbuild/protobuf'
 import { describe, expect, it } from 'vitest'
 import { ConfirmedSchema } from '../../gen/peer_pb.ts'
--- a/src/shell/node/gate.test.ts
+++ b/src/shell/node/gate.test.ts
@@ -1,3 +1,5 @@
+/** Requests that cross the closing of their connection. */
+
 import { describe, expect, it } from 'vitest'
 import type { Instant } from '../../core/id/instant.ts'
 import type { Handler } from '../mysql/handler.ts'
--- a/src/shell/peer/hop.test.ts
+++ b/src/shell/peer/hop.test.ts
@@ -1,3 +1,5 @@
+/** Frames between processes that come late, twice, cut or out of order. */
+
 import { createServer, type Http2Server, type ServerHttp2Session } from 'node:http2'
 import type { AddressInfo } from 'node:net'
 import { create } from '@bufbuild/protobuf'
--- a/src/shell/peer/link.test.ts
+++ b/src/shell/peer/link.test.ts
@@ -1,3 +1,5 @@
+/** A link that goes silent, breaks or meets another host at its address. */
+
 import { describe, expect, it } from 'vitest'
 import type { HostId } from '../../core/id/host.ts'
 import { freePorts } from '../../../standin/ports.ts'
