--- a/eslint.config.js
+++ b/eslint.config.js
@@ -5,15 +5,15 @@
 import oneExport from './tools/oneexport.mjs'
 
 export default [
-  ...neostandard({ ts: true, ignores: ['dist/**', 'src/gen/**', 'node_modules/**'] }),
+  ...neostandard({ ts: true, ignores: ['dist/**', 'target/**', 'src/gen/**', 'node_modules/**'] }),
   {
-    files: ['src/**/*.ts', 'standin/**/*.ts', 'bench/**/*.ts', 'demo/**/*.ts', 'scenarios/**/*.ts'],
+    files: ['src/**/*.ts', 'platform/**/*.ts', 'standin/**/*.ts', 'bench/**/*.ts', 'demo/**/*.ts', 'scenarios/**/*.ts'],
     ignores: ['src/gen/**'],
     plugins: { house: { rules: { ...oneExport.rules, ...headComment.rules } } },
     rules: { 'house/one-export': 'error' }
   },
   {
-    files: ['src/**/*.ts', 'standin/**/*.ts', 'bench/**/*.ts', 'demo/**/*.ts', 'scenarios/**/*.ts'],
+    files: ['src/**/*.ts', 'platform/**/*.ts', 'standin/**/*.ts', 'bench/**/*.ts', 'demo/**/*.ts', 'scenarios/**/*.ts'],
     ignores: ['src/gen/**', 'scenarios/**/*.test.ts', 'standin/**/*.test.ts', 'bench/**/*.test.ts'],
     rules: { 'house/head-comment': 'error' }
   }
--- a/src/core/admission/admission.ts
+++ b/src/core/admission/admission.ts
@@ -46,7 +46,7 @@
   private stuckSince = 0 as Instant
   private actions: AdmissionAction[] = []
 
-  private constructor (private readonly limits: Limits) {
+  private constructor (private limits: Limits) {
     this.shares = Shares.create(limits)
     this.backlog = Backlog.create(limits, this.shares)
     this.opener = Opener.create(limits.opening)
@@ -69,6 +69,13 @@
     return { idle: this.idle, running: this.running.size, pending: this.opener.pending }
   }
 
+  /** Takes other limits from now on; what runs beyond them isn't taken back. */
+  resize (limits: Limits): void {
+    this.limits = limits
+    this.shares.limits = limits
+    this.backlog.limits = limits
+  }
+
   /** `chance` is a number in [0, 1) from the process's one seeded generator. */
   step (event: AdmissionEvent, now: Instant, chance: number): readonly AdmissionAction[] {
     this.actions = []
--- a/src/core/admission/backlog.ts
+++ b/src/core/admission/backlog.ts
@@ -28,7 +28,7 @@
   /** Starts of others since the class had one while it waited. */
   private readonly passed = classes.map(() => 0)
 
-  private constructor (private readonly limits: Limits, private readonly shares: Shares) {}
+  private constructor (public limits: Limits, private readonly shares: Shares) {}
 
   static create (limits: Limits, shares: Shares): Backlog {
     return new Backlog(limits, shares)
--- a/src/core/admission/shares.ts
+++ b/src/core/admission/shares.ts
@@ -17,7 +17,7 @@
   /** Connections that are open or being opened: what estimates may count on. */
   open = 1
 
-  private constructor (private readonly limits: Limits) {}
+  private constructor (public limits: Limits) {}
 
   static create (limits: Limits): Shares {
     return new Shares(limits)
--- /dev/null
+++ b/src/core/directory/endpoint.ts
@@ -0,0 +1,16 @@
+/** One endpoint as the directory lists it. */
+
+import type { DataCentreId } from '../id/datacentre.ts'
+import type { EndpointId } from '../id/endpoint.ts'
+import type { GroupId } from '../id/group.ts'
+
+export interface Endpoint {
+  readonly id: EndpointId
+  readonly group: GroupId
+  readonly address: { readonly ip: string, readonly port: number }
+  readonly dataCentre: DataCentreId
+  /** It serves a little longer and then ends. */
+  readonly isLeaving: boolean
+  /** How it sees itself; a replaced primary that is cut off may still call itself primary. */
+  readonly isPrimary: boolean
+}
--- /dev/null
+++ b/src/core/pool/candidates.ts
@@ -0,0 +1,41 @@
+/** Which endpoints an operation may use, the best first. */
+
+import type { Endpoint } from '../directory/endpoint.ts'
+import type { DataCentreId } from '../id/datacentre.ts'
+import type { EndpointId } from '../id/endpoint.ts'
+import type { Instant } from '../id/instant.ts'
+import type { Token } from '../token.ts'
+import type { Standing } from './standing.ts'
+
+interface View {
+  readonly endpoints: readonly Endpoint[]
+  readonly primary: EndpointId | undefined
+  readonly dataCentre: DataCentreId
+  readonly standing: (id: EndpointId) => Standing
+  /** Operations that wait for a connection of the endpoint, and whether none of its connections is free. */
+  readonly queued: (id: EndpointId) => number
+  readonly isReachable: (id: EndpointId) => boolean
+}
+
+/** An operation that would wait at one data centre's endpoint goes to another's: a hop costs about a millisecond, a queue's place a whole statement. */
+const ANOTHER_CENTRE = 0.5
+/** The primary alone takes writes, so reads that a replica may serve count it as one place further back in the queue. */
+const PRIMARY = 1
+
+/**
+ * Endpoints for a read whose log must hold the position. Those that leave get
+ * no new work, and those that are likely too short come last, the primary
+ * before them, since it holds everything.
+ */
+export function readCandidates (view: View, position: Token, now: Instant): readonly EndpointId[] {
+  const usable = view.endpoints.filter(({ id, isLeaving }) => (!isLeaving || id === view.primary) && view.isReachable(id))
+  const scored = usable
+    .map(endpoint => ({ id: endpoint.id, isPrimary: endpoint.id === view.primary, cost: costOf(view, endpoint) }))
+    .filter(({ id, isPrimary }) => isPrimary || view.standing(id).mayHold(position, now))
+  return scored.sort((a, b) => a.cost - b.cost).map(({ id }) => id)
+}
+
+function costOf (view: View, { id, dataCentre }: Endpoint): number {
+  const far = dataCentre === view.dataCentre ? 0 : ANOTHER_CENTRE
+  return view.queued(id) + far + (id === view.primary ? PRIMARY : 0)
+}
--- /dev/null
+++ b/src/core/pool/progress.ts
@@ -0,0 +1,46 @@
+/** How far a group's log is known to reach, and which position a read must find. */
+
+import type { Instant } from '../id/instant.ts'
+import { Marks } from '../routing/marks.ts'
+import { Token } from '../token.ts'
+import { AgeClock } from './ageclock.ts'
+
+/**
+ * What this process has proved of one group. Immutable; `with` yields the next.
+ *
+ * A mark is what the primary answered while it proved to lead; it covers every
+ * commit that was acknowledged before the question was sent. Marks of an
+ * earlier term are forgotten with the first of a newer one: a promotion may
+ * have cut that log back, and a position that no log holds any more would be
+ * waited for in vain.
+ */
+export class Progress {
+  private constructor (private readonly marks: Marks, private readonly newest: Token) {}
+
+  static readonly empty = new Progress(Marks.empty, Token.zero)
+
+  /** Takes in a position that an endpoint answered, while it led, to something sent at the instant. */
+  with (position: Token, sentAt: Instant): Progress {
+    if (position.term < this.newest.term) return this
+    const marks = position.term > this.newest.term ? Marks.empty : this.marks
+    return new Progress(marks.with(position, sentAt), position.max(this.newest))
+  }
+
+  /** The newest term in which an endpoint proved to lead. */
+  get term (): number {
+    return this.newest.term
+  }
+
+  /**
+   * The position that a read of this age must find; undefined when no mark is
+   * young enough, and the primary must be asked. The oldest mark that is young
+   * enough serves best, since most replicas have passed it. A session's own
+   * commit of an earlier term is covered by any mark of the newer one, or was
+   * cut off by the promotion and will never be found.
+   */
+  required (own: Token, ageMs: number, now: Instant): Token | undefined {
+    const bound = this.marks.boundSince(now - ageMs + AgeClock.toleranceMs as Instant)
+    if (bound === undefined) return undefined
+    return own.term < bound.term ? bound : bound.max(own)
+  }
+}
--- /dev/null
+++ b/src/core/pool/remedy.ts
@@ -0,0 +1,29 @@
+/** What a caller is told beside a fault: what happened, and what to do. */
+
+import type { Fault } from '../statement/fault.ts'
+
+const REMEDIES: Readonly<Record<Fault, string>> = {
+  busy: 'not run; the database has no room',
+  aborted: 'the transaction is rolled back and nothing of it is kept; run it again',
+  behind: 'not run; no database that was reached holds the needed commits yet',
+  notPrimary: 'not run; the primary was replaced',
+  wrongEndpoint: 'not run; the database moved',
+  tooManyConnections: 'not run; the database takes no more connections',
+  failed: 'the database ran the statement and it failed',
+  timeout: 'the time of the statement is used up',
+  unknown: 'the statement may have run; look before running it again',
+  unknownStatement: 'no statement is prepared under this name; prepare it',
+  unknownDatabase: 'no such database; check its name',
+  malformed: 'the statement is not valid here; end the transaction or correct it',
+  tooLarge: 'the message is too large; send at most 1 MiB',
+  unauthorised: 'not allowed to use this database'
+}
+
+/** Faults after which the same operation may be sent again, so a time to come back helps. */
+const COME_BACK: ReadonlySet<Fault> = new Set<Fault>(['busy', 'aborted', 'behind', 'notPrimary', 'wrongEndpoint', 'tooManyConnections'])
+
+/** `retryAfterMs`: when a new try may do better, in milliseconds. */
+export function remedyOf (fault: Fault, retryAfterMs: number): string {
+  const text = REMEDIES[fault]
+  return COME_BACK.has(fault) ? `${text}; come back in ${Math.ceil(retryAfterMs)} ms` : text
+}
--- /dev/null
+++ b/src/core/pool/verdict.ts
@@ -0,0 +1,54 @@
+/** What becomes of a statement that an endpoint didn't do: it's tried elsewhere, or its caller gets a fault. */
+
+import type { Fault } from '../statement/fault.ts'
+import type { Ending } from './ending.ts'
+
+interface Attempted {
+  readonly what: 'read' | 'write' | 'commit'
+  /** Whether it ran inside of a caller's transaction. */
+  readonly isInside: boolean
+  /** Whether it's the first statement that the endpoint got of the transaction. */
+  readonly isFirst: boolean
+  /** Whether the transaction has sent a write. */
+  readonly hasWritten: boolean
+}
+
+type Verdict =
+  /** Nothing ran, or what ran was a read alone: another endpoint may be asked. */
+  | { readonly kind: 'elsewhere' }
+  | { readonly kind: 'refuse', readonly fault: Fault }
+
+/** Faults by which an endpoint says that it hasn't run the statement. */
+const NOT_RUN: ReadonlySet<Ending> = new Set<Ending>([
+  'busy', 'behind', 'notPrimary', 'wrongEndpoint', 'tooManyConnections', 'unknownStatement'
+])
+
+/**
+ * Guard against a write that runs twice, and against "not run" said of one
+ * that did: a connection that breaks after a write was sent leaves open whether
+ * it ran, so it's neither sent again nor called a failure. A transaction whose
+ * connection breaks before its commit was sent is rolled back by the endpoint,
+ * which is proof that nothing is kept; the same holds for a commit of a
+ * transaction that wrote nothing.
+ */
+export function verdictOf (ending: Ending, { what, isInside, isFirst, hasWritten }: Attempted): Verdict {
+  const isKeptNowhere = isInside && isFirst && what !== 'commit'
+  if (isKeptNowhere && (NOT_RUN.has(ending) || ending === 'broken')) return { kind: 'elsewhere' }
+  if (isInside) return refuse(insideFault(ending, what === 'commit', hasWritten))
+  if (NOT_RUN.has(ending)) return { kind: 'elsewhere' }
+  if (ending === 'broken') return what === 'read' ? { kind: 'elsewhere' } : refuse('unknown')
+  if (ending === 'outOfTime') return refuse(what === 'read' ? 'timeout' : 'unknown')
+  return refuse(ending)
+}
+
+function insideFault (ending: Ending, isCommit: boolean, hasWritten: boolean): Fault {
+  const isOpen = ending === 'broken' || ending === 'outOfTime'
+  if (isOpen) return isCommit && hasWritten ? 'unknown' : 'aborted'
+  // A name that the connection lost is a fault of this process and none of the caller's.
+  if (ending === 'unknownStatement') return 'aborted'
+  return ending
+}
+
+function refuse (fault: Fault): Verdict {
+  return { kind: 'refuse', fault }
+}
--- /dev/null
+++ b/src/core/pool/work.ts
@@ -0,0 +1,60 @@
+/** A caller's statement as it's sent to an endpoint. */
+
+import type { Values } from '../session/values.ts'
+import type { Command } from '../statement/command.ts'
+import type { Statement } from '../statement/statement.ts'
+import { preparedName } from '../statement/preparedname.ts'
+import type { Token } from '../token.ts'
+
+interface Fields {
+  readonly id: string
+  readonly what: 'read' | 'write' | 'commit'
+  readonly statement: Statement
+  /** What an `execute` needs to be prepared on the connection. */
+  readonly preparation: Extract<Command, { kind: 'prepare' }> | undefined
+}
+
+/** Immutable. */
+export class Work {
+  private constructor (private readonly fields: Fields) {}
+
+  /** Undefined for a statement that endpoints don't get, and for one whose name isn't prepared. */
+  static of (id: string, statement: Statement, values: Values): Work | undefined {
+    const { kind } = statement
+    if (kind === 'read' || kind === 'write' || kind === 'commit') return new Work({ id, statement, what: kind, preparation: undefined })
+    if (kind !== 'execute') return undefined
+    const prepared = values.statement(statement.name)
+    if (prepared === undefined) return undefined
+    const name = preparedName(prepared.isWrite, prepared.shape)
+    return new Work({ id, statement, what: prepared.isWrite ? 'write' : 'read', preparation: { kind: 'prepare', name, ...prepared } })
+  }
+
+  get id (): string {
+    return this.fields.id
+  }
+
+  get what (): Fields['what'] {
+    return this.fields.what
+  }
+
+  /** Own commands that have to go before it on a connection in the state. */
+  preludeOn (connection: Values, session: Values): readonly Command[] {
+    const commands = connection.commandsTo(session)
+    const { preparation } = this.fields
+    if (preparation === undefined) return commands
+    const isReset = commands.some(({ kind }) => kind === 'reset')
+    const isPrepared = !isReset && connection.statement(preparation.name) !== undefined
+    return isPrepared ? commands : [...commands, preparation]
+  }
+
+  /** `after`: the position that the endpoint's log must hold. */
+  command (after?: Token): Command {
+    const { id, statement, preparation } = this.fields
+    switch (statement.kind) {
+      case 'read': return { kind: 'read', id, args: statement.args, after }
+      case 'write': return { kind: 'write', id, args: statement.args }
+      case 'execute': return { kind: 'execute', id, name: preparation!.name, args: statement.args, after }
+      default: return { kind: 'commit', id }
+    }
+  }
+}
--- a/src/core/routing/marks.ts
+++ b/src/core/routing/marks.ts
@@ -39,6 +39,11 @@
     return this.marks.at(-1)?.at
   }
 
+  /** The bound of the oldest mark that was asked for at the instant or later; undefined without one. */
+  boundSince (at: Instant): Token | undefined {
+    return this.marks.find(mark => mark.at >= at)?.bound
+  }
+
   /** The least proved age of what the replica shows, in milliseconds; infinite when nothing is proved. */
   age (sample: Sample, now: Instant): number {
     const mark = this.marks.findLast(({ bound }) => hasApplied(sample, bound))
--- /dev/null
+++ b/src/core/statement/fault.ts
@@ -0,0 +1,24 @@
+/** The typed ways in which a statement isn't done, as an endpoint says them and as a caller is told them. */
+
+/**
+ * Nothing of the caller's attempt is kept after `busy`, `aborted`, `behind`,
+ * `notPrimary`, `wrongEndpoint` and `tooManyConnections`.
+ * - `failed`: it ran, and failed.
+ * - `timeout`: its time is used up.
+ * - `unknown`: it may have run, and it may be kept.
+ */
+export type Fault =
+  | 'busy'
+  | 'aborted'
+  | 'behind'
+  | 'notPrimary'
+  | 'wrongEndpoint'
+  | 'tooManyConnections'
+  | 'failed'
+  | 'timeout'
+  | 'unknown'
+  | 'unknownStatement'
+  | 'unknownDatabase'
+  | 'malformed'
+  | 'tooLarge'
+  | 'unauthorised'
--- a/src/shell/log/events.ts
+++ b/src/shell/log/events.ts
@@ -14,16 +14,22 @@
   leaving: { id: 1003, level: 'info', message: 'leaving: no new callers, what is in progress ends' },
   stopped: { id: 1002, level: 'info', message: 'agatepond stopped' },
 
+  settingsReloaded: { id: 1004, level: 'info', message: 'read the settings again' },
+
   slotTaken: { id: 2001, level: 'info', message: 'took a slot' },
   slotLeft: { id: 2002, level: 'info', message: 'gave a slot back' },
   endpointUnreachable: { id: 2003, level: 'warn', message: 'an endpoint does not answer' },
   endpointReachable: { id: 2004, level: 'info', message: 'an endpoint answers again' },
+  endpointListed: { id: 2005, level: 'info', message: 'the directory says something new of an endpoint' },
+  endpointGone: { id: 2006, level: 'info', message: 'the directory lists an endpoint no more' },
 
   promotionBegun: { id: 3001, level: 'warn', message: 'a promotion began' },
   promoted: { id: 3002, level: 'warn', message: 'a replica was promoted' },
   verbFailed: { id: 3003, level: 'warn', message: 'an endpoint refused or did not answer a verb' },
   recordFailed: { id: 3004, level: 'warn', message: 'a promotion could not be recorded in the store' },
 
+  leaderChanged: { id: 3005, level: 'warn', message: 'another endpoint is taken for the primary' },
+
   peerLinked: { id: 4001, level: 'info', message: 'linked to a peer' },
   peerLost: { id: 4002, level: 'warn', message: 'lost the link to a peer' },
   peersInClear: { id: 4003, level: 'warn', message: 'links between hosts are in clear text and prove nobody' },
@@ -36,7 +42,10 @@
   hostListFailed: { id: 5003, level: 'warn', message: 'the host list does not answer' },
   configUnreadable: { id: 5004, level: 'error', message: 'a configuration cannot be read by this program' },
 
+  storeBack: { id: 5005, level: 'info', message: 'the store answers again' },
+
   callerRefused: { id: 6001, level: 'info', message: 'refused a caller' },
+  statementRefused: { id: 6002, level: 'info', message: 'a statement was not done' },
 
   batchStored: { id: 7001, level: 'info', message: 'stored a batch of audit records' },
   batchFailed: { id: 7002, level: 'warn', message: 'a batch of audit records could not be stored' },
--- a/src/shell/log/log.ts
+++ b/src/shell/log/log.ts
@@ -1,22 +1,40 @@
 /** The structured log: one JSON line an event, by number. */
 
-import { pino, type Logger } from 'pino'
+import { destination, pino, type Logger } from 'pino'
 import { events } from './events.ts'
 
 type Name = keyof typeof events
 
+/** Bytes that are gathered to one write, since each write costs a call to the system, */
+const GATHERED_BYTES = 4096
+/** how long they wait at most, in milliseconds, */
+const FLUSH_MS = 500
+/** and bytes that may wait for a reader that stalls; what comes then is dropped. */
+const MOST_WAITING_BYTES = 1_048_576
+
 /** Writes numbered events. Fields never hold a secret or a statement's values. */
 export class Log {
-  private constructor (private readonly logger: Logger) {}
+  private constructor (private readonly logger: Logger, private readonly flushSync = () => {}) {}
 
   static create (host: string): Log {
     return new Log(pino({ base: { host }, timestamp: pino.stdTimeFunctions.isoTime }))
   }
 
+  /** Never blocks: lines are gathered, and dropped while the reader stalls. */
+  static buffered (host: string): Log {
+    const out = destination({ dest: 1, sync: false, minLength: GATHERED_BYTES, maxLength: MOST_WAITING_BYTES, periodicFlush: FLUSH_MS })
+    return new Log(pino({ base: { host }, timestamp: pino.stdTimeFunctions.isoTime }, out), () => out.flushSync())
+  }
+
   static readonly silent = new Log(pino({ enabled: false }))
 
   write (name: Name, fields: Readonly<Record<string, string | number | boolean>> = {}): void {
     const { id, level, message } = events[name]
     this.logger[level]({ event: id, ...fields }, message)
   }
+
+  /** Writes out what was gathered, at the end of the process. */
+  flush (): void {
+    this.flushSync()
+  }
 }
--- /dev/null
+++ b/src/shell/pool/attempt.ts
@@ -0,0 +1,62 @@
+/** One try to run a statement on a connection, and what its answers show of the endpoint. */
+
+import type { EndpointId } from '../../core/id/endpoint.ts'
+import type { Ending } from '../../core/pool/ending.ts'
+import type { Answer } from '../../core/statement/answer.ts'
+import type { Command } from '../../core/statement/command.ts'
+import type { PoolGroup } from './group.ts'
+import type { Lender } from './lender.ts'
+import type { EndpointLink } from './link.ts'
+
+/** A connection on loan, with what it belongs to. */
+export class Attempt {
+  private constructor (readonly group: PoolGroup, readonly lender: Lender, readonly link: EndpointLink) {}
+
+  static on (group: PoolGroup, lender: Lender, link: EndpointLink): Attempt {
+    return new Attempt(group, lender, link)
+  }
+
+  get endpoint (): EndpointId {
+    return this.lender.endpoint.id
+  }
+
+  /**
+   * Sends the commands at once; resolves with the answer to the one at `index`,
+   * or with how it ended without one. `isLead`: whether its success proves that the
+   * endpoint leads.
+   */
+  async ask (commands: readonly Command[], index: number, timeoutMs: number, isLead: boolean): Promise<Answer | Ending> {
+    const { answers, lost } = await this.link.ask(commands, timeoutMs)
+    const answer = answers[index]
+    for (const other of answers.slice(0, index)) {
+      if (other.fault !== undefined) this.spoil()
+    }
+    if (answer === undefined) return this.lose(lost ?? 'broken')
+    const isDone = answer.fault === undefined
+    this.group.answered(this.endpoint, answer.position, answer.sentAt, isDone && isLead)
+    if (answer.fault === 'behind') this.group.fellShort(this.endpoint)
+    if (answer.fault === 'notPrimary') this.group.notPrimary(this.endpoint)
+    return answer.fault ?? answer
+  }
+
+  /** Gives the connection back; a transaction that is open on it is rolled back first. */
+  end (): void {
+    const { link, lender } = this
+    if (!link.isOpen || !link.isInTransaction) return lender.giveBack(link)
+    link.ask([{ kind: 'rollback' }], ROLLBACK_MS).then(() => lender.giveBack(link))
+  }
+
+  /** Against a connection whose own commands weren't taken: what is set on it isn't known any more. */
+  private spoil (): void {
+    this.link.close()
+  }
+
+  private lose (lost: 'broken' | 'outOfTime'): Ending {
+    this.group.missed(this.endpoint)
+    if (lost === 'outOfTime') this.lender.distrust()
+    return lost
+  }
+}
+
+/** A rollback takes no place in the endpoint's queue: without an answer after this the connection is silent. */
+const ROLLBACK_MS = 1000
--- /dev/null
+++ b/src/shell/pool/context.ts
@@ -0,0 +1,15 @@
+/** What all sessions of a process share. */
+
+import type { PoolConfig } from '../../core/pool/config.ts'
+import type { GroupId } from '../../core/id/group.ts'
+import type { SharedBudget } from '../../core/retry/budget.ts'
+import type { Log } from '../log/log.ts'
+import type { PoolGroup } from './group.ts'
+
+export interface PoolContext {
+  /** The newest configuration in force. */
+  readonly config: () => PoolConfig
+  readonly group: (id: GroupId) => PoolGroup | undefined
+  readonly budget: SharedBudget
+  readonly log: Log
+}
--- /dev/null
+++ b/src/shell/pool/group.ts
@@ -0,0 +1,199 @@
+/** What this host knows of one group, and its connections to the group's endpoints. */
+
+import type { Directory } from '../../core/directory/directory.ts'
+import type { Endpoint } from '../../core/directory/endpoint.ts'
+import type { DataCentreId } from '../../core/id/datacentre.ts'
+import type { EndpointId } from '../../core/id/endpoint.ts'
+import type { GroupId } from '../../core/id/group.ts'
+import type { Instant } from '../../core/id/instant.ts'
+import { Directory as Endpoints } from '../../core/directory/directory.ts'
+import { readCandidates } from '../../core/pool/candidates.ts'
+import { Contact } from '../../core/pool/contact.ts'
+import { Leadership } from '../../core/pool/leadership.ts'
+import { Progress } from '../../core/pool/progress.ts'
+import { Standing } from '../../core/pool/standing.ts'
+import type { Token } from '../../core/token.ts'
+import type { Log } from '../log/log.ts'
+import { clock } from './clock.ts'
+import type { Dialer } from './dialer.ts'
+import { Lender } from './lender.ts'
+
+interface Options {
+  readonly id: GroupId
+  readonly dataCentre: DataCentreId
+  readonly dialer: Dialer
+  readonly log: Log
+  readonly chance: () => number
+}
+
+/** The only place where the group's pure values are replaced. */
+export class PoolGroup {
+  private readonly lenders = new Map<EndpointId, Lender>()
+  private readonly standings = new Map<EndpointId, Standing>()
+  private readonly contacts = new Map<EndpointId, Contact>()
+  private directory: Directory = Endpoints.empty
+  private leadership: Leadership
+  private progress = Progress.empty
+  private share = 1
+  private readonly waiting = new Set<() => void>()
+
+  private constructor (private readonly options: Options) {
+    this.leadership = Leadership.create(options.id, clock.now())
+  }
+
+  static create (options: Options): PoolGroup {
+    return new PoolGroup(options)
+  }
+
+  get id (): GroupId {
+    return this.options.id
+  }
+
+  get leader (): EndpointId | undefined {
+    return this.leadership.leader
+  }
+
+  get term (): number {
+    return this.progress.term
+  }
+
+  get endpoints (): readonly Endpoint[] {
+    return this.directory.group(this.options.id)
+  }
+
+  get isEmpty (): boolean {
+    return this.endpoints.length === 0
+  }
+
+  endpoint (id: EndpointId): Endpoint | undefined {
+    return this.directory.get(id)
+  }
+
+  contact (id: EndpointId): Contact {
+    return this.contacts.get(id) ?? Contact.none
+  }
+
+  /** Milliseconds without a known leader. */
+  leaderlessMs (): number {
+    return this.leadership.missingMs(clock.now())
+  }
+
+  listed (directory: Directory): void {
+    const before = this.directory
+    this.directory = directory
+    this.lead(this.leadership.listed(before, directory, clock.now()), 'directory')
+    const ids = new Set(this.endpoints.map(({ id }) => id))
+    for (const id of this.lenders.keys()) {
+      if (!ids.has(id) && id !== this.leader) this.forget(id)
+    }
+  }
+
+  /** Takes another share of each endpoint's connections. */
+  resize (share: number): void {
+    this.share = share
+    for (const lender of this.lenders.values()) lender.resize(share)
+  }
+
+  /** The connections to the endpoint; undefined for one that isn't listed. */
+  lender (id: EndpointId): Lender | undefined {
+    const known = this.lenders.get(id)
+    if (known !== undefined) return known
+    const endpoint = this.directory.get(id)
+    if (endpoint === undefined) return undefined
+    const { dialer, chance } = this.options
+    const onDialled = (isOpen: boolean) => isOpen ? this.reached(id, clock.now()) : this.missed(id)
+    const lender = Lender.create({ endpoint, dialer, chance, connections: this.share, onDialled })
+    this.lenders.set(id, lender)
+    return lender
+  }
+
+  /** Where a read may go whose log must hold the position, the best first. */
+  readers (position: Token): readonly EndpointId[] {
+    const now = clock.now()
+    return readCandidates({
+      endpoints: this.endpoints,
+      primary: this.leader,
+      dataCentre: this.options.dataCentre,
+      standing: id => this.standing(id),
+      queued: id => this.lenders.get(id)?.queued ?? 0,
+      isReachable: id => !this.contact(id).isOut(now)
+    }, position, now)
+  }
+
+  /** The position that a read of the age must find; undefined when only the primary can serve it. */
+  required (own: Token, ageMs: number): Token | undefined {
+    return this.progress.required(own, ageMs, clock.age())
+  }
+
+  /** The endpoint answered; `isLead`: in a way that only a primary can. */
+  answered (id: EndpointId, position: Token | undefined, sentAt: Instant, isLead: boolean): void {
+    this.reached(id, clock.now())
+    if (position === undefined) return
+    this.standings.set(id, this.standing(id).answered(position, clock.now()))
+    if (!isLead) return
+    this.progress = this.progress.with(position, sentAt)
+    this.lead(this.leadership.proved(id, position.term), 'proof')
+  }
+
+  /** The endpoint says of itself that it leads the term; weaker than a proof, so it marks no position. */
+  claimed (id: EndpointId, term: number): void {
+    if (term < this.progress.term) return
+    this.lead(this.leadership.proved(id, term), 'status')
+  }
+
+  fellShort (id: EndpointId): void {
+    this.standings.set(id, this.standing(id).fellShort(clock.now()))
+  }
+
+  notPrimary (id: EndpointId): void {
+    this.lead(this.leadership.refused(id, clock.now()), 'refusal')
+  }
+
+  missed (id: EndpointId): void {
+    this.contacts.set(id, this.contact(id).missed(clock.now()))
+  }
+
+  /** Resolves with the leader as soon as there is one, or with undefined after the time. */
+  async awaitLeader (ms: number): Promise<EndpointId | undefined> {
+    if (this.leader !== undefined || ms <= 0) return this.leader
+    await new Promise<void>(resolve => {
+      const timer = setTimeout(done, ms)
+      const { waiting } = this
+      function done (): void {
+        waiting.delete(done)
+        clearTimeout(timer)
+        resolve()
+      }
+      waiting.add(done)
+    })
+    return this.leader
+  }
+
+  close (): void {
+    for (const id of this.lenders.keys()) this.forget(id)
+  }
+
+  private reached (id: EndpointId, now: Instant): void {
+    this.contacts.set(id, this.contact(id).reached(now))
+  }
+
+  private standing (id: EndpointId): Standing {
+    return this.standings.get(id) ?? Standing.unknown
+  }
+
+  private lead (next: Leadership, cause: string): void {
+    const before = this.leadership.leader
+    this.leadership = next
+    if (next.leader === before) return
+    this.options.log.write('leaderChanged', { group: this.id, leader: next.leader ?? 'none', before: before ?? 'none', cause })
+    if (next.leader === undefined) return
+    for (const wake of [...this.waiting]) wake()
+  }
+
+  private forget (id: EndpointId): void {
+    this.lenders.get(id)?.close()
+    this.lenders.delete(id)
+    this.standings.delete(id)
+    this.contacts.delete(id)
+  }
+}
--- /dev/null
+++ b/src/shell/pool/node.ts
@@ -0,0 +1,139 @@
+/** One process: follows the store, keeps its groups, and serves sessions. */
+
+import { Directory } from '../../core/directory/directory.ts'
+import type { DataCentreId } from '../../core/id/datacentre.ts'
+import type { EndpointId } from '../../core/id/endpoint.ts'
+import type { GroupId } from '../../core/id/group.ts'
+import type { HostId } from '../../core/id/host.ts'
+import { PoolConfig } from '../../core/pool/config.ts'
+import { shareOf } from '../../core/pool/share.ts'
+import { SharedBudget } from '../../core/retry/budget.ts'
+import type { ConfigVersion } from '../../core/id/version.ts'
+import type { Log } from '../log/log.ts'
+import { clock } from './clock.ts'
+import type { PoolContext } from './context.ts'
+import { follow } from './feed.ts'
+import { PoolGroup } from './group.ts'
+import { Membership } from './membership.ts'
+import type { Platform } from './platform.ts'
+
+interface Options {
+  readonly host: HostId
+  readonly dataCentre: DataCentreId
+  /** Milliseconds within which a new configuration is to be in force. */
+  readonly applyMs: number
+  readonly platform: Platform
+  readonly log: Log
+  readonly chance: () => number
+}
+
+interface Row {
+  readonly key: string
+  readonly value: string | undefined
+  readonly version: number
+}
+
+/** A question to the store is held open for this part of the time in which a version must be in force: a connection that goes silent is then found, and replaced, within it. */
+const WAIT_SHARE = 1 / 2
+const NONE = PoolConfig.of({ version: 0 as ConfigVersion, routes: [], groups: [], idleTransactionMs: 0 })
+
+export class PoolNode {
+  readonly context: PoolContext
+  private readonly groups = new Map<GroupId, PoolGroup>()
+  private readonly membership: Membership
+  private config = NONE
+  private directory = Directory.empty
+  private isListed = false
+
+  private constructor (private readonly options: Options, private readonly signal: AbortSignal) {
+    const { log } = options
+    this.context = { config: () => this.config, group: id => this.groups.get(id), budget: SharedBudget.create(clock.now()), log }
+    this.membership = Membership.create({ host: options.host, store: options.platform.store, log, chance: options.chance, onChange: () => this.resize() })
+  }
+
+  /** Runs until the signal. */
+  static start (options: Options, signal: AbortSignal): PoolNode {
+    const node = new PoolNode(options, signal)
+    node.follow()
+    return node
+  }
+
+  /** Whether it can serve: with a configuration and the directory. */
+  get isReady (): boolean {
+    return this.config !== NONE && this.isListed
+  }
+
+  /** Takes this host out of the list of hosts. */
+  async leave (): Promise<void> {
+    await this.membership.leave(this.signal)
+  }
+
+  private follow (): void {
+    const { platform, log, chance, applyMs } = this.options
+    const common = { store: platform.store, waitMs: Math.round(applyMs * WAIT_SHARE), log, chance }
+    follow({ ...common, table: platform.config.table, onRows: rows => this.configured(rows) }, this.signal)
+    follow({ ...common, table: platform.endpoints.table, onRows: (rows, isWhole) => this.listed(rows, isWhole) }, this.signal)
+    this.membership.run(this.signal)
+  }
+
+  /** Takes the newest version; an older one is never put in force again, whoever offers it. */
+  private configured (rows: readonly Row[]): void {
+    const { platform, log } = this.options
+    const newest = rows.findLast(({ key }) => key === platform.config.key)
+    if (newest?.value === undefined) return
+    const parsed = platform.config.parse(newest.value)
+    if (parsed.isErr()) return log.write('configUnreadable', { problem: parsed.error })
+    const { value: config } = parsed
+    if (config.version <= this.config.version) return
+    this.config = config
+    log.write('configApplied', { version: config.version, databases: config.routes.length })
+    this.regroup()
+  }
+
+  private listed (rows: readonly Row[], isWhole: boolean): void {
+    const before = this.directory
+    const present = new Set(rows.map(({ key }) => key))
+    if (isWhole) this.directory = before.ids.filter(id => !present.has(id)).reduce((next, id) => next.without(id), before)
+    for (const row of rows) this.directory = this.list(row)
+    this.isListed = true
+    for (const group of this.groups.values()) group.listed(this.directory)
+  }
+
+  private list ({ key, value, version }: Row): Directory {
+    const { platform, log } = this.options
+    const id = key as EndpointId
+    if (value === undefined) {
+      log.write('endpointGone', { endpoint: id })
+      return this.directory.without(id)
+    }
+    const endpoint = platform.endpoints.parse(key, value)
+    if (endpoint === undefined) return this.directory
+    const old = this.directory.get(id)
+    const isNews = old === undefined || old.isLeaving !== endpoint.isLeaving || old.isPrimary !== endpoint.isPrimary
+    if (isNews) log.write('endpointListed', { endpoint: id, group: endpoint.group, isLeaving: endpoint.isLeaving, isPrimary: endpoint.isPrimary })
+    return this.directory.with(endpoint, version)
+  }
+
+  private regroup (): void {
+    const wanted = new Set(this.config.groups.map(({ id }) => id))
+    for (const [id, group] of this.groups) {
+      if (wanted.has(id)) continue
+      group.close()
+      this.groups.delete(id)
+    }
+    for (const id of wanted) {
+      if (this.groups.has(id)) continue
+      const { dataCentre, platform, log, chance } = this.options
+      const group = PoolGroup.create({ id, dataCentre, dialer: platform.dialer, log, chance })
+      group.listed(this.directory)
+      this.groups.set(id, group)
+    }
+    this.resize()
+  }
+
+  private resize (): void {
+    for (const { id, connections } of this.config.groups) {
+      this.groups.get(id)?.resize(shareOf(connections, this.membership.hosts.length))
+    }
+  }
+}
--- /dev/null
+++ b/src/shell/pool/target.ts
@@ -0,0 +1,35 @@
+/** Picks the endpoint for the next try of an operation. */
+
+import type { EndpointId } from '../../core/id/endpoint.ts'
+import type { Target } from '../../core/pool/target.ts'
+import type { Freshness } from '../../core/routing/freshness.ts'
+import type { Token } from '../../core/token.ts'
+import type { PoolGroup } from './group.ts'
+
+interface Wanted {
+  /** True for writes, and for transactions that may write. */
+  readonly mustLead: boolean
+  readonly freshness: Freshness
+  /** The session's newest commit. */
+  readonly own: Token
+  /** Endpoints that refused this operation as replicas or were out of reach. */
+  readonly tried: ReadonlySet<EndpointId>
+}
+
+/**
+ * An operation waits for a new primary at most so long, and only just after the
+ * old one refused: the successor's report is then under way. Later it's known
+ * that nobody leads, and the caller is told at once.
+ */
+const NEWS_MS = 100
+
+/** Resolves with undefined when nothing can serve it now. */
+export async function nextTarget (group: PoolGroup, { mustLead, freshness, own, tried }: Wanted): Promise<Target | undefined> {
+  if (!mustLead && freshness.kind === 'age') {
+    const after = group.required(own, freshness.ms)
+    const endpoint = after === undefined ? undefined : group.readers(after).find(id => !tried.has(id))
+    if (endpoint !== undefined) return { endpoint, after, mustLead: false }
+  }
+  const leader = group.leader ?? await group.awaitLeader(NEWS_MS - group.leaderlessMs())
+  return leader === undefined ? undefined : { endpoint: leader, after: undefined, mustLead: true }
+}
--- /dev/null
+++ b/src/shell/pool/transaction.ts
@@ -0,0 +1,59 @@
+/** A caller's open transaction, and the connection that it holds from its first statement on. */
+
+import type { Route } from '../../core/pool/route.ts'
+import type { Attempt } from './attempt.ts'
+
+type State = 'open' | 'aborted' | 'failed'
+
+/** `aborted`: rolled back by this process, which its caller is still to be told. */
+export class Transaction {
+  private held: Attempt | undefined
+  private written = false
+  private now: State = 'open'
+
+  private constructor (readonly id: string, readonly route: Route, readonly isReadOnly: boolean) {}
+
+  /** `route` stays the same until it ends, whatever the configuration becomes. */
+  static create (id: string, route: Route, isReadOnly: boolean): Transaction {
+    return new Transaction(id, route, isReadOnly)
+  }
+
+  get state (): State {
+    return this.now
+  }
+
+  get attempt (): Attempt | undefined {
+    return this.held
+  }
+
+  /** Whether a write was sent in it. */
+  get hasWritten (): boolean {
+    return this.written
+  }
+
+  /** Whether its endpoint refuses its statements once it doesn't lead any more. */
+  get leads (): boolean {
+    return !this.isReadOnly || this.route.freshness.kind !== 'age'
+  }
+
+  ran (attempt: Attempt, what: 'read' | 'write' | 'commit'): void {
+    this.held = attempt
+    if (what === 'write') this.written = true
+  }
+
+  fail (): void {
+    this.now = 'failed'
+    this.release()
+  }
+
+  abort (): void {
+    this.now = 'aborted'
+    this.release()
+  }
+
+  /** Gives the connection back, rolled back if need be. */
+  release (): void {
+    this.held?.end()
+    this.held = undefined
+  }
+}
