A primary that leaves or is out of reach is replaced by order

Change: a succession for each group, decided in the core: doubt after 400 ms of silence, a probe on a new connection, a lease whose row's version is the fence, the other hosts asked for an objection, a survey, the longest log promoted.

Ruled out: draining by the balancer or the directory's delay (the entry was seen at once; the statements went there since nobody else led).

--- a/src/core/pool/contact.ts
+++ b/src/core/pool/contact.ts
@@ -7,29 +7,47 @@
   readonly missedAt: Instant
   /** Failed tries in a row. */
   readonly misses: number
+  /** Since when something that was asked is unanswered and nothing was answered. */
+  readonly waitingSince: Instant | undefined
 }
 
 /** Failed tries in a row after which an endpoint counts as out of reach: one may be a connection that an old life of it held. */
 const MISSES = 2
 /** An endpoint that is out of reach is tried again after so long; a lost try costs one read a redirection. */
 const RETRY_MS = 500
+/**
+ * So long without any answer is doubtful: several times what the longest
+ * statement takes at a slow endpoint, and half of what a statement may take.
+ */
+const DOUBT_MS = 400
 
-/** Immutable; answers and failures yield the next value. */
+/** Immutable; questions, answers and failures yield the next value. */
 export class Contact {
   private constructor (private readonly fields: Fields) {}
 
-  static readonly none = new Contact({ reachedAt: -Infinity as Instant, missedAt: -Infinity as Instant, misses: 0 })
+  static readonly none = new Contact({ reachedAt: -Infinity as Instant, missedAt: -Infinity as Instant, misses: 0, waitingSince: undefined })
+
+  asked (now: Instant): Contact {
+    return this.fields.waitingSince === undefined ? new Contact({ ...this.fields, waitingSince: now }) : this
+  }
 
   reached (now: Instant): Contact {
-    return new Contact({ ...this.fields, reachedAt: now, misses: 0 })
+    return new Contact({ ...this.fields, reachedAt: now, misses: 0, waitingSince: undefined })
   }
 
   missed (now: Instant): Contact {
     return new Contact({ ...this.fields, missedAt: now, misses: this.fields.misses + 1 })
   }
 
-  get reachedAt (): Instant {
-    return this.fields.reachedAt
+  /** Whether an answer came within the time. */
+  isFresh (withinMs: number, now: Instant): boolean {
+    return now - this.fields.reachedAt <= withinMs
+  }
+
+  /** Whether it's worth finding out if it still answers. */
+  isDoubtful (now: Instant): boolean {
+    const { misses, waitingSince } = this.fields
+    return misses > 0 || (waitingSince !== undefined && now - waitingSince >= DOUBT_MS)
   }
 
   /** Whether tries keep failing; reads then go elsewhere but for a try now and then. */
--- /dev/null
+++ b/src/core/pool/succession.ts
@@ -0,0 +1,189 @@
+/**
+ * The succession of one group: judges its primary, and orders that a replica
+ * be promoted when it leaves or nobody reaches it.
+ *
+ * Safety rests on the platform's fence: each choice of a successor takes the
+ * lease anew and with it a higher fence, so an order that is carried out late
+ * is shut out by the choice after it. Everything else here keeps healthy
+ * primaries from being replaced, which would cost callers a promotion and the
+ * commits that no replica has received.
+ */
+
+import type { EndpointId } from '../id/endpoint.ts'
+import type { Instant } from '../id/instant.ts'
+import type { EndpointStatus } from '../statement/status.ts'
+import type { SuccessionAction } from './successionaction.ts'
+import type { SuccessionEvent } from './successionevent.ts'
+import type { SuccessionView } from './successionview.ts'
+
+type Phase =
+  | { readonly kind: 'calm', readonly until: Instant }
+  /** The host's turn comes at the instant; others that are first may act before. */
+  | { readonly kind: 'waiting', readonly until: Instant }
+  | { readonly kind: 'claiming' }
+  /** The other hosts may object until the instant. */
+  | { readonly kind: 'asking', readonly until: Instant, readonly fence: number }
+  | { readonly kind: 'surveying', readonly fence: number }
+  | { readonly kind: 'ordering', readonly fence: number, readonly endpoint: EndpointId }
+  /** Ordered; the successor leads by the instant, or the matter is begun again. */
+  | { readonly kind: 'settling', readonly until: Instant, readonly endpoint: EndpointId }
+
+interface Fields {
+  readonly phase: Phase
+  readonly old: EndpointId | undefined
+  readonly since: Instant
+}
+
+interface Step {
+  readonly next: Succession
+  readonly actions: readonly SuccessionAction[]
+}
+
+/** The host of the next rank waits so much longer: about a change in the store and its way to the others. */
+const RANK_MS = 100
+/** A host that reaches the primary has so long to say so: a probe, a change in the store, and its way here. */
+const ASK_MS = 500
+/** So long without any primary, and the group is surveyed: a successor's report arrives within a tenth of it. */
+const ORPHAN_MS = 1500
+/** A promotion takes about a second; twice that, and the order counts as lost. */
+const SETTLE_MS = 2500
+/** After a matter that came to nothing: once what stood in its way may have changed. */
+const REST_MS = 1000
+/** The platform turned the order away undone; its rate is counted by the second. */
+const AGAIN_MS = 300
+
+/** Immutable; an event yields the next value and what to do. */
+export class Succession {
+  private constructor (private readonly fields: Fields) {}
+
+  static create (now: Instant): Succession {
+    return new Succession({ phase: { kind: 'calm', until: now }, old: undefined, since: now })
+  }
+
+  /** Whether a promotion was ordered and the successor doesn't lead yet. */
+  get isSettling (): boolean {
+    return this.fields.phase.kind === 'settling'
+  }
+
+  get isCalm (): boolean {
+    return this.fields.phase.kind === 'calm'
+  }
+
+  step (event: SuccessionEvent, view: SuccessionView, now: Instant): Step {
+    switch (event.kind) {
+      case 'tick': return this.tick(view, now)
+      case 'claimed': return this.claimed(event.fence, view, now)
+      case 'claimLost': return this.rest(now)
+      case 'objected': return this.objected(event.fence, now)
+      case 'surveyed': return this.surveyed(event.statuses, view, now)
+      case 'ordered': return this.ordered(event.outcome, now)
+    }
+  }
+
+  private tick (view: SuccessionView, now: Instant): Step {
+    const { phase, old } = this.fields
+    // Whoever replaced it: once another endpoint leads, the matter is over.
+    if (phase.kind !== 'calm' && view.leader !== undefined && view.leader !== old && !view.isLeaving) return this.rest(now)
+    switch (phase.kind) {
+      case 'calm': return now >= phase.until && causeOf(view) !== undefined ? this.wait(view, now) : this.idle
+      case 'waiting': return now >= phase.until ? this.claim(view, now) : this.idle
+      case 'asking': return now >= phase.until ? this.survey(phase.fence) : this.idle
+      case 'settling': return now >= phase.until ? this.rest(now) : this.idle
+      default: return this.idle
+    }
+  }
+
+  private wait (view: SuccessionView, now: Instant): Step {
+    return this.to({ kind: 'waiting', until: later(now, view.rank * RANK_MS) }, [], { old: view.leader, since: now }).thenTick(view, now)
+  }
+
+  /** What was wrong may be over by the host's turn. */
+  private claim (view: SuccessionView, now: Instant): Step {
+    const cause = causeOf(view)
+    if (cause === undefined) return this.rest(now)
+    if (!view.mayClaim) return this.idle
+    const asksFor = cause === 'leaving' || cause === 'nobody' ? undefined : view.leader
+    return this.to({ kind: 'claiming' }, [{ kind: 'claim', cause, asksFor }])
+  }
+
+  /**
+   * Guard against a primary that only this host lost: its link is cut while
+   * others reach the primary and callers are served there. It shows as the same
+   * misses that a dead primary causes. So the others are asked first, by the
+   * lease's row, and one that reaches it objects.
+   */
+  private claimed (fence: number, view: SuccessionView, now: Instant): Step {
+    if (this.fields.phase.kind !== 'claiming') return this.idle
+    const cause = causeOf(view)
+    if (cause === undefined) return this.rest(now)
+    if (cause === 'leaving' || cause === 'nobody') return this.survey(fence)
+    return this.to({ kind: 'asking', until: later(now, ASK_MS), fence }, [])
+  }
+
+  private objected (fence: number, now: Instant): Step {
+    const { phase } = this.fields
+    return phase.kind === 'asking' && phase.fence === fence ? this.rest(now) : this.idle
+  }
+
+  private survey (fence: number): Step {
+    return this.to({ kind: 'surveying', fence }, [{ kind: 'survey', old: this.fields.old }])
+  }
+
+  private surveyed (statuses: ReadonlyMap<EndpointId, EndpointStatus>, view: SuccessionView, now: Instant): Step {
+    const { phase, old } = this.fields
+    if (phase.kind !== 'surveying') return this.idle
+    const leading = [...statuses].find(([id, { isPrimary }]) => isPrimary && id !== old)
+    if (leading !== undefined) return this.rest(now, [{ kind: 'found', endpoint: leading[0], term: leading[1].term }])
+    const endpoint = longest(statuses, old, view)
+    if (endpoint === undefined || !view.holds) return this.rest(now, [{ kind: 'giveUp' }])
+    return this.to({ kind: 'ordering', fence: phase.fence, endpoint }, [{ kind: 'promote', endpoint, fence: phase.fence }])
+  }
+
+  /**
+   * After a refusal the matter is dropped: a higher fence was seen, so another
+   * host acts, or the chosen endpoint doesn't run. An order without an answer
+   * may be carried out later; it's given the time of a promotion, and the next
+   * choice takes a higher fence.
+   */
+  private ordered (outcome: 'done' | 'refused' | 'notDone' | 'unknown', now: Instant): Step {
+    const { phase } = this.fields
+    if (phase.kind !== 'ordering') return this.idle
+    if (outcome === 'refused') return this.rest(now, [{ kind: 'giveUp' }])
+    if (outcome === 'notDone') return this.to({ kind: 'waiting', until: later(now, AGAIN_MS) }, [])
+    return this.to({ kind: 'settling', until: later(now, SETTLE_MS), endpoint: phase.endpoint }, [])
+  }
+
+  private rest (now: Instant, actions: readonly SuccessionAction[] = []): Step {
+    return this.to({ kind: 'calm', until: later(now, REST_MS) }, actions)
+  }
+
+  private get idle (): Step {
+    return { next: this, actions: [] }
+  }
+
+  private to (phase: Phase, actions: readonly SuccessionAction[], change: Partial<Fields> = {}): Step & { thenTick: (view: SuccessionView, now: Instant) => Step } {
+    const next = new Succession({ ...this.fields, ...change, phase })
+    return { next, actions, thenTick: (view, now) => next.tick(view, now) }
+  }
+}
+
+/** Why the group needs another primary; undefined when it doesn't. */
+function causeOf ({ leader, isLeaving, isListed, isFailing, leaderlessMs }: SuccessionView): 'leaving' | 'gone' | 'unreached' | 'nobody' | undefined {
+  if (leader === undefined) return leaderlessMs >= ORPHAN_MS ? 'nobody' : undefined
+  if (isLeaving) return 'leaving'
+  if (!isFailing) return undefined
+  return isListed ? 'unreached' : 'gone'
+}
+
+/** The replica with the longest log: the others would be cut back to what it has. One that leaves is the last choice. */
+function longest (statuses: ReadonlyMap<EndpointId, EndpointStatus>, old: EndpointId | undefined, view: SuccessionView): EndpointId | undefined {
+  const candidates = [...statuses].filter(([id]) => id !== old)
+  const staying = candidates.filter(([id]) => !view.leaving.has(id))
+  const [first, ...rest] = staying.length > 0 ? staying : candidates
+  if (first === undefined) return undefined
+  return rest.reduce((best, one) => one[1].received.isAfter(best[1].received) ? one : best, first)[0]
+}
+
+function later (now: Instant, ms: number): Instant {
+  return now + ms as Instant
+}
--- /dev/null
+++ b/src/core/pool/successionaction.ts
@@ -0,0 +1,14 @@
+/** What the succession of a group wants done. */
+
+import type { EndpointId } from '../id/endpoint.ts'
+
+export type SuccessionAction =
+  /** Take the lease; `asksFor`: ask the other hosts whether they reach this primary. */
+  | { readonly kind: 'claim', readonly cause: 'leaving' | 'gone' | 'unreached' | 'nobody', readonly asksFor: EndpointId | undefined }
+  /** Ask all endpoints but the old primary how far their logs reach. */
+  | { readonly kind: 'survey', readonly old: EndpointId | undefined }
+  | { readonly kind: 'promote', readonly endpoint: EndpointId, readonly fence: number }
+  /** The survey found a primary. */
+  | { readonly kind: 'found', readonly endpoint: EndpointId, readonly term: number }
+  /** No promotion follows; what was stopped for it goes on. */
+  | { readonly kind: 'giveUp' }
--- a/src/shell/log/events.ts
+++ b/src/shell/log/events.ts
@@ -29,6 +29,10 @@
   recordFailed: { id: 3004, level: 'warn', message: 'a promotion could not be recorded in the store' },
 
   leaderChanged: { id: 3005, level: 'warn', message: 'another endpoint is taken for the primary' },
+  leaseClaimed: { id: 3006, level: 'warn', message: 'claimed the lease of a group to replace its primary' },
+  surveyed: { id: 3007, level: 'info', message: 'asked an endpoint how far its log reaches' },
+  promotionOrdered: { id: 3008, level: 'warn', message: 'the platform answered an order to promote' },
+  objected: { id: 3009, level: 'info', message: 'reached a primary that another host finds out of reach' },
 
   peerLinked: { id: 4001, level: 'info', message: 'linked to a peer' },
   peerLost: { id: 4002, level: 'warn', message: 'lost the link to a peer' },
--- a/src/shell/pool/attempt.ts
+++ b/src/shell/pool/attempt.ts
@@ -26,6 +26,7 @@
    * endpoint leads.
    */
   async ask (commands: readonly Command[], index: number, timeoutMs: number, isLead: boolean): Promise<Answer | Ending> {
+    this.group.asked(this.endpoint)
     const { answers, lost } = await this.link.ask(commands, timeoutMs)
     const answer = answers[index]
     for (const other of answers.slice(0, index)) {
--- a/src/shell/pool/group.ts
+++ b/src/shell/pool/group.ts
@@ -149,6 +149,13 @@
     this.lead(this.leadership.refused(id, clock.now()), 'refusal')
   }
 
+  /** Something was sent to the endpoint. */
+  asked (id: EndpointId): void {
+    const contact = this.contact(id)
+    const next = contact.asked(clock.now())
+    if (next !== contact) this.contacts.set(id, next)
+  }
+
   missed (id: EndpointId): void {
     this.contacts.set(id, this.contact(id).missed(clock.now()))
   }
--- a/src/shell/pool/membership.ts
+++ b/src/shell/pool/membership.ts
@@ -3,28 +3,24 @@
 import { setTimeout as pause } from 'node:timers/promises'
 import type { HostId } from '../../core/id/host.ts'
 import { Hosts } from '../../core/pool/hosts.ts'
-import type { Log } from '../log/log.ts'
 import { clock } from './clock.ts'
-import { follow } from './feed.ts'
 import type { RowStore } from './rows.ts'
 
 interface Options {
   readonly host: HostId
   readonly store: RowStore
-  readonly log: Log
+  /** The table that all hosts share. */
+  readonly table: string
   readonly chance: () => number
   readonly onChange: () => void
 }
 
-const TABLE = 'agatepond-hosts'
 /** Shares of connections change with the hosts; a dead host's share lies idle until its row is this old, and calls to the store are counted. */
 const RENEW_MS = 20_000
 /** Three renewals, so that a store that is away for one takes nobody out. */
 const ALIVE_MS = 3 * RENEW_MS
 /** After a failed write. */
 const RETRY_MS = 1000
-/** The table changes with hosts alone, and nothing urgent follows from it. */
-const WAIT_MS = 20_000
 
 export class Membership {
   private known = Hosts.empty
@@ -41,10 +37,9 @@
   }
 
   async run (signal: AbortSignal): Promise<void> {
-    const { store, log, chance } = this.options
-    follow({ store, table: TABLE, waitMs: WAIT_MS, log, chance, onRows: rows => this.take(rows) }, signal)
+    const { store, table, host, chance } = this.options
     while (!signal.aborted) {
-      const renewed = await store.change([{ table: TABLE, key: this.options.host, value: '{}' }], signal)
+      const renewed = await store.change([{ table, key: keyOf(host), value: '{}' }], signal)
       const ms = renewed.isOk() ? RENEW_MS : RETRY_MS
       await pause(ms * (1 + chance()) / 2, undefined, { signal }).catch(() => 'the signal ends the loop')
       this.options.onChange()
@@ -52,14 +47,17 @@
   }
 
   async leave (signal: AbortSignal): Promise<void> {
-    await this.options.store.change([{ table: TABLE, key: this.options.host, value: undefined }], signal)
+    const { store, table, host } = this.options
+    await store.change([{ table, key: keyOf(host), value: undefined }], signal)
   }
 
-  private take (rows: ReadonlyArray<{ readonly key: string, readonly value: string | undefined, readonly version: number }>): void {
-    for (const { key, value, version } of rows) {
-      const host = key as HostId
-      this.known = value === undefined ? this.known.without(host) : this.known.with(host, version, clock.age())
-    }
+  /** A host's row changed; undefined when the host took it away. */
+  rowChanged (host: HostId, value: string | undefined, version: number): void {
+    this.known = value === undefined ? this.known.without(host) : this.known.with(host, version, clock.age())
     this.options.onChange()
   }
 }
+
+function keyOf (host: HostId): string {
+  return `host/${host}`
+}
--- a/src/shell/pool/node.ts
+++ b/src/shell/pool/node.ts
@@ -16,6 +16,7 @@
 import { PoolGroup } from './group.ts'
 import { Membership } from './membership.ts'
 import type { Platform } from './platform.ts'
+import { Successor } from './successor.ts'
 
 interface Options {
   readonly host: HostId
@@ -35,11 +36,19 @@
 
 /** A question to the store is held open for this part of the time in which a version must be in force: a connection that goes silent is then found, and replaced, within it. */
 const WAIT_SHARE = 1 / 2
+/** The rows of hosts, leases and objections. They change rarely, and none of them is needed to serve, so a silent connection may be found late. */
+const TABLE = 'agatepond'
+const TABLE_WAIT_MS = 5000
+/** How often each group's primary is looked at. */
+const TICK_MS = 100
 const NONE = PoolConfig.of({ version: 0 as ConfigVersion, routes: [], groups: [], idleTransactionMs: 0 })
 
 export class PoolNode {
   readonly context: PoolContext
   private readonly groups = new Map<GroupId, PoolGroup>()
+  private readonly successors = new Map<GroupId, Successor>()
+  /** Rows of the shared table that came before the configuration named their group. */
+  private readonly sharedRows = new Map<string, Row>()
   private readonly membership: Membership
   private config = NONE
   private directory = Directory.empty
@@ -48,7 +57,7 @@
   private constructor (private readonly options: Options, private readonly signal: AbortSignal) {
     const { log } = options
     this.context = { config: () => this.config, group: id => this.groups.get(id), budget: SharedBudget.create(clock.now()), log }
-    this.membership = Membership.create({ host: options.host, store: options.platform.store, log, chance: options.chance, onChange: () => this.resize() })
+    this.membership = Membership.create({ host: options.host, store: options.platform.store, table: TABLE, chance: options.chance, onChange: () => this.resize() })
   }
 
   /** Runs until the signal. */
@@ -73,7 +82,12 @@
     const common = { store: platform.store, waitMs: Math.round(applyMs * WAIT_SHARE), log, chance }
     follow({ ...common, table: platform.config.table, onRows: rows => this.configured(rows) }, this.signal)
     follow({ ...common, table: platform.endpoints.table, onRows: (rows, isWhole) => this.listed(rows, isWhole) }, this.signal)
+    follow({ ...common, waitMs: TABLE_WAIT_MS, table: TABLE, onRows: rows => this.shared(rows) }, this.signal)
     this.membership.run(this.signal)
+    const timer = setInterval(() => {
+      for (const successor of this.successors.values()) successor.tick()
+    }, TICK_MS)
+    this.signal.addEventListener('abort', () => clearInterval(timer))
   }
 
   /** Takes the newest version; an older one is never put in force again, whoever offers it. */
@@ -114,12 +128,24 @@
     return this.directory.with(endpoint, version)
   }
 
+  private shared (rows: readonly Row[]): void {
+    for (const row of rows) {
+      const [kind, name] = row.key.split('/')
+      if (kind === 'host') this.membership.rowChanged(name as HostId, row.value, row.version)
+      if (kind === 'lease') this.sharedRows.set(row.key, row)
+      const successor = this.successors.get(name as GroupId)
+      if (kind === 'lease') successor?.leaseChanged(row)
+      if (kind === 'objection') successor?.objectionMade(row)
+    }
+  }
+
   private regroup (): void {
     const wanted = new Set(this.config.groups.map(({ id }) => id))
     for (const [id, group] of this.groups) {
       if (wanted.has(id)) continue
       group.close()
       this.groups.delete(id)
+      this.successors.delete(id)
     }
     for (const id of wanted) {
       if (this.groups.has(id)) continue
@@ -127,10 +153,28 @@
       const group = PoolGroup.create({ id, dataCentre, dialer: platform.dialer, log, chance })
       group.listed(this.directory)
       this.groups.set(id, group)
+      this.successors.set(id, this.successorOf(group))
     }
     this.resize()
   }
 
+  private successorOf (group: PoolGroup): Successor {
+    const { host, platform, log } = this.options
+    const successor = Successor.create({
+      host,
+      group,
+      platform,
+      table: TABLE,
+      log,
+      hosts: () => this.membership.hosts,
+      isSynchronous: () => this.config.group(group.id)?.isSynchronous === true,
+      signal: this.signal
+    })
+    const lease = this.sharedRows.get(`lease/${group.id}`)
+    if (lease !== undefined) successor.leaseChanged(lease)
+    return successor
+  }
+
   private resize (): void {
     for (const { id, connections } of this.config.groups) {
       this.groups.get(id)?.resize(shareOf(connections, this.membership.hosts.length))
--- /dev/null
+++ b/src/shell/pool/successor.ts
@@ -0,0 +1,214 @@
+/** Carries out what the succession of one group decides: claims, surveys, orders and objections. */
+
+import type { EndpointId } from '../../core/id/endpoint.ts'
+import type { HostId } from '../../core/id/host.ts'
+import { Lease } from '../../core/pool/lease.ts'
+import { Succession } from '../../core/pool/succession.ts'
+import type { SuccessionAction } from '../../core/pool/successionaction.ts'
+import type { SuccessionEvent } from '../../core/pool/successionevent.ts'
+import type { SuccessionView } from '../../core/pool/successionview.ts'
+import type { Command } from '../../core/statement/command.ts'
+import type { EndpointStatus } from '../../core/statement/status.ts'
+import type { Term } from '../../core/id/term.ts'
+import { weightOf } from '../../core/weight.ts'
+import { z } from 'zod'
+import type { Log } from '../log/log.ts'
+import { clock } from './clock.ts'
+import type { PoolGroup } from './group.ts'
+import type { Platform } from './platform.ts'
+
+interface Options {
+  readonly host: HostId
+  readonly group: PoolGroup
+  readonly platform: Platform
+  /** The table that all hosts share. */
+  readonly table: string
+  readonly log: Log
+  /** Hosts that are alive. */
+  readonly hosts: () => readonly HostId[]
+  /** Whether a commit waits for a replica, so that the successor must hold what any replica acknowledged. */
+  readonly isSynchronous: () => boolean
+  readonly signal: AbortSignal
+}
+
+interface Row {
+  readonly key: string
+  readonly value: string | undefined
+  readonly version: number
+}
+
+/** How long an endpoint has to answer a probe or a survey: a connection, and a place in its queue. */
+const PROBE_MS = 400
+/** The primary was reached so lately that asking it again shows nothing new. */
+const FRESH_MS = 300
+
+const leaseShape = z.object({ holder: z.string(), asksFor: z.string().optional() })
+const objectionShape = z.object({ fence: z.number() })
+
+export class Successor {
+  private succession = Succession.create(clock.now())
+  private lease: Lease | undefined
+  private isProbing = false
+
+  private constructor (private readonly options: Options) {}
+
+  static create (options: Options): Successor {
+    return new Successor(options)
+  }
+
+  /** To be called every tenth of a second or so. */
+  tick (): void {
+    const { group } = this.options
+    const { leader } = group
+    if (leader !== undefined && !this.isProbing && group.contact(leader).isDoubtful(clock.now())) this.probeLeader(leader)
+    this.step({ kind: 'tick' })
+  }
+
+  /** A row of the shared table under this group's name. */
+  leaseChanged ({ value, version }: Row): void {
+    const parsed = value === undefined ? undefined : leaseShape.safeParse(JSON.parse(value))
+    if (parsed?.success !== true || (this.lease !== undefined && version <= this.lease.version)) return
+    const { holder, asksFor } = parsed.data
+    this.lease = Lease.of({ holder: holder as HostId, asksFor: asksFor as EndpointId | undefined, version, seenAt: clock.age() })
+    if (this.lease.asksFor !== undefined && holder !== this.options.host) this.considerObjection(this.lease.asksFor, version)
+  }
+
+  objectionMade ({ value }: Row): void {
+    const parsed = value === undefined ? undefined : objectionShape.safeParse(JSON.parse(value))
+    if (parsed?.success !== true) return
+    this.step({ kind: 'objected', fence: parsed.data.fence })
+  }
+
+  private get view (): SuccessionView {
+    const { group, host, hosts } = this.options
+    const { leader, endpoints } = group
+    const now = clock.age()
+    const byRank = [...hosts()].sort((a, b) => weightOf(`${group.id}/${b}`) - weightOf(`${group.id}/${a}`))
+    const listed = leader === undefined ? undefined : group.endpoint(leader)
+    return {
+      leader,
+      leaderlessMs: group.isEmpty ? 0 : group.leaderlessMs(),
+      isLeaving: listed?.isLeaving === true,
+      isListed: listed !== undefined,
+      isFailing: leader !== undefined && group.contact(leader).isFailing,
+      leaving: new Set(endpoints.filter(({ isLeaving }) => isLeaving).map(({ id }) => id)),
+      rank: Math.max(0, byRank.indexOf(host)),
+      mayClaim: this.lease === undefined || this.lease.mayClaim(host, now),
+      holds: this.lease?.isHeldBy(host, now) === true
+    }
+  }
+
+  private step (event: SuccessionEvent): void {
+    const { next, actions } = this.succession.step(event, this.view, clock.now())
+    this.succession = next
+    for (const action of actions) this.act(action)
+  }
+
+  private act (action: SuccessionAction): void {
+    switch (action.kind) {
+      case 'claim': return this.claim(action)
+      case 'survey': return this.survey(action.old)
+      case 'promote': return this.promote(action)
+      case 'found': return this.options.group.claimed(action.endpoint, action.term)
+      case 'giveUp': return this.resumeAll()
+    }
+  }
+
+  private claim ({ cause, asksFor }: Extract<SuccessionAction, { kind: 'claim' }>): void {
+    const { host, group, platform, table, log, signal } = this.options
+    const change = { table, key: `lease/${group.id}`, value: JSON.stringify({ holder: host, asksFor }), expected: this.lease?.version ?? 0 }
+    platform.store.change([change], signal).then(changed => {
+      log.write('leaseClaimed', { group: group.id, cause, isTaken: changed.isOk(), fence: changed.unwrapOr(0), leader: group.leader ?? 'none' })
+      if (changed.isErr()) return this.step({ kind: 'claimLost' })
+      this.lease = Lease.of({ holder: host, asksFor, version: changed.value, seenAt: clock.age() })
+      this.step({ kind: 'claimed', fence: changed.value })
+    })
+  }
+
+  /**
+   * Where commits wait for a replica, the replicas are stopped first: a commit
+   * that a replica acknowledged after it was asked would be missing in the log that was chosen.
+   */
+  private survey (old: EndpointId | undefined): void {
+    const { group, log, isSynchronous } = this.options
+    const others = group.endpoints.filter(({ id }) => id !== old)
+    const command: Command = isSynchronous() ? { kind: 'pause', term: group.term + 1 as Term } : { kind: 'status' }
+    Promise.all(others.map(async ({ id }) => ({ id, status: await this.ask(id, command) }))).then(answers => {
+      const statuses = new Map<EndpointId, EndpointStatus>()
+      for (const { id, status } of answers) {
+        if (status !== undefined) statuses.set(id, status)
+        log.write('surveyed', { group: group.id, endpoint: id, answered: status !== undefined, received: String(status?.received ?? '-'), isPrimary: status?.isPrimary ?? false })
+      }
+      this.step({ kind: 'surveyed', statuses })
+    })
+  }
+
+  private promote ({ endpoint, fence }: Extract<SuccessionAction, { kind: 'promote' }>): void {
+    const { host, group, platform, log, signal } = this.options
+    log.write('promotionBegun', { group: group.id, endpoint, fence, before: group.leader ?? 'none' })
+    platform.orders.promote({ group: group.id, endpoint, holder: host, fence }, signal).then(outcome => {
+      log.write('promotionOrdered', { group: group.id, endpoint, fence, outcome })
+      this.step({ kind: 'ordered', outcome })
+    })
+  }
+
+  private resumeAll (): void {
+    const { group, isSynchronous } = this.options
+    if (!isSynchronous()) return
+    for (const { id } of group.endpoints) this.ask(id, { kind: 'resume' })
+  }
+
+  private probeLeader (leader: EndpointId): void {
+    this.isProbing = true
+    this.probe(leader).then(() => {
+      this.isProbing = false
+      this.step({ kind: 'tick' })
+    })
+  }
+
+  /** Another host finds the primary out of reach. One that reaches it says so. */
+  private considerObjection (endpoint: EndpointId, fence: number): void {
+    const { group, host, platform, table, log, signal } = this.options
+    const isReached = group.contact(endpoint).isFresh(FRESH_MS, clock.now()) ? Promise.resolve(true) : this.probe(endpoint)
+    isReached.then(isThere => {
+      if (!isThere || group.leader !== endpoint) return
+      log.write('objected', { group: group.id, endpoint, fence })
+      platform.store.change([{ table, key: `objection/${group.id}/${host}`, value: JSON.stringify({ fence }) }], signal)
+    })
+  }
+
+  /** Whether the endpoint proves on a new connection that it leads; connections in use may be silent while new ones work. */
+  private async probe (id: EndpointId): Promise<boolean> {
+    const { group, platform } = this.options
+    const endpoint = group.endpoint(id) ?? group.lender(id)?.endpoint
+    const dialled = endpoint === undefined ? undefined : await platform.dialer.dial(endpoint, PROBE_MS)
+    if (dialled === undefined || dialled.isErr()) {
+      // An endpoint that takes no more connections answers, and so lives.
+      const isThere = dialled?.isErr() === true && dialled.error === 'tooManyConnections'
+      if (isThere) group.answered(id, undefined, clock.age(), false)
+      else group.missed(id)
+      return isThere
+    }
+    const { answers } = await dialled.value.ask([{ kind: 'begin', isReadOnly: false }], PROBE_MS)
+    dialled.value.close()
+    const [answer] = answers
+    if (answer === undefined) {
+      group.missed(id)
+      return false
+    }
+    group.answered(id, answer.position, answer.sentAt, answer.fault === undefined)
+    if (answer.fault === 'notPrimary') group.notPrimary(id)
+    return answer.fault === undefined
+  }
+
+  private async ask (id: EndpointId, command: Command): Promise<EndpointStatus | undefined> {
+    const { group, platform } = this.options
+    const endpoint = group.endpoint(id)
+    if (endpoint === undefined) return undefined
+    const dialled = await platform.dialer.dial(endpoint, PROBE_MS)
+    if (dialled.isErr()) return undefined
+    const { answers } = await dialled.value.ask([command], PROBE_MS)
+    dialled.value.close()
+    return answers[0]?.status
+  }
+}
