--- /dev/null
+++ b/src/core/pool/candidates.test.ts
@@ -0,0 +1,39 @@
+/** Which endpoints a read may use, the best first. */
+
+import { describe, expect, it } from 'vitest'
+import type { DataCentreId } from '../id/datacentre.ts'
+import type { EndpointId } from '../id/endpoint.ts'
+import type { GroupId } from '../id/group.ts'
+import type { Instant } from '../id/instant.ts'
+import { Token } from '../token.ts'
+import { readCandidates } from './candidates.ts'
+import { Standing } from './standing.ts'
+
+const NOW = 1000 as Instant
+
+/** Endpoints as `id@dataCentre`, with `-` for one that leaves, `~` for one that was short just now, `x` for one out of reach, `q` for one with a queue. */
+function order (primary: string, ...texts: string[]): string {
+  const flags = new Map(texts.map(text => [text[0]!, text.slice(3)]))
+  const has = (id: EndpointId, flag: string) => flags.get(id)!.includes(flag)
+  return readCandidates({
+    endpoints: texts.map(text => ({
+      id: text[0] as EndpointId, group: 'g' as GroupId, address: { ip: '10.0.0.1', port: 1 }, dataCentre: text[2] as DataCentreId, isLeaving: text.includes('-'), isPrimary: text[0] === primary
+    })),
+    primary: primary as EndpointId,
+    dataCentre: '1' as DataCentreId,
+    standing: id => has(id, '~') ? Standing.unknown.fellShort(NOW) : Standing.unknown,
+    queued: id => has(id, 'q') ? 3 : 0,
+    isReachable: id => !has(id, 'x')
+  }, Token.of(1, 5), NOW).join('')
+}
+
+describe('the candidates of a read', () => {
+  it.each<[string, string[], string]>([
+    ['the own data centre first, the primary last', ['a@2', 'b@2', 'c@1'], 'cba'],
+    ['the primary of the own data centre after a replica elsewhere', ['a@1', 'b@2', 'c@3'], 'bca'],
+    ['a queue is worse than a hop', ['a@2', 'b@2', 'c@1q'], 'bac'],
+    ['one that is short just now is left out', ['a@2', 'b@1~'], 'a'],
+    ['one out of reach is left out', ['a@2', 'b@1x'], 'a'],
+    ['one that leaves is left out', ['a@2', 'b@1-'], 'a']
+  ])('%s', (_, texts, expected) => expect(order('a', ...texts)).toBe(expected))
+})
--- /dev/null
+++ b/src/core/pool/leadership.test.ts
@@ -0,0 +1,45 @@
+/** Who is taken for the primary, as the directory, refusals and proofs say. */
+
+import { describe, expect, it } from 'vitest'
+import { Directory } from '../directory/directory.ts'
+import type { DataCentreId } from '../id/datacentre.ts'
+import type { EndpointId } from '../id/endpoint.ts'
+import type { GroupId } from '../id/group.ts'
+import type { Instant } from '../id/instant.ts'
+import { Leadership } from './leadership.ts'
+
+const GROUP = 'g' as GroupId
+
+/** Plays texts such as `a+` (a calls itself primary), `a-` (a replica), `a!` (a refused), `a=3` (a proved term 3), `a.` (a is gone). */
+function leader (...texts: string[]): EndpointId | undefined {
+  let directory = Directory.empty
+  let leadership = Leadership.create(GROUP, 0 as Instant)
+  texts.forEach((text, i) => {
+    const id = text[0] as EndpointId
+    const before = directory
+    const [, sign, term] = text
+    if (sign === '!') leadership = leadership.refused(id, i as Instant)
+    else if (sign === '=') leadership = leadership.proved(id, Number(term))
+    else {
+      directory = sign === '.' ? directory.without(id) : directory.with({ id, group: GROUP, address: { ip: '10.0.0.1', port: 1 }, dataCentre: 'z' as DataCentreId, isLeaving: false, isPrimary: sign === '+' }, i + 1)
+      leadership = leadership.listed(before, directory, i as Instant)
+    }
+  })
+  return leadership.leader
+}
+
+describe('the leader', () => {
+  it.each<[string, string[], string | undefined]>([
+    ['nobody is listed', [], undefined],
+    ['the one that says so', ['a+', 'b-'], 'a'],
+    ['the later of two that say so', ['a+', 'b-', 'b+'], 'b'],
+    ['the old one refuses before the new one is listed', ['a+', 'b-', 'a!'], undefined],
+    ['the new one is listed after the refusal', ['a+', 'b-', 'a!', 'b+'], 'b'],
+    // Writes go to a replaced primary for seconds: it's cut off from the directory, where its entry says primary still.
+    ['an old entry of one that refused', ['a+', 'b-', 'a!', 'c-'], undefined],
+    ['one that refused and then is promoted again', ['a+', 'a!', 'a-', 'a+'], 'a'],
+    ['a proof while the directory is silent', ['a+', 'b-', 'b=2'], 'b'],
+    ['a proof of an older term', ['a+', 'a=3', 'b=2'], 'a'],
+    ['the leader\'s entry lapses with nobody else listed', ['a+', 'b-', 'a.'], 'a']
+  ])('%s', (_, texts, expected) => expect(leader(...texts)).toBe(expected))
+})
--- /dev/null
+++ b/src/core/pool/succession.test.ts
@@ -0,0 +1,143 @@
+/** When a primary is replaced, by whom, and when it's left alone. */
+
+import { describe, expect, it } from 'vitest'
+import type { EndpointId } from '../id/endpoint.ts'
+import type { Instant } from '../id/instant.ts'
+import type { EndpointStatus } from '../statement/status.ts'
+import { Token } from '../token.ts'
+import { Succession } from './succession.ts'
+import type { SuccessionAction } from './successionaction.ts'
+import type { SuccessionEvent } from './successionevent.ts'
+import type { SuccessionView } from './successionview.ts'
+
+const WELL: SuccessionView = {
+  leader: 'a' as EndpointId, leaderlessMs: 0, isLeaving: false, isListed: true, isFailing: false, leaving: new Set(), rank: 0, mayClaim: true, holds: true
+}
+
+/** One succession on a virtual clock, with what it ordered as short texts. */
+class Drive {
+  now = 0
+  view = WELL
+  private succession = Succession.create(0 as Instant)
+
+  see (change: Partial<SuccessionView>): this {
+    this.view = { ...this.view, ...change }
+    return this
+  }
+
+  /** Ticks each tenth of a second for so long; what was ordered meanwhile. */
+  pass (ms: number): string[] {
+    const ordered: string[] = []
+    for (const until = this.now + ms; this.now < until; this.now += 100) ordered.push(...this.step({ kind: 'tick' }))
+    return ordered
+  }
+
+  step (event: SuccessionEvent): string[] {
+    const { next, actions } = this.succession.step(event, this.view, this.now as Instant)
+    this.succession = next
+    return actions.map(textOf)
+  }
+
+  /** Answers of a survey, each as `id term:position` or `id term:position primary`. */
+  surveyed (...texts: string[]): string[] {
+    const statuses = new Map<EndpointId, EndpointStatus>(texts.map(text => {
+      const [id, position, role] = text.split(' ')
+      const received = Token.parse(position!)!
+      return [id as EndpointId, { isPrimary: role === 'primary', term: received.term, received }]
+    }))
+    return this.step({ kind: 'surveyed', statuses })
+  }
+}
+
+function textOf (action: SuccessionAction): string {
+  switch (action.kind) {
+    case 'claim': return `claim ${action.cause}${action.asksFor === undefined ? '' : ' asking'}`
+    case 'promote': return `promote ${action.endpoint} under ${action.fence}`
+    case 'found': return `found ${action.endpoint}`
+    default: return action.kind
+  }
+}
+
+function drive (change: Partial<SuccessionView> = {}): Drive {
+  return new Drive().see(change)
+}
+
+describe('a succession', () => {
+  it('leaves a healthy primary alone', () => expect(drive().pass(60_000)).toEqual([]))
+
+  it('replaces a dead primary by the longest log', () => {
+    // Writes fail until somebody acts. The primary crashes; probes of this host fail; nobody else reaches it either.
+    const it = drive({ isFailing: true })
+    expect(it.pass(200)).toEqual(['claim unreached asking'])
+    expect(it.step({ kind: 'claimed', fence: 7 })).toEqual([])
+    expect(it.pass(600)).toEqual(['survey'])
+    expect(it.surveyed('b 1:5', 'c 1:9')).toEqual(['promote c under 7'])
+    expect(it.step({ kind: 'ordered', outcome: 'done' })).toEqual([])
+  })
+
+  it('leaves a primary alone that another host reaches', () => {
+    // Callers lose a second of writes and the last commits, for nothing: this host's link to the
+    // primary is cut, the others serve callers there, and this one has it replaced.
+    const it = drive({ isFailing: true })
+    it.pass(200)
+    it.step({ kind: 'claimed', fence: 7 })
+    it.step({ kind: 'objected', fence: 7 })
+    expect(it.pass(800)).toEqual([])
+  })
+
+  it('takes no objection that was made to an earlier question', () => {
+    const it = drive({ isFailing: true })
+    it.pass(200)
+    it.step({ kind: 'claimed', fence: 7 })
+    it.step({ kind: 'objected', fence: 5 })
+    expect(it.pass(600)).toEqual(['survey'])
+  })
+
+  it('replaces a leaving primary without asking', () => {
+    const it = drive({ isLeaving: true })
+    expect(it.pass(100)).toEqual(['claim leaving'])
+    expect(it.step({ kind: 'claimed', fence: 3 })).toEqual(['survey'])
+    expect(it.see({ leaving: new Set(['a', 'c'] as EndpointId[]) }).surveyed('b 1:5', 'c 1:9')).toEqual(['promote b under 3'])
+  })
+
+  it('waits for its rank, and gives way to who was first', () => {
+    const it = drive({ isLeaving: true, rank: 2 })
+    expect(it.pass(200)).toEqual([])
+    expect(it.see({ mayClaim: false }).pass(2500)).toEqual([])
+    expect(it.see({ leader: 'b' as EndpointId, isLeaving: false }).pass(5000)).toEqual([])
+  })
+
+  it('finds a primary that the directory does not know of', () => {
+    const it = drive({ leader: undefined, leaderlessMs: 2000 })
+    expect(it.pass(100)).toEqual(['claim nobody'])
+    expect(it.step({ kind: 'claimed', fence: 3 })).toEqual(['survey'])
+    expect(it.surveyed('b 2:5 primary', 'c 1:9')).toEqual(['found b'])
+  })
+
+  it('drops the matter after a refusal, and takes a new fence for the next choice', () => {
+    const it = drive({ isLeaving: true })
+    it.pass(100)
+    it.step({ kind: 'claimed', fence: 3 })
+    it.surveyed('b 1:5')
+    expect(it.step({ kind: 'ordered', outcome: 'refused' })).toEqual(['giveUp'])
+    expect(it.pass(1500)).toEqual(['claim leaving'])
+  })
+
+  it('gives no order once its lease ran out', () => {
+    // Two hosts have a primary replaced, one after the other: the first was suspended between its survey and its order.
+    const it = drive({ isLeaving: true })
+    it.pass(100)
+    it.step({ kind: 'claimed', fence: 3 })
+    expect(it.see({ holds: false }).surveyed('b 1:5')).toEqual(['giveUp'])
+  })
+
+  it('orders again, under a higher fence, when an order without an answer came to nothing', () => {
+    const it = drive({ isLeaving: true })
+    it.pass(100)
+    it.step({ kind: 'claimed', fence: 3 })
+    it.surveyed('b 1:5')
+    it.step({ kind: 'ordered', outcome: 'unknown' })
+    expect(it.pass(2000)).toEqual([])
+    expect(it.pass(2500)).toEqual(['claim leaving'])
+  })
+})
--- /dev/null
+++ b/src/core/pool/verdict.test.ts
@@ -0,0 +1,44 @@
+/** What becomes of a statement that wasn't done: never twice, never "not run" of one that may have run. */
+
+import { describe, expect, it } from 'vitest'
+import type { Ending } from './ending.ts'
+import { verdictOf } from './verdict.ts'
+
+type Where = 'alone' | 'first' | 'later' | 'afterWrite'
+
+function verdict (what: 'read' | 'write' | 'commit', where: Where, ending: Ending): string {
+  const isInside = where !== 'alone'
+  const result = verdictOf(ending, { what, isInside, isFirst: where === 'alone' || where === 'first', hasWritten: where === 'afterWrite' })
+  return result.kind === 'elsewhere' ? 'elsewhere' : result.fault
+}
+
+describe('the verdict', () => {
+  it.each<['read' | 'write' | 'commit', Where, Ending, string]>([
+    ['read', 'alone', 'busy', 'elsewhere'],
+    ['read', 'alone', 'behind', 'elsewhere'],
+    ['read', 'alone', 'broken', 'elsewhere'],
+    ['read', 'alone', 'outOfTime', 'timeout'],
+    ['read', 'alone', 'failed', 'failed'],
+    ['write', 'alone', 'busy', 'elsewhere'],
+    ['write', 'alone', 'notPrimary', 'elsewhere'],
+    ['write', 'alone', 'unknownStatement', 'elsewhere'],
+    ['write', 'alone', 'failed', 'failed'],
+    ['write', 'alone', 'timeout', 'timeout'],
+    // The connection breaks after the write was sent: it may have run, so it's neither sent again nor denied.
+    ['write', 'alone', 'broken', 'unknown'],
+    ['write', 'alone', 'outOfTime', 'unknown'],
+    // Nothing of a transaction is kept whose commit wasn't sent.
+    ['write', 'first', 'broken', 'elsewhere'],
+    ['read', 'first', 'busy', 'elsewhere'],
+    ['read', 'first', 'outOfTime', 'aborted'],
+    ['read', 'first', 'failed', 'failed'],
+    ['write', 'later', 'broken', 'aborted'],
+    ['read', 'later', 'notPrimary', 'notPrimary'],
+    ['read', 'later', 'unknownStatement', 'aborted'],
+    ['commit', 'first', 'busy', 'busy'],
+    ['commit', 'later', 'broken', 'aborted'],
+    ['commit', 'afterWrite', 'broken', 'unknown'],
+    ['commit', 'afterWrite', 'outOfTime', 'unknown'],
+    ['commit', 'afterWrite', 'notPrimary', 'notPrimary']
+  ])('%s %s, %s: %s', (what, where, ending, expected) => expect(verdict(what, where, ending)).toBe(expected))
+})
--- /dev/null
+++ b/src/core/session/values.test.ts
@@ -0,0 +1,37 @@
+/** What brings a shared connection to a session's values. */
+
+import { describe, expect, it } from 'vitest'
+import { Values } from './values.ts'
+
+/** Values as `name=value` texts. */
+function values (...pairs: string[]): Values {
+  const made = Values.empty()
+  for (const pair of pairs) {
+    const [name, value] = pair.split('=') as [string, string]
+    made.set(name, value)
+  }
+  return made
+}
+
+function commands (connection: Values, session: Values): string[] {
+  return connection.commandsTo(session).map(command => command.kind === 'set' ? `${command.name}=${command.value}` : command.kind)
+}
+
+describe('the commands to a session\'s values', () => {
+  it.each<[string, string[], string[], string[]]>([
+    ['nothing set', [], [], []],
+    ['the same', ['a=1'], ['a=1'], []],
+    ['one more', ['a=1'], ['a=1', 'b=2'], ['b=2']],
+    ['another value', ['a=1'], ['a=2'], ['a=2']],
+    // A caller's rows come out in another's language: the connection kept a value that the session never set.
+    ['one that the session lacks', ['a=1', 'b=2'], ['a=1'], ['reset', 'a=1']],
+    ['none that the session has', ['a=1'], [], ['reset']]
+  ])('%s', (_, connection, session, expected) => expect(commands(values(...connection), values(...session))).toEqual(expected))
+
+  it('a reset forgets what was prepared', () => {
+    const connection = values('a=1')
+    connection.apply({ kind: 'prepare', name: 'r_q', isWrite: false, shape: 'q' })
+    connection.apply({ kind: 'reset' })
+    expect(connection.statement('r_q')).toBeUndefined()
+  })
+})
--- /dev/null
+++ b/standin/lines/endpoint.ts
@@ -0,0 +1,176 @@
+/**
+ * A small endpoint that speaks the line protocol, in the process of a test. It
+ * keeps what it was sent, so that a test can tell what ran where.
+ */
+
+import { createServer, type Server, type Socket } from 'node:net'
+
+interface Faults {
+  /** Answers every read, write and commit with this word. */
+  refuseWith?: string
+  /** Runs the next statement whose text begins so, and breaks the connection in place of the answer. */
+  breakOn?: string
+  /** Runs the next statement whose text begins so, and sends nothing for it. */
+  loseAnswerTo?: string
+  /** Answers nothing at all, on connections that are open and on new ones. */
+  isSilent?: boolean
+}
+
+interface Connection {
+  readonly socket: Socket
+  readonly number: number
+  state: 'I' | 'T' | 'E'
+  isPlain: boolean
+  readonly values: Map<string, string>
+  readonly prepared: Map<string, string>
+}
+
+interface Options {
+  readonly id: string
+  readonly service: string
+  readonly port: number
+  readonly isPrimary: boolean
+}
+
+/** Its faults and its log are set by the test. */
+export class LineEndpoint {
+  /** Each message as `connection|id|text`, in order. */
+  readonly heard: string[] = []
+  /** Statements that ran, as `text {values}`. */
+  readonly ran: string[] = []
+  readonly faults: Faults = {}
+  isPrimary: boolean
+  term = 1
+  position = 0
+  opened = 0
+  private readonly sockets = new Set<Socket>()
+
+  private constructor (private readonly options: Options, private readonly server: Server) {
+    this.isPrimary = options.isPrimary
+  }
+
+  static async start (options: Options): Promise<LineEndpoint> {
+    const server = createServer()
+    const endpoint = new LineEndpoint(options, server)
+    server.on('connection', socket => endpoint.accept(socket))
+    await new Promise<void>(resolve => server.listen(options.port, '127.0.0.1', resolve))
+    return endpoint
+  }
+
+  get id (): string {
+    return this.options.id
+  }
+
+  /** Its entry in the directory. */
+  entry (change: Readonly<Record<string, unknown>> = {}): string {
+    const { service, port } = this.options
+    const dbRole = this.isPrimary ? 'primary' : 'replica'
+    return JSON.stringify({ service, address: `127.0.0.1:${port}`, zone: 'z1', version: 'v1', capacity: 2, state: 'ready', coldLeftMs: 0, dbRole, sequence: 1, ...change })
+  }
+
+  /** Ends it as a crash does. */
+  async stop (): Promise<void> {
+    for (const socket of this.sockets) socket.resetAndDestroy()
+    await new Promise<void>(resolve => this.server.close(() => resolve()))
+  }
+
+  private accept (socket: Socket): void {
+    this.sockets.add(socket)
+    const connection: Connection = { socket, number: ++this.opened, state: 'I', isPlain: false, values: new Map(), prepared: new Map() }
+    let rest = ''
+    socket.on('close', () => this.sockets.delete(socket))
+    socket.on('error', () => socket.destroy())
+    socket.on('data', chunk => {
+      const lines = (rest + chunk.toString('latin1')).split('\r\n')
+      rest = lines.pop()!
+      for (const line of lines) this.take(connection, line)
+    })
+  }
+
+  private take (connection: Connection, line: string): void {
+    if (this.faults.isSilent === true) return
+    const [word, first = '', ...rest] = line.split(' ')
+    if (word === 'TERMINATE') return connection.socket.end() as unknown as void
+    if (word === 'START') return this.start(connection, first, rest[1])
+    const text = rest.join(' ')
+    this.heard.push(`${connection.number}|${first}|${text}`)
+    const body = this.bodyOf(connection, text)
+    if (this.faults.breakOn !== undefined && text.startsWith(this.faults.breakOn)) {
+      this.faults.breakOn = undefined
+      connection.socket.resetAndDestroy()
+      return
+    }
+    if (this.faults.loseAnswerTo !== undefined && text.startsWith(this.faults.loseAnswerTo)) {
+      this.faults.loseAnswerTo = undefined
+      return
+    }
+    connection.socket.write(`${body}\r\nREADY ${connection.state} ${this.term}.${this.position}\r\n`, 'latin1')
+  }
+
+  private start (connection: Connection, service: string, id: string | undefined): void {
+    const isMine = service === this.options.service && (id === undefined || id === this.id)
+    if (isMine) connection.socket.write(`READY I ${this.term}.${this.position}\r\n`)
+    else connection.socket.end(`ERROR MISROUTED ${this.id}\r\n`)
+  }
+
+  private bodyOf (connection: Connection, text: string): string {
+    const [after, statement] = this.cutAfter(text)
+    const [verb = '', ...args] = statement.split(' ')
+    if (after) return 'ERROR LAGGING the log is short'
+    if (connection.state === 'E' && verb !== 'ROLLBACK' && verb !== 'COMMIT') return 'ERROR MALFORMED the transaction failed'
+    switch (verb) {
+      case 'SET':
+        connection.values.set(args[0]!, args[1]!)
+        return 'COMPLETE -'
+      case 'PREPARE':
+        connection.prepared.set(args[0]!, `${args[1]} ${args[2]}`)
+        return 'COMPLETE -'
+      case 'RESET':
+        connection.values.clear()
+        connection.prepared.clear()
+        return 'COMPLETE -'
+      case 'STATUS': return `DATAROW ${this.isPrimary ? 'primary' : 'replica'} ${this.term} ${this.term}.${this.position} 0 0 0 1\r\nCOMPLETE -`
+      case 'BEGIN': return this.begin(connection, args[0])
+      case 'ROLLBACK':
+        connection.state = 'I'
+        return 'COMPLETE -'
+      case 'EXECUTE':
+        return connection.prepared.has(args[0]!) ? this.run(connection, connection.prepared.get(args[0]!)!, args.slice(1)) : this.fail(connection, 'NOSUCHSTMT')
+      default: return this.run(connection, verb, args)
+    }
+  }
+
+  /** Whether the log lacks the position that goes before the statement, and the statement alone. */
+  private cutAfter (text: string): readonly [boolean, string] {
+    const match = /^AFTER (\d+)\.(\d+) (.*)$/.exec(text)
+    if (match === null) return [false, text]
+    const [, term, position, statement] = match
+    const isShort = Number(term) > this.term || (Number(term) === this.term && Number(position) > this.position)
+    return [isShort, statement!]
+  }
+
+  private begin (connection: Connection, mode: string | undefined): string {
+    if (mode === undefined && !this.isPrimary) return `ERROR READONLY ${this.id}`
+    connection.state = 'T'
+    connection.isPlain = mode === undefined
+    return 'COMPLETE -'
+  }
+
+  private run (connection: Connection, verb: string, args: readonly string[]): string {
+    if (this.faults.refuseWith !== undefined) return this.fail(connection, this.faults.refuseWith)
+    const isWrite = verb.startsWith('WRITE')
+    const isGuarded = isWrite || (connection.state === 'T' && connection.isPlain)
+    if (isGuarded && !this.isPrimary) return this.fail(connection, 'READONLY')
+    const values = [...connection.values].map(([name, value]) => `${name}=${value}`).join(',')
+    this.ran.push(`${[verb, ...args].join(' ')} {${values}}`)
+    if (isWrite) this.position++
+    if (verb === 'COMMIT') connection.state = 'I'
+    const rows = isWrite || verb === 'COMMIT' ? '' : `DATAROW row-of-${args[0]}\r\n`
+    return `${rows}COMPLETE proof.${this.id}`
+  }
+
+  private fail (connection: Connection, word: string): string {
+    if (connection.state === 'T') connection.state = 'E'
+    return `ERROR ${word} ${this.id}`
+  }
+}
