A host that is cut off from the store finds the new primary by itself

Change: a claim that fails is followed by a look at the endpoints themselves. A new connection that fails counts at once while older questions are unanswered.

--- a/src/core/pool/contact.test.ts
+++ b/src/core/pool/contact.test.ts
@@ -21,6 +21,7 @@
     ['is silent', ['?0'], 400, true, false],
     ['is silent while others are asked', ['?0', '?350'], 400, true, false],
     ['broke off once', ['-0'], 0, true, false],
+    ['is silent, and a new connection fails', ['?0', '-400'], 400, true, true],
     ['broke off twice', ['-0', '-10'], 10, true, true],
     ['broke off twice, long ago', ['-0', '-10'], 510, true, false],
     ['answers again', ['-0', '-10', '+20'], 20, false, false]
--- a/src/core/pool/contact.ts
+++ b/src/core/pool/contact.ts
@@ -52,10 +52,13 @@
 
   /** Whether tries keep failing; reads then go elsewhere but for a try now and then. */
   isOut (now: Instant): boolean {
-    return this.isFailing && now - this.fields.missedAt < RETRY_MS
+    return this.isFailing(now) && now - this.fields.missedAt < RETRY_MS
   }
 
-  get isFailing (): boolean {
-    return this.fields.misses >= MISSES
+  /** Two signs count as a failure: two tries, or one try while what was asked before stays unanswered. */
+  isFailing (now: Instant): boolean {
+    const { misses, waitingSince } = this.fields
+    const isSilent = waitingSince !== undefined && now - waitingSince >= DOUBT_MS
+    return misses >= MISSES || (misses > 0 && isSilent)
   }
 }
--- a/src/core/pool/succession.test.ts
+++ b/src/core/pool/succession.test.ts
@@ -114,6 +114,18 @@
     expect(it.surveyed('b 2:5 primary', 'c 1:9')).toEqual(['found b'])
   })
 
+  it('finds the successor by itself while it is cut off from the store', () => {
+    // Callers of one host can't write for ten seconds, though the others' callers can again after two.
+    // The host is cut off from the store; the primary dies; another host has it replaced; the directory can't tell.
+    const it = drive({ isFailing: true })
+    it.pass(200)
+    expect(it.step({ kind: 'claimLost' })).toEqual(['look'])
+    expect(it.surveyed('b 1:5', 'c 1:9')).toEqual([])
+    expect(it.pass(1200)).toEqual(['claim unreached asking'])
+    expect(it.step({ kind: 'claimLost' })).toEqual(['look'])
+    expect(it.surveyed('b 2:9', 'c 2:9 primary')).toEqual(['found c'])
+  })
+
   it('drops the matter after a refusal, and takes a new fence for the next choice', () => {
     const it = drive({ isLeaving: true })
     it.pass(100)
--- a/src/core/pool/succession.ts
+++ b/src/core/pool/succession.ts
@@ -24,6 +24,8 @@
   /** The other hosts may object until the instant. */
   | { readonly kind: 'asking', readonly until: Instant, readonly fence: number }
   | { readonly kind: 'surveying', readonly fence: number }
+  /** Without the lease: whether another host's order made a primary that the directory didn't tell of. */
+  | { readonly kind: 'looking' }
   | { readonly kind: 'ordering', readonly fence: number, readonly endpoint: EndpointId }
   /** Ordered; the successor leads by the instant, or the matter is begun again. */
   | { readonly kind: 'settling', readonly until: Instant, readonly endpoint: EndpointId }
@@ -73,7 +75,7 @@
     switch (event.kind) {
       case 'tick': return this.tick(view, now)
       case 'claimed': return this.claimed(event.fence, view, now)
-      case 'claimLost': return this.rest(now)
+      case 'claimLost': return this.to({ kind: 'looking' }, [{ kind: 'look', old: this.fields.old }])
       case 'objected': return this.objected(event.fence, now)
       case 'surveyed': return this.surveyed(event.statuses, view, now)
       case 'ordered': return this.ordered(event.outcome, now)
@@ -129,11 +131,18 @@
     return this.to({ kind: 'surveying', fence }, [{ kind: 'survey', old: this.fields.old }])
   }
 
+  /**
+   * Guard against a host that is cut off from the store: it finds the primary
+   * dead like the others, but neither gets the lease nor hears of the successor,
+   * and refuses writes for as long as the cut lasts. The endpoints themselves
+   * tell it who leads.
+   */
   private surveyed (statuses: ReadonlyMap<EndpointId, EndpointStatus>, view: SuccessionView, now: Instant): Step {
     const { phase, old } = this.fields
-    if (phase.kind !== 'surveying') return this.idle
+    if (phase.kind !== 'surveying' && phase.kind !== 'looking') return this.idle
     const leading = [...statuses].find(([id, { isPrimary }]) => isPrimary && id !== old)
     if (leading !== undefined) return this.rest(now, [{ kind: 'found', endpoint: leading[0], term: leading[1].term }])
+    if (phase.kind === 'looking') return this.rest(now)
     const endpoint = longest(statuses, old, view)
     if (endpoint === undefined || !view.holds) return this.rest(now, [{ kind: 'giveUp' }])
     return this.to({ kind: 'ordering', fence: phase.fence, endpoint }, [{ kind: 'promote', endpoint, fence: phase.fence }])
--- a/src/core/pool/successionaction.ts
+++ b/src/core/pool/successionaction.ts
@@ -7,6 +7,8 @@
   | { readonly kind: 'claim', readonly cause: 'leaving' | 'gone' | 'unreached' | 'nobody', readonly asksFor: EndpointId | undefined }
   /** Ask all endpoints but the old primary how far their logs reach. */
   | { readonly kind: 'survey', readonly old: EndpointId | undefined }
+  /** Ask the same without stopping anything: only whether one of them leads. */
+  | { readonly kind: 'look', readonly old: EndpointId | undefined }
   | { readonly kind: 'promote', readonly endpoint: EndpointId, readonly fence: number }
   /** The survey found a primary. */
   | { readonly kind: 'found', readonly endpoint: EndpointId, readonly term: number }
--- a/src/shell/pool/successor.ts
+++ b/src/shell/pool/successor.ts
@@ -38,7 +38,7 @@
 }
 
 /** How long an endpoint has to answer a probe or a survey: a connection, and a place in its queue. */
-const PROBE_MS = 400
+const PROBE_MS = 300
 /** The primary was reached so lately that asking it again shows nothing new. */
 const FRESH_MS = 300
 
@@ -90,7 +90,7 @@
       leaderlessMs: group.isEmpty ? 0 : group.leaderlessMs(),
       isLeaving: listed?.isLeaving === true,
       isListed: listed !== undefined,
-      isFailing: leader !== undefined && group.contact(leader).isFailing,
+      isFailing: leader !== undefined && group.contact(leader).isFailing(clock.now()),
       leaving: new Set(endpoints.filter(({ isLeaving }) => isLeaving).map(({ id }) => id)),
       rank: Math.max(0, byRank.indexOf(host)),
       mayClaim: this.lease === undefined || this.lease.mayClaim(host, now),
@@ -107,7 +107,8 @@
   private act (action: SuccessionAction): void {
     switch (action.kind) {
       case 'claim': return this.claim(action)
-      case 'survey': return this.survey(action.old)
+      case 'survey': return this.survey(action.old, this.options.isSynchronous())
+      case 'look': return this.survey(action.old, false)
       case 'promote': return this.promote(action)
       case 'found': return this.options.group.claimed(action.endpoint, action.term)
       case 'giveUp': return this.resumeAll()
@@ -129,10 +130,10 @@
    * Where commits wait for a replica, the replicas are stopped first: a commit
    * that a replica acknowledged after it was asked would be missing in the log that was chosen.
    */
-  private survey (old: EndpointId | undefined): void {
-    const { group, log, isSynchronous } = this.options
+  private survey (old: EndpointId | undefined, isStopped: boolean): void {
+    const { group, log } = this.options
     const others = group.endpoints.filter(({ id }) => id !== old)
-    const command: Command = isSynchronous() ? { kind: 'pause', term: group.term + 1 as Term } : { kind: 'status' }
+    const command: Command = isStopped ? { kind: 'pause', term: group.term + 1 as Term } : { kind: 'status' }
     Promise.all(others.map(async ({ id }) => ({ id, status: await this.ask(id, command) }))).then(answers => {
       const statuses = new Map<EndpointId, EndpointStatus>()
       for (const { id, status } of answers) {
