Unused connections are given back while they are scarce

Ruled out: the endpoints' own work (their slots were a third busy), the start of the processes (ready in 0.3 s). Change: in the first 4 s of a process, and as long after an opening was turned away, an unused connection is given back after 30 ms; an opening that is turned away is tried again after 25 to 50 ms and doesn't refuse what waits.

--- a/src/core/admission/admission.test.ts
+++ b/src/core/admission/admission.test.ts
@@ -55,6 +55,11 @@
     this.step({ kind: 'openFailed' })
   }
 
+  refuseOpening (): void {
+    this.opens--
+    this.step({ kind: 'openRefused' })
+  }
+
   step (event: AdmissionEvent): void {
     for (const action of this.admission.step(event, this.now as Instant, this.chance())) {
       if (action.kind === 'start') this.started.push(action.id)
@@ -210,6 +215,21 @@
     expect(slot.opens).toBe(4)
   })
 
+  it('waits while the endpoint takes no more connections, and tries again soon', () => {
+    // Callers are refused for a second after all hosts came back, though connections become free every few milliseconds.
+    // The endpoint turns an opening away since others hold its connections; that counted as a failure, each longer than the last.
+    const slot = new Drive(Limits.of(2))
+    const id = slot.arrive({ ms: 800 })
+    for (let i = 0; i < 5; i++) {
+      slot.refuseOpening()
+      slot.now += 50
+      slot.step({ kind: 'tick' })
+    }
+    expect([slot.refused, slot.opens]).toEqual([[], 1])
+    slot.open()
+    expect(slot.started).toEqual([id])
+  })
+
   it('refuses at once while no connection can be had, backs off, and tries again', () => {
     const slot = new Drive(Limits.of(14))
     slot.arrive()
--- a/src/core/admission/admission.ts
+++ b/src/core/admission/admission.ts
@@ -96,6 +96,7 @@
         this.idle++
         return
       case 'openFailed': return this.openFailed(now, chance)
+      case 'openRefused': return this.opener.refused(now, chance)
       case 'lost':
         this.idle = Math.max(0, this.idle - event.count)
         return
--- a/src/core/admission/event.ts
+++ b/src/core/admission/event.ts
@@ -10,6 +10,8 @@
   | { readonly kind: 'cancelled', readonly id: number }
   | { readonly kind: 'opened' }
   | { readonly kind: 'openFailed' }
+  /** The endpoint lives and takes no more connections now. */
+  | { readonly kind: 'openRefused' }
   /** Connections broke while nobody used them. */
   | { readonly kind: 'lost', readonly count: number }
   | { readonly kind: 'tick' }
--- a/src/core/admission/opener.ts
+++ b/src/core/admission/opener.ts
@@ -42,6 +42,16 @@
     this.failures = 0
   }
 
+  /**
+   * An endpoint that takes no more connections has the next one free as soon as
+   * some host gives one back, so tries neither get rarer nor count as failures:
+   * what waits goes on waiting for as long as its time allows.
+   */
+  refused (now: Instant, chance: number): void {
+    this.underWay--
+    this.nextAt = now + this.opening.backOffMs * (0.5 + chance / 2) as Instant
+  }
+
   /**
    * Against a server that comes back and is met by every slot owner at once:
    * tries get rarer with each failure, and chance spreads them.
--- a/src/shell/pool/dialer.ts
+++ b/src/shell/pool/dialer.ts
@@ -2,11 +2,9 @@
 
 import type { Result } from 'neverthrow'
 import type { Endpoint } from '../../core/directory/endpoint.ts'
+import type { DialFault } from './dialfault.ts'
 import type { EndpointLink } from './link.ts'
 
-/** Why no connection was opened. */
-type DialFault = 'unreachable' | 'wrongEndpoint' | 'tooManyConnections'
-
 export interface Dialer {
   /** Resolves always, within the time. Proves that the endpoint is the one named: addresses are used again. */
   dial (endpoint: Endpoint, timeoutMs: number): Promise<Result<EndpointLink, DialFault>>
--- a/src/shell/pool/group.ts
+++ b/src/shell/pool/group.ts
@@ -24,6 +24,8 @@
   readonly dialer: Dialer
   readonly log: Log
   readonly chance: () => number
+  /** When the process started. */
+  readonly startedAt: Instant
 }
 
 /** The only place where the group's pure values are replaced. */
@@ -102,7 +104,7 @@
     if (endpoint === undefined) return undefined
     const { dialer, chance } = this.options
     const onDialled = (isOpen: boolean) => isOpen ? this.reached(id, clock.now()) : this.missed(id)
-    const lender = Lender.create({ endpoint, dialer, chance, connections: this.share, onDialled })
+    const lender = Lender.create({ endpoint, dialer, chance, startedAt: this.options.startedAt, connections: this.share, onDialled })
     this.lenders.set(id, lender)
     return lender
   }
--- a/src/shell/pool/lender.ts
+++ b/src/shell/pool/lender.ts
@@ -8,9 +8,11 @@
 import type { Endpoint } from '../../core/directory/endpoint.ts'
 import type { CallerId } from '../../core/id/caller.ts'
 import type { Instant } from '../../core/id/instant.ts'
+import { Thrift } from '../../core/pool/thrift.ts'
 import type { Values } from '../../core/session/values.ts'
 import { clock } from './clock.ts'
 import type { Dialer } from './dialer.ts'
+import type { DialFault } from './dialfault.ts'
 import type { EndpointLink } from './link.ts'
 
 interface Wish {
@@ -38,6 +40,8 @@
   readonly dialer: Dialer
   readonly connections: number
   readonly chance: () => number
+  /** When the process started. */
+  readonly startedAt: Instant
   /** Told of each try to open a connection. */
   readonly onDialled: (isOpen: boolean) => void
 }
@@ -53,12 +57,16 @@
   private readonly loans = new Map<EndpointLink, number>()
   private readonly waiting = new Map<number, Waiter>()
   private nextId = 1
+  /** Unused connections that are given up unless they are lent before. */
+  private readonly resting = new Map<EndpointLink, NodeJS.Timeout>()
   private timer: NodeJS.Timeout | undefined
   private isClosed = false
   private limit: number
+  private thrift: Thrift
 
   private constructor (private readonly options: Options) {
     this.limit = options.connections
+    this.thrift = Thrift.started(options.startedAt)
     this.admission = Admission.create(limitsOf(options.connections))
   }
 
@@ -103,6 +111,7 @@
     if (isUsable) this.idle.push(link)
     else link.close()
     this.step({ kind: 'finished', id, isUsable })
+    if (isUsable) this.letRest(link)
   }
 
   /**
@@ -143,6 +152,8 @@
     }
     const link = this.nearest(waiter?.values)
     this.loans.set(link, action.id)
+    clearTimeout(this.resting.get(link))
+    this.resting.delete(link)
     if (waiter === undefined) this.giveBack(link)
     else waiter.answer(ok(link))
   }
@@ -163,7 +174,7 @@
   private async open (): Promise<void> {
     const dialled = await this.options.dialer.dial(this.options.endpoint, DIAL_MS)
     this.options.onDialled(dialled.isOk())
-    if (dialled.isErr()) return this.step({ kind: 'openFailed' })
+    if (dialled.isErr()) return this.notOpened(dialled.error)
     const link = dialled.value
     if (this.isClosed) return link.close()
     link.onEnd(() => this.ended(link))
@@ -171,6 +182,20 @@
     this.step({ kind: 'opened' })
   }
 
+  private notOpened (fault: DialFault): void {
+    if (fault !== 'tooManyConnections') return this.step({ kind: 'openFailed' })
+    this.thrift = this.thrift.refused(clock.now())
+    this.step({ kind: 'openRefused' })
+  }
+
+  /** While connections are scarce an unused one is given up soon. */
+  private letRest (link: EndpointLink): void {
+    const restMs = this.thrift.restMs(clock.now())
+    if (restMs === undefined || !this.idle.includes(link)) return
+    const timer = setTimeout(() => this.drop(link), restMs)
+    this.resting.set(link, timer)
+  }
+
   private ended (link: EndpointLink): void {
     const at = this.idle.indexOf(link)
     if (at < 0) return
@@ -179,7 +204,10 @@
   }
 
   private drop (link: EndpointLink): void {
-    this.idle.splice(this.idle.indexOf(link), 1)
+    const at = this.idle.indexOf(link)
+    this.resting.delete(link)
+    if (at < 0) return
+    this.idle.splice(at, 1)
     link.close()
     this.step({ kind: 'lost', count: 1 })
   }
--- a/src/shell/pool/node.ts
+++ b/src/shell/pool/node.ts
@@ -53,6 +53,7 @@
   private config = NONE
   private directory = Directory.empty
   private isListed = false
+  private readonly startedAt = clock.now()
 
   private constructor (private readonly options: Options, private readonly signal: AbortSignal) {
     const { log } = options
@@ -150,7 +151,7 @@
     for (const id of wanted) {
       if (this.groups.has(id)) continue
       const { dataCentre, platform, log, chance } = this.options
-      const group = PoolGroup.create({ id, dataCentre, dialer: platform.dialer, log, chance })
+      const group = PoolGroup.create({ id, dataCentre, dialer: platform.dialer, log, chance, startedAt: this.startedAt })
       group.listed(this.directory)
       this.groups.set(id, group)
       this.successors.set(id, this.successorOf(group))
