Statements are explained by a line, counted and timed; what can't be served is refused at once

Ruled out: the queue's estimate, which has no sample while nothing ends. Change: once the primary is out of reach, what waits for it and what comes is refused, with the time to come back. The lines: every statement that wasn't done or took more than one try, one in 64 of the others, at most 100 a second, the rest counted; never blocking.

--- /dev/null
+++ b/src/core/pool/linebudget.ts
@@ -0,0 +1,58 @@
+/** How many lines of requests a process writes. */
+
+import type { Instant } from '../id/instant.ts'
+import { weightOf } from '../weight.ts'
+
+/**
+ * Lines of requests in a second. A line takes about 15 microseconds to make, so
+ * the budget is below 0.2% of a core, and a failure of a second still leaves a hundred cases.
+ */
+const PER_SECOND = 100
+/** A failure's first moments may use what the seconds before left. */
+const MOST = 300
+/** Of requests that end well one in so many is written. */
+const SAMPLE = 64
+
+interface Grant {
+  /** Whether the line may be written. */
+  readonly isGranted: boolean
+  /** Lines that were dropped since the last one that was granted. */
+  readonly dropped: number
+}
+
+/**
+ * Against logs that cost more than the requests they explain: an outage makes
+ * every request fail, each is a line, and writing them takes the time that the recovery needs.
+ * Changes in place.
+ */
+export class LineBudget {
+  private tokens = MOST
+  private dropped = 0
+  private filledAt: Instant
+
+  private constructor (now: Instant) {
+    this.filledAt = now
+  }
+
+  static create (now: Instant): LineBudget {
+    return new LineBudget(now)
+  }
+
+  take (now: Instant): Grant {
+    this.tokens = Math.min(MOST, this.tokens + (now - this.filledAt) / 1000 * PER_SECOND)
+    this.filledAt = now
+    if (this.tokens < 1) {
+      this.dropped++
+      return { isGranted: false, dropped: 0 }
+    }
+    this.tokens--
+    const { dropped } = this
+    this.dropped = 0
+    return { isGranted: true, dropped }
+  }
+
+  /** By the request's id, so that all hosts that see a request write its lines or none does. */
+  isSampled (id: string): boolean {
+    return weightOf(id) % SAMPLE === 0
+  }
+}
--- a/src/core/pool/progress.ts
+++ b/src/core/pool/progress.ts
@@ -26,6 +26,12 @@
     return new Progress(marks.with(position, sentAt), position.max(this.newest))
   }
 
+  /** How long ago the newest mark was asked for, in milliseconds; undefined without one. */
+  markAgeMs (now: Instant): number | undefined {
+    const { newest } = this.marks
+    return newest === undefined ? undefined : now - newest
+  }
+
   /** The newest term in which an endpoint proved to lead. */
   get term (): number {
     return this.newest.term
--- a/src/shell/log/events.ts
+++ b/src/shell/log/events.ts
@@ -50,6 +50,9 @@
 
   callerRefused: { id: 6001, level: 'info', message: 'refused a caller' },
   statementRefused: { id: 6002, level: 'info', message: 'a statement was not done' },
+  statementDone: { id: 6003, level: 'info', message: 'a statement was done' },
+  transactionAborted: { id: 6004, level: 'info', message: 'rolled back an open transaction' },
+  linesDropped: { id: 6005, level: 'warn', message: 'dropped lines of statements over the budget' },
 
   batchStored: { id: 7001, level: 'info', message: 'stored a batch of audit records' },
   batchFailed: { id: 7002, level: 'warn', message: 'a batch of audit records could not be stored' },
--- a/src/shell/pool/context.ts
+++ b/src/shell/pool/context.ts
@@ -3,8 +3,10 @@
 import type { PoolConfig } from '../../core/pool/config.ts'
 import type { GroupId } from '../../core/id/group.ts'
 import type { SharedBudget } from '../../core/retry/budget.ts'
+import type { LineBudget } from '../../core/pool/linebudget.ts'
 import type { Log } from '../log/log.ts'
 import type { PoolGroup } from './group.ts'
+import type { PoolMetrics } from './metrics.ts'
 
 export interface PoolContext {
   /** The newest configuration in force. */
@@ -12,4 +14,7 @@
   readonly group: (id: GroupId) => PoolGroup | undefined
   readonly budget: SharedBudget
   readonly log: Log
+  /** For lines of requests. */
+  readonly lines: LineBudget
+  readonly metrics: PoolMetrics
 }
--- a/src/shell/pool/feed.ts
+++ b/src/shell/pool/feed.ts
@@ -3,6 +3,7 @@
 import { setTimeout as pause } from 'node:timers/promises'
 import { backoff } from '../../core/membership/backoff.ts'
 import type { Log } from '../log/log.ts'
+import type { PoolMetrics } from './metrics.ts'
 import type { RowStore } from './rows.ts'
 
 interface Row {
@@ -18,6 +19,7 @@
   /** The longest that the store holds a question open: a connection that went silent is found a little later. Milliseconds. */
   readonly waitMs: number
   readonly log: Log
+  readonly metrics: PoolMetrics
   readonly chance: () => number
   /** `isWhole`: the rows are all there are; else they are changes, in order. */
   readonly onRows: (rows: readonly Row[], isWhole: boolean) => void
@@ -35,6 +37,7 @@
     if (signal.aborted) return
     if (next === 'failed') {
       failures++
+      options.metrics.storeFailures.inc({ table: options.table })
       if (failures === 1) options.log.write('storeFailed', { table: options.table, version: version ?? 0 })
       await pause(backoff(failures - 1, RETRY, options.chance()), undefined, { signal }).catch(() => 'the signal ends the loop')
       continue
--- a/src/shell/pool/group.ts
+++ b/src/shell/pool/group.ts
@@ -16,13 +16,16 @@
 import type { Log } from '../log/log.ts'
 import { clock } from './clock.ts'
 import type { Dialer } from './dialer.ts'
+import type { DialFault } from './dialfault.ts'
 import { Lender } from './lender.ts'
+import type { PoolMetrics } from './metrics.ts'
 
 interface Options {
   readonly id: GroupId
   readonly dataCentre: DataCentreId
   readonly dialer: Dialer
   readonly log: Log
+  readonly metrics: PoolMetrics
   readonly chance: () => number
   /** When the process started. */
   readonly startedAt: Instant
@@ -75,6 +78,11 @@
     return this.contacts.get(id) ?? Contact.none
   }
 
+  /** Whether there is a leader that this host doesn't reach. */
+  isLeaderOut (): boolean {
+    return this.leader !== undefined && this.contact(this.leader).isFailing(clock.now())
+  }
+
   /** Milliseconds without a known leader. */
   leaderlessMs (): number {
     return this.leadership.missingMs(clock.now())
@@ -103,7 +111,7 @@
     const endpoint = this.directory.get(id)
     if (endpoint === undefined) return undefined
     const { dialer, chance } = this.options
-    const onDialled = (isOpen: boolean) => isOpen ? this.reached(id, clock.now()) : this.missed(id)
+    const onDialled = (outcome: 'opened' | DialFault) => this.dialled(id, outcome)
     const lender = Lender.create({ endpoint, dialer, chance, startedAt: this.options.startedAt, connections: this.share, onDialled })
     this.lenders.set(id, lender)
     return lender
@@ -127,6 +135,11 @@
     return this.progress.required(own, ageMs, clock.age())
   }
 
+  /** How long ago the primary's position was last asked for, in milliseconds; undefined when it never was. */
+  markAgeMs (): number | undefined {
+    return this.progress.markAgeMs(clock.age())
+  }
+
   /** The endpoint answered; `isLead`: in a way that only a primary can. */
   answered (id: EndpointId, position: Token | undefined, sentAt: Instant, isLead: boolean): void {
     this.reached(id, clock.now())
@@ -159,7 +172,10 @@
   }
 
   missed (id: EndpointId): void {
-    this.contacts.set(id, this.contact(id).missed(clock.now()))
+    const now = clock.now()
+    const contact = this.contact(id).missed(now)
+    this.contacts.set(id, contact)
+    if (contact.isFailing(now)) this.lenders.get(id)?.refuseWaiting()
   }
 
   /** Resolves with the leader as soon as there is one, or with undefined after the time. */
@@ -182,6 +198,13 @@
     for (const id of this.lenders.keys()) this.forget(id)
   }
 
+  private dialled (id: EndpointId, outcome: 'opened' | DialFault): void {
+    this.options.metrics.dials.inc({ outcome })
+    // An endpoint that takes no more connections answers, and so lives.
+    if (outcome === 'opened' || outcome === 'tooManyConnections') this.reached(id, clock.now())
+    else this.missed(id)
+  }
+
   private reached (id: EndpointId, now: Instant): void {
     this.contacts.set(id, this.contact(id).reached(now))
   }
@@ -194,7 +217,8 @@
     const before = this.leadership.leader
     this.leadership = next
     if (next.leader === before) return
-    this.options.log.write('leaderChanged', { group: this.id, leader: next.leader ?? 'none', before: before ?? 'none', cause })
+    this.options.metrics.leaderChanges.inc({ group: this.id })
+    this.options.log.write('leaderChanged', { group: this.id, leader: next.leader ?? 'none', before: before ?? 'none', cause, term: this.progress.term, markAgeMs: Math.round(this.markAgeMs() ?? -1) })
     if (next.leader === undefined) return
     for (const wake of [...this.waiting]) wake()
   }
--- a/src/shell/pool/lender.ts
+++ b/src/shell/pool/lender.ts
@@ -43,13 +43,15 @@
   /** When the process started. */
   readonly startedAt: Instant
   /** Told of each try to open a connection. */
-  readonly onDialled: (isOpen: boolean) => void
+  readonly onDialled: (outcome: 'opened' | DialFault) => void
 }
 
 /** How often waiting operations are looked through; a tenth of the shortest aim that callers have. */
 const TICK_MS = 10
 /** An opening takes a handshake and a place in the endpoint's queue; one that takes longer than this has failed. */
 const DIAL_MS = 1000
+/** The time to come back to an endpoint that is out of reach: about the time in which a successor is found. */
+const OUT_MS = 500
 
 export class Lender {
   private readonly admission: Admission
@@ -123,6 +125,15 @@
     for (const link of [...this.idle]) this.drop(link)
   }
 
+  /** Tells all that wait that the endpoint is out of reach, as soon as that is known. */
+  refuseWaiting (): void {
+    for (const [id, waiter] of [...this.waiting]) {
+      this.waiting.delete(id)
+      this.step({ kind: 'cancelled', id })
+      waiter.answer(err({ reason: 'unreachable', retryAfterMs: OUT_MS }))
+    }
+  }
+
   close (): void {
     this.isClosed = true
     clearInterval(this.timer)
@@ -173,7 +184,7 @@
 
   private async open (): Promise<void> {
     const dialled = await this.options.dialer.dial(this.options.endpoint, DIAL_MS)
-    this.options.onDialled(dialled.isOk())
+    this.options.onDialled(dialled.isOk() ? 'opened' : dialled.error)
     if (dialled.isErr()) return this.notOpened(dialled.error)
     const link = dialled.value
     if (this.isClosed) return link.close()
--- /dev/null
+++ b/src/shell/pool/metrics.ts
@@ -0,0 +1,45 @@
+/** The counters and histograms of a process that pools connections. */
+
+import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+
+/** From 0.5 ms, below any round trip, to 4 s, above the longest statement, each half again as long as the one before. */
+const SECONDS = Array.from({ length: 23 }, (_, i) => 0.0005 * 1.5 ** i)
+
+/** All registered once a process; read when they are asked for. */
+export class PoolMetrics {
+  readonly registry = new Registry()
+  readonly statements = new Counter({
+    name: 'agatepond_statements_total', help: 'Statements by database, kind and outcome', labelNames: ['database', 'kind', 'outcome'] as const, registers: [this.registry]
+  })
+
+  readonly statementSeconds = new Histogram({
+    name: 'agatepond_statement_seconds', help: 'From a statement to its answer', labelNames: ['kind'] as const, buckets: SECONDS, registers: [this.registry]
+  })
+
+  readonly tries = new Counter({
+    name: 'agatepond_tries_total', help: 'Tries of statements at endpoints, by how they ended', labelNames: ['ending'] as const, registers: [this.registry]
+  })
+
+  readonly trySeconds = new Histogram({
+    name: 'agatepond_dependency_seconds', help: 'From a question to the answer of a dependency', labelNames: ['dependency'] as const, buckets: SECONDS, registers: [this.registry]
+  })
+
+  readonly dials = new Counter({ name: 'agatepond_dials_total', help: 'Connections opened to endpoints, by outcome', labelNames: ['outcome'] as const, registers: [this.registry] })
+  readonly leaderChanges = new Counter({ name: 'agatepond_leader_changes_total', help: 'Changes of the primary that this process believes in', labelNames: ['group'] as const, registers: [this.registry] })
+  readonly orders = new Counter({ name: 'agatepond_promotion_orders_total', help: 'Orders to promote, by outcome', labelNames: ['outcome'] as const, registers: [this.registry] })
+  readonly storeFailures = new Counter({ name: 'agatepond_store_failures_total', help: 'Failed questions to the store', labelNames: ['table'] as const, registers: [this.registry] })
+  readonly sessions = new Gauge({ name: 'agatepond_sessions', help: 'Open sessions of callers', registers: [this.registry] })
+  readonly configVersion = new Gauge({ name: 'agatepond_config_version', help: 'Version of the configuration in force', registers: [this.registry] })
+  readonly linesDropped = new Counter({ name: 'agatepond_log_lines_dropped_total', help: 'Lines of requests that went over the budget', registers: [this.registry] })
+
+  private constructor () {
+    const memory: Gauge = new Gauge({
+      name: 'process_resident_memory_bytes', help: 'Resident memory', registers: [], collect: () => memory.set(process.memoryUsage.rss())
+    })
+    this.registry.registerMetric(memory)
+  }
+
+  static create (): PoolMetrics {
+    return new PoolMetrics()
+  }
+}
--- a/src/shell/pool/node.ts
+++ b/src/shell/pool/node.ts
@@ -6,6 +6,7 @@
 import type { GroupId } from '../../core/id/group.ts'
 import type { HostId } from '../../core/id/host.ts'
 import { PoolConfig } from '../../core/pool/config.ts'
+import { LineBudget } from '../../core/pool/linebudget.ts'
 import { shareOf } from '../../core/pool/share.ts'
 import { SharedBudget } from '../../core/retry/budget.ts'
 import type { ConfigVersion } from '../../core/id/version.ts'
@@ -15,6 +16,7 @@
 import { follow } from './feed.ts'
 import { PoolGroup } from './group.ts'
 import { Membership } from './membership.ts'
+import type { PoolMetrics } from './metrics.ts'
 import type { Platform } from './platform.ts'
 import { Successor } from './successor.ts'
 
@@ -25,6 +27,7 @@
   readonly applyMs: number
   readonly platform: Platform
   readonly log: Log
+  readonly metrics: PoolMetrics
   readonly chance: () => number
 }
 
@@ -56,8 +59,15 @@
   private readonly startedAt = clock.now()
 
   private constructor (private readonly options: Options, private readonly signal: AbortSignal) {
-    const { log } = options
-    this.context = { config: () => this.config, group: id => this.groups.get(id), budget: SharedBudget.create(clock.now()), log }
+    const { log, metrics } = options
+    this.context = {
+      config: () => this.config,
+      group: id => this.groups.get(id),
+      budget: SharedBudget.create(clock.now()),
+      lines: LineBudget.create(clock.now()),
+      log,
+      metrics
+    }
     this.membership = Membership.create({ host: options.host, store: options.platform.store, table: TABLE, chance: options.chance, onChange: () => this.resize() })
   }
 
@@ -79,8 +89,8 @@
   }
 
   private follow (): void {
-    const { platform, log, chance, applyMs } = this.options
-    const common = { store: platform.store, waitMs: Math.round(applyMs * WAIT_SHARE), log, chance }
+    const { platform, log, metrics, chance, applyMs } = this.options
+    const common = { metrics, store: platform.store, waitMs: Math.round(applyMs * WAIT_SHARE), log, chance }
     follow({ ...common, table: platform.config.table, onRows: rows => this.configured(rows) }, this.signal)
     follow({ ...common, table: platform.endpoints.table, onRows: (rows, isWhole) => this.listed(rows, isWhole) }, this.signal)
     follow({ ...common, waitMs: TABLE_WAIT_MS, table: TABLE, onRows: rows => this.shared(rows) }, this.signal)
@@ -101,6 +111,7 @@
     const { value: config } = parsed
     if (config.version <= this.config.version) return
     this.config = config
+    this.options.metrics.configVersion.set(config.version)
     log.write('configApplied', { version: config.version, databases: config.routes.length })
     this.regroup()
   }
@@ -150,8 +161,8 @@
     }
     for (const id of wanted) {
       if (this.groups.has(id)) continue
-      const { dataCentre, platform, log, chance } = this.options
-      const group = PoolGroup.create({ id, dataCentre, dialer: platform.dialer, log, chance, startedAt: this.startedAt })
+      const { dataCentre, platform, log, metrics, chance } = this.options
+      const group = PoolGroup.create({ id, dataCentre, dialer: platform.dialer, log, metrics, chance, startedAt: this.startedAt })
       group.listed(this.directory)
       this.groups.set(id, group)
       this.successors.set(id, this.successorOf(group))
@@ -160,13 +171,14 @@
   }
 
   private successorOf (group: PoolGroup): Successor {
-    const { host, platform, log } = this.options
+    const { host, platform, log, metrics } = this.options
     const successor = Successor.create({
       host,
       group,
       platform,
       table: TABLE,
       log,
+      metrics,
       hosts: () => this.membership.hosts,
       isSynchronous: () => this.config.group(group.id)?.isSynchronous === true,
       signal: this.signal
--- a/src/shell/pool/session.ts
+++ b/src/shell/pool/session.ts
@@ -6,6 +6,7 @@
 import { remedyOf } from '../../core/pool/remedy.ts'
 import type { Route } from '../../core/pool/route.ts'
 import type { Target } from '../../core/pool/target.ts'
+import { Trail } from '../../core/pool/trail.ts'
 import { verdictOf } from '../../core/pool/verdict.ts'
 import { Work } from '../../core/pool/work.ts'
 import { Values } from '../../core/session/values.ts'
@@ -53,6 +54,9 @@
   private idleTimer: NodeJS.Timeout | undefined
   private isRunning = false
   private afterRun: (() => void) | undefined
+  /** What was tried for the statement that runs. */
+  private trail = Trail.begin(clock.now())
+  private retryAfterMs = 0
 
   private constructor (private readonly ctx: PoolContext, private readonly database: string) {}
 
@@ -70,8 +74,10 @@
   async run (id: string, statement: Statement): Promise<Reply> {
     clearTimeout(this.idleTimer)
     this.isRunning = true
+    this.trail = Trail.begin(clock.now())
     const reply = await this.answer(id, statement)
     this.isRunning = false
+    this.explain(id, statement.kind, reply)
     this.afterRun?.()
     this.afterRun = undefined
     if (this.transaction?.attempt !== undefined) this.watchIdle()
@@ -80,7 +86,10 @@
 
   /** Refuses what isn't a statement. */
   reject (id: string): Reply {
-    return this.failInside(id, { fault: 'malformed', retryAfterMs: 0 })
+    this.trail = Trail.begin(clock.now())
+    const reply = this.failInside({ fault: 'malformed', retryAfterMs: 0 })
+    this.explain(id, 'none', reply)
+    return reply
   }
 
   /**
@@ -95,7 +104,7 @@
     }
     if (this.transaction?.state !== 'open') return
     this.transaction.abort()
-    this.log(this.transaction.id, 'aborted', 'the transaction was idle, or the process leaves', undefined)
+    this.ctx.log.write('transactionAborted', { id: this.transaction.id, database: this.database })
   }
 
   /** The caller is gone. What it hasn't asked to commit is rolled back, after the statement that runs. */
@@ -112,9 +121,9 @@
     if (statement.kind === 'rollback') return this.rollBack()
     if (transaction?.state === 'aborted') {
       transaction.fail()
-      return this.refuse(id, { fault: 'aborted', retryAfterMs: 0 })
+      return this.refuse({ fault: 'aborted', retryAfterMs: 0 })
     }
-    if (transaction?.state === 'failed') return this.answerFailed(id, statement)
+    if (transaction?.state === 'failed') return this.answerFailed(statement)
     switch (statement.kind) {
       case 'begin': return this.begin(id, statement.isReadOnly)
       case 'set':
@@ -124,22 +133,22 @@
         this.values.prepare(statement.name, statement.isWrite, statement.shape)
         return DONE
       case 'deallocate':
-        return this.values.deallocate(statement.name) ? DONE : this.failInside(id, { fault: 'unknownStatement', retryAfterMs: 0 })
+        return this.values.deallocate(statement.name) ? DONE : this.failInside({ fault: 'unknownStatement', retryAfterMs: 0 })
       default: return await this.send(id, statement)
     }
   }
 
   /** Ending a failed transaction rolls it back; a commit must not look like one that was done. */
-  private answerFailed (id: string, statement: Statement): Reply {
-    if (statement.kind !== 'commit') return this.refuse(id, { fault: 'malformed', retryAfterMs: 0 })
+  private answerFailed (statement: Statement): Reply {
+    if (statement.kind !== 'commit') return this.refuse({ fault: 'malformed', retryAfterMs: 0 })
     this.close()
-    return this.refuse(id, { fault: 'aborted', retryAfterMs: 0 })
+    return this.refuse({ fault: 'aborted', retryAfterMs: 0 })
   }
 
   private begin (id: string, isReadOnly: boolean): Reply {
-    if (this.transaction !== undefined) return this.failInside(id, { fault: 'malformed', retryAfterMs: 0 })
+    if (this.transaction !== undefined) return this.failInside({ fault: 'malformed', retryAfterMs: 0 })
     const route = this.ctx.config().route(this.database)
-    if (route === undefined) return this.unknownDatabase(id)
+    if (route === undefined) return this.unknownDatabase()
     this.transaction = Transaction.create(id, route, isReadOnly)
     return DONE
   }
@@ -151,13 +160,13 @@
 
   private async send (id: string, statement: Statement): Promise<Reply> {
     const work = Work.of(id, statement, this.values)
-    if (work === undefined) return this.failInside(id, { fault: 'unknownStatement', retryAfterMs: 0 })
+    if (work === undefined) return this.failInside({ fault: 'unknownStatement', retryAfterMs: 0 })
     if (this.transaction !== undefined) return await this.sendInside(work, this.transaction)
-    if (work.what === 'commit') return this.refuse(id, { fault: 'malformed', retryAfterMs: 0 })
+    if (work.what === 'commit') return this.refuse({ fault: 'malformed', retryAfterMs: 0 })
     const route = this.ctx.config().route(this.database)
-    if (route === undefined) return this.unknownDatabase(id)
+    if (route === undefined) return this.unknownDatabase()
     const run = await this.runSingle(work, route)
-    if (!('answer' in run)) return this.refuse(id, run)
+    if (!('answer' in run)) return this.refuse(run)
     if (work.what === 'write') this.committed(run.answer)
     return this.done(run.answer)
   }
@@ -191,7 +200,7 @@
     const run = transaction.attempt === undefined
       ? await this.runFirst(work, transaction, deadline)
       : await this.runNext(work, transaction, transaction.attempt, deadline)
-    if (!('answer' in run)) return this.failInside(work.id, run, work.what === 'commit')
+    if (!('answer' in run)) return this.failInside(run, work.what === 'commit')
     transaction.ran(run.attempt, work.what)
     if (work.what === 'commit') this.endCommitted(transaction, run.answer)
     return this.done(run.answer)
@@ -221,7 +230,9 @@
     const prelude = work.preludeOn(attempt.link.values, this.values)
     const { hasWritten } = transaction
     const isLead = transaction.leads && (work.what !== 'commit' || hasWritten)
+    const began = clock.now()
     const answer = await attempt.ask([...prelude, work.command()], prelude.length, left(deadline), isLead)
+    this.tried({ endpoint: attempt.endpoint, after: undefined }, typeof answer === 'string' ? answer : 'done', began)
     if (typeof answer !== 'string') return { answer, attempt }
     const verdict = verdictOf(answer, { what: work.what, isInside: true, isFirst: false, hasWritten })
     return { fault: verdict.kind === 'refuse' ? verdict.fault : 'aborted', retryAfterMs: 0 }
@@ -237,14 +248,17 @@
     for (let i = 0; i < MOST_TRIES && left(deadline) > 0; i++) {
       const target = await nextTarget(group, { mustLead, freshness: route.freshness, own: this.own, tried })
       if (target === undefined) return last
+      const began = clock.now()
       const attempt = await this.borrow(group, target, tries)
       if (!(attempt instanceof Attempt)) {
         last = attempt
+        this.tried(target, 'no connection', began)
         if (target.mustLead) return last
         tried.add(target.endpoint)
         continue
       }
       const answer = await tries.run(attempt, target)
+      this.tried(target, typeof answer === 'string' ? answer : 'done', began)
       if (typeof answer !== 'string') {
         this.ctx.budget.succeeded()
         return { answer, attempt }
@@ -260,6 +274,13 @@
     return last
   }
 
+  private tried ({ endpoint, after }: Pick<Target, 'endpoint' | 'after'>, ending: string, began: Instant): void {
+    const ms = clock.now() - began
+    this.trail.add({ endpoint, ending, after, ms })
+    this.ctx.metrics.tries.inc({ ending })
+    this.ctx.metrics.trySeconds.observe({ dependency: 'endpoint' }, ms / 1000)
+  }
+
   private async borrow (group: PoolGroup, target: Target, { route, deadline, isInside }: Tries): Promise<Attempt | Refused> {
     const lender = group.lender(target.endpoint)
     if (lender === undefined) return { fault: 'busy', retryAfterMs: LEADERLESS_MS }
@@ -286,28 +307,60 @@
   }
 
   /** Refuses a statement; inside of a transaction that fails as a whole, and a commit ends it. */
-  private failInside (id: string, refused: Refused, isCommit = false): Reply {
+  private failInside (refused: Refused, isCommit = false): Reply {
     if (isCommit) this.close()
     else this.transaction?.fail()
-    return this.refuse(id, refused)
+    return this.refuse(refused)
   }
 
-  private unknownDatabase (id: string): Reply {
-    return { ...this.refuse(id, { fault: 'unknownDatabase', retryAfterMs: 0 }), isFinal: true } as Reply
+  private unknownDatabase (): Reply {
+    return { ...this.refuse({ fault: 'unknownDatabase', retryAfterMs: 0 }), isFinal: true } as Reply
   }
 
   private done ({ rows, proof }: Answer): Reply {
     return { kind: 'done', rows, proof }
   }
 
-  private refuse (id: string, { fault, retryAfterMs }: Refused): Reply {
-    const message = remedyOf(fault, retryAfterMs)
-    this.log(id, fault, message, this.transaction?.attempt?.endpoint)
-    return { kind: 'refused', fault, message }
+  private refuse ({ fault, retryAfterMs }: Refused): Reply {
+    this.retryAfterMs = retryAfterMs
+    return { kind: 'refused', fault, message: remedyOf(fault, retryAfterMs) }
   }
 
-  private log (id: string, fault: Fault, why: string, endpoint: EndpointId | undefined): void {
-    this.ctx.log.write('statementRefused', { id, database: this.database, fault, why, endpoint: endpoint ?? 'none', config: this.ctx.config().version })
+  /** One line for a statement that wasn't done or took more than one try, and for a sample of the others: what was decided on which knowledge. */
+  private explain (id: string, kind: Statement['kind'] | 'none', reply: Reply): void {
+    const { ctx, trail, database } = this
+    const ms = clock.now() - trail.since
+    const outcome = reply.kind === 'done' ? 'done' : reply.fault
+    ctx.metrics.statements.inc({ database, kind, outcome })
+    if (trail.count > 0) ctx.metrics.statementSeconds.observe({ kind }, ms / 1000)
+    const isPlain = outcome === 'done' && trail.count < 2
+    if (isPlain && !ctx.lines.isSampled(id)) return
+    const { isGranted, dropped } = ctx.lines.take(clock.now())
+    if (!isGranted) return ctx.metrics.linesDropped.inc()
+    if (dropped > 0) ctx.log.write('linesDropped', { dropped })
+    ctx.log.write(outcome === 'done' ? 'statementDone' : 'statementRefused', { id, database, kind, outcome, ms: Math.round(ms), ...this.knowledge })
+  }
+
+  /** What the decisions on the statement rested on. */
+  private get knowledge (): Readonly<Record<string, string | number>> {
+    const { ctx, trail, transaction, own, retryAfterMs } = this
+    const config = ctx.config()
+    const route = transaction?.route ?? config.route(this.database)
+    const group = route === undefined ? undefined : ctx.group(route.group)
+    const { freshness } = route ?? {}
+    return {
+      group: route?.group ?? 'none',
+      freshness: freshness?.kind === 'age' ? `${freshness.ms} ms` : freshness?.kind ?? 'none',
+      tries: trail.toString(),
+      transaction: transaction?.id ?? 'none',
+      own: own.toString(),
+      leader: group?.leader ?? 'none',
+      leaderlessMs: Math.round(group?.leaderlessMs() ?? 0),
+      markAgeMs: Math.round(group?.markAgeMs() ?? -1),
+      term: group?.term ?? 0,
+      config: config.version,
+      retryAfterMs: Math.ceil(retryAfterMs)
+    }
   }
 
   /** A transaction that nobody goes on with holds a connection that others wait for. */
--- a/src/shell/pool/successor.ts
+++ b/src/shell/pool/successor.ts
@@ -15,6 +15,7 @@
 import type { Log } from '../log/log.ts'
 import { clock } from './clock.ts'
 import type { PoolGroup } from './group.ts'
+import type { PoolMetrics } from './metrics.ts'
 import type { Platform } from './platform.ts'
 
 interface Options {
@@ -24,6 +25,7 @@
   /** The table that all hosts share. */
   readonly table: string
   readonly log: Log
+  readonly metrics: PoolMetrics
   /** Hosts that are alive. */
   readonly hosts: () => readonly HostId[]
   /** Whether a commit waits for a replica, so that the successor must hold what any replica acknowledged. */
@@ -148,6 +150,7 @@
     const { host, group, platform, log, signal } = this.options
     log.write('promotionBegun', { group: group.id, endpoint, fence, before: group.leader ?? 'none' })
     platform.orders.promote({ group: group.id, endpoint, holder: host, fence }, signal).then(outcome => {
+      this.options.metrics.orders.inc({ outcome })
       log.write('promotionOrdered', { group: group.id, endpoint, fence, outcome })
       this.step({ kind: 'ordered', outcome })
     })
--- a/src/shell/pool/target.ts
+++ b/src/shell/pool/target.ts
@@ -30,6 +30,9 @@
     const endpoint = after === undefined ? undefined : group.readers(after).find(id => !tried.has(id))
     if (endpoint !== undefined) return { endpoint, after, mustLead: false }
   }
+  // Against requests that are held for their whole time before they are refused: what would go to a primary that
+  // is out of reach is known not to be served until it's replaced.
+  if (group.isLeaderOut()) return undefined
   const leader = group.leader ?? await group.awaitLeader(NEWS_MS - group.leaderlessMs())
   return leader === undefined ? undefined : { endpoint: leader, after: undefined, mustLead: true }
 }
--- a/standin/lines/stage.ts
+++ b/standin/lines/stage.ts
@@ -9,6 +9,7 @@
 import type { DataCentreId } from '../../src/core/id/datacentre.ts'
 import type { HostId } from '../../src/core/id/host.ts'
 import { Log } from '../../src/shell/log/log.ts'
+import { PoolMetrics } from '../../src/shell/pool/metrics.ts'
 import { PoolNode } from '../../src/shell/pool/node.ts'
 import { freePorts } from '../ports.ts'
 import { LineCaller } from './caller.ts'
@@ -21,6 +22,8 @@
   /** The limit of a statement, in milliseconds. */
   readonly statementMs?: number
   readonly idleTransactionMs?: number
+  /** Nothing is written without one. */
+  readonly log?: Log
 }
 
 const SERVICE = 'svc'
@@ -42,12 +45,14 @@
     for (const endpoint of endpoints) store.put('servers', endpoint.id, endpoint.entry())
     store.put('op', 'config', LineStage.config(1, options))
     const stopped = new AbortController()
+    const { log = Log.silent } = options
     const address = { ip: '127.0.0.1', port: storePort }
     const node = PoolNode.start({
       host: 'h1' as HostId,
       dataCentre: 'z1' as DataCentreId,
       applyMs: 2000,
-      log: Log.silent,
+      log,
+      metrics: PoolMetrics.create(),
       chance: () => 0.5,
       platform: {
         store: PlatformStore.create({ address, timeoutMs: CALL_MS }),
