A dead primary is replaced sooner, and hosts without the lease look more often

Change: doubt after 250 ms, ranks 50 ms apart, the time to object is 200 ms and four times what the claim took, a failed claim is followed by four looks. Ruled out: fewer signs (two are still needed: silence and a new connection).

--- a/src/core/pool/contact.ts
+++ b/src/core/pool/contact.ts
@@ -16,10 +16,10 @@
 /** An endpoint that is out of reach is tried again after so long; a lost try costs one read a redirection. */
 const RETRY_MS = 500
 /**
- * So long without any answer is doubtful: several times what the longest
- * statement takes at a slow endpoint, and half of what a statement may take.
+ * So long without any answer is doubtful: about twice what the longest statement
+ * takes at a slow endpoint. A wrong doubt costs one connection, to find out.
  */
-const DOUBT_MS = 400
+const DOUBT_MS = 250
 
 /** Immutable; questions, answers and failures yield the next value. */
 export class Contact {
--- a/src/core/pool/succession.ts
+++ b/src/core/pool/succession.ts
@@ -25,7 +25,8 @@
   | { readonly kind: 'asking', readonly until: Instant, readonly fence: number }
   | { readonly kind: 'surveying', readonly fence: number }
   /** Without the lease: whether another host's order made a primary that the directory didn't tell of. */
-  | { readonly kind: 'looking' }
+  | { readonly kind: 'looking', readonly left: number }
+  | { readonly kind: 'lookingAgain', readonly left: number, readonly until: Instant }
   | { readonly kind: 'ordering', readonly fence: number, readonly endpoint: EndpointId }
   /** Ordered; the successor leads by the instant, or the matter is begun again. */
   | { readonly kind: 'settling', readonly until: Instant, readonly endpoint: EndpointId }
@@ -41,16 +42,21 @@
   readonly actions: readonly SuccessionAction[]
 }
 
-/** The host of the next rank waits so much longer: about a change in the store and its way to the others. */
-const RANK_MS = 100
-/** A host that reaches the primary has so long to say so: a probe, a change in the store, and its way here. */
-const ASK_MS = 500
+/** The host of the next rank waits so much longer: several times a change in the store and its way to the others. */
+const RANK_MS = 50
+/** A host that reaches the primary has so long to say so: a new connection and a question take a tenth of a second at a slow endpoint, */
+const ASK_MS = 200
+/** and so many times what the claim took: the question's way there, the objection and its way back go through the same store, with one to spare. */
+const ASK_CLAIMS = 4
 /** So long without any primary, and the group is surveyed: a successor's report arrives within a tenth of it. */
 const ORPHAN_MS = 1500
 /** A promotion takes about a second; twice that, and the order counts as lost. */
 const SETTLE_MS = 2500
 /** After a matter that came to nothing: once what stood in its way may have changed. */
 const REST_MS = 1000
+/** Without the lease the endpoints are asked so often who leads, with so long between. */
+const LOOKS = 4
+const LOOK_MS = 300
 /** The platform turned the order away undone; its rate is counted by the second. */
 const AGAIN_MS = 300
 
@@ -74,8 +80,8 @@
   step (event: SuccessionEvent, view: SuccessionView, now: Instant): Step {
     switch (event.kind) {
       case 'tick': return this.tick(view, now)
-      case 'claimed': return this.claimed(event.fence, view, now)
-      case 'claimLost': return this.to({ kind: 'looking' }, [{ kind: 'look', old: this.fields.old }])
+      case 'claimed': return this.claimed(event, view, now)
+      case 'claimLost': return this.look(LOOKS)
       case 'objected': return this.objected(event.fence, now)
       case 'surveyed': return this.surveyed(event.statuses, view, now)
       case 'ordered': return this.ordered(event.outcome, now)
@@ -90,6 +96,7 @@
       case 'calm': return now >= phase.until && causeOf(view) !== undefined ? this.wait(view, now) : this.idle
       case 'waiting': return now >= phase.until ? this.claim(view, now) : this.idle
       case 'asking': return now >= phase.until ? this.survey(phase.fence) : this.idle
+      case 'lookingAgain': return now >= phase.until ? this.look(phase.left) : this.idle
       case 'settling': return now >= phase.until ? this.rest(now) : this.idle
       default: return this.idle
     }
@@ -114,12 +121,21 @@
    * misses that a dead primary causes. So the others are asked first, by the
    * lease's row, and one that reaches it objects.
    */
-  private claimed (fence: number, view: SuccessionView, now: Instant): Step {
+  private claimed ({ fence, tookMs }: Extract<SuccessionEvent, { kind: 'claimed' }>, view: SuccessionView, now: Instant): Step {
     if (this.fields.phase.kind !== 'claiming') return this.idle
     const cause = causeOf(view)
     if (cause === undefined) return this.rest(now)
     if (cause === 'leaving' || cause === 'nobody') return this.survey(fence)
-    return this.to({ kind: 'asking', until: later(now, ASK_MS), fence }, [])
+    return this.to({ kind: 'asking', until: later(now, ASK_MS + ASK_CLAIMS * tookMs), fence }, [])
+  }
+
+  private look (left: number): Step {
+    return this.to({ kind: 'looking', left: left - 1 }, [{ kind: 'look', old: this.fields.old }])
+  }
+
+  /** Another host may be at it: its order takes about a second, which is what the looks cover. */
+  private lookAgain (left: number, now: Instant): Step {
+    return left > 0 ? this.to({ kind: 'lookingAgain', left, until: later(now, LOOK_MS) }, []) : this.rest(now)
   }
 
   private objected (fence: number, now: Instant): Step {
@@ -142,7 +158,7 @@
     if (phase.kind !== 'surveying' && phase.kind !== 'looking') return this.idle
     const leading = [...statuses].find(([id, { isPrimary }]) => isPrimary && id !== old)
     if (leading !== undefined) return this.rest(now, [{ kind: 'found', endpoint: leading[0], term: leading[1].term }])
-    if (phase.kind === 'looking') return this.rest(now)
+    if (phase.kind === 'looking') return this.lookAgain(phase.left, now)
     const endpoint = longest(statuses, old, view)
     if (endpoint === undefined || !view.holds) return this.rest(now, [{ kind: 'giveUp' }])
     return this.to({ kind: 'ordering', fence: phase.fence, endpoint }, [{ kind: 'promote', endpoint, fence: phase.fence }])
--- a/src/core/pool/successionevent.ts
+++ b/src/core/pool/successionevent.ts
@@ -5,8 +5,8 @@
 
 export type SuccessionEvent =
   | { readonly kind: 'tick' }
-  /** The store gave the lease, under a fence. */
-  | { readonly kind: 'claimed', readonly fence: number }
+  /** The store gave the lease, under a fence, after so many milliseconds. */
+  | { readonly kind: 'claimed', readonly fence: number, readonly tookMs: number }
   /** Another host was first, or the store didn't answer. */
   | { readonly kind: 'claimLost' }
   /** A host reaches the primary that was asked about under the fence. */
--- a/src/shell/pool/successor.ts
+++ b/src/shell/pool/successor.ts
@@ -120,11 +120,12 @@
   private claim ({ cause, asksFor }: Extract<SuccessionAction, { kind: 'claim' }>): void {
     const { host, group, platform, table, log, signal } = this.options
     const change = { table, key: `lease/${group.id}`, value: JSON.stringify({ holder: host, asksFor }), expected: this.lease?.version ?? 0 }
+    const began = clock.now()
     platform.store.change([change], signal).then(changed => {
       log.write('leaseClaimed', { group: group.id, cause, isTaken: changed.isOk(), fence: changed.unwrapOr(0), leader: group.leader ?? 'none' })
       if (changed.isErr()) return this.step({ kind: 'claimLost' })
       this.lease = Lease.of({ holder: host, asksFor, version: changed.value, seenAt: clock.age() })
-      this.step({ kind: 'claimed', fence: changed.value })
+      this.step({ kind: 'claimed', fence: changed.value, tookMs: clock.now() - began })
     })
   }
 
