A caller that comes before the configuration waits for it

Cause: a starting process told callers that their database doesn't exist (read in the code while looking at the closing faults; the balancer uses hosts that aren't ready when a data centre has no other).

--- a/src/shell/pool/context.ts
+++ b/src/shell/pool/context.ts
@@ -11,6 +11,8 @@
 export interface PoolContext {
   /** The newest configuration in force. */
   readonly config: () => PoolConfig
+  /** Resolves once the process knows its configuration and its endpoints, or with false after the time. */
+  readonly whenReady: (ms: number) => Promise<boolean>
   readonly group: (id: GroupId) => PoolGroup | undefined
   readonly budget: SharedBudget
   readonly log: Log
--- a/src/shell/pool/node.ts
+++ b/src/shell/pool/node.ts
@@ -56,12 +56,14 @@
   private config = NONE
   private directory = Directory.empty
   private isListed = false
+  private readonly starting: Array<() => void> = []
   private readonly startedAt = clock.now()
 
   private constructor (private readonly options: Options, private readonly signal: AbortSignal) {
     const { log, metrics } = options
     this.context = {
       config: () => this.config,
+      whenReady: async ms => await this.whenReady(ms),
       group: id => this.groups.get(id),
       budget: SharedBudget.create(clock.now()),
       lines: LineBudget.create(clock.now()),
@@ -83,6 +85,24 @@
     return this.config !== NONE && this.isListed
   }
 
+  private async whenReady (ms: number): Promise<boolean> {
+    if (this.isReady) return true
+    await new Promise<void>(resolve => {
+      const timer = setTimeout(resolve, ms)
+      this.starting.push(() => {
+        clearTimeout(timer)
+        resolve()
+      })
+    })
+    return this.isReady
+  }
+
+  /** Lets those in who came before the process was ready. */
+  private letIn (): void {
+    if (!this.isReady) return
+    for (const enter of this.starting.splice(0)) enter()
+  }
+
   /** Takes this host out of the list of hosts. */
   async leave (): Promise<void> {
     await this.membership.leave(this.signal)
@@ -114,6 +134,7 @@
     this.options.metrics.configVersion.set(config.version)
     log.write('configApplied', { version: config.version, databases: config.routes.length })
     this.regroup()
+    this.letIn()
   }
 
   private listed (rows: readonly Row[], isWhole: boolean): void {
@@ -123,6 +144,7 @@
     for (const row of rows) this.directory = this.list(row)
     this.isListed = true
     for (const group of this.groups.values()) group.listed(this.directory)
+    this.letIn()
   }
 
   private list ({ key, value, version }: Row): Directory {
--- a/standin/lines/stage.ts
+++ b/standin/lines/stage.ts
@@ -22,6 +22,8 @@
   /** The limit of a statement, in milliseconds. */
   readonly statementMs?: number
   readonly idleTransactionMs?: number
+  /** Starts before the store answers. */
+  readonly isStoreDown?: boolean
   /** Nothing is written without one. */
   readonly log?: Log
 }
@@ -44,6 +46,7 @@
     const endpoints = await Promise.all(ports.map(async (one, i) => await LineEndpoint.start({ id: `e${i}`, service: SERVICE, port: one, isPrimary: i === 0 })))
     for (const endpoint of endpoints) store.put('servers', endpoint.id, endpoint.entry())
     store.put('op', 'config', LineStage.config(1, options))
+    store.faults.isDown = options.isStoreDown
     const stopped = new AbortController()
     const { log = Log.silent } = options
     const address = { ip: '127.0.0.1', port: storePort }
@@ -64,7 +67,7 @@
     }, stopped.signal)
     const stage = new LineStage(store, endpoints, node, port)
     stage.stopped.signal.addEventListener('abort', () => stopped.abort())
-    await stage.until(() => node.isReady)
+    if (options.isStoreDown !== true) await stage.until(() => node.isReady)
     return stage
   }
 
