--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -11,6 +11,7 @@
 import { serve } from './serve.ts'
 import { show } from './show.ts'
 import { status } from './status.ts'
+import { trace } from './trace.ts'
 import { version } from './version.ts'
 
 // The platform's clients are pinned, so their notice about later versions isn't about this program; it would stand
@@ -30,6 +31,7 @@
     status,
     explain,
     burn,
+    trace,
     version
   }
 })
--- a/src/core/config/document.ts
+++ b/src/core/config/document.ts
@@ -4,7 +4,7 @@
 import { z } from 'zod'
 import { parseAddress } from '../settings/address.ts'
 import { parseDuration } from '../settings/duration.ts'
-import { problemOf } from '../settings/problem.ts'
+import { problemsOf } from '../settings/problem.ts'
 import type { ConfigVersion } from '../id/version.ts'
 import type { Freshness } from '../routing/freshness.ts'
 import type { Config } from './config.ts'
@@ -57,7 +57,7 @@
 /** The checked configuration, or one line that says where it's wrong and what to write instead. */
 export function parseConfig (version: ConfigVersion, document: unknown): Result<Config, string> {
   const parsed = shape.safeParse(document)
-  if (!parsed.success) return err(problemOf(parsed.error.issues[0]!, document, LIST_OF_KEYS))
+  if (!parsed.success) return err(problemsOf(parsed.error.issues, document, LIST_OF_KEYS))
   const problem = strayReference(parsed.data) ?? repeatedName(parsed.data) ?? repeatedInPool(parsed.data)
   if (problem !== undefined) return err(problem)
   return ok({ version, ...parsed.data } as unknown as Config)
--- a/src/core/settings/problem.ts
+++ b/src/core/settings/problem.ts
@@ -1,4 +1,4 @@
-/** One line about what a checker found wrong: the key, what is wrong, and the remedy. */
+/** Lines about what a checker found wrong: the key, what is wrong, and the remedy. */
 
 import type { z } from 'zod'
 
@@ -7,14 +7,21 @@
 /** How the library begins its own messages, which name no remedy. */
 const DEFAULT_MESSAGE = /^(Invalid|Too (small|big))/
 
-/** `where` says where the known keys are listed; entries of lists are named by their id where they have one. */
-export function problemOf (issue: Issue, document: unknown, where: string): string {
+/**
+ * Everything that is wrong, a line each, so that a file is corrected in one go.
+ * `where` says where the known keys are listed; entries of lists are named by
+ * their id where they have one.
+ */
+export function problemsOf (issues: readonly Issue[], document: unknown, where: string): string {
+  return issues.flatMap(issue => linesOf(issue, document, where)).join('\n')
+}
+
+function linesOf (issue: Issue, document: unknown, where: string): readonly string[] {
   const path = pathOf(issue.path, document)
   if (issue.code === 'unrecognized_keys') {
-    const key = issue.keys[0]!
-    return `${path === '' ? key : `${path}.${key}`}: unknown key; remove it or see ${where}`
+    return issue.keys.map(key => `${path === '' ? key : `${path}.${key}`}: unknown key; remove it or see ${where}`)
   }
-  return `${path === '' ? 'document' : path}: ${reasonOf(issue, valueAt(document, issue.path))}`
+  return [`${path === '' ? 'document' : path}: ${reasonOf(issue, valueAt(document, issue.path))}`]
 }
 
 function reasonOf (issue: Issue, value: unknown): string {
--- a/src/core/settings/settings.test.ts
+++ b/src/core/settings/settings.test.ts
@@ -52,6 +52,17 @@
     expect(check(path, value)).toBe(expected)
   })
 
+  it('names every problem at once, unknown keys beside a missing table', () => {
+    const { endpoints: _, ...rest } = base
+    const document = { ...rest, colour: {}, host: { ...base.host, shape: 1, size: 2 } }
+    expect(parseSettings(document).match(() => '', problems => problems).split('\n').sort()).toEqual([
+      'colour: unknown key; remove it or see "Settings" in docs/OPERATIONS.md',
+      'endpoints: is missing; write a table',
+      'host.shape: unknown key; remove it or see "Settings" in docs/OPERATIONS.md',
+      'host.size: unknown key; remove it or see "Settings" in docs/OPERATIONS.md'
+    ])
+  })
+
   it.each<[string, number | undefined]>([
     ['250ms', 250], ['1.5s', 1500], ['2m', 120_000], ['1h', 3_600_000], ['1d', 86_400_000], ['5', undefined], ['5 s', undefined], ['-1s', undefined], ['s', undefined]
   ])('duration %s', (text, ms) => expect(parseDuration(text).unwrapOr(undefined as never)).toBe(ms))
--- a/src/core/settings/settings.ts
+++ b/src/core/settings/settings.ts
@@ -5,7 +5,7 @@
 import { parseAddress } from './address.ts'
 import { contradictionIn } from './contradiction.ts'
 import { parseDuration } from './duration.ts'
-import { problemOf } from './problem.ts'
+import { problemsOf } from './problem.ts'
 import { parseSize } from './size.ts'
 
 const LIST_OF_KEYS = '"Settings" in docs/OPERATIONS.md'
@@ -92,10 +92,10 @@
 /** Durations are in milliseconds. */
 type Settings = z.output<typeof shape>
 
-/** The checked settings, or one line that names the key, what is wrong and the remedy. */
+/** The checked settings, or a line for each problem that names the key, what is wrong and the remedy. */
 export function parseSettings (document: unknown): Result<Settings, string> {
   const parsed = shape.safeParse(document)
-  if (!parsed.success) return err(problemOf(parsed.error.issues[0]!, document, LIST_OF_KEYS))
+  if (!parsed.success) return err(problemsOf(parsed.error.issues, document, LIST_OF_KEYS))
   const contradiction = contradictionIn(parsed.data)
   return contradiction === undefined ? ok(parsed.data) : err(contradiction)
 }
--- /dev/null
+++ b/src/core/trace/line.ts
@@ -0,0 +1,68 @@
+/** One line of a process's log. */
+
+import { z } from 'zod'
+
+const shape = z.looseObject({
+  time: z.iso.datetime(),
+  host: z.string(),
+  event: z.int(),
+  msg: z.string()
+})
+
+interface Fields {
+  /** Milliseconds of the host's time of day, which may differ from another host's. */
+  readonly at: number
+  readonly host: string
+  readonly event: number
+  readonly message: string
+  readonly fields: ReadonlyMap<string, string>
+}
+
+/** Fields of every line, which are shown by themselves. */
+const COMMON = new Set(['time', 'host', 'event', 'msg', 'level'])
+
+/** Immutable. */
+export class LogLine implements Fields {
+  readonly at: number
+  readonly host: string
+  readonly event: number
+  readonly message: string
+  readonly fields: ReadonlyMap<string, string>
+
+  private constructor (fields: Fields) {
+    this.at = fields.at
+    this.host = fields.host
+    this.event = fields.event
+    this.message = fields.message
+    this.fields = fields.fields
+  }
+
+  /** Undefined for what isn't a line of ours; whatever goes before the first brace is passed over, as collectors put it there. */
+  static parse (text: string): LogLine | undefined {
+    const begin = text.indexOf('{')
+    if (begin < 0) return undefined
+    const parsed = shape.safeParse(jsonOf(text.slice(begin)))
+    if (!parsed.success) return undefined
+    const { time, host, event, msg } = parsed.data
+    const fields = Object.entries(parsed.data).filter(([name]) => !COMMON.has(name)).map(([name, value]) => [name, String(value)] as const)
+    return new LogLine({ at: Date.parse(time), host, event, message: msg, fields: new Map(fields) })
+  }
+
+  /** Whether it's about the request, or about the transaction that the request is part of. */
+  isAbout (id: string): boolean {
+    return this.fields.get('id') === id || this.fields.get('transaction') === id
+  }
+
+  toString (): string {
+    const fields = [...this.fields].map(([name, value]) => `${name}=${value.includes(' ') ? JSON.stringify(value) : value}`)
+    return `${new Date(this.at).toISOString()} ${this.host} ${this.event} ${this.message}: ${fields.join(' ')}`
+  }
+}
+
+function jsonOf (text: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch {
+    return undefined
+  }
+}
--- a/src/shell/pool/group.ts
+++ b/src/shell/pool/group.ts
@@ -36,6 +36,8 @@
   private readonly lenders = new Map<EndpointId, Lender>()
   private readonly standings = new Map<EndpointId, Standing>()
   private readonly contacts = new Map<EndpointId, Contact>()
+  /** Endpoints that were logged as out of reach. */
+  private readonly unreached = new Set<EndpointId>()
   private directory: Directory = Endpoints.empty
   private leadership: Leadership
   private progress = Progress.empty
@@ -100,6 +102,7 @@
 
   /** Takes another share of each endpoint's connections. */
   resize (share: number): void {
+    if (share !== this.share) this.options.log.write('shareDealt', { group: this.id, connections: share })
     this.share = share
     for (const lender of this.lenders.values()) lender.resize(share)
   }
@@ -175,7 +178,11 @@
     const now = clock.now()
     const contact = this.contact(id).missed(now)
     this.contacts.set(id, contact)
-    if (contact.isFailing(now)) this.lenders.get(id)?.refuseWaiting()
+    if (!contact.isFailing(now)) return
+    this.lenders.get(id)?.refuseWaiting()
+    if (this.unreached.has(id)) return
+    this.unreached.add(id)
+    this.options.log.write('endpointUnreachable', { endpoint: id, group: this.id, isLeader: id === this.leader })
   }
 
   /** Resolves with the leader as soon as there is one, or with undefined after the time. */
@@ -207,6 +214,7 @@
 
   private reached (id: EndpointId, now: Instant): void {
     this.contacts.set(id, this.contact(id).reached(now))
+    if (this.unreached.delete(id)) this.options.log.write('endpointReachable', { endpoint: id, group: this.id })
   }
 
   private standing (id: EndpointId): Standing {
@@ -228,5 +236,6 @@
     this.lenders.delete(id)
     this.standings.delete(id)
     this.contacts.delete(id)
+    this.unreached.delete(id)
   }
 }
