Sessions are passed on to hosts that have connections for them

Change: a group is owned by so many hosts that each has two connections at least, by rendezvous hashing in turn over the data centres; another host passes the whole session on as bytes, to its own data centre first. The table of hosts is read every 20 s in place of followed. Where connections suffice for all hosts nothing changes. Questions to the store are held open for 0.7 of the time in which a version must be in force. Weighed: passing single statements on over the streams between hosts (each is decoded twice, and the session's knowledge is split over hosts).

--- /dev/null
+++ b/src/core/pool/host.ts
@@ -0,0 +1,11 @@
+/** A host as its row in the shared table describes it. */
+
+import type { DataCentreId } from '../id/datacentre.ts'
+import type { HostId } from '../id/host.ts'
+
+export interface PoolHost {
+  readonly id: HostId
+  readonly dataCentre: DataCentreId
+  /** Where it takes sessions that other hosts pass on. */
+  readonly address: { readonly ip: string, readonly port: number }
+}
--- a/src/core/pool/hosts.ts
+++ b/src/core/pool/hosts.ts
@@ -2,8 +2,10 @@
 
 import type { HostId } from '../id/host.ts'
 import type { Instant } from '../id/instant.ts'
+import type { PoolHost } from './host.ts'
 
 interface Seen {
+  readonly host: PoolHost
   readonly version: number
   /** When this process first saw the row in this version. */
   readonly at: Instant
@@ -15,25 +17,22 @@
 
   static readonly empty = new Hosts(new Map())
 
-  with (host: HostId, version: number, now: Instant): Hosts {
-    if (this.seen.get(host)?.version === version) return this
-    return new Hosts(new Map([...this.seen, [host, { version, at: now }]]))
+  with (host: PoolHost, version: number, now: Instant): Hosts {
+    if (this.seen.get(host.id)?.version === version) return this
+    return new Hosts(new Map([...this.seen, [host.id, { host, version, at: now }]]))
   }
 
-  without (host: HostId): Hosts {
-    return new Hosts(new Map([...this.seen].filter(([id]) => id !== host)))
+  /** Without those that aren't listed any more. */
+  only (ids: readonly HostId[]): Hosts {
+    const listed = new Set(ids)
+    return new Hosts(new Map([...this.seen].filter(([id]) => listed.has(id))))
   }
 
   /**
-   * Hosts whose row changed within the time, in a fixed order. A host that died
-   * keeps its row; its age is told from when this process saw it change, so no
-   * clock of another host counts.
+   * Hosts whose row changed within the time. A host that died keeps its row; its
+   * age is told from when this process saw it change, so no clock of another host counts.
    */
-  alive (withinMs: number, now: Instant): readonly HostId[] {
-    return [...this.seen].filter(([, { at }]) => now - at < withinMs).map(([id]) => id).sort()
-  }
-
-  get all (): readonly HostId[] {
-    return [...this.seen.keys()]
+  alive (withinMs: number, now: Instant): readonly PoolHost[] {
+    return [...this.seen.values()].filter(({ at }) => now - at < withinMs).map(({ host }) => host)
   }
 }
--- /dev/null
+++ b/src/core/pool/ownership.test.ts
@@ -0,0 +1,51 @@
+/** Who owns a group's connections, and where the others pass sessions on. */
+
+import { describe, expect, it } from 'vitest'
+import type { DataCentreId } from '../id/datacentre.ts'
+import type { GroupId } from '../id/group.ts'
+import type { HostId } from '../id/host.ts'
+import type { PoolHost } from './host.ts'
+import { Ownership } from './ownership.ts'
+import { shareOf } from './share.ts'
+
+/** So many hosts, dealt over three data centres in turn. */
+function hosts (count: number): PoolHost[] {
+  return Array.from({ length: count }, (_, i) => ({ id: `h${i}` as HostId, dataCentre: `z${i % 3}` as DataCentreId, address: { ip: '10.0.0.1', port: i + 1 } }))
+}
+
+function owners (count: number, connections: number, group = 'g'): Ownership {
+  return Ownership.of(group as GroupId, hosts(count), connections)
+}
+
+describe('the owners of a group', () => {
+  it.each([[7, 16, 7, 2], [7, 30, 7, 4], [14, 16, 14, 1], [15, 16, 7, 2], [64, 22, 10, 2], [64, 98, 64, 1], [3, 1, 1, 1], [1, 16, 1, 14]])('%d hosts, %d connections: %d owners with %d each', (count, connections, expected, share) => {
+    const made = owners(count, connections)
+    expect(made.owners.length).toBe(expected)
+    expect(shareOf(connections, made.owners.length)).toBe(share)
+    expect(expected * share).toBeLessThanOrEqual(Math.max(1, connections))
+  })
+
+  it('stand in all data centres', () => expect(new Set(owners(64, 22).owners.map(({ dataCentre }) => dataCentre)).size).toBe(3))
+
+  it('differ from group to group', () => {
+    const ids = (group: string) => owners(64, 22, group).owners.map(({ id }) => id).sort().join()
+    expect(ids('g1')).not.toBe(ids('g2'))
+  })
+
+  it('hardly change when a host goes', () => {
+    const before = owners(64, 22).owners
+    const after = Ownership.of('g' as GroupId, hosts(64).filter(({ id }) => id !== before[0]!.id), 22).owners
+    expect(before.filter(({ id }) => after.some(owner => owner.id === id)).length).toBe(before.length - 1)
+  })
+})
+
+describe('a host that is no owner', () => {
+  it('passes on to its own data centre first, and others to other owners', () => {
+    const made = owners(64, 22)
+    const others = hosts(64).filter(({ id }) => !made.isOwner(id))
+    expect(others.every(host => made.placesFor(host)[0]!.dataCentre === host.dataCentre)).toBe(true)
+    expect(new Set(others.map(host => made.placesFor(host)[0]!.id)).size).toBeGreaterThan(5)
+  })
+
+  it('is none where everybody owns the group', () => expect(hosts(7).flatMap(host => owners(7, 16).placesFor(host))).toEqual([]))
+})
--- /dev/null
+++ b/src/core/pool/ownership.ts
@@ -0,0 +1,57 @@
+/** Which hosts connect to the endpoints of a group, and where the others pass its sessions on. */
+
+import type { GroupId } from '../id/group.ts'
+import type { HostId } from '../id/host.ts'
+import { weightOf } from '../weight.ts'
+import type { PoolHost } from './host.ts'
+import { dealt } from './dealt.ts'
+
+/** With one connection each, a transaction at one owner would keep its other sessions waiting while another owner's connection is unused. */
+const LEAST_PER_OWNER = 2
+
+/**
+ * The owners of one group among the hosts that are alive. Immutable.
+ *
+ * With at least as many connections an endpoint as hosts every host owns the
+ * group and connects by itself. With fewer, a part of the hosts owns it, each
+ * with a few connections, picked by rendezvous hashing, so that a host that comes
+ * or goes moves few sessions, and dealt over the data centres in turn, so that
+ * most sessions find an owner in theirs.
+ */
+export class Ownership {
+  private constructor (readonly owners: readonly PoolHost[]) {}
+
+  static of (group: GroupId, hosts: readonly PoolHost[], connections: number): Ownership {
+    const room = dealt(connections)
+    if (room >= hosts.length) return new Ownership(hosts)
+    const most = Math.max(1, Math.floor(room / LEAST_PER_OWNER))
+    return new Ownership(inTurn(byDataCentre(hosts, group)).slice(0, most))
+  }
+
+  isOwner (host: HostId): boolean {
+    return this.owners.some(({ id }) => id === host)
+  }
+
+  /** Where a host that isn't an owner passes a session on, the best first: its own data centre, then by a weight that spreads the hosts over the owners. */
+  placesFor (host: PoolHost): readonly PoolHost[] {
+    if (this.isOwner(host.id)) return []
+    const score = (owner: PoolHost) => weightOf(`${host.id}/${owner.id}`)
+    const isFar = (owner: PoolHost) => owner.dataCentre === host.dataCentre ? 0 : 1
+    return [...this.owners].sort((a, b) => isFar(a) - isFar(b) || score(b) - score(a))
+  }
+}
+
+function byDataCentre (hosts: readonly PoolHost[], group: GroupId): readonly PoolHost[][] {
+  const centres = new Map<string, PoolHost[]>()
+  const weight = ({ id }: PoolHost) => weightOf(`${group}/${id}`)
+  for (const host of [...hosts].sort((a, b) => weight(b) - weight(a))) {
+    centres.set(host.dataCentre, [...centres.get(host.dataCentre) ?? [], host])
+  }
+  return [...centres.keys()].sort().map(id => centres.get(id)!)
+}
+
+/** The first of each list, then the second of each, and so on. */
+function inTurn (lists: readonly PoolHost[][]): readonly PoolHost[] {
+  const longest = Math.max(0, ...lists.map(list => list.length))
+  return Array.from({ length: longest }, (_, i) => lists.flatMap(list => list.slice(i, i + 1))).flat()
+}
--- a/src/core/pool/share.ts
+++ b/src/core/pool/share.ts
@@ -1,13 +1,11 @@
-/** How many connections to one endpoint a host may open. */
+/** How many connections to one endpoint an owner may open. */
 
-/** Connections of an endpoint that nobody is dealt: for hosts that just died, whose connections the endpoint still counts for seconds. */
-const RESERVE = 2
+import { dealt } from './dealt.ts'
 
 /**
- * An equal share, and one at least: with more hosts than connections the
+ * An equal share, and one at least: with more owners than connections the
  * endpoint's own limit refuses the rest.
  */
-export function shareOf (connections: number, hosts: number): number {
-  const dealt = Math.max(1, connections - RESERVE)
-  return Math.max(1, Math.floor(dealt / Math.max(1, hosts)))
+export function shareOf (connections: number, owners: number): number {
+  return Math.max(1, Math.floor(dealt(connections) / Math.max(1, owners)))
 }
--- a/src/shell/pool/context.ts
+++ b/src/shell/pool/context.ts
@@ -3,6 +3,7 @@
 import type { PoolConfig } from '../../core/pool/config.ts'
 import type { GroupId } from '../../core/id/group.ts'
 import type { SharedBudget } from '../../core/retry/budget.ts'
+import type { PoolHost } from '../../core/pool/host.ts'
 import type { LineBudget } from '../../core/pool/linebudget.ts'
 import type { Log } from '../log/log.ts'
 import type { PoolGroup } from './group.ts'
@@ -13,6 +14,8 @@
   readonly config: () => PoolConfig
   /** Resolves once the process knows its configuration and its endpoints, or with false after the time. */
   readonly whenReady: (ms: number) => Promise<boolean>
+  /** Hosts that have connections for the database, the best first; empty when this host serves it itself. */
+  readonly placesFor: (database: string) => readonly PoolHost[]
   readonly group: (id: GroupId) => PoolGroup | undefined
   readonly budget: SharedBudget
   readonly log: Log
--- a/src/shell/pool/group.ts
+++ b/src/shell/pool/group.ts
@@ -100,9 +100,9 @@
     }
   }
 
-  /** Takes another share of each endpoint's connections. */
-  resize (share: number): void {
-    if (share !== this.share) this.options.log.write('shareDealt', { group: this.id, connections: share })
+  /** Takes another share of each endpoint's connections; a host that is no owner uses its one only when no owner is reached. */
+  resize (share: number, isOwner: boolean): void {
+    if (share !== this.share) this.options.log.write('shareDealt', { group: this.id, connections: share, isOwner })
     this.share = share
     for (const lender of this.lenders.values()) lender.resize(share)
   }
--- a/src/shell/pool/membership.ts
+++ b/src/shell/pool/membership.ts
@@ -1,27 +1,38 @@
 /** Keeps this host's row in the table of hosts, and knows the others by theirs. */
 
 import { setTimeout as pause } from 'node:timers/promises'
+import { z } from 'zod'
+import type { DataCentreId } from '../../core/id/datacentre.ts'
 import type { HostId } from '../../core/id/host.ts'
 import { Hosts } from '../../core/pool/hosts.ts'
+import type { PoolHost } from '../../core/pool/host.ts'
 import { clock } from './clock.ts'
 import type { RowStore } from './rows.ts'
 
 interface Options {
-  readonly host: HostId
+  readonly self: PoolHost
   readonly store: RowStore
-  /** The table that all hosts share. */
-  readonly table: string
   readonly chance: () => number
+  /** The hosts that are alive may have changed. */
   readonly onChange: () => void
 }
 
-/** Shares of connections change with the hosts; a dead host's share lies idle until its row is this old, and calls to the store are counted. */
+const TABLE = 'agatepond-hosts'
+/** Hosts change a few times a day, and a dead one costs an idle share of connections at most, so calls to the store, which are counted, are saved. */
 const RENEW_MS = 20_000
 /** Three renewals, so that a store that is away for one takes nobody out. */
 const ALIVE_MS = 3 * RENEW_MS
 /** After a failed write. */
 const RETRY_MS = 1000
+/** Hosts that start together have written their rows within this time, so the second look shows them all. */
+const SETTLED_MS = 2000
 
+const shape = z.object({ dataCentre: z.string(), ip: z.string(), port: z.int() })
+
+/**
+ * Reads the whole table now and then in place of following it: each renewal of
+ * each host would else wake all others, a cost that grows with the square of the hosts.
+ */
 export class Membership {
   private known = Hosts.empty
 
@@ -31,33 +42,41 @@
     return new Membership(options)
   }
 
-  /** This host among them, whatever the table says. */
-  get hosts (): readonly HostId[] {
-    return [...new Set([...this.known.alive(ALIVE_MS, clock.age()), this.options.host])].sort()
+  /** This host among them, whatever the table says; in the order of their ids. */
+  get hosts (): readonly PoolHost[] {
+    const { self } = this.options
+    const others = this.known.alive(ALIVE_MS, clock.age()).filter(({ id }) => id !== self.id)
+    return [...others, self].sort((a, b) => a.id < b.id ? -1 : 1)
   }
 
   async run (signal: AbortSignal): Promise<void> {
-    const { store, table, host, chance } = this.options
+    const { store, self, chance } = this.options
+    const value = JSON.stringify({ dataCentre: self.dataCentre, ...self.address })
+    let isSettled = false
     while (!signal.aborted) {
-      const renewed = await store.change([{ table, key: keyOf(host), value: '{}' }], signal)
-      const ms = renewed.isOk() ? RENEW_MS : RETRY_MS
+      const renewed = await store.change([{ table: TABLE, key: self.id, value }], signal)
+      const isRead = await this.read(signal)
+      const ms = renewed.isErr() || !isRead ? RETRY_MS : isSettled ? RENEW_MS : SETTLED_MS
+      isSettled ||= renewed.isOk() && isRead
       await pause(ms * (1 + chance()) / 2, undefined, { signal }).catch(() => 'the signal ends the loop')
-      this.options.onChange()
     }
   }
 
   async leave (signal: AbortSignal): Promise<void> {
-    const { store, table, host } = this.options
-    await store.change([{ table, key: keyOf(host), value: undefined }], signal)
+    const { store, self } = this.options
+    await store.change([{ table: TABLE, key: self.id, value: undefined }], signal)
   }
 
-  /** A host's row changed; undefined when the host took it away. */
-  rowChanged (host: HostId, value: string | undefined, version: number): void {
-    this.known = value === undefined ? this.known.without(host) : this.known.with(host, version, clock.age())
+  private async read (signal: AbortSignal): Promise<boolean> {
+    const read = await this.options.store.read(TABLE, signal)
+    if (read.isErr()) return false
+    this.known = read.value.rows.reduce((known, { key, value, version }) => {
+      const parsed = shape.safeParse(JSON.parse(value ?? 'null'))
+      if (!parsed.success) return known
+      const { dataCentre, ip, port } = parsed.data
+      return known.with({ id: key as HostId, dataCentre: dataCentre as DataCentreId, address: { ip, port } }, version, clock.age())
+    }, this.known.only(read.value.rows.map(({ key }) => key as HostId)))
     this.options.onChange()
+    return true
   }
 }
-
-function keyOf (host: HostId): string {
-  return `host/${host}`
-}
--- a/src/shell/pool/node.ts
+++ b/src/shell/pool/node.ts
@@ -1,12 +1,12 @@
 /** One process: follows the store, keeps its groups, and serves sessions. */
 
 import { Directory } from '../../core/directory/directory.ts'
-import type { DataCentreId } from '../../core/id/datacentre.ts'
 import type { EndpointId } from '../../core/id/endpoint.ts'
 import type { GroupId } from '../../core/id/group.ts'
-import type { HostId } from '../../core/id/host.ts'
 import { PoolConfig } from '../../core/pool/config.ts'
+import type { PoolHost } from '../../core/pool/host.ts'
 import { LineBudget } from '../../core/pool/linebudget.ts'
+import { Ownership } from '../../core/pool/ownership.ts'
 import { shareOf } from '../../core/pool/share.ts'
 import { SharedBudget } from '../../core/retry/budget.ts'
 import type { ConfigVersion } from '../../core/id/version.ts'
@@ -21,8 +21,7 @@
 import { Successor } from './successor.ts'
 
 interface Options {
-  readonly host: HostId
-  readonly dataCentre: DataCentreId
+  readonly self: PoolHost
   /** Milliseconds within which a new configuration is to be in force. */
   readonly applyMs: number
   readonly platform: Platform
@@ -38,8 +37,8 @@
 }
 
 /** A question to the store is held open for this part of the time in which a version must be in force: a connection that goes silent is then found, and replaced, within it. */
-const WAIT_SHARE = 1 / 2
-/** The rows of hosts, leases and objections. They change rarely, and none of them is needed to serve, so a silent connection may be found late. */
+const WAIT_SHARE = 0.7
+/** The rows of leases and objections. They change rarely, and none of them is needed to serve, so a silent connection may be found late. */
 const TABLE = 'agatepond'
 const TABLE_WAIT_MS = 5000
 /** How often each group's primary is looked at. */
@@ -49,6 +48,7 @@
 export class PoolNode {
   readonly context: PoolContext
   private readonly groups = new Map<GroupId, PoolGroup>()
+  private readonly ownerships = new Map<GroupId, Ownership>()
   private readonly successors = new Map<GroupId, Successor>()
   /** Rows of the shared table that came before the configuration named their group. */
   private readonly sharedRows = new Map<string, Row>()
@@ -64,13 +64,14 @@
     this.context = {
       config: () => this.config,
       whenReady: async ms => await this.whenReady(ms),
+      placesFor: database => this.placesFor(database),
       group: id => this.groups.get(id),
       budget: SharedBudget.create(clock.now()),
       lines: LineBudget.create(clock.now()),
       log,
       metrics
     }
-    this.membership = Membership.create({ host: options.host, store: options.platform.store, table: TABLE, chance: options.chance, onChange: () => this.resize() })
+    this.membership = Membership.create({ self: options.self, store: options.platform.store, chance: options.chance, onChange: () => this.resize() })
   }
 
   /** Runs until the signal. */
@@ -85,6 +86,11 @@
     return this.config !== NONE && this.isListed
   }
 
+  /** Hosts that are alive, this one among them. */
+  get hosts (): readonly PoolHost[] {
+    return this.membership.hosts
+  }
+
   private async whenReady (ms: number): Promise<boolean> {
     if (this.isReady) return true
     await new Promise<void>(resolve => {
@@ -165,7 +171,6 @@
   private shared (rows: readonly Row[]): void {
     for (const row of rows) {
       const [kind, name] = row.key.split('/')
-      if (kind === 'host') this.membership.rowChanged(name as HostId, row.value, row.version)
       if (kind === 'lease') this.sharedRows.set(row.key, row)
       const successor = this.successors.get(name as GroupId)
       if (kind === 'lease') successor?.leaseChanged(row)
@@ -183,8 +188,8 @@
     }
     for (const id of wanted) {
       if (this.groups.has(id)) continue
-      const { dataCentre, platform, log, metrics, chance } = this.options
-      const group = PoolGroup.create({ id, dataCentre, dialer: platform.dialer, log, metrics, chance, startedAt: this.startedAt })
+      const { self, platform, log, metrics, chance } = this.options
+      const group = PoolGroup.create({ id, dataCentre: self.dataCentre, dialer: platform.dialer, log, metrics, chance, startedAt: this.startedAt })
       group.listed(this.directory)
       this.groups.set(id, group)
       this.successors.set(id, this.successorOf(group))
@@ -193,15 +198,15 @@
   }
 
   private successorOf (group: PoolGroup): Successor {
-    const { host, platform, log, metrics } = this.options
+    const { self, platform, log, metrics } = this.options
     const successor = Successor.create({
-      host,
+      host: self.id,
       group,
       platform,
       table: TABLE,
       log,
       metrics,
-      hosts: () => this.membership.hosts,
+      hosts: () => this.membership.hosts.map(({ id }) => id),
       isSynchronous: () => this.config.group(group.id)?.isSynchronous === true,
       signal: this.signal
     })
@@ -210,9 +215,19 @@
     return successor
   }
 
+  private placesFor (database: string): readonly PoolHost[] {
+    const route = this.config.route(database)
+    return route === undefined ? [] : this.ownerships.get(route.group)?.placesFor(this.options.self) ?? []
+  }
+
   private resize (): void {
+    const { hosts } = this.membership
+    const { self } = this.options
+    this.ownerships.clear()
     for (const { id, connections } of this.config.groups) {
-      this.groups.get(id)?.resize(shareOf(connections, this.membership.hosts.length))
+      const ownership = Ownership.of(id, hosts, connections)
+      this.ownerships.set(id, ownership)
+      this.groups.get(id)?.resize(ownership.isOwner(self.id) ? shareOf(connections, ownership.owners.length) : 1, ownership.isOwner(self.id))
     }
   }
 }
--- /dev/null
+++ b/standin/lines/host.ts
@@ -0,0 +1,53 @@
+/** One host of a stage: a node on the line protocol, in the process of a test. */
+
+import { parsePoolConfig } from '../../platform/document.ts'
+import { Front } from '../../platform/front.ts'
+import { LineLink } from '../../platform/link.ts'
+import { PlatformOrders } from '../../platform/orders.ts'
+import { parseEndpoint } from '../../platform/server.ts'
+import { PlatformStore } from '../../platform/store.ts'
+import type { DataCentreId } from '../../src/core/id/datacentre.ts'
+import type { HostId } from '../../src/core/id/host.ts'
+import type { Log } from '../../src/shell/log/log.ts'
+import { PoolMetrics } from '../../src/shell/pool/metrics.ts'
+import { PoolNode } from '../../src/shell/pool/node.ts'
+import { freePorts } from '../ports.ts'
+
+const IP = '127.0.0.1'
+const CALL_MS = 1000
+
+export class LineHost {
+  private constructor (readonly node: PoolNode, readonly port: number, private readonly fronts: readonly Front[], private readonly stopped: AbortController) {}
+
+  static async start (id: string, storePort: number, log: Log): Promise<LineHost> {
+    const [port, peerPort] = await freePorts(2) as [number, number]
+    const stopped = new AbortController()
+    const address = { ip: IP, port: storePort }
+    const node = PoolNode.start({
+      self: { id: id as HostId, dataCentre: 'z1' as DataCentreId, address: { ip: IP, port: peerPort } },
+      applyMs: 2000,
+      log,
+      metrics: PoolMetrics.create(),
+      chance: () => 0.5,
+      platform: {
+        store: PlatformStore.create({ address, timeoutMs: CALL_MS }),
+        orders: PlatformOrders.create({ address, timeoutMs: CALL_MS }),
+        dialer: { dial: async (endpoint, timeoutMs) => await LineLink.dial(endpoint, id, timeoutMs) },
+        config: { table: 'op', key: 'config', parse: parsePoolConfig },
+        endpoints: { table: 'servers', parse: parseEndpoint }
+      }
+    }, stopped.signal)
+    const fronts = [Front.create(node.context, { ip: IP, port }), Front.create(node.context, { ip: IP, port: peerPort }, true)]
+    return new LineHost(node, port, fronts, stopped)
+  }
+
+  /** Leaves in order, within the time. */
+  async leave (graceMs: number): Promise<void> {
+    await Promise.all(this.fronts.map(async front => await front.leave(graceMs)))
+  }
+
+  stop (): void {
+    this.stopped.abort()
+    for (const front of this.fronts) front.close()
+  }
+}
--- a/standin/lines/stage.ts
+++ b/standin/lines/stage.ts
@@ -1,19 +1,11 @@
-/** A node on the line protocol with stand-ins for its store and its endpoints, in the process of a test. */
+/** Nodes on the line protocol with stand-ins for its store and its endpoints, in the process of a test. */
 
-import { PlatformOrders } from '../../platform/orders.ts'
-import { PlatformStore } from '../../platform/store.ts'
-import { Front } from '../../platform/front.ts'
-import { LineLink } from '../../platform/link.ts'
-import { parseEndpoint } from '../../platform/server.ts'
-import { parsePoolConfig } from '../../platform/document.ts'
-import type { DataCentreId } from '../../src/core/id/datacentre.ts'
-import type { HostId } from '../../src/core/id/host.ts'
 import { Log } from '../../src/shell/log/log.ts'
-import { PoolMetrics } from '../../src/shell/pool/metrics.ts'
-import { PoolNode } from '../../src/shell/pool/node.ts'
+import type { PoolNode } from '../../src/shell/pool/node.ts'
 import { freePorts } from '../ports.ts'
 import { LineCaller } from './caller.ts'
 import { LineEndpoint } from './endpoint.ts'
+import { LineHost } from './host.ts'
 import { RowServer } from './store.ts'
 
 interface Options {
@@ -22,6 +14,8 @@
   /** The limit of a statement, in milliseconds. */
   readonly statementMs?: number
   readonly idleTransactionMs?: number
+  /** Hosts that serve, one when none is given. */
+  readonly hosts?: number
   /** Starts before the store answers. */
   readonly isStoreDown?: boolean
   /** Nothing is written without one. */
@@ -29,45 +23,24 @@
 }
 
 const SERVICE = 'svc'
-const CALL_MS = 1000
+const ENDPOINTS = 3
 
 /** Three endpoints, the first of them primary, and the databases `strict` and `aged` over them. */
 export class LineStage {
-  private readonly stopped = new AbortController()
-  readonly front: Front
-
-  private constructor (readonly store: RowServer, readonly endpoints: readonly LineEndpoint[], readonly node: PoolNode, private readonly port: number) {
-    this.front = Front.create(node.context, { ip: '127.0.0.1', port })
-  }
+  private constructor (readonly store: RowServer, readonly endpoints: readonly LineEndpoint[], readonly hosts: readonly LineHost[]) {}
 
   static async start (options: Options = {}): Promise<LineStage> {
-    const [storePort, port, ...ports] = await freePorts(5) as [number, number, ...number[]]
+    const { hosts: count = 1, isStoreDown = false } = options
+    const [storePort, ...ports] = await freePorts(1 + ENDPOINTS) as [number, ...number[]]
     const store = await RowServer.start(storePort)
-    const endpoints = await Promise.all(ports.map(async (one, i) => await LineEndpoint.start({ id: `e${i}`, service: SERVICE, port: one, isPrimary: i === 0 })))
+    const endpoints = await Promise.all(ports.map(async (port, i) => await LineEndpoint.start({ id: `e${i}`, service: SERVICE, port, isPrimary: i === 0 })))
     for (const endpoint of endpoints) store.put('servers', endpoint.id, endpoint.entry())
     store.put('op', 'config', LineStage.config(1, options))
-    store.faults.isDown = options.isStoreDown
-    const stopped = new AbortController()
-    const { log = Log.silent } = options
-    const address = { ip: '127.0.0.1', port: storePort }
-    const node = PoolNode.start({
-      host: 'h1' as HostId,
-      dataCentre: 'z1' as DataCentreId,
-      applyMs: 2000,
-      log,
-      metrics: PoolMetrics.create(),
-      chance: () => 0.5,
-      platform: {
-        store: PlatformStore.create({ address, timeoutMs: CALL_MS }),
-        orders: PlatformOrders.create({ address, timeoutMs: CALL_MS }),
-        dialer: { dial: async (endpoint, timeoutMs) => await LineLink.dial(endpoint, 'h1', timeoutMs) },
-        config: { table: 'op', key: 'config', parse: parsePoolConfig },
-        endpoints: { table: 'servers', parse: parseEndpoint }
-      }
-    }, stopped.signal)
-    const stage = new LineStage(store, endpoints, node, port)
-    stage.stopped.signal.addEventListener('abort', () => stopped.abort())
-    if (options.isStoreDown !== true) await stage.until(() => node.isReady)
+    store.faults.isDown = isStoreDown
+    const hosts: LineHost[] = []
+    for (let i = 1; i <= count; i++) hosts.push(await LineHost.start(`h${i}`, storePort, options.log ?? Log.silent))
+    const stage = new LineStage(store, endpoints, hosts)
+    if (!isStoreDown) await stage.until(() => hosts.every(({ node }) => node.isReady && node.hosts.length === count))
     return stage
   }
 
@@ -85,20 +58,24 @@
     })
   }
 
+  get node (): PoolNode {
+    return this.hosts[0]!.node
+  }
+
   get primary (): LineEndpoint {
     return this.endpoints[0]!
   }
 
-  /** A caller that is signed in. */
-  async caller (database: string): Promise<LineCaller> {
-    const caller = LineCaller.open(this.port, database)
+  /** A caller that is signed in at a host, the first when none is given. */
+  async caller (database: string, host = 0): Promise<LineCaller> {
+    const caller = LineCaller.open(this.hosts[host]!.port, database)
     await caller.answer()
     return caller
   }
 
   /** A caller whose sign-in is not answered yet. */
   knock (database: string): LineCaller {
-    return LineCaller.open(this.port, database)
+    return LineCaller.open(this.hosts[0]!.port, database)
   }
 
   async until (isTrue: () => boolean): Promise<void> {
@@ -106,8 +83,7 @@
   }
 
   async stop (): Promise<void> {
-    this.stopped.abort()
-    this.front.close()
+    for (const host of this.hosts) host.stop()
     await Promise.all([this.store.stop(), ...this.endpoints.map(async endpoint => await endpoint.stop())])
   }
 }
