A process that starts in an outage asks its peers; lapsed entries are kept for 2.5 s

Change: what a host knows is served to others at the control address, and a process that has nothing 300 ms after its start asks the seeds, the newest answer first; an entry that goes without a word that its endpoint leaves is kept 2.5 s.

--- a/src/shell/log/events.ts
+++ b/src/shell/log/events.ts
@@ -47,6 +47,7 @@
   hostListFailed: { id: 5003, level: 'warn', message: 'the host list does not answer' },
   configUnreadable: { id: 5004, level: 'error', message: 'a configuration cannot be read by this program' },
 
+  peersAsked: { id: 5006, level: 'warn', message: 'asked other hosts for the configuration, since the store does not answer' },
   storeBack: { id: 5005, level: 'info', message: 'the store answers again' },
 
   callerRefused: { id: 6001, level: 'info', message: 'refused a caller' },
--- a/src/shell/pool/node.ts
+++ b/src/shell/pool/node.ts
@@ -1,6 +1,8 @@
 /** One process: follows the store, keeps its groups, and serves sessions. */
 
+import { setTimeout as pause } from 'node:timers/promises'
 import { Directory } from '../../core/directory/directory.ts'
+import { Lapses } from '../../core/directory/lapses.ts'
 import type { EndpointId } from '../../core/id/endpoint.ts'
 import type { GroupId } from '../../core/id/group.ts'
 import { PoolConfig } from '../../core/pool/config.ts'
@@ -17,6 +19,7 @@
 import { PoolGroup } from './group.ts'
 import { Membership } from './membership.ts'
 import type { PoolMetrics } from './metrics.ts'
+import type { Peers } from './peers.ts'
 import type { Platform } from './platform.ts'
 import { Successor } from './successor.ts'
 
@@ -36,11 +39,15 @@
   readonly version: number
 }
 
+type KnownRow = Row & { readonly value: string }
+
 /** A question to the store is held open for this part of the time in which a version must be in force: a connection that goes silent is then found, and replaced, within it. */
 const WAIT_SHARE = 0.7
 /** The rows of leases and objections. They change rarely, and none of them is needed to serve, so a silent connection may be found late. */
 const TABLE = 'agatepond'
 const TABLE_WAIT_MS = 5000
+/** The store gets so long to answer before peers are asked, and they are asked so often; a calm store answers in a tenth of it. */
+const PEERS_MS = 300
 /** How often each group's primary is looked at. */
 const TICK_MS = 100
 const NONE = PoolConfig.of({ version: 0 as ConfigVersion, routes: [], groups: [], idleTransactionMs: 0 })
@@ -55,7 +62,11 @@
   private readonly membership: Membership
   private config = NONE
   private directory = Directory.empty
+  private lapses = Lapses.empty
   private isListed = false
+  /** The rows behind what is known, as the store gave them. */
+  private readonly configRows = new Map<string, KnownRow>()
+  private readonly endpointRows = new Map<string, KnownRow>()
   private readonly starting: Array<() => void> = []
   private readonly startedAt = clock.now()
 
@@ -91,6 +102,33 @@
     return this.membership.hosts
   }
 
+  /** What this process knows, for one that starts while the store is away. */
+  get knowledge (): Awaited<ReturnType<Peers['ask']>>[number] {
+    return { config: [...this.configRows.values()], endpoints: [...this.endpointRows.values()] }
+  }
+
+  /**
+   * Guard against a process that can't serve for as long as the store is away,
+   * though its neighbours can: all processes of a data centre are restarted in an
+   * outage, and callers find nobody. It shows by processes that aren't ready.
+   * What peers know holds, since versions only grow: of several answers the
+   * newest is taken, and the store's own takes its place when it's back.
+   */
+  private async askPeers (): Promise<void> {
+    const { platform, log } = this.options
+    for (;;) {
+      await pause(PEERS_MS, undefined, { signal: this.signal }).catch(() => 'the signal ends the loop')
+      if (this.signal.aborted || this.isReady) return
+      const answers = await platform.peers.ask(this.signal)
+      if (this.isReady) return
+      const [newest] = [...answers].sort((a, b) => versionOf(b) - versionOf(a))
+      log.write('peersAsked', { answers: answers.length, rows: newest?.endpoints.length ?? 0 })
+      if (newest === undefined || newest.config.length === 0) continue
+      this.configured(newest.config)
+      if (!this.isListed) this.listed(newest.endpoints, true)
+    }
+  }
+
   private async whenReady (ms: number): Promise<boolean> {
     if (this.isReady) return true
     await new Promise<void>(resolve => {
@@ -121,7 +159,9 @@
     follow({ ...common, table: platform.endpoints.table, onRows: (rows, isWhole) => this.listed(rows, isWhole) }, this.signal)
     follow({ ...common, waitMs: TABLE_WAIT_MS, table: TABLE, onRows: rows => this.shared(rows) }, this.signal)
     this.membership.run(this.signal)
+    this.askPeers()
     const timer = setInterval(() => {
+      this.forgetLapsed()
       for (const successor of this.successors.values()) successor.tick()
     }, TICK_MS)
     this.signal.addEventListener('abort', () => clearInterval(timer))
@@ -137,6 +177,7 @@
     const { value: config } = parsed
     if (config.version <= this.config.version) return
     this.config = config
+    this.configRows.set(newest.key, { ...newest, value: newest.value })
     this.options.metrics.configVersion.set(config.version)
     log.write('configApplied', { version: config.version, databases: config.routes.length })
     this.regroup()
@@ -144,28 +185,51 @@
   }
 
   private listed (rows: readonly Row[], isWhole: boolean): void {
-    const before = this.directory
     const present = new Set(rows.map(({ key }) => key))
-    if (isWhole) this.directory = before.ids.filter(id => !present.has(id)).reduce((next, id) => next.without(id), before)
-    for (const row of rows) this.directory = this.list(row)
+    if (isWhole) for (const id of this.directory.ids.filter(id => !present.has(id))) this.gone(id)
+    for (const row of rows) this.list(row)
     this.isListed = true
-    for (const group of this.groups.values()) group.listed(this.directory)
+    this.spread()
     this.letIn()
   }
 
-  private list ({ key, value, version }: Row): Directory {
-    const { platform, log } = this.options
+  private list ({ key, value, version }: Row): void {
     const id = key as EndpointId
-    if (value === undefined) {
-      log.write('endpointGone', { endpoint: id })
-      return this.directory.without(id)
-    }
-    const endpoint = platform.endpoints.parse(key, value)
-    if (endpoint === undefined) return this.directory
+    if (value === undefined) return this.gone(id)
+    const endpoint = this.options.platform.endpoints.parse(key, value)
+    if (endpoint === undefined) return
     const old = this.directory.get(id)
     const isNews = old === undefined || old.isLeaving !== endpoint.isLeaving || old.isPrimary !== endpoint.isPrimary
-    if (isNews) log.write('endpointListed', { endpoint: id, group: endpoint.group, isLeaving: endpoint.isLeaving, isPrimary: endpoint.isPrimary })
-    return this.directory.with(endpoint, version)
+    if (isNews) this.options.log.write('endpointListed', { endpoint: id, group: endpoint.group, isLeaving: endpoint.isLeaving, isPrimary: endpoint.isPrimary, version })
+    this.endpointRows.set(key, { key, value, version })
+    this.lapses = this.lapses.without(id)
+    this.directory = this.directory.with(endpoint, version)
+  }
+
+  private gone (id: EndpointId): void {
+    const endpoint = this.directory.get(id)
+    if (endpoint === undefined) return
+    this.options.log.write('endpointGone', { endpoint: id, group: endpoint.group, isLeaving: endpoint.isLeaving })
+    if (endpoint.isLeaving) this.forget(id)
+    else this.lapses = this.lapses.with(id, clock.now())
+  }
+
+  private forget (id: EndpointId): void {
+    this.lapses = this.lapses.without(id)
+    this.endpointRows.delete(id)
+    this.directory = this.directory.without(id)
+  }
+
+  private forgetLapsed (): void {
+    const due = this.lapses.due(clock.now())
+    if (due.length === 0) return
+    for (const id of due) this.forget(id)
+    this.spread()
+  }
+
+  /** Tells the groups what the directory says now. */
+  private spread (): void {
+    for (const group of this.groups.values()) group.listed(this.directory)
   }
 
   private shared (rows: readonly Row[]): void {
@@ -231,3 +295,8 @@
     }
   }
 }
+
+/** The version of the newest row of a peer's configuration; 0 without one. */
+function versionOf ({ config }: Awaited<ReturnType<Peers['ask']>>[number]): number {
+  return Math.max(0, ...config.map(({ version }) => version))
+}
--- a/src/shell/pool/platform.ts
+++ b/src/shell/pool/platform.ts
@@ -5,12 +5,14 @@
 import type { PoolConfig } from '../../core/pool/config.ts'
 import type { Dialer } from './dialer.ts'
 import type { PromotionOrders } from './orders.ts'
+import type { Peers } from './peers.ts'
 import type { RowStore } from './rows.ts'
 
 export interface Platform {
   readonly store: RowStore
   readonly dialer: Dialer
   readonly orders: PromotionOrders
+  readonly peers: Peers
   /** Where the operator's configuration lies: its newest version, whole, under one key. */
   readonly config: { readonly table: string, readonly key: string, readonly parse: (text: string) => Result<PoolConfig, string> }
   /** Where endpoints list themselves, each under its id. */
--- a/standin/lines/host.ts
+++ b/standin/lines/host.ts
@@ -4,6 +4,7 @@
 import { Front } from '../../platform/front.ts'
 import { LineLink } from '../../platform/link.ts'
 import { PlatformOrders } from '../../platform/orders.ts'
+import { SeedPeers } from '../../platform/peers.ts'
 import { parseEndpoint } from '../../platform/server.ts'
 import { PlatformStore } from '../../platform/store.ts'
 import type { DataCentreId } from '../../src/core/id/datacentre.ts'
@@ -17,10 +18,11 @@
 const CALL_MS = 1000
 
 export class LineHost {
-  private constructor (readonly node: PoolNode, readonly port: number, private readonly fronts: readonly Front[], private readonly stopped: AbortController) {}
+  private constructor (readonly node: PoolNode, readonly port: number, readonly knowledgePort: number, private readonly fronts: readonly Front[], private readonly stopped: AbortController) {}
 
-  static async start (id: string, storePort: number, log: Log): Promise<LineHost> {
-    const [port, peerPort] = await freePorts(2) as [number, number]
+  /** `seeds`: ports at which it may ask other hosts what they know. */
+  static async start (id: string, storePort: number, log: Log, seeds: readonly number[] = []): Promise<LineHost> {
+    const [port, peerPort, knowledgePort] = await freePorts(3) as [number, number, number]
     const stopped = new AbortController()
     const address = { ip: IP, port: storePort }
     const node = PoolNode.start({
@@ -31,14 +33,16 @@
       chance: () => 0.5,
       platform: {
         store: PlatformStore.create({ address, timeoutMs: CALL_MS }),
+        peers: SeedPeers.create(seeds.map(seed => ({ ip: IP, port: seed }))),
         orders: PlatformOrders.create({ address, timeoutMs: CALL_MS }),
         dialer: { dial: async (endpoint, timeoutMs) => await LineLink.dial(endpoint, id, timeoutMs) },
         config: { table: 'op', key: 'config', parse: parsePoolConfig },
         endpoints: { table: 'servers', parse: parseEndpoint }
       }
     }, stopped.signal)
+    SeedPeers.serve({ ip: IP, port: knowledgePort }, () => node.knowledge, stopped.signal)
     const fronts = [Front.create(node.context, { ip: IP, port }), Front.create(node.context, { ip: IP, port: peerPort }, true)]
-    return new LineHost(node, port, fronts, stopped)
+    return new LineHost(node, port, knowledgePort, fronts, stopped)
   }
 
   /** Leaves in order, within the time. */
--- a/standin/lines/stage.ts
+++ b/standin/lines/stage.ts
@@ -27,7 +27,7 @@
 
 /** Three endpoints, the first of them primary, and the databases `strict` and `aged` over them. */
 export class LineStage {
-  private constructor (readonly store: RowServer, readonly endpoints: readonly LineEndpoint[], readonly hosts: readonly LineHost[]) {}
+  private constructor (readonly store: RowServer, readonly endpoints: readonly LineEndpoint[], readonly hosts: LineHost[], private readonly storePort: number) {}
 
   static async start (options: Options = {}): Promise<LineStage> {
     const { hosts: count = 1, isStoreDown = false } = options
@@ -39,7 +39,7 @@
     store.faults.isDown = isStoreDown
     const hosts: LineHost[] = []
     for (let i = 1; i <= count; i++) hosts.push(await LineHost.start(`h${i}`, storePort, options.log ?? Log.silent))
-    const stage = new LineStage(store, endpoints, hosts)
+    const stage = new LineStage(store, endpoints, hosts, storePort)
     if (!isStoreDown) await stage.until(() => hosts.every(({ node }) => node.isReady && node.hosts.length === count))
     return stage
   }
@@ -78,6 +78,13 @@
     return LineCaller.open(this.hosts[0]!.port, database)
   }
 
+  /** Starts one more host, which may ask the others what they know. */
+  async addHost (): Promise<LineHost> {
+    const host = await LineHost.start(`h${this.hosts.length + 1}`, this.storePort, Log.silent, this.hosts.map(({ knowledgePort }) => knowledgePort))
+    this.hosts.push(host)
+    return host
+  }
+
   async until (isTrue: () => boolean): Promise<void> {
     while (!isTrue()) await new Promise(resolve => setTimeout(resolve, LOOK_MS))
   }
