An endpoint that resets openings is full, not out of reach

Ruled out: that the hosts weren't ready (they had the configuration). Change: an opening that is taken and reset is tried again soon and counts for neither; a probe that is turned away counts as a miss only after 4 s without any answer.

--- a/src/shell/pool/group.ts
+++ b/src/shell/pool/group.ts
@@ -207,9 +207,9 @@
 
   private dialled (id: EndpointId, outcome: 'opened' | DialFault): void {
     this.options.metrics.dials.inc({ outcome })
-    // An endpoint that takes no more connections answers, and so lives.
+    // An endpoint that takes no more connections answers, and so lives; one that ends them without a word shows neither.
     if (outcome === 'opened' || outcome === 'tooManyConnections') this.reached(id, clock.now())
-    else this.missed(id)
+    else if (outcome !== 'turnedAway') this.missed(id)
   }
 
   private reached (id: EndpointId, now: Instant): void {
--- a/src/shell/pool/lender.ts
+++ b/src/shell/pool/lender.ts
@@ -194,7 +194,8 @@
   }
 
   private notOpened (fault: DialFault): void {
-    if (fault !== 'tooManyConnections') return this.step({ kind: 'openFailed' })
+    const isFull = fault === 'tooManyConnections' || fault === 'turnedAway'
+    if (!isFull) return this.step({ kind: 'openFailed' })
     this.thrift = this.thrift.refused(clock.now())
     this.step({ kind: 'openRefused' })
   }
--- a/src/shell/pool/successor.ts
+++ b/src/shell/pool/successor.ts
@@ -14,6 +14,7 @@
 import { z } from 'zod'
 import type { Log } from '../log/log.ts'
 import { clock } from './clock.ts'
+import type { DialFault } from './dialfault.ts'
 import type { PoolGroup } from './group.ts'
 import type { PoolMetrics } from './metrics.ts'
 import type { Platform } from './platform.ts'
@@ -44,6 +45,9 @@
 /** The primary was reached so lately that asking it again shows nothing new. */
 const FRESH_MS = 300
 
+/** An endpoint counts the connections of dead hosts for about three seconds; one that was turned away for longer without any answer is out of reach. */
+const FULL_MS = 4000
+
 const leaseShape = z.object({ holder: z.string(), asksFor: z.string().optional() })
 const objectionShape = z.object({ fence: z.number() })
 
@@ -188,11 +192,7 @@
     const endpoint = group.endpoint(id) ?? group.lender(id)?.endpoint
     const dialled = endpoint === undefined ? undefined : await platform.dialer.dial(endpoint, PROBE_MS)
     if (dialled === undefined || dialled.isErr()) {
-      // An endpoint that takes no more connections answers, and so lives.
-      const isThere = dialled?.isErr() === true && dialled.error === 'tooManyConnections'
-      if (isThere) group.answered(id, undefined, clock.age(), false)
-      else group.missed(id)
-      return isThere
+      return this.noConnection(id, dialled?.isErr() === true ? dialled.error : 'unreachable')
     }
     const { answers } = await dialled.value.ask([{ kind: 'begin', isReadOnly: false }], PROBE_MS)
     dialled.value.close()
@@ -206,6 +206,19 @@
     return answer.fault === undefined
   }
 
+  /**
+   * Guard against a healthy primary that is replaced since it has no connection
+   * left: it turns probes away, with or without a word. One that answered
+   * lately, on connections in use, is then taken to be full and not dead.
+   */
+  private noConnection (id: EndpointId, fault: DialFault): boolean {
+    const { group } = this.options
+    if (fault === 'tooManyConnections') group.answered(id, undefined, clock.age(), false)
+    const isFull = fault === 'tooManyConnections' || (fault === 'turnedAway' && group.contact(id).isFresh(FULL_MS, clock.now()))
+    if (!isFull) group.missed(id)
+    return isFull
+  }
+
   private async ask (id: EndpointId, command: Command): Promise<EndpointStatus | undefined> {
     const { group, platform } = this.options
     const endpoint = group.endpoint(id)
--- a/standin/lines/endpoint.ts
+++ b/standin/lines/endpoint.ts
@@ -12,6 +12,8 @@
   breakOn?: string
   /** Runs the next statement whose text begins so, and sends nothing for it. */
   loseAnswerTo?: string
+  /** Connections that it takes; further ones are reset without a word. */
+  mostConnections?: number
   /** Answers nothing at all, on connections that are open and on new ones. */
   isSilent?: boolean
 }
@@ -43,6 +45,7 @@
   term = 1
   position = 0
   opened = 0
+  turnedAway = 0
   private readonly sockets = new Set<Socket>()
 
   private constructor (private readonly options: Options, private readonly server: Server) {
@@ -75,6 +78,11 @@
   }
 
   private accept (socket: Socket): void {
+    if (this.sockets.size >= (this.faults.mostConnections ?? Infinity)) {
+      this.turnedAway++
+      socket.resetAndDestroy()
+      return
+    }
     this.sockets.add(socket)
     const connection: Connection = { socket, number: ++this.opened, state: 'I', isPlain: false, values: new Map(), prepared: new Map() }
     let rest = ''
