--- a/src/shell/log/events.ts
+++ b/src/shell/log/events.ts
@@ -22,6 +22,7 @@
   endpointReachable: { id: 2004, level: 'info', message: 'an endpoint answers again' },
   endpointListed: { id: 2005, level: 'info', message: 'the directory says something new of an endpoint' },
   endpointGone: { id: 2006, level: 'info', message: 'the directory lists an endpoint no more' },
+  endpointUnreadable: { id: 2008, level: 'error', message: 'the entry of an endpoint cannot be read by this program' },
   shareDealt: { id: 2007, level: 'info', message: 'the share of connections to each endpoint of a group changed' },
 
   promotionBegun: { id: 3001, level: 'warn', message: 'a promotion began' },
--- a/src/shell/pool/attempt.ts
+++ b/src/shell/pool/attempt.ts
@@ -29,9 +29,7 @@
     this.group.asked(this.endpoint)
     const { answers, lost } = await this.link.ask(commands, timeoutMs)
     const answer = answers[index]
-    for (const other of answers.slice(0, index)) {
-      if (other.fault !== undefined) this.spoil()
-    }
+    if (answers.slice(0, index).some(({ fault }) => fault !== undefined)) return this.spoil()
     if (answer === undefined) return this.lose(lost ?? 'broken')
     const isDone = answer.fault === undefined
     this.group.answered(this.endpoint, answer.position, answer.sentAt, isDone && isLead)
@@ -47,9 +45,13 @@
     link.ask([{ kind: 'rollback' }], ROLLBACK_MS).then(() => lender.giveBack(link))
   }
 
-  /** Against a connection whose own commands weren't taken: what is set on it isn't known any more. */
-  private spoil (): void {
+  /**
+   * Against a statement that ran under values that weren't taken: what is set on
+   * the connection isn't known any more, and the answer isn't passed on.
+   */
+  private spoil (): Ending {
     this.link.close()
+    return 'broken'
   }
 
   private lose (lost: 'broken' | 'outOfTime'): Ending {
--- /dev/null
+++ b/src/shell/pool/explanation.ts
@@ -0,0 +1,57 @@
+/** The line that explains a statement: what was decided, on which knowledge, of which age. */
+
+import type { Trail } from '../../core/pool/trail.ts'
+import type { Reply } from '../../core/statement/reply.ts'
+import type { Statement } from '../../core/statement/statement.ts'
+import type { Token } from '../../core/token.ts'
+import { clock } from './clock.ts'
+import type { PoolContext } from './context.ts'
+import type { Transaction } from './transaction.ts'
+
+interface Explained {
+  readonly id: string
+  readonly kind: Statement['kind'] | 'none'
+  readonly database: string
+  readonly reply: Reply
+  readonly trail: Trail
+  readonly transaction: Transaction | undefined
+  readonly own: Token
+  readonly retryAfterMs: number
+}
+
+/** Counts the statement, and writes its line when it wasn't done, when it took more than one try, or for the sample. */
+export function explain (ctx: PoolContext, explained: Explained): void {
+  const { id, kind, database, reply, trail } = explained
+  const { log, lines, metrics } = ctx
+  const ms = clock.now() - trail.since
+  const outcome = reply.kind === 'done' ? 'done' : reply.fault
+  metrics.statements.inc({ database, kind, outcome })
+  if (trail.count > 0) metrics.statementSeconds.observe({ kind }, ms / 1000)
+  const isPlain = outcome === 'done' && trail.count < 2
+  if (isPlain && !lines.isSampled(id)) return
+  const { isGranted, dropped } = lines.take(clock.now())
+  if (!isGranted) return metrics.linesDropped.inc()
+  if (dropped > 0) log.write('linesDropped', { dropped })
+  log.write(outcome === 'done' ? 'statementDone' : 'statementRefused', { id, database, kind, outcome, ms: Math.round(ms), ...knowledge(ctx, explained) })
+}
+
+/** What the decisions on the statement rested on. */
+function knowledge (ctx: PoolContext, { database, trail, transaction, own, retryAfterMs }: Explained): Readonly<Record<string, string | number>> {
+  const config = ctx.config()
+  const route = transaction?.route ?? config.route(database)
+  const group = route === undefined ? undefined : ctx.group(route.group)
+  const { freshness } = route ?? {}
+  return {
+    group: route?.group ?? 'none',
+    freshness: freshness?.kind === 'age' ? `${freshness.ms} ms` : freshness?.kind ?? 'none',
+    tries: trail.toString(),
+    transaction: transaction?.id ?? 'none',
+    own: own.toString(),
+    leader: group?.leader ?? 'none',
+    leaderlessMs: Math.round(group?.leaderlessMs() ?? 0),
+    markAgeMs: Math.round(group?.markAgeMs() ?? -1),
+    term: group?.term ?? 0,
+    config: config.version,
+    retryAfterMs: Math.ceil(retryAfterMs)
+  }
+}
--- a/src/shell/pool/node.ts
+++ b/src/shell/pool/node.ts
@@ -1,9 +1,6 @@
 /** One process: follows the store, keeps its groups, and serves sessions. */
 
 import { setTimeout as pause } from 'node:timers/promises'
-import { Directory } from '../../core/directory/directory.ts'
-import { Lapses } from '../../core/directory/lapses.ts'
-import type { EndpointId } from '../../core/id/endpoint.ts'
 import type { GroupId } from '../../core/id/group.ts'
 import { PoolConfig } from '../../core/pool/config.ts'
 import type { PoolHost } from '../../core/pool/host.ts'
@@ -17,6 +14,7 @@
 import type { PoolContext } from './context.ts'
 import { follow } from './feed.ts'
 import { PoolGroup } from './group.ts'
+import { Listing } from './listing.ts'
 import { Membership } from './membership.ts'
 import type { PoolMetrics } from './metrics.ts'
 import type { Peers } from './peers.ts'
@@ -59,14 +57,11 @@
   private readonly successors = new Map<GroupId, Successor>()
   /** Rows of the shared table that came before the configuration named their group. */
   private readonly sharedRows = new Map<string, Row>()
+  private readonly listing: Listing
   private readonly membership: Membership
   private config = NONE
-  private directory = Directory.empty
-  private lapses = Lapses.empty
-  private isListed = false
   /** The rows behind what is known, as the store gave them. */
   private readonly configRows = new Map<string, KnownRow>()
-  private readonly endpointRows = new Map<string, KnownRow>()
   private readonly starting: Array<() => void> = []
   private readonly startedAt = clock.now()
 
@@ -82,6 +77,7 @@
       log,
       metrics
     }
+    this.listing = Listing.create({ log, parse: options.platform.endpoints.parse, onChange: () => this.spread() })
     this.membership = Membership.create({ self: options.self, store: options.platform.store, chance: options.chance, onChange: () => this.resize() })
   }
 
@@ -94,7 +90,7 @@
 
   /** Whether it can serve: with a configuration and the directory. */
   get isReady (): boolean {
-    return this.config !== NONE && this.isListed
+    return this.config !== NONE && this.listing.isRead
   }
 
   /** Hosts that are alive, this one among them. */
@@ -104,7 +100,7 @@
 
   /** What this process knows, for one that starts while the store is away. */
   get knowledge (): Awaited<ReturnType<Peers['ask']>>[number] {
-    return { config: [...this.configRows.values()], endpoints: [...this.endpointRows.values()] }
+    return { config: [...this.configRows.values()], endpoints: this.listing.rows }
   }
 
   /**
@@ -125,7 +121,7 @@
       log.write('peersAsked', { answers: answers.length, rows: newest?.endpoints.length ?? 0 })
       if (newest === undefined || newest.config.length === 0) continue
       this.configured(newest.config)
-      if (!this.isListed) this.listed(newest.endpoints, true)
+      if (!this.listing.isRead) this.listing.take(newest.endpoints, true)
     }
   }
 
@@ -156,12 +152,12 @@
     const { platform, log, metrics, chance, applyMs } = this.options
     const common = { metrics, store: platform.store, waitMs: Math.round(applyMs * WAIT_SHARE), log, chance }
     follow({ ...common, table: platform.config.table, onRows: rows => this.configured(rows) }, this.signal)
-    follow({ ...common, table: platform.endpoints.table, onRows: (rows, isWhole) => this.listed(rows, isWhole) }, this.signal)
+    follow({ ...common, table: platform.endpoints.table, onRows: (rows, isWhole) => this.listing.take(rows, isWhole) }, this.signal)
     follow({ ...common, waitMs: TABLE_WAIT_MS, table: TABLE, onRows: rows => this.shared(rows) }, this.signal)
     this.membership.run(this.signal)
     this.askPeers()
     const timer = setInterval(() => {
-      this.forgetLapsed()
+      this.listing.forgetLapsed()
       for (const successor of this.successors.values()) successor.tick()
     }, TICK_MS)
     this.signal.addEventListener('abort', () => clearInterval(timer))
@@ -184,52 +180,10 @@
     this.letIn()
   }
 
-  private listed (rows: readonly Row[], isWhole: boolean): void {
-    const present = new Set(rows.map(({ key }) => key))
-    if (isWhole) for (const id of this.directory.ids.filter(id => !present.has(id))) this.gone(id)
-    for (const row of rows) this.list(row)
-    this.isListed = true
-    this.spread()
-    this.letIn()
-  }
-
-  private list ({ key, value, version }: Row): void {
-    const id = key as EndpointId
-    if (value === undefined) return this.gone(id)
-    const endpoint = this.options.platform.endpoints.parse(key, value)
-    if (endpoint === undefined) return
-    const old = this.directory.get(id)
-    const isNews = old === undefined || old.isLeaving !== endpoint.isLeaving || old.isPrimary !== endpoint.isPrimary
-    if (isNews) this.options.log.write('endpointListed', { endpoint: id, group: endpoint.group, isLeaving: endpoint.isLeaving, isPrimary: endpoint.isPrimary, version })
-    this.endpointRows.set(key, { key, value, version })
-    this.lapses = this.lapses.without(id)
-    this.directory = this.directory.with(endpoint, version)
-  }
-
-  private gone (id: EndpointId): void {
-    const endpoint = this.directory.get(id)
-    if (endpoint === undefined) return
-    this.options.log.write('endpointGone', { endpoint: id, group: endpoint.group, isLeaving: endpoint.isLeaving })
-    if (endpoint.isLeaving) this.forget(id)
-    else this.lapses = this.lapses.with(id, clock.now())
-  }
-
-  private forget (id: EndpointId): void {
-    this.lapses = this.lapses.without(id)
-    this.endpointRows.delete(id)
-    this.directory = this.directory.without(id)
-  }
-
-  private forgetLapsed (): void {
-    const due = this.lapses.due(clock.now())
-    if (due.length === 0) return
-    for (const id of due) this.forget(id)
-    this.spread()
-  }
-
   /** Tells the groups what the directory says now. */
   private spread (): void {
-    for (const group of this.groups.values()) group.listed(this.directory)
+    for (const group of this.groups.values()) group.listed(this.listing.directory)
+    this.letIn()
   }
 
   private shared (rows: readonly Row[]): void {
@@ -254,7 +208,7 @@
       if (this.groups.has(id)) continue
       const { self, platform, log, metrics, chance } = this.options
       const group = PoolGroup.create({ id, dataCentre: self.dataCentre, dialer: platform.dialer, log, metrics, chance, startedAt: this.startedAt })
-      group.listed(this.directory)
+      group.listed(this.listing.directory)
       this.groups.set(id, group)
       this.successors.set(id, this.successorOf(group))
     }
--- /dev/null
+++ b/src/shell/pool/refused.ts
@@ -0,0 +1,9 @@
+/** A statement that wasn't done: why, and when a new try may do better. */
+
+import type { Fault } from '../../core/statement/fault.ts'
+
+export interface Refused {
+  readonly fault: Fault
+  /** Milliseconds; 0 when nothing is known. */
+  readonly retryAfterMs: number
+}
--- a/src/shell/pool/session.ts
+++ b/src/shell/pool/session.ts
@@ -1,6 +1,5 @@
 /** One caller's session: its values, its transaction, and the way of each statement to an endpoint. */
 
-import type { EndpointId } from '../../core/id/endpoint.ts'
 import type { Instant } from '../../core/id/instant.ts'
 import type { Ending } from '../../core/pool/ending.ts'
 import { remedyOf } from '../../core/pool/remedy.ts'
@@ -11,45 +10,26 @@
 import { Work } from '../../core/pool/work.ts'
 import { Values } from '../../core/session/values.ts'
 import type { Answer } from '../../core/statement/answer.ts'
-import type { Fault } from '../../core/statement/fault.ts'
 import type { Reply } from '../../core/statement/reply.ts'
 import type { Statement } from '../../core/statement/statement.ts'
 import { Token } from '../../core/token.ts'
 import { Attempt } from './attempt.ts'
 import { clock } from './clock.ts'
 import type { PoolContext } from './context.ts'
-import type { PoolGroup } from './group.ts'
-import { nextTarget } from './target.ts'
+import { explain } from './explanation.ts'
+import { left } from './left.ts'
+import { noteTry } from './notetry.ts'
+import type { Refused } from './refused.ts'
+import type { Run } from './run.ts'
+import type { Tries } from './tries.ts'
+import { tryAll } from './tryall.ts'
 import { Transaction } from './transaction.ts'
 
-/** Tries of one operation at endpoints: each of three, and the primary once more. */
-const MOST_TRIES = 4
-/** The time to come back while nobody leads: about a round of finding the new primary. */
-const LEADERLESS_MS = 500
-
-interface Refused {
-  readonly fault: Fault
-  readonly retryAfterMs: number
-}
-
-/** How an operation is tried, from endpoint to endpoint. */
-interface Tries {
-  readonly route: Route
-  /** Whether only the primary may do it. */
-  readonly mustLead: boolean
-  readonly deadline: Instant
-  readonly what: Work['what']
-  /** Whether it begins a caller's transaction. */
-  readonly isInside: boolean
-  readonly run: (attempt: Attempt, target: Target) => Promise<Answer | Ending>
-}
-
-type Run = { readonly answer: Answer, readonly attempt: Attempt } | Refused
-
 export class Session {
   private readonly values = Values.empty()
   /** The session's newest commit. */
   private own = Token.zero
+  private isOwnUnknown = false
   private transaction: Transaction | undefined
   private idleTimer: NodeJS.Timeout | undefined
   private isRunning = false
@@ -173,13 +153,22 @@
 
   private async runSingle (work: Work, route: Route): Promise<Run> {
     const deadline = clock.now() + route.statementMs as Instant
-    const mustLead = work.what === 'write' || route.freshness.kind !== 'age'
+    const mustLead = work.what === 'write' || this.readsAtPrimary(route)
     const run = async (attempt: Attempt, target: Target) => {
       const answer = await this.runOn(attempt, target, work, deadline)
       attempt.end()
       return answer
     }
-    return await this.tryAll({ route, mustLead, deadline, what: work.what, isInside: false, run })
+    return await tryAll(this.ctx, { ...this.common(route, work, deadline), mustLead, isInside: false, run })
+  }
+
+  private common (route: Route, work: Work, deadline: Instant): Pick<Tries, 'route' | 'database' | 'what' | 'deadline' | 'own' | 'values' | 'trail'> {
+    const { database, own, values, trail } = this
+    return { route, database, what: work.what, deadline, own, values, trail }
+  }
+
+  private readsAtPrimary ({ freshness }: Route): boolean {
+    return freshness.kind !== 'age' || this.isOwnUnknown
   }
 
   /** A read that only the primary may serve runs inside of a transaction of our own, which an endpoint that doesn't lead any more refuses. */
@@ -206,17 +195,20 @@
     return this.done(run.answer)
   }
 
-  /** The first statement brings the connection: until it ran, another endpoint may be tried. */
+  /**
+   * The first statement brings the connection: until it ran, another endpoint may
+   * be tried. A commit of nothing proves no lead, since an endpoint that lost it takes that too.
+   */
   private async runFirst (work: Work, transaction: Transaction, deadline: Instant): Promise<Run> {
     const { route, isReadOnly } = transaction
-    const mustLead = !isReadOnly || route.freshness.kind !== 'age'
+    const mustLead = !isReadOnly || this.readsAtPrimary(route)
     const run = async (attempt: Attempt, target: Target) => {
       const begun = await this.beginOn(attempt, target, work, deadline)
-      const answer = typeof begun === 'string' ? begun : await attempt.ask([work.command()], 0, left(deadline), target.mustLead)
+      const answer = typeof begun === 'string' ? begun : await attempt.ask([work.command()], 0, left(deadline), target.mustLead && work.what !== 'commit')
       if (typeof answer === 'string') attempt.end()
       return answer
     }
-    return await this.tryAll({ route, mustLead, deadline, what: work.what, isInside: true, run })
+    return await tryAll(this.ctx, { ...this.common(route, work, deadline), mustLead, isInside: true, run })
   }
 
   /** A statement never goes before the answer to its BEGIN: were that refused, it would run outside of any transaction. */
@@ -232,64 +224,12 @@
     const isLead = transaction.leads && (work.what !== 'commit' || hasWritten)
     const began = clock.now()
     const answer = await attempt.ask([...prelude, work.command()], prelude.length, left(deadline), isLead)
-    this.tried({ endpoint: attempt.endpoint, after: undefined }, typeof answer === 'string' ? answer : 'done', began)
+    noteTry(this.ctx, this.trail, { endpoint: attempt.endpoint, after: undefined, ending: typeof answer === 'string' ? answer : 'done', ms: clock.now() - began })
     if (typeof answer !== 'string') return { answer, attempt }
     const verdict = verdictOf(answer, { what: work.what, isInside: true, isFirst: false, hasWritten })
     return { fault: verdict.kind === 'refuse' ? verdict.fault : 'aborted', retryAfterMs: 0 }
   }
 
-  /** Tries endpoint after endpoint until one does it, none is left, or it may have run. */
-  private async tryAll (tries: Tries): Promise<Run> {
-    const { route, mustLead, deadline } = tries
-    const group = this.ctx.group(route.group)
-    if (group === undefined) return { fault: 'busy', retryAfterMs: LEADERLESS_MS }
-    const tried = new Set<EndpointId>()
-    let last: Refused = { fault: 'busy', retryAfterMs: LEADERLESS_MS }
-    for (let i = 0; i < MOST_TRIES && left(deadline) > 0; i++) {
-      const target = await nextTarget(group, { mustLead, freshness: route.freshness, own: this.own, tried })
-      if (target === undefined) return last
-      const began = clock.now()
-      const attempt = await this.borrow(group, target, tries)
-      if (!(attempt instanceof Attempt)) {
-        last = attempt
-        this.tried(target, 'no connection', began)
-        if (target.mustLead) return last
-        tried.add(target.endpoint)
-        continue
-      }
-      const answer = await tries.run(attempt, target)
-      this.tried(target, typeof answer === 'string' ? answer : 'done', began)
-      if (typeof answer !== 'string') {
-        this.ctx.budget.succeeded()
-        return { answer, attempt }
-      }
-      tried.add(target.endpoint)
-      const verdict = verdictOf(answer, { what: tries.what, isInside: tries.isInside, isFirst: true, hasWritten: false })
-      if (verdict.kind === 'refuse') return { fault: verdict.fault, retryAfterMs: 0 }
-      last = { fault: faultOf(answer), retryAfterMs: LEADERLESS_MS }
-      // Being sent on by an endpoint that knows better costs no work there, so it takes nothing of the budget.
-      const isFree = answer === 'behind' || answer === 'notPrimary'
-      if (!isFree && !this.ctx.budget.mayRetry(clock.now())) return last
-    }
-    return last
-  }
-
-  private tried ({ endpoint, after }: Pick<Target, 'endpoint' | 'after'>, ending: string, began: Instant): void {
-    const ms = clock.now() - began
-    this.trail.add({ endpoint, ending, after, ms })
-    this.ctx.metrics.tries.inc({ ending })
-    this.ctx.metrics.trySeconds.observe({ dependency: 'endpoint' }, ms / 1000)
-  }
-
-  private async borrow (group: PoolGroup, target: Target, { route, deadline, isInside }: Tries): Promise<Attempt | Refused> {
-    const lender = group.lender(target.endpoint)
-    if (lender === undefined) return { fault: 'busy', retryAfterMs: LEADERLESS_MS }
-    const wish = { rank: route.rank, caller: this.database, leftMs: left(deadline), isTransaction: isInside, values: this.values }
-    const borrowed = await lender.borrow(wish)
-    if (borrowed.isOk()) return Attempt.on(group, lender, borrowed.value)
-    return { fault: 'busy', retryAfterMs: borrowed.error.retryAfterMs }
-  }
-
   private close (): void {
     clearTimeout(this.idleTimer)
     this.transaction?.release()
@@ -302,8 +242,10 @@
     this.transaction = undefined
   }
 
+  /** Without a position of its own commit a session can only read at the primary. */
   private committed ({ position }: Answer): void {
-    if (position !== undefined) this.own = this.own.max(position)
+    if (position === undefined) this.isOwnUnknown = true
+    else this.own = this.own.max(position)
   }
 
   /** Refuses a statement; inside of a transaction that fails as a whole, and a commit ends it. */
@@ -326,41 +268,9 @@
     return { kind: 'refused', fault, message: remedyOf(fault, retryAfterMs) }
   }
 
-  /** One line for a statement that wasn't done or took more than one try, and for a sample of the others: what was decided on which knowledge. */
   private explain (id: string, kind: Statement['kind'] | 'none', reply: Reply): void {
-    const { ctx, trail, database } = this
-    const ms = clock.now() - trail.since
-    const outcome = reply.kind === 'done' ? 'done' : reply.fault
-    ctx.metrics.statements.inc({ database, kind, outcome })
-    if (trail.count > 0) ctx.metrics.statementSeconds.observe({ kind }, ms / 1000)
-    const isPlain = outcome === 'done' && trail.count < 2
-    if (isPlain && !ctx.lines.isSampled(id)) return
-    const { isGranted, dropped } = ctx.lines.take(clock.now())
-    if (!isGranted) return ctx.metrics.linesDropped.inc()
-    if (dropped > 0) ctx.log.write('linesDropped', { dropped })
-    ctx.log.write(outcome === 'done' ? 'statementDone' : 'statementRefused', { id, database, kind, outcome, ms: Math.round(ms), ...this.knowledge })
-  }
-
-  /** What the decisions on the statement rested on. */
-  private get knowledge (): Readonly<Record<string, string | number>> {
-    const { ctx, trail, transaction, own, retryAfterMs } = this
-    const config = ctx.config()
-    const route = transaction?.route ?? config.route(this.database)
-    const group = route === undefined ? undefined : ctx.group(route.group)
-    const { freshness } = route ?? {}
-    return {
-      group: route?.group ?? 'none',
-      freshness: freshness?.kind === 'age' ? `${freshness.ms} ms` : freshness?.kind ?? 'none',
-      tries: trail.toString(),
-      transaction: transaction?.id ?? 'none',
-      own: own.toString(),
-      leader: group?.leader ?? 'none',
-      leaderlessMs: Math.round(group?.leaderlessMs() ?? 0),
-      markAgeMs: Math.round(group?.markAgeMs() ?? -1),
-      term: group?.term ?? 0,
-      config: config.version,
-      retryAfterMs: Math.ceil(retryAfterMs)
-    }
+    const { ctx, database, trail, transaction, own, retryAfterMs } = this
+    explain(ctx, { id, kind, database, reply, trail, transaction, own, retryAfterMs })
   }
 
   /** A transaction that nobody goes on with holds a connection that others wait for. */
@@ -371,12 +281,3 @@
 }
 
 const DONE: Reply = { kind: 'done', rows: '', proof: undefined }
-
-function left (deadline: Instant): number {
-  return Math.max(0, deadline - clock.now())
-}
-
-/** How an ending that proves "not run" is told when no endpoint is left. */
-function faultOf (ending: Ending): Fault {
-  return ending === 'broken' || ending === 'outOfTime' || ending === 'unknownStatement' ? 'aborted' : ending
-}
--- /dev/null
+++ b/src/shell/pool/tries.ts
@@ -0,0 +1,29 @@
+/** An operation that is tried from endpoint to endpoint. */
+
+import type { Instant } from '../../core/id/instant.ts'
+import type { Ending } from '../../core/pool/ending.ts'
+import type { Route } from '../../core/pool/route.ts'
+import type { Target } from '../../core/pool/target.ts'
+import type { Trail } from '../../core/pool/trail.ts'
+import type { Work } from '../../core/pool/work.ts'
+import type { Values } from '../../core/session/values.ts'
+import type { Answer } from '../../core/statement/answer.ts'
+import type { Token } from '../../core/token.ts'
+import type { Attempt } from './attempt.ts'
+
+export interface Tries {
+  readonly route: Route
+  readonly database: string
+  readonly what: Work['what']
+  readonly deadline: Instant
+  /** Whether only the primary may do it. */
+  readonly mustLead: boolean
+  /** Whether it begins a caller's transaction. */
+  readonly isInside: boolean
+  /** The session's newest commit, and what it has set and prepared. */
+  readonly own: Token
+  readonly values: Values
+  /** Where each try is noted. */
+  readonly trail: Trail
+  readonly run: (attempt: Attempt, target: Target) => Promise<Answer | Ending>
+}
--- /dev/null
+++ b/src/shell/pool/tryall.ts
@@ -0,0 +1,82 @@
+/** Tries an operation at endpoint after endpoint until one does it, none is left, or it may have run. */
+
+import type { EndpointId } from '../../core/id/endpoint.ts'
+import type { Ending } from '../../core/pool/ending.ts'
+import type { Target } from '../../core/pool/target.ts'
+import { verdictOf } from '../../core/pool/verdict.ts'
+import type { Fault } from '../../core/statement/fault.ts'
+import { Attempt } from './attempt.ts'
+import { clock } from './clock.ts'
+import type { PoolContext } from './context.ts'
+import type { PoolGroup } from './group.ts'
+import { left } from './left.ts'
+import { noteTry } from './notetry.ts'
+import type { Refused } from './refused.ts'
+import type { Run } from './run.ts'
+import { nextTarget } from './target.ts'
+import type { Tries } from './tries.ts'
+
+/** Tries of one operation: each of three endpoints, and the primary once more. */
+const MOST_TRIES = 4
+/** The time to come back while nobody leads: about a round of finding the new primary. */
+const LEADERLESS_MS = 500
+
+/** Resolves always, within the operation's time. */
+export async function tryAll (ctx: PoolContext, tries: Tries): Promise<Run> {
+  const { route, mustLead, deadline, own } = tries
+  const group = ctx.group(route.group)
+  let last: Refused = { fault: 'busy', retryAfterMs: LEADERLESS_MS }
+  if (group === undefined) return last
+  const tried = new Set<EndpointId>()
+  for (let i = 0; i < MOST_TRIES && left(deadline) > 0; i++) {
+    const target = await nextTarget(group, { mustLead, freshness: route.freshness, own, tried })
+    if (target === undefined) return last
+    tried.add(target.endpoint)
+    const run = await tryOnce(ctx, group, target, tries)
+    if (run.kind === 'done') return run.run
+    last = run.refused
+    if (run.kind === 'refused') return last
+  }
+  return last
+}
+
+type Once =
+  | { readonly kind: 'done', readonly run: Run }
+  | { readonly kind: 'refused' | 'elsewhere', readonly refused: Refused }
+
+async function tryOnce (ctx: PoolContext, group: PoolGroup, target: Target, tries: Tries): Promise<Once> {
+  const began = clock.now()
+  const note = (ending: string) => noteTry(ctx, tries.trail, { endpoint: target.endpoint, after: target.after, ending, ms: clock.now() - began })
+  const attempt = await borrow(group, target, tries)
+  if (!(attempt instanceof Attempt)) {
+    note('no connection')
+    return { kind: target.mustLead ? 'refused' : 'elsewhere', refused: attempt }
+  }
+  const answer = await tries.run(attempt, target)
+  note(typeof answer === 'string' ? answer : 'done')
+  if (typeof answer === 'string') return ended(ctx, answer, tries)
+  ctx.budget.succeeded()
+  return { kind: 'done', run: { answer, attempt } }
+}
+
+function ended (ctx: PoolContext, ending: Ending, { what, isInside }: Tries): Once {
+  const verdict = verdictOf(ending, { what, isInside, isFirst: true, hasWritten: false })
+  if (verdict.kind === 'refuse') return { kind: 'refused', refused: { fault: verdict.fault, retryAfterMs: 0 } }
+  const refused = { fault: faultOf(ending), retryAfterMs: LEADERLESS_MS }
+  // Being sent on by an endpoint that knows better costs no work there, so it takes nothing of the budget.
+  const isFree = ending === 'behind' || ending === 'notPrimary'
+  return { kind: isFree || ctx.budget.mayRetry(clock.now()) ? 'elsewhere' : 'refused', refused }
+}
+
+async function borrow (group: PoolGroup, target: Target, { route, database, deadline, isInside, values }: Tries): Promise<Attempt | Refused> {
+  const lender = group.lender(target.endpoint)
+  if (lender === undefined) return { fault: 'busy', retryAfterMs: LEADERLESS_MS }
+  const borrowed = await lender.borrow({ rank: route.rank, caller: database, leftMs: left(deadline), isTransaction: isInside, values })
+  if (borrowed.isOk()) return Attempt.on(group, lender, borrowed.value)
+  return { fault: 'busy', retryAfterMs: borrowed.error.retryAfterMs }
+}
+
+/** How an ending that proves "not run" is told when no endpoint is left. */
+function faultOf (ending: Ending): Fault {
+  return ending === 'broken' || ending === 'outOfTime' || ending === 'unknownStatement' ? 'aborted' : ending
+}
