--- a/src/core/trace/line.ts
+++ b/src/core/trace/line.ts
@@ -1,6 +1,7 @@
 /** One line of a process's log. */
 
 import { z } from 'zod'
+import { readJson } from '../readjson.ts'
 
 const shape = z.looseObject({
   time: z.iso.datetime(),
@@ -41,7 +42,7 @@
   static parse (text: string): LogLine | undefined {
     const begin = text.indexOf('{')
     if (begin < 0) return undefined
-    const parsed = shape.safeParse(jsonOf(text.slice(begin)))
+    const parsed = shape.safeParse(readJson(text.slice(begin)))
     if (!parsed.success) return undefined
     const { time, host, event, msg } = parsed.data
     const fields = Object.entries(parsed.data).filter(([name]) => !COMMON.has(name)).map(([name, value]) => [name, String(value)] as const)
@@ -58,11 +59,3 @@
     return `${new Date(this.at).toISOString()} ${this.host} ${this.event} ${this.message}: ${fields.join(' ')}`
   }
 }
-
-function jsonOf (text: string): unknown {
-  try {
-    return JSON.parse(text)
-  } catch {
-    return undefined
-  }
-}
--- a/src/shell/log/log.ts
+++ b/src/shell/log/log.ts
@@ -1,10 +1,12 @@
 /** The structured log: one JSON line an event, by number. */
 
+import { setTimeout as pause } from 'node:timers/promises'
 import { destination, pino, type Logger } from 'pino'
 import { events } from './events.ts'
 
 type Name = keyof typeof events
 
+const STANDARD_OUTPUT = 1
 /** Bytes that are gathered to one write, since each write costs a call to the system, */
 const GATHERED_BYTES = 4096
 /** how long they wait at most, in milliseconds, */
@@ -14,16 +16,16 @@
 
 /** Writes numbered events. Fields never hold a secret or a statement's values. */
 export class Log {
-  private constructor (private readonly logger: Logger, private readonly flushSync = () => {}) {}
+  private constructor (private readonly logger: Logger, private readonly flushAll = async () => {}) {}
 
   static create (host: string): Log {
     return new Log(pino({ base: { host }, timestamp: pino.stdTimeFunctions.isoTime }))
   }
 
   /** Never blocks: lines are gathered, and dropped while the reader stalls. */
-  static buffered (host: string): Log {
-    const out = destination({ dest: 1, sync: false, minLength: GATHERED_BYTES, maxLength: MOST_WAITING_BYTES, periodicFlush: FLUSH_MS })
-    return new Log(pino({ base: { host }, timestamp: pino.stdTimeFunctions.isoTime }, out), () => out.flushSync())
+  static buffered (host: string, fd = STANDARD_OUTPUT): Log {
+    const out = destination({ dest: fd, sync: false, minLength: GATHERED_BYTES, maxLength: MOST_WAITING_BYTES, periodicFlush: FLUSH_MS })
+    return new Log(pino({ base: { host }, timestamp: pino.stdTimeFunctions.isoTime }, out), async () => await new Promise(resolve => out.flush(() => resolve())))
   }
 
   static readonly silent = new Log(pino({ enabled: false }))
@@ -33,8 +35,8 @@
     this.logger[level]({ event: id, ...fields }, message)
   }
 
-  /** Writes out what was gathered, at the end of the process. */
-  flush (): void {
-    this.flushSync()
+  /** Writes out what was gathered, at the end of the process; doesn't wait for a reader that stalls for longer than the time. */
+  async flush (mostMs: number): Promise<void> {
+    await Promise.race([this.flushAll(), pause(mostMs)])
   }
 }
--- a/src/shell/pool/membership.ts
+++ b/src/shell/pool/membership.ts
@@ -6,6 +6,7 @@
 import type { HostId } from '../../core/id/host.ts'
 import { Hosts } from '../../core/pool/hosts.ts'
 import type { PoolHost } from '../../core/pool/host.ts'
+import { readJson } from '../../core/readjson.ts'
 import { clock } from './clock.ts'
 import type { RowStore } from './rows.ts'
 
@@ -71,7 +72,7 @@
     const read = await this.options.store.read(TABLE, signal)
     if (read.isErr()) return false
     this.known = read.value.rows.reduce((known, { key, value, version }) => {
-      const parsed = shape.safeParse(JSON.parse(value ?? 'null'))
+      const parsed = shape.safeParse(readJson(value ?? 'null'))
       if (!parsed.success) return known
       const { dataCentre, ip, port } = parsed.data
       return known.with({ id: key as HostId, dataCentre: dataCentre as DataCentreId, address: { ip, port } }, version, clock.age())
--- a/src/shell/pool/successor.ts
+++ b/src/shell/pool/successor.ts
@@ -10,6 +10,7 @@
 import type { Command } from '../../core/statement/command.ts'
 import type { EndpointStatus } from '../../core/statement/status.ts'
 import type { Term } from '../../core/id/term.ts'
+import { readJson } from '../../core/readjson.ts'
 import { weightOf } from '../../core/weight.ts'
 import { z } from 'zod'
 import type { Log } from '../log/log.ts'
@@ -72,7 +73,7 @@
 
   /** A row of the shared table under this group's name. */
   leaseChanged ({ value, version }: Row): void {
-    const parsed = value === undefined ? undefined : leaseShape.safeParse(JSON.parse(value))
+    const parsed = value === undefined ? undefined : leaseShape.safeParse(readJson(value))
     if (parsed?.success !== true || (this.lease !== undefined && version <= this.lease.version)) return
     const { holder, asksFor } = parsed.data
     this.lease = Lease.of({ holder: holder as HostId, asksFor: asksFor as EndpointId | undefined, version, seenAt: clock.age() })
@@ -80,7 +81,7 @@
   }
 
   objectionMade ({ value }: Row): void {
-    const parsed = value === undefined ? undefined : objectionShape.safeParse(JSON.parse(value))
+    const parsed = value === undefined ? undefined : objectionShape.safeParse(readJson(value))
     if (parsed?.success !== true) return
     this.step({ kind: 'objected', fence: parsed.data.fence })
   }
--- a/tools/target.mjs
+++ b/tools/target.mjs
@@ -1,4 +1,4 @@
-/** Bundles the program for the users' platform into target/, one file without the clients of other platforms: start-up is charged. */
+/** Bundles the program for the users' platform into target/, one file without the clients of other platforms: start-up is charged. The check of settings is a file of its own. */
 
 import { build } from 'esbuild'
 
@@ -9,6 +9,7 @@
   format: 'cjs',
   minifySyntax: true,
   logLevel: 'warning',
-  entryPoints: ['platform/main.ts'],
-  outfile: 'target/agatepond.cjs'
+  outExtension: { '.js': '.cjs' },
+  outdir: 'target',
+  entryPoints: { agatepond: 'platform/main.ts', check: 'platform/check.ts' }
 })
