Silence counts as consent only after the objections were read

The host that had asked was frozen or lost the store meanwhile, so the objection didn't arrive, and it went on. Ruled out: late objections (they were made in time) and the lease (it was held). Change: before the survey it reads the objections from the store; without an answer it orders nothing. An objection counts until the order is given.

--- /dev/null
+++ b/src/core/pool/succession.mix.test.ts
@@ -0,0 +1,278 @@
+/** Successions of several hosts against one store and one group, in virtual time, under faults that a seed picks. */
+
+import { describe, expect, it } from 'vitest'
+import type { EndpointId } from '../id/endpoint.ts'
+import type { HostId } from '../id/host.ts'
+import type { Instant } from '../id/instant.ts'
+import { mix } from '../mix.ts'
+import type { EndpointStatus } from '../statement/status.ts'
+import { Token } from '../token.ts'
+import { Lease } from './lease.ts'
+import { Succession } from './succession.ts'
+import type { SuccessionAction } from './successionaction.ts'
+import type { SuccessionEvent } from './successionevent.ts'
+
+const SEEDS = 1000
+const HOSTS = 5
+const TICK_MS = 50
+const FAULTS_END_MS = 15_000
+const END_MS = 45_000
+/** Silence and a failed connection together. */
+const FAILING_MS = 550
+const PROMOTION_MS = 1000
+const CALL_MS = 750
+
+interface Endpoint {
+  readonly id: EndpointId
+  isUp: boolean
+  isLeaving: boolean
+  position: number
+}
+
+class Host {
+  succession = Succession.create(0 as Instant)
+  lease: Lease | undefined
+  leader: EndpointId | undefined
+  lostSince: number | undefined
+  isFrozen = false
+  hasStore = true
+  readonly unreached = new Set<EndpointId>()
+  readonly refusedFences: number[] = []
+  readonly orders: number[] = []
+
+  constructor (readonly id: HostId, readonly rank: number) {}
+}
+
+/** The store, the group and the platform as they are; hosts see them through delays and cuts. */
+class World {
+  now = 0
+  readonly endpoints: Endpoint[] = ['a', 'b', 'c'].map(id => ({ id: id as EndpointId, isUp: true, isLeaving: false, position: 100 }))
+  readonly hosts = Array.from({ length: HOSTS }, (_, i) => new Host(`h${i}` as HostId, i))
+  leader = 'a' as EndpointId
+  term = 1
+  promotions = 0
+  private version = 1
+  private lease: { version: number, holder: HostId, asksFor: EndpointId | undefined } | undefined
+  private highestFence = 0
+  private later: Array<{ at: number, run: () => void }> = []
+  private draws = 0
+  private readonly objections = new Set<number>()
+
+  constructor (private readonly seed: number) {
+    for (const host of this.hosts) host.leader = this.leader
+  }
+
+  /** A number in [0, 1). */
+  chance (): number {
+    return mix(mix(this.seed) ^ ++this.draws) / 2 ** 32
+  }
+
+  after (ms: number, run: () => void): void {
+    this.later.push({ at: this.now + ms, run })
+  }
+
+  endpoint (id: EndpointId): Endpoint {
+    return this.endpoints.find(one => one.id === id)!
+  }
+
+  play (untilMs: number): void {
+    for (; this.now < untilMs; this.now += TICK_MS) {
+      const due = this.later.filter(({ at }) => at <= this.now)
+      this.later = this.later.filter(({ at }) => at > this.now)
+      for (const { run } of due) run()
+      for (const host of this.hosts) this.tick(host)
+    }
+  }
+
+  reaches (host: Host, id: EndpointId): boolean {
+    return this.endpoint(id).isUp && !host.unreached.has(id)
+  }
+
+  private tick (host: Host): void {
+    if (host.isFrozen) return
+    const isLost = host.leader !== undefined && !this.reaches(host, host.leader)
+    host.lostSince = isLost ? host.lostSince ?? this.now : undefined
+    // A replaced primary refuses, so a host that reaches it doesn't believe in it for long.
+    if (host.leader !== undefined && !isLost && host.leader !== this.leader) host.leader = undefined
+    this.step(host, { kind: 'tick' })
+  }
+
+  step (host: Host, event: SuccessionEvent): void {
+    if (host.isFrozen) return this.after(TICK_MS, () => this.step(host, event))
+    const leaving = new Set(this.endpoints.filter(({ isLeaving }) => isLeaving).map(({ id }) => id))
+    const { next, actions } = host.succession.step(event, {
+      leader: host.leader,
+      leaderlessMs: host.leader === undefined ? 2000 : 0,
+      isLeaving: host.leader !== undefined && host.hasStore && leaving.has(host.leader),
+      isListed: true,
+      isFailing: host.lostSince !== undefined && this.now - host.lostSince >= FAILING_MS,
+      leaving,
+      rank: host.rank,
+      mayClaim: host.lease?.mayClaim(host.id, this.now as Instant) ?? true,
+      holds: host.lease?.isHeldBy(host.id, this.now as Instant) === true
+    }, this.now as Instant)
+    host.succession = next
+    for (const action of actions) this.act(host, action)
+  }
+
+  private act (host: Host, action: SuccessionAction): void {
+    switch (action.kind) {
+      case 'claim': return this.claim(host, action.asksFor)
+      case 'confirm': return this.confirm(host, action.fence)
+      case 'survey': return this.survey(host, action.old)
+      case 'look': return this.survey(host, action.old)
+      case 'promote': return this.promote(host, action)
+      case 'found': return this.found(host, action.endpoint)
+      case 'giveUp': return undefined
+    }
+  }
+
+  private found (host: Host, endpoint: EndpointId): void {
+    host.leader = endpoint
+  }
+
+  private confirm (host: Host, fence: number): void {
+    if (!host.hasStore) return this.after(CALL_MS, () => this.step(host, { kind: 'claimLost' }))
+    this.after(20, () => this.step(host, this.objections.has(fence) ? { kind: 'objected', fence } : { kind: 'confirmed', fence }))
+  }
+
+  private claim (host: Host, asksFor: EndpointId | undefined): void {
+    if (!host.hasStore) return this.after(CALL_MS, () => this.step(host, { kind: 'claimLost' }))
+    const expected = host.lease?.version ?? 0
+    const took = 10 + Math.floor(this.chance() * 60)
+    this.after(took, () => {
+      if ((this.lease?.version ?? 0) !== expected) return this.step(host, { kind: 'claimLost' })
+      const version = ++this.version
+      this.lease = { version, holder: host.id, asksFor }
+      for (const other of this.hosts) this.tellLease(other)
+      if (asksFor !== undefined) this.ask(host, asksFor, version)
+      this.step(host, { kind: 'claimed', fence: version, tookMs: took })
+    })
+  }
+
+  private tellLease (host: Host): void {
+    if (!host.hasStore || this.lease === undefined || host.lease?.version === this.lease.version) return
+    host.lease = Lease.of({ ...this.lease, seenAt: this.now as Instant })
+  }
+
+  private ask (holder: Host, endpoint: EndpointId, fence: number): void {
+    for (const other of this.hosts) {
+      if (other === holder || !other.hasStore || other.isFrozen) continue
+      this.after(100, () => {
+        if (!this.reaches(other, endpoint) || this.leader !== endpoint || !other.hasStore || other.isFrozen) return
+        this.objections.add(fence)
+        if (holder.hasStore) this.step(holder, { kind: 'objected', fence })
+      })
+    }
+  }
+
+  private survey (host: Host, old: EndpointId | undefined): void {
+    this.after(100, () => {
+      const statuses = new Map<EndpointId, EndpointStatus>()
+      for (const { id, position } of this.endpoints) {
+        if (id === old || !this.reaches(host, id)) continue
+        statuses.set(id, { isPrimary: id === this.leader, term: this.term, received: Token.of(this.term, position) })
+      }
+      this.step(host, { kind: 'surveyed', statuses })
+    })
+  }
+
+  private promote (host: Host, { endpoint, fence }: Extract<SuccessionAction, { kind: 'promote' }>): void {
+    host.orders.push(fence)
+    const isLate = this.chance() < 0.2
+    const isAnswered = !isLate && this.chance() < 0.8
+    this.after(isLate ? 2000 + this.chance() * 8000 : 20, () => {
+      const outcome = this.execute(endpoint, fence)
+      if (outcome === 'refused') host.refusedFences.push(fence)
+      if (isAnswered) this.step(host, { kind: 'ordered', outcome })
+    })
+    if (!isAnswered) this.after(CALL_MS, () => this.step(host, { kind: 'ordered', outcome: 'unknown' }))
+  }
+
+  private execute (endpoint: EndpointId, fence: number): 'done' | 'refused' {
+    if (fence < this.highestFence || !this.endpoint(endpoint).isUp) return 'refused'
+    this.highestFence = fence
+    this.after(PROMOTION_MS, () => {
+      if (endpoint === this.leader || !this.endpoint(endpoint).isUp) return
+      this.leader = endpoint
+      this.term++
+      this.promotions++
+      this.after(50, () => this.spread())
+    })
+    return 'done'
+  }
+
+  /** The directory's word on who leads, to hosts that hear the store. */
+  spread (): void {
+    for (const host of this.hosts) {
+      if (host.hasStore) host.leader = this.leader
+      this.tellLease(host)
+    }
+  }
+}
+
+/** Cuts, freezes and a dead or leaving primary, over by the end of the faults, but for the primary's death. */
+function trouble (world: World, mayLosePrimary: boolean): void {
+  const pick = <T>(list: readonly T[]): T => list[Math.floor(world.chance() * list.length)]!
+  const faults = 1 + Math.floor(world.chance() * 4)
+  for (let i = 0; i < faults; i++) {
+    const at = world.chance() * FAULTS_END_MS / 2
+    const forMs = world.chance() * FAULTS_END_MS / 2
+    const kind = pick(['freeze', 'store', 'cut', 'cut', mayLosePrimary ? 'crash' : 'cut', mayLosePrimary ? 'leave' : 'cut'])
+    // One host stays whole, so that somebody reaches the primary and the store.
+    const host = pick(world.hosts.slice(1))
+    world.after(at, () => strike(world, kind, host))
+    world.after(at + forMs, () => heal(world, kind, host))
+  }
+}
+
+function strike (world: World, kind: string, host: Host): void {
+  if (kind === 'freeze') host.isFrozen = true
+  if (kind === 'store') host.hasStore = false
+  if (kind === 'cut') host.unreached.add(world.leader)
+  // With the last endpoint nobody is left to lead.
+  const isLast = world.endpoints.filter(({ isUp }) => isUp).length < 2
+  if (kind === 'crash' && !isLast) world.endpoint(world.leader).isUp = false
+  if (kind === 'leave') world.endpoint(world.leader).isLeaving = true
+}
+
+function heal (world: World, kind: string, host: Host): void {
+  if (kind === 'freeze') host.isFrozen = false
+  if (kind === 'cut') host.unreached.clear()
+  if (kind !== 'store') return
+  host.hasStore = true
+  world.spread()
+}
+
+function played (seed: number, mayLosePrimary: boolean): World {
+  const world = new World(seed)
+  trouble(world, mayLosePrimary)
+  world.play(END_MS)
+  return world
+}
+
+const seeds = Array.from({ length: SEEDS }, (_, i) => i + 1)
+
+describe('successions of several hosts', () => {
+  it('replace nothing while somebody reaches the primary', () => {
+    // Callers lose a second of writes, and commits that no replica has, although the primary is well.
+    // Hosts are frozen, cut from the primary or from the store, and one reaches both all the while.
+    expect(seeds.filter(seed => played(seed, false).promotions > 0)).toEqual([])
+  })
+
+  it('end with a primary that lives and that every host believes in', () => {
+    const wrong = seeds.filter(seed => {
+      const world = played(seed, true)
+      return !world.endpoint(world.leader).isUp || world.hosts.some(({ leader }) => leader !== world.leader)
+    })
+    expect(wrong).toEqual([])
+  })
+
+  it('never order twice under one fence, nor again under one that was refused', () => {
+    const wrong = seeds.filter(seed => {
+      const fences = played(seed, true).hosts.flatMap(({ orders }) => orders)
+      return new Set(fences).size !== fences.length
+    })
+    expect(wrong).toEqual([])
+  })
+})
--- a/src/core/pool/succession.test.ts
+++ b/src/core/pool/succession.test.ts
@@ -70,7 +70,8 @@
     const it = drive({ isFailing: true })
     expect(it.pass(200)).toEqual(['claim unreached asking'])
     expect(it.step({ kind: 'claimed', fence: 7, tookMs: 10 })).toEqual([])
-    expect(it.pass(600)).toEqual(['survey'])
+    expect(it.pass(600)).toEqual(['confirm'])
+    expect(it.step({ kind: 'confirmed', fence: 7 })).toEqual(['survey'])
     expect(it.surveyed('b 1:5', 'c 1:9')).toEqual(['promote c under 7'])
     expect(it.step({ kind: 'ordered', outcome: 'done' })).toEqual([])
   })
@@ -95,12 +96,22 @@
     expect(it.pass(900)).toEqual([])
   })
 
+  it('takes silence for consent only after it read the objections', () => {
+    // A healthy primary is replaced by a host that was frozen while the others objected, or whose feed went silent.
+    const it = drive({ isFailing: true })
+    it.pass(200)
+    it.step({ kind: 'claimed', fence: 7, tookMs: 10 })
+    expect(it.pass(600)).toEqual(['confirm'])
+    it.step({ kind: 'objected', fence: 7 })
+    expect(it.step({ kind: 'confirmed', fence: 7 })).toEqual([])
+  })
+
   it('takes no objection that was made to an earlier question', () => {
     const it = drive({ isFailing: true })
     it.pass(200)
     it.step({ kind: 'claimed', fence: 7, tookMs: 10 })
     it.step({ kind: 'objected', fence: 5 })
-    expect(it.pass(600)).toEqual(['survey'])
+    expect(it.pass(600)).toEqual(['confirm'])
   })
 
   it('replaces a leaving primary without asking', () => {
--- a/src/core/pool/succession.ts
+++ b/src/core/pool/succession.ts
@@ -23,6 +23,8 @@
   | { readonly kind: 'claiming' }
   /** The other hosts may object until the instant. */
   | { readonly kind: 'asking', readonly until: Instant, readonly fence: number }
+  /** The store is asked whether an objection was missed. */
+  | { readonly kind: 'confirming', readonly fence: number }
   | { readonly kind: 'surveying', readonly fence: number }
   /** Without the lease: whether another host's order made a primary that the directory didn't tell of. */
   | { readonly kind: 'looking', readonly left: number }
@@ -82,6 +84,7 @@
       case 'tick': return this.tick(view, now)
       case 'claimed': return this.claimed(event, view, now)
       case 'claimLost': return this.look(LOOKS)
+      case 'confirmed': return this.confirmed(event.fence)
       case 'objected': return this.objected(event.fence, now)
       case 'surveyed': return this.surveyed(event.statuses, view, now)
       case 'ordered': return this.ordered(event.outcome, now)
@@ -95,7 +98,7 @@
     switch (phase.kind) {
       case 'calm': return now >= phase.until && causeOf(view) !== undefined ? this.wait(view, now) : this.idle
       case 'waiting': return now >= phase.until ? this.claim(view, now) : this.idle
-      case 'asking': return now >= phase.until ? this.survey(phase.fence) : this.idle
+      case 'asking': return now >= phase.until ? this.confirm(phase.fence) : this.idle
       case 'lookingAgain': return now >= phase.until ? this.look(phase.left) : this.idle
       case 'settling': return now >= phase.until ? this.rest(now) : this.idle
       default: return this.idle
@@ -140,7 +143,23 @@
 
   private objected (fence: number, now: Instant): Step {
     const { phase } = this.fields
-    return phase.kind === 'asking' && phase.fence === fence ? this.rest(now) : this.idle
+    const isOpen = phase.kind === 'asking' || phase.kind === 'confirming' || phase.kind === 'surveying'
+    return isOpen && phase.fence === fence ? this.rest(now) : this.idle
+  }
+
+  /**
+   * Guard against an objection that doesn't arrive: the host that asked was
+   * frozen meanwhile, or its feed went silent, and it takes the silence for
+   * consent. So it reads the objections themselves before it goes on; a host that
+   * can't do that orders nothing.
+   */
+  private confirm (fence: number): Step {
+    return this.to({ kind: 'confirming', fence }, [{ kind: 'confirm', fence }])
+  }
+
+  private confirmed (fence: number): Step {
+    const { phase } = this.fields
+    return phase.kind === 'confirming' && phase.fence === fence ? this.survey(fence) : this.idle
   }
 
   private survey (fence: number): Step {
--- a/src/core/pool/successionaction.ts
+++ b/src/core/pool/successionaction.ts
@@ -5,6 +5,8 @@
 export type SuccessionAction =
   /** Take the lease; `asksFor`: ask the other hosts whether they reach this primary. */
   | { readonly kind: 'claim', readonly cause: 'leaving' | 'gone' | 'unreached' | 'nobody', readonly asksFor: EndpointId | undefined }
+  /** Read from the store whether any host objected under the fence. */
+  | { readonly kind: 'confirm', readonly fence: number }
   /** Ask all endpoints but the old primary how far their logs reach. */
   | { readonly kind: 'survey', readonly old: EndpointId | undefined }
   /** Ask the same without stopping anything: only whether one of them leads. */
--- a/src/core/pool/successionevent.ts
+++ b/src/core/pool/successionevent.ts
@@ -11,6 +11,8 @@
   | { readonly kind: 'claimLost' }
   /** A host reaches the primary that was asked about under the fence. */
   | { readonly kind: 'objected', readonly fence: number }
+  /** The store has no objection under the fence. */
+  | { readonly kind: 'confirmed', readonly fence: number }
   /** What the endpoints that answered say of themselves. */
   | { readonly kind: 'surveyed', readonly statuses: ReadonlyMap<EndpointId, EndpointStatus> }
   | { readonly kind: 'ordered', readonly outcome: 'done' | 'refused' | 'notDone' | 'unknown' }
--- a/src/shell/log/events.ts
+++ b/src/shell/log/events.ts
@@ -34,6 +34,7 @@
   leaseClaimed: { id: 3006, level: 'warn', message: 'claimed the lease of a group to replace its primary' },
   surveyed: { id: 3007, level: 'info', message: 'asked an endpoint how far its log reaches' },
   promotionOrdered: { id: 3008, level: 'warn', message: 'the platform answered an order to promote' },
+  objectionsRead: { id: 3010, level: 'info', message: 'read whether a host objects to a promotion' },
   objected: { id: 3009, level: 'info', message: 'reached a primary that another host finds out of reach' },
 
   peerLinked: { id: 4001, level: 'info', message: 'linked to a peer' },
--- a/src/shell/pool/successor.ts
+++ b/src/shell/pool/successor.ts
@@ -81,9 +81,8 @@
   }
 
   objectionMade ({ value }: Row): void {
-    const parsed = value === undefined ? undefined : objectionShape.safeParse(readJson(value))
-    if (parsed?.success !== true) return
-    this.step({ kind: 'objected', fence: parsed.data.fence })
+    const fence = fenceOf(value)
+    if (fence !== undefined) this.step({ kind: 'objected', fence })
   }
 
   private get view (): SuccessionView {
@@ -114,6 +113,7 @@
   private act (action: SuccessionAction): void {
     switch (action.kind) {
       case 'claim': return this.claim(action)
+      case 'confirm': return this.confirm(action.fence)
       case 'survey': return this.survey(action.old, this.options.isSynchronous())
       case 'look': return this.survey(action.old, false)
       case 'promote': return this.promote(action)
@@ -134,6 +134,16 @@
     })
   }
 
+  private confirm (fence: number): void {
+    const { group, platform, table, log, signal } = this.options
+    platform.store.read(table, signal).then(read => {
+      if (read.isErr()) return this.step({ kind: 'claimLost' })
+      const objections = read.value.rows.filter(({ key, value }) => key.startsWith(`objection/${group.id}/`) && fenceOf(value) === fence)
+      log.write('objectionsRead', { group: group.id, fence, objections: objections.length })
+      this.step(objections.length > 0 ? { kind: 'objected', fence } : { kind: 'confirmed', fence })
+    })
+  }
+
   /**
    * Where commits wait for a replica, the replicas are stopped first: a commit
    * that a replica acknowledged after it was asked would be missing in the log that was chosen.
@@ -231,3 +241,9 @@
     return answers[0]?.status
   }
 }
+
+/** The fence under which an objection was made; undefined for a row that was erased or can't be read. */
+function fenceOf (value: string | undefined): number | undefined {
+  const parsed = objectionShape.safeParse(value === undefined ? undefined : readJson(value))
+  return parsed.success ? parsed.data.fence : undefined
+}
