A read leaves an endpoint that went silent

Change: every endpoint with unanswered questions is probed, and reads under way end once it's out of reach and go elsewhere; writes wait on, since only their answer tells. Ruled out: hedging before two signs (it would double the work of slow endpoints).

--- a/src/shell/pool/group.ts
+++ b/src/shell/pool/group.ts
@@ -19,6 +19,7 @@
 import type { DialFault } from './dialfault.ts'
 import { Lender } from './lender.ts'
 import type { PoolMetrics } from './metrics.ts'
+import { Watchers } from './watchers.ts'
 
 interface Options {
   readonly id: GroupId
@@ -43,6 +44,8 @@
   private progress = Progress.empty
   private share = 1
   private readonly waiting = new Set<() => void>()
+  /** For those who wait for an answer of an endpoint. */
+  readonly watchers = Watchers.create()
 
   private constructor (private readonly options: Options) {
     this.leadership = Leadership.create(options.id, clock.now())
@@ -68,6 +71,13 @@
     return this.directory.group(this.options.id)
   }
 
+  /** Endpoints that are listed, and the leader also when it isn't. */
+  get known (): ReadonlyArray<Pick<Endpoint, 'id'>> {
+    const { leader, endpoints } = this
+    const isListed = leader === undefined || endpoints.some(({ id }) => id === leader)
+    return isListed ? endpoints : [...endpoints, { id: leader }]
+  }
+
   get isEmpty (): boolean {
     return this.endpoints.length === 0
   }
@@ -180,6 +190,7 @@
     this.contacts.set(id, contact)
     if (!contact.isFailing(now)) return
     this.lenders.get(id)?.refuseWaiting()
+    this.watchers.tell(id)
     if (this.unreached.has(id)) return
     this.unreached.add(id)
     this.options.log.write('endpointUnreachable', { endpoint: id, group: this.id, isLeader: id === this.leader })
--- a/src/shell/pool/successor.ts
+++ b/src/shell/pool/successor.ts
@@ -55,7 +55,7 @@
 export class Successor {
   private succession = Succession.create(clock.now())
   private lease: Lease | undefined
-  private isProbing = false
+  private readonly probing = new Set<EndpointId>()
 
   private constructor (private readonly options: Options) {}
 
@@ -66,8 +66,9 @@
   /** To be called every tenth of a second or so. */
   tick (): void {
     const { group } = this.options
-    const { leader } = group
-    if (leader !== undefined && !this.isProbing && group.contact(leader).isDoubtful(clock.now())) this.probeLeader(leader)
+    for (const { id } of group.known) {
+      if (!this.probing.has(id) && group.contact(id).isDoubtful(clock.now())) this.settleDoubt(id)
+    }
     this.step({ kind: 'tick' })
   }
 
@@ -178,10 +179,10 @@
     for (const { id } of group.endpoints) this.ask(id, { kind: 'resume' })
   }
 
-  private probeLeader (leader: EndpointId): void {
-    this.isProbing = true
-    this.probe(leader).then(() => {
-      this.isProbing = false
+  private settleDoubt (id: EndpointId): void {
+    this.probing.add(id)
+    this.probe(id).then(() => {
+      this.probing.delete(id)
       this.step({ kind: 'tick' })
     })
   }
--- a/src/shell/pool/tryall.ts
+++ b/src/shell/pool/tryall.ts
@@ -44,6 +44,12 @@
   | { readonly kind: 'done', readonly run: Run }
   | { readonly kind: 'refused' | 'elsewhere', readonly refused: Refused }
 
+/**
+ * Against reads that wait out their statement's time at an endpoint that went
+ * silent, while others could serve them: once it's known to be out of reach the
+ * connection is given up, and the read goes elsewhere. A write waits on, since
+ * only its answer can tell what became of it.
+ */
 async function tryOnce (ctx: PoolContext, group: PoolGroup, target: Target, tries: Tries): Promise<Once> {
   const began = clock.now()
   const note = (ending: string) => noteTry(ctx, tries.trail, { endpoint: target.endpoint, after: target.after, ending, ms: clock.now() - began })
@@ -52,7 +58,9 @@
     note('no connection')
     return { kind: target.mustLead ? 'refused' : 'elsewhere', refused: attempt }
   }
+  const unwatch = tries.what === 'read' ? group.watchers.watch(target.endpoint, () => attempt.link.close()) : undefined
   const answer = await tries.run(attempt, target)
+  unwatch?.()
   note(typeof answer === 'string' ? answer : 'done')
   if (typeof answer === 'string') return ended(ctx, answer, tries)
   ctx.budget.succeeded()
--- /dev/null
+++ b/src/shell/pool/watchers.ts
@@ -0,0 +1,27 @@
+/** Who is to be told when an endpoint turns out to be out of reach. */
+
+import type { EndpointId } from '../../core/id/endpoint.ts'
+
+export class Watchers {
+  private readonly watching = new Map<EndpointId, Set<() => void>>()
+
+  private constructor () {}
+
+  static create (): Watchers {
+    return new Watchers()
+  }
+
+  /** `onOut` is called when it turns out, until the returned function is. */
+  watch (id: EndpointId, onOut: () => void): () => void {
+    const watchers = this.watching.get(id) ?? new Set()
+    this.watching.set(id, watchers.add(onOut))
+    return () => {
+      watchers.delete(onOut)
+      if (watchers.size === 0) this.watching.delete(id)
+    }
+  }
+
+  tell (id: EndpointId): void {
+    for (const onOut of [...this.watching.get(id) ?? []]) onOut()
+  }
+}
