--- a/src/core/pool/candidates.ts
+++ b/src/core/pool/candidates.ts
@@ -33,10 +33,10 @@
  */
 export function readCandidates (view: View, position: Token, now: Instant): readonly EndpointId[] {
   const usable = view.endpoints.filter(({ id, isLeaving }) => (!isLeaving || id === view.primary) && view.isReachable(id))
-  const scored = usable
+  const weighed = usable
     .map(endpoint => ({ id: endpoint.id, isPrimary: endpoint.id === view.primary, cost: costOf(view, endpoint) }))
     .filter(({ id, isPrimary }) => isPrimary || view.standing(id).mayHold(position, now))
-  return scored.sort((a, b) => a.cost - b.cost).map(({ id }) => id)
+  return weighed.sort((a, b) => a.cost - b.cost).map(({ id }) => id)
 }
 
 function costOf (view: View, { id, dataCentre }: Endpoint): number {
--- a/src/core/pool/ownership.ts
+++ b/src/core/pool/ownership.ts
@@ -35,9 +35,9 @@
   /** Where a host that isn't an owner passes a session on, the best first: its own data centre, then by a weight that spreads the hosts over the owners. */
   placesFor (host: PoolHost): readonly PoolHost[] {
     if (this.isOwner(host.id)) return []
-    const score = (owner: PoolHost) => weightOf(`${host.id}/${owner.id}`)
+    const weight = (owner: PoolHost) => weightOf(`${host.id}/${owner.id}`)
     const isFar = (owner: PoolHost) => owner.dataCentre === host.dataCentre ? 0 : 1
-    return [...this.owners].sort((a, b) => isFar(a) - isFar(b) || score(b) - score(a))
+    return [...this.owners].sort((a, b) => isFar(a) - isFar(b) || weight(b) - weight(a))
   }
 }
 
--- a/src/shell/pool/group.ts
+++ b/src/shell/pool/group.ts
@@ -78,10 +78,6 @@
     return isListed ? endpoints : [...endpoints, { id: leader }]
   }
 
-  get isEmpty (): boolean {
-    return this.endpoints.length === 0
-  }
-
   endpoint (id: EndpointId): Endpoint | undefined {
     return this.directory.get(id)
   }
--- a/src/shell/pool/node.ts
+++ b/src/shell/pool/node.ts
@@ -1,6 +1,5 @@
 /** One process: follows the store, keeps its groups, and serves sessions. */
 
-import { setTimeout as pause } from 'node:timers/promises'
 import type { GroupId } from '../../core/id/group.ts'
 import { PoolConfig } from '../../core/pool/config.ts'
 import type { PoolHost } from '../../core/pool/host.ts'
@@ -10,6 +9,7 @@
 import { SharedBudget } from '../../core/retry/budget.ts'
 import type { ConfigVersion } from '../../core/id/version.ts'
 import type { Log } from '../log/log.ts'
+import { askPeers } from './askpeers.ts'
 import { clock } from './clock.ts'
 import type { PoolContext } from './context.ts'
 import { follow } from './feed.ts'
@@ -17,7 +17,7 @@
 import { Listing } from './listing.ts'
 import { Membership } from './membership.ts'
 import type { PoolMetrics } from './metrics.ts'
-import type { Peers } from './peers.ts'
+import type { Knowledge } from './knowledge.ts'
 import type { Platform } from './platform.ts'
 import { Successor } from './successor.ts'
 
@@ -44,8 +44,6 @@
 /** The rows of leases and objections. They change rarely, and none of them is needed to serve, so a silent connection may be found late. */
 const TABLE = 'agatepond'
 const TABLE_WAIT_MS = 5000
-/** The store gets so long to answer before peers are asked, and they are asked so often; a calm store answers in a tenth of it. */
-const PEERS_MS = 300
 /** How often each group's primary is looked at. */
 const TICK_MS = 100
 const NONE = PoolConfig.of({ version: 0 as ConfigVersion, routes: [], groups: [], idleTransactionMs: 0 })
@@ -99,30 +97,14 @@
   }
 
   /** What this process knows, for one that starts while the store is away. */
-  get knowledge (): Awaited<ReturnType<Peers['ask']>>[number] {
+  get knowledge (): Knowledge {
     return { config: [...this.configRows.values()], endpoints: this.listing.rows }
   }
 
-  /**
-   * Guard against a process that can't serve for as long as the store is away,
-   * though its neighbours can: all processes of a data centre are restarted in an
-   * outage, and callers find nobody. It shows by processes that aren't ready.
-   * What peers know holds, since versions only grow: of several answers the
-   * newest is taken, and the store's own takes its place when it's back.
-   */
-  private async askPeers (): Promise<void> {
-    const { platform, log } = this.options
-    for (;;) {
-      await pause(PEERS_MS, undefined, { signal: this.signal }).catch(() => 'the signal ends the loop')
-      if (this.signal.aborted || this.isReady) return
-      const answers = await platform.peers.ask(this.signal)
-      if (this.isReady) return
-      const [newest] = [...answers].sort((a, b) => versionOf(b) - versionOf(a))
-      log.write('peersAsked', { answers: answers.length, rows: newest?.endpoints.length ?? 0 })
-      if (newest === undefined || newest.config.length === 0) continue
-      this.configured(newest.config)
-      if (!this.listing.isRead) this.listing.take(newest.endpoints, true)
-    }
+  private learn ({ config, endpoints }: Knowledge): void {
+    if (config.length === 0) return
+    this.configured(config)
+    if (!this.listing.isRead) this.listing.take(endpoints, true)
   }
 
   private async whenReady (ms: number): Promise<boolean> {
@@ -155,7 +137,7 @@
     follow({ ...common, table: platform.endpoints.table, onRows: (rows, isWhole) => this.listing.take(rows, isWhole) }, this.signal)
     follow({ ...common, waitMs: TABLE_WAIT_MS, table: TABLE, onRows: rows => this.shared(rows) }, this.signal)
     this.membership.run(this.signal)
-    this.askPeers()
+    askPeers({ peers: platform.peers, log, isReady: () => this.isReady, learn: knowledge => this.learn(knowledge) }, this.signal)
     const timer = setInterval(() => {
       this.listing.forgetLapsed()
       for (const successor of this.successors.values()) successor.tick()
@@ -249,8 +231,3 @@
     }
   }
 }
-
-/** The version of the newest row of a peer's configuration; 0 without one. */
-function versionOf ({ config }: Awaited<ReturnType<Peers['ask']>>[number]): number {
-  return Math.max(0, ...config.map(({ version }) => version))
-}
--- /dev/null
+++ b/src/shell/pool/runner.ts
@@ -0,0 +1,119 @@
+/** Runs the statements of one session at endpoints, and knows the session's newest commit. */
+
+import type { Instant } from '../../core/id/instant.ts'
+import type { Ending } from '../../core/pool/ending.ts'
+import type { Route } from '../../core/pool/route.ts'
+import type { Target } from '../../core/pool/target.ts'
+import type { Trail } from '../../core/pool/trail.ts'
+import { verdictOf } from '../../core/pool/verdict.ts'
+import type { Work } from '../../core/pool/work.ts'
+import type { Values } from '../../core/session/values.ts'
+import type { Answer } from '../../core/statement/answer.ts'
+import { Token } from '../../core/token.ts'
+import type { Attempt } from './attempt.ts'
+import { clock } from './clock.ts'
+import type { PoolContext } from './context.ts'
+import { left } from './left.ts'
+import { noteTry } from './notetry.ts'
+import type { Run } from './run.ts'
+import type { Transaction } from './transaction.ts'
+import type { Tries } from './tries.ts'
+import { tryAll } from './tryall.ts'
+
+export class Runner {
+  private newest = Token.zero
+  private isOwnUnknown = false
+
+  private constructor (private readonly ctx: PoolContext, private readonly database: string, private readonly values: Values) {}
+
+  /** `values`: what the session has set and prepared, now and later. */
+  static create (ctx: PoolContext, database: string, values: Values): Runner {
+    return new Runner(ctx, database, values)
+  }
+
+  /** The session's newest commit. */
+  get own (): Token {
+    return this.newest
+  }
+
+  /** A statement outside of any transaction. */
+  async single (work: Work, route: Route, trail: Trail): Promise<Run> {
+    const deadline = clock.now() + route.statementMs as Instant
+    const mustLead = work.what === 'write' || this.readsAtPrimary(route)
+    const run = async (attempt: Attempt, target: Target) => {
+      const answer = await this.runOn(attempt, target, work, deadline)
+      attempt.end()
+      return answer
+    }
+    return await tryAll(this.ctx, { ...this.common(route, work, deadline, trail), mustLead, isInside: false, run })
+  }
+
+  private common (route: Route, work: Work, deadline: Instant, trail: Trail): Pick<Tries, 'route' | 'database' | 'what' | 'deadline' | 'own' | 'values' | 'trail'> {
+    const { database, own, values } = this
+    return { route, database, what: work.what, deadline, own, values, trail }
+  }
+
+  private readsAtPrimary ({ freshness }: Route): boolean {
+    return freshness.kind !== 'age' || this.isOwnUnknown
+  }
+
+  /** A statement of a transaction, on its connection or, as the first, on one that it brings. */
+  async inside (work: Work, transaction: Transaction, trail: Trail): Promise<Run> {
+    const { route, attempt } = transaction
+    const deadline = clock.now() + route.statementMs as Instant
+    return attempt === undefined ? await this.first(work, transaction, deadline, trail) : await this.next(work, transaction, attempt, deadline, trail)
+  }
+
+  /** Takes in what a commit or a single write was answered. Without a position of its own commit a session can only read at the primary. */
+  committed ({ position }: Answer): void {
+    if (position === undefined) this.isOwnUnknown = true
+    else this.newest = this.newest.max(position)
+  }
+
+  /** A read that only the primary may serve runs inside of a transaction of our own, which an endpoint that doesn't lead any more refuses. */
+  private async runOn (attempt: Attempt, target: Target, work: Work, deadline: Instant): Promise<Answer | Ending> {
+    const prelude = work.preludeOn(attempt.link.values, this.values)
+    const isRead = work.what === 'read'
+    if (!isRead || !target.mustLead) {
+      return await attempt.ask([...prelude, work.command(target.after)], prelude.length, left(deadline), !isRead)
+    }
+    const begun = await attempt.ask([...prelude, { kind: 'begin', isReadOnly: false }], prelude.length, left(deadline), true)
+    if (typeof begun === 'string') return begun
+    return await attempt.ask([work.command(), { kind: 'rollback' }], 0, left(deadline), true)
+  }
+
+  /**
+   * The first statement brings the connection: until it ran, another endpoint may
+   * be tried. A commit of nothing proves no lead, since an endpoint that lost it takes that too.
+   */
+  private async first (work: Work, transaction: Transaction, deadline: Instant, trail: Trail): Promise<Run> {
+    const { route, isReadOnly } = transaction
+    const mustLead = !isReadOnly || this.readsAtPrimary(route)
+    const run = async (attempt: Attempt, target: Target) => {
+      const begun = await this.beginOn(attempt, target, work, deadline)
+      const answer = typeof begun === 'string' ? begun : await attempt.ask([work.command()], 0, left(deadline), target.mustLead && work.what !== 'commit')
+      if (typeof answer === 'string') attempt.end()
+      return answer
+    }
+    return await tryAll(this.ctx, { ...this.common(route, work, deadline, trail), mustLead, isInside: true, run })
+  }
+
+  /** A statement never goes before the answer to its BEGIN: were that refused, it would run outside of any transaction. */
+  private async beginOn (attempt: Attempt, target: Target, work: Work, deadline: Instant): Promise<Answer | Ending> {
+    const prelude = work.preludeOn(attempt.link.values, this.values)
+    const { mustLead, after } = target
+    return await attempt.ask([...prelude, { kind: 'begin', isReadOnly: !mustLead, after }], prelude.length, left(deadline), mustLead)
+  }
+
+  private async next (work: Work, transaction: Transaction, attempt: Attempt, deadline: Instant, trail: Trail): Promise<Run> {
+    const prelude = work.preludeOn(attempt.link.values, this.values)
+    const { hasWritten } = transaction
+    const isLead = transaction.leads && (work.what !== 'commit' || hasWritten)
+    const began = clock.now()
+    const answer = await attempt.ask([...prelude, work.command()], prelude.length, left(deadline), isLead)
+    noteTry(this.ctx, trail, { endpoint: attempt.endpoint, after: undefined, ending: typeof answer === 'string' ? answer : 'done', ms: clock.now() - began })
+    if (typeof answer !== 'string') return { answer, attempt }
+    const verdict = verdictOf(answer, { what: work.what, isInside: true, isFirst: false, hasWritten })
+    return { fault: verdict.kind === 'refuse' ? verdict.fault : 'aborted', retryAfterMs: 0 }
+  }
+}
--- a/src/shell/pool/successor.ts
+++ b/src/shell/pool/successor.ts
@@ -94,7 +94,7 @@
     const listed = leader === undefined ? undefined : group.endpoint(leader)
     return {
       leader,
-      leaderlessMs: group.isEmpty ? 0 : group.leaderlessMs(),
+      leaderlessMs: endpoints.length === 0 ? 0 : group.leaderlessMs(),
       isLeaving: listed?.isLeaving === true,
       isListed: listed !== undefined,
       isFailing: leader !== undefined && group.contact(leader).isFailing(clock.now()),
