A session that is passed on takes its version along; hosts that the store turns away ask others

Ruled out: the feeds of the hosts that took the callers (they knew the database, or they would have refused themselves). The configuration in a file of its own.

--- a/src/core/pool/hosts.test.ts
+++ b/src/core/pool/hosts.test.ts
@@ -10,7 +10,7 @@
 function alive (now: number, ...rows: string[]): string {
   return rows.reduce((sum, text) => {
     const [id, version, at] = text.split(/[ @]/) as [string, string, string]
-    return sum.with({ id: id as HostId, dataCentre: 'z' as DataCentreId, address: { ip: '10.0.0.1', port: 1 } }, Number(version), Number(at) as Instant)
+    return sum.with({ id: id as HostId, dataCentre: 'z' as DataCentreId, address: { ip: '10.0.0.1', port: 1 }, knowledgePort: 2 }, Number(version), Number(at) as Instant)
   }, Hosts.empty).alive(100, now as Instant).map(({ id }) => id).join('')
 }
 
--- /dev/null
+++ b/src/shell/pool/configuration.ts
@@ -0,0 +1,67 @@
+/** The operator's configuration that is in force in this process. */
+
+import type { Result } from 'neverthrow'
+import type { ConfigVersion } from '../../core/id/version.ts'
+import { PoolConfig } from '../../core/pool/config.ts'
+import type { Log } from '../log/log.ts'
+import type { PoolMetrics } from './metrics.ts'
+
+interface Row {
+  readonly key: string
+  readonly value: string | undefined
+  readonly version: number
+}
+
+interface Options {
+  readonly log: Log
+  readonly metrics: PoolMetrics
+  /** The key of the row that holds the newest version. */
+  readonly key: string
+  readonly parse: (text: string) => Result<PoolConfig, string>
+}
+
+const NONE = PoolConfig.of({ version: 0 as ConfigVersion, routes: [], groups: [], idleTransactionMs: 0 })
+
+export class Configuration {
+  private current = NONE
+  private row: (Row & { readonly value: string }) | undefined
+
+  private constructor (private readonly options: Options) {}
+
+  static create (options: Options): Configuration {
+    return new Configuration(options)
+  }
+
+  /** Without databases until the first is known. */
+  get config (): PoolConfig {
+    return this.current
+  }
+
+  get isKnown (): boolean {
+    return this.row !== undefined
+  }
+
+  /** The row that is in force, as the store gave it. */
+  get rows (): ReadonlyArray<Row & { readonly value: string }> {
+    return this.row === undefined ? [] : [this.row]
+  }
+
+  /** Whether a newer version came into force; an older one never does again, whoever offers it. */
+  take (rows: readonly Row[]): boolean {
+    const { log, metrics, key, parse } = this.options
+    const newest = rows.findLast(row => row.key === key)
+    if (newest?.value === undefined) return false
+    const parsed = parse(newest.value)
+    if (parsed.isErr()) {
+      log.write('configUnreadable', { problem: parsed.error })
+      return false
+    }
+    const { value: config } = parsed
+    if (config.version <= this.current.version) return false
+    this.current = config
+    this.row = { ...newest, value: newest.value }
+    metrics.configVersion.set(config.version)
+    log.write('configApplied', { version: config.version, databases: config.routes.length })
+    return true
+  }
+}
--- a/src/shell/pool/context.ts
+++ b/src/shell/pool/context.ts
@@ -1,6 +1,7 @@
 /** What all sessions of a process share. */
 
 import type { PoolConfig } from '../../core/pool/config.ts'
+import type { HostId } from '../../core/id/host.ts'
 import type { GroupId } from '../../core/id/group.ts'
 import type { SharedBudget } from '../../core/retry/budget.ts'
 import type { PoolHost } from '../../core/pool/host.ts'
@@ -14,6 +15,9 @@
   readonly config: () => PoolConfig
   /** Resolves once the process knows its configuration and its endpoints, or with false after the time. */
   readonly whenReady: (ms: number) => Promise<boolean>
+  /** Resolves once this host has at least the version, or can't get it from the host that has. */
+  readonly catchUp: (version: number, host: string) => Promise<void>
+  readonly self: HostId
   /** Hosts that have connections for the database, the best first; empty when this host serves it itself. */
   readonly placesFor: (database: string) => readonly PoolHost[]
   readonly group: (id: GroupId) => PoolGroup | undefined
--- a/src/shell/pool/feed.ts
+++ b/src/shell/pool/feed.ts
@@ -23,6 +23,8 @@
   readonly chance: () => number
   /** `isWhole`: the rows are all there are; else they are changes, in order. */
   readonly onRows: (rows: readonly Row[], isWhole: boolean) => void
+  /** Told after each question whether the store answered. */
+  readonly onAnswered?: (isAnswered: boolean) => void
 }
 
 /** Between tries while the store fails: soon enough for a new version to be in force in time, rare enough for 2,000 hosts. */
@@ -35,6 +37,7 @@
   while (!signal.aborted) {
     const next = await step(options, version, signal)
     if (signal.aborted) return
+    options.onAnswered?.(next !== 'failed')
     if (next === 'failed') {
       failures++
       options.metrics.storeFailures.inc({ table: options.table })
--- a/src/shell/pool/membership.ts
+++ b/src/shell/pool/membership.ts
@@ -28,7 +28,7 @@
 /** Hosts that start together have written their rows within this time, so the second look shows them all. */
 const SETTLED_MS = 2000
 
-const shape = z.object({ dataCentre: z.string(), ip: z.string(), port: z.int() })
+const shape = z.object({ dataCentre: z.string(), ip: z.string(), port: z.int(), knowledgePort: z.int() })
 
 /**
  * Reads the whole table now and then in place of following it: each renewal of
@@ -52,7 +52,8 @@
 
   async run (signal: AbortSignal): Promise<void> {
     const { store, self, chance } = this.options
-    const value = JSON.stringify({ dataCentre: self.dataCentre, ...self.address })
+    const { dataCentre, address, knowledgePort } = self
+    const value = JSON.stringify({ dataCentre, ...address, knowledgePort })
     let isSettled = false
     while (!signal.aborted) {
       const renewed = await store.change([{ table: TABLE, key: self.id, value }], signal)
@@ -74,8 +75,8 @@
     this.known = read.value.rows.reduce((known, { key, value, version }) => {
       const parsed = shape.safeParse(readJson(value ?? 'null'))
       if (!parsed.success) return known
-      const { dataCentre, ip, port } = parsed.data
-      return known.with({ id: key as HostId, dataCentre: dataCentre as DataCentreId, address: { ip, port } }, version, clock.age())
+      const { dataCentre, ip, port, knowledgePort } = parsed.data
+      return known.with({ id: key as HostId, dataCentre: dataCentre as DataCentreId, address: { ip, port }, knowledgePort }, version, clock.age())
     }, this.known.only(read.value.rows.map(({ key }) => key as HostId)))
     this.options.onChange()
     return true
--- a/src/shell/pool/node.ts
+++ b/src/shell/pool/node.ts
@@ -1,17 +1,17 @@
 /** One process: follows the store, keeps its groups, and serves sessions. */
 
 import type { GroupId } from '../../core/id/group.ts'
-import { PoolConfig } from '../../core/pool/config.ts'
+import type { PoolConfig } from '../../core/pool/config.ts'
 import type { PoolHost } from '../../core/pool/host.ts'
 import { LineBudget } from '../../core/pool/linebudget.ts'
 import { Ownership } from '../../core/pool/ownership.ts'
 import { shareOf } from '../../core/pool/share.ts'
 import { SharedBudget } from '../../core/retry/budget.ts'
-import type { ConfigVersion } from '../../core/id/version.ts'
 import type { Log } from '../log/log.ts'
 import { askPeers } from './askpeers.ts'
 import { clock } from './clock.ts'
 import type { PoolContext } from './context.ts'
+import { Configuration } from './configuration.ts'
 import { follow } from './feed.ts'
 import { PoolGroup } from './group.ts'
 import { Listing } from './listing.ts'
@@ -37,8 +37,6 @@
   readonly version: number
 }
 
-type KnownRow = Row & { readonly value: string }
-
 /** A question to the store is held open for this part of the time in which a version must be in force: a connection that goes silent is then found, and replaced, within it. */
 const WAIT_SHARE = 0.7
 /** The rows of leases and objections. They change rarely, and none of them is needed to serve, so a silent connection may be found late. */
@@ -46,7 +44,6 @@
 const TABLE_WAIT_MS = 5000
 /** How often each group's primary is looked at. */
 const TICK_MS = 100
-const NONE = PoolConfig.of({ version: 0 as ConfigVersion, routes: [], groups: [], idleTransactionMs: 0 })
 
 export class PoolNode {
   readonly context: PoolContext
@@ -57,9 +54,8 @@
   private readonly sharedRows = new Map<string, Row>()
   private readonly listing: Listing
   private readonly membership: Membership
-  private config = NONE
-  /** The rows behind what is known, as the store gave them. */
-  private readonly configRows = new Map<string, KnownRow>()
+  private readonly configuration: Configuration
+  private isStoreThere = false
   private readonly starting: Array<() => void> = []
   private readonly startedAt = clock.now()
 
@@ -68,6 +64,8 @@
     this.context = {
       config: () => this.config,
       whenReady: async ms => await this.whenReady(ms),
+      self: options.self.id,
+      catchUp: async (version, host) => await this.catchUp(version, host),
       placesFor: database => this.placesFor(database),
       group: id => this.groups.get(id),
       budget: SharedBudget.create(clock.now()),
@@ -75,6 +73,7 @@
       log,
       metrics
     }
+    this.configuration = Configuration.create({ log, metrics, ...options.platform.config })
     this.listing = Listing.create({ log, parse: options.platform.endpoints.parse, onChange: () => this.spread() })
     this.membership = Membership.create({ self: options.self, store: options.platform.store, chance: options.chance, onChange: () => this.resize() })
   }
@@ -86,25 +85,49 @@
     return node
   }
 
+  private get config (): PoolConfig {
+    return this.configuration.config
+  }
+
   /** Whether it can serve: with a configuration and the directory. */
   get isReady (): boolean {
-    return this.config !== NONE && this.listing.isRead
+    return this.configuration.isKnown && this.listing.isRead
   }
 
-  /** Hosts that are alive, this one among them. */
   get hosts (): readonly PoolHost[] {
     return this.membership.hosts
   }
 
   /** What this process knows, for one that starts while the store is away. */
   get knowledge (): Knowledge {
-    return { config: [...this.configRows.values()], endpoints: this.listing.rows }
+    return { config: this.configuration.rows, endpoints: this.listing.rows }
   }
 
-  private learn ({ config, endpoints }: Knowledge): void {
-    if (config.length === 0) return
+  /** Whether it was news. */
+  private learn ({ config, endpoints }: Knowledge): boolean {
+    if (config.length === 0) return false
+    const { version } = this.config
     this.configured(config)
     if (!this.listing.isRead) this.listing.take(endpoints, true)
+    return this.config.version > version
+  }
+
+  /**
+   * Guard against a session that is passed on to a host with an older
+   * configuration, as one that the store turns away: its database may be unknown there,
+   * although the host that passes it on knows it. The version comes with the
+   * session, and a host that is behind asks the other one first.
+   */
+  private async catchUp (version: number, host: string): Promise<void> {
+    if (version <= this.config.version) return
+    const passing = this.others.find(({ id }) => id === host)
+    if (passing === undefined) return
+    const [knowledge] = await this.options.platform.peers.ask([passing], this.signal)
+    if (knowledge !== undefined) this.learn(knowledge)
+  }
+
+  private get others (): readonly PoolHost[] {
+    return this.membership.hosts.filter(({ id }) => id !== this.options.self.id)
   }
 
   private async whenReady (ms: number): Promise<boolean> {
@@ -133,11 +156,18 @@
   private follow (): void {
     const { platform, log, metrics, chance, applyMs } = this.options
     const common = { metrics, store: platform.store, waitMs: Math.round(applyMs * WAIT_SHARE), log, chance }
-    follow({ ...common, table: platform.config.table, onRows: rows => this.configured(rows) }, this.signal)
+    follow({ ...common, table: platform.config.table, onRows: rows => this.configured(rows), onAnswered: isAnswered => { this.isStoreThere = isAnswered } }, this.signal)
     follow({ ...common, table: platform.endpoints.table, onRows: (rows, isWhole) => this.listing.take(rows, isWhole) }, this.signal)
     follow({ ...common, waitMs: TABLE_WAIT_MS, table: TABLE, onRows: rows => this.shared(rows) }, this.signal)
     this.membership.run(this.signal)
-    askPeers({ peers: platform.peers, log, isReady: () => this.isReady, learn: knowledge => this.learn(knowledge) }, this.signal)
+    askPeers({
+      peers: platform.peers,
+      log,
+      chance,
+      isSettled: () => this.isReady && this.isStoreThere,
+      hosts: () => this.others,
+      learn: knowledge => this.learn(knowledge)
+    }, this.signal)
     const timer = setInterval(() => {
       this.listing.forgetLapsed()
       for (const successor of this.successors.values()) successor.tick()
@@ -145,19 +175,8 @@
     this.signal.addEventListener('abort', () => clearInterval(timer))
   }
 
-  /** Takes the newest version; an older one is never put in force again, whoever offers it. */
   private configured (rows: readonly Row[]): void {
-    const { platform, log } = this.options
-    const newest = rows.findLast(({ key }) => key === platform.config.key)
-    if (newest?.value === undefined) return
-    const parsed = platform.config.parse(newest.value)
-    if (parsed.isErr()) return log.write('configUnreadable', { problem: parsed.error })
-    const { value: config } = parsed
-    if (config.version <= this.config.version) return
-    this.config = config
-    this.configRows.set(newest.key, { ...newest, value: newest.value })
-    this.options.metrics.configVersion.set(config.version)
-    log.write('configApplied', { version: config.version, databases: config.routes.length })
+    if (!this.configuration.take(rows)) return
     this.regroup()
     this.letIn()
   }
--- a/standin/lines/host.ts
+++ b/standin/lines/host.ts
@@ -13,26 +13,28 @@
 import { PoolMetrics } from '../../src/shell/pool/metrics.ts'
 import { PoolNode } from '../../src/shell/pool/node.ts'
 import { freePorts } from '../ports.ts'
+import { CuttableStore } from './cuttablestore.ts'
 
 const IP = '127.0.0.1'
 const CALL_MS = 1000
 
 export class LineHost {
-  private constructor (readonly node: PoolNode, readonly port: number, readonly knowledgePort: number, private readonly fronts: readonly Front[], private readonly stopped: AbortController) {}
+  private constructor (readonly node: PoolNode, readonly port: number, readonly knowledgePort: number, private readonly store: CuttableStore, private readonly fronts: readonly Front[], private readonly stopped: AbortController) {}
 
   /** `seeds`: ports at which it may ask other hosts what they know. */
   static async start (id: string, storePort: number, log: Log, seeds: readonly number[] = []): Promise<LineHost> {
     const [port, peerPort, knowledgePort] = await freePorts(3) as [number, number, number]
     const stopped = new AbortController()
     const address = { ip: IP, port: storePort }
+    const cut = CuttableStore.create(PlatformStore.create({ address, timeoutMs: CALL_MS }))
     const node = PoolNode.start({
-      self: { id: id as HostId, dataCentre: 'z1' as DataCentreId, address: { ip: IP, port: peerPort } },
+      self: { id: id as HostId, dataCentre: 'z1' as DataCentreId, address: { ip: IP, port: peerPort }, knowledgePort },
       applyMs: 2000,
       log,
       metrics: PoolMetrics.create(),
       chance: () => 0.5,
       platform: {
-        store: PlatformStore.create({ address, timeoutMs: CALL_MS }),
+        store: cut,
         peers: SeedPeers.create(seeds.map(seed => ({ ip: IP, port: seed }))),
         orders: PlatformOrders.create({ address, timeoutMs: CALL_MS }),
         dialer: { dial: async (endpoint, timeoutMs) => await LineLink.dial(endpoint, id, timeoutMs) },
@@ -42,7 +44,7 @@
     }, stopped.signal)
     SeedPeers.serve({ ip: IP, port: knowledgePort }, () => node.knowledge, stopped.signal)
     const fronts = [Front.create(node.context, { ip: IP, port }), Front.create(node.context, { ip: IP, port: peerPort }, true)]
-    return new LineHost(node, port, knowledgePort, fronts, stopped)
+    return new LineHost(node, port, knowledgePort, cut, fronts, stopped)
   }
 
   /** Leaves in order, within the time. */
@@ -50,6 +52,11 @@
     await Promise.all(this.fronts.map(async front => await front.leave(graceMs)))
   }
 
+  /** From now on the store answers this host nothing. */
+  cutFromStore (): void {
+    this.store.cut()
+  }
+
   stop (): void {
     this.stopped.abort()
     for (const front of this.fronts) front.close()
