--- a/src/core/pool/succession.ts
+++ b/src/core/pool/succession.ts
@@ -70,11 +70,6 @@
     return new Succession({ phase: { kind: 'calm', until: now }, old: undefined, since: now })
   }
 
-  /** Whether a promotion was ordered and the successor doesn't lead yet. */
-  get isSettling (): boolean {
-    return this.fields.phase.kind === 'settling'
-  }
-
   get isCalm (): boolean {
     return this.fields.phase.kind === 'calm'
   }
--- a/src/shell/pool/configuration.ts
+++ b/src/shell/pool/configuration.ts
@@ -5,12 +5,8 @@
 import { PoolConfig } from '../../core/pool/config.ts'
 import type { Log } from '../log/log.ts'
 import type { PoolMetrics } from './metrics.ts'
-
-interface Row {
-  readonly key: string
-  readonly value: string | undefined
-  readonly version: number
-}
+import type { KnownRow } from './knownrow.ts'
+import type { Row } from './row.ts'
 
 interface Options {
   readonly log: Log
@@ -24,7 +20,7 @@
 
 export class Configuration {
   private current = NONE
-  private row: (Row & { readonly value: string }) | undefined
+  private row: KnownRow | undefined
 
   private constructor (private readonly options: Options) {}
 
@@ -42,7 +38,7 @@
   }
 
   /** The row that is in force, as the store gave it. */
-  get rows (): ReadonlyArray<Row & { readonly value: string }> {
+  get rows (): readonly KnownRow[] {
     return this.row === undefined ? [] : [this.row]
   }
 
--- a/src/shell/pool/feed.ts
+++ b/src/shell/pool/feed.ts
@@ -5,13 +5,7 @@
 import type { Log } from '../log/log.ts'
 import type { PoolMetrics } from './metrics.ts'
 import type { RowStore } from './rows.ts'
-
-interface Row {
-  readonly key: string
-  /** Undefined for a row that was erased. */
-  readonly value: string | undefined
-  readonly version: number
-}
+import type { Row } from './row.ts'
 
 interface Options {
   readonly store: RowStore
--- a/src/shell/pool/listing.ts
+++ b/src/shell/pool/listing.ts
@@ -6,12 +6,8 @@
 import type { EndpointId } from '../../core/id/endpoint.ts'
 import type { Log } from '../log/log.ts'
 import { clock } from './clock.ts'
-
-interface Row {
-  readonly key: string
-  readonly value: string | undefined
-  readonly version: number
-}
+import type { KnownRow } from './knownrow.ts'
+import type { Row } from './row.ts'
 
 interface Options {
   readonly log: Log
@@ -25,7 +21,7 @@
   private lapses = Lapses.empty
   private wasRead = false
   /** The rows behind the directory, as the store gave them. */
-  private readonly taken = new Map<EndpointId, Row & { readonly value: string }>()
+  private readonly taken = new Map<EndpointId, KnownRow>()
 
   private constructor (private readonly options: Options) {}
 
@@ -42,7 +38,7 @@
     return this.wasRead
   }
 
-  get rows (): ReadonlyArray<Row & { readonly value: string }> {
+  get rows (): readonly KnownRow[] {
     return [...this.taken.values()]
   }
 
--- a/src/shell/pool/node.ts
+++ b/src/shell/pool/node.ts
@@ -20,6 +20,7 @@
 import type { Knowledge } from './knowledge.ts'
 import type { Platform } from './platform.ts'
 import { Successor } from './successor.ts'
+import type { Row } from './row.ts'
 
 interface Options {
   readonly self: PoolHost
@@ -31,12 +32,6 @@
   readonly chance: () => number
 }
 
-interface Row {
-  readonly key: string
-  readonly value: string | undefined
-  readonly version: number
-}
-
 /** A question to the store is held open for this part of the time in which a version must be in force: a connection that goes silent is then found, and replaced, within it. */
 const WAIT_SHARE = 0.7
 /** The rows of leases and objections. They change rarely, and none of them is needed to serve, so a silent connection may be found late. */
--- /dev/null
+++ b/src/shell/pool/probes.ts
@@ -0,0 +1,67 @@
+/** Questions to the endpoints of a group, each on a new connection beside those in use. */
+
+import type { EndpointId } from '../../core/id/endpoint.ts'
+import type { Command } from '../../core/statement/command.ts'
+import type { EndpointStatus } from '../../core/statement/status.ts'
+import { clock } from './clock.ts'
+import type { Dialer } from './dialer.ts'
+import type { DialFault } from './dialfault.ts'
+import type { PoolGroup } from './group.ts'
+
+/** How long an endpoint has to answer: a connection, and a place in its queue. */
+const PROBE_MS = 300
+/** An endpoint counts the connections of dead hosts for about three seconds; one that was turned away for longer without any answer is out of reach. */
+const FULL_MS = 4000
+
+export class Probes {
+  private constructor (private readonly group: PoolGroup, private readonly dialer: Dialer) {}
+
+  static create (group: PoolGroup, dialer: Dialer): Probes {
+    return new Probes(group, dialer)
+  }
+
+  /** Whether the endpoint proves on a new connection that it leads; connections in use may be silent while new ones work. */
+  async leads (id: EndpointId): Promise<boolean> {
+    const { group, dialer } = this
+    const endpoint = group.endpoint(id) ?? group.lender(id)?.endpoint
+    const dialled = endpoint === undefined ? undefined : await dialer.dial(endpoint, PROBE_MS)
+    if (dialled === undefined || dialled.isErr()) {
+      return this.noConnection(id, dialled?.isErr() === true ? dialled.error : 'unreachable')
+    }
+    const { answers } = await dialled.value.ask([{ kind: 'begin', isReadOnly: false }], PROBE_MS)
+    dialled.value.close()
+    const [answer] = answers
+    if (answer === undefined) {
+      group.missed(id)
+      return false
+    }
+    group.answered(id, answer.position, answer.sentAt, answer.fault === undefined)
+    if (answer.fault === 'notPrimary') group.notPrimary(id)
+    return answer.fault === undefined
+  }
+
+  /**
+   * Guard against a healthy primary that is replaced since it has no connection
+   * left: it turns probes away, with or without a word. One that answered
+   * lately, on connections in use, is then taken to be full and not dead.
+   */
+  private noConnection (id: EndpointId, fault: DialFault): boolean {
+    const { group } = this
+    if (fault === 'tooManyConnections') group.answered(id, undefined, clock.age(), false)
+    const isFull = fault === 'tooManyConnections' || (fault === 'turnedAway' && group.contact(id).isFresh(FULL_MS, clock.now()))
+    if (!isFull) group.missed(id)
+    return isFull
+  }
+
+  /** What the endpoint says of itself, after the command; undefined when it doesn't answer. */
+  async ask (id: EndpointId, command: Command): Promise<EndpointStatus | undefined> {
+    const { group, dialer } = this
+    const endpoint = group.endpoint(id)
+    if (endpoint === undefined) return undefined
+    const dialled = await dialer.dial(endpoint, PROBE_MS)
+    if (dialled.isErr()) return undefined
+    const { answers } = await dialled.value.ask([command], PROBE_MS)
+    dialled.value.close()
+    return answers[0]?.status
+  }
+}
--- a/src/shell/pool/rows.ts
+++ b/src/shell/pool/rows.ts
@@ -1,14 +1,7 @@
 /** Tables of versioned rows that all hosts share. */
 
 import type { Result } from 'neverthrow'
-
-/** One row as it is or was; an erased one has no value. */
-interface Row {
-  readonly key: string
-  readonly value: string | undefined
-  /** Grows with every change of any row. */
-  readonly version: number
-}
+import type { Row } from './row.ts'
 
 interface Change {
   readonly table: string
--- a/src/shell/pool/successor.ts
+++ b/src/shell/pool/successor.ts
@@ -15,10 +15,11 @@
 import { z } from 'zod'
 import type { Log } from '../log/log.ts'
 import { clock } from './clock.ts'
-import type { DialFault } from './dialfault.ts'
 import type { PoolGroup } from './group.ts'
 import type { PoolMetrics } from './metrics.ts'
 import type { Platform } from './platform.ts'
+import { Probes } from './probes.ts'
+import type { Row } from './row.ts'
 
 interface Options {
   readonly host: HostId
@@ -35,20 +36,9 @@
   readonly signal: AbortSignal
 }
 
-interface Row {
-  readonly key: string
-  readonly value: string | undefined
-  readonly version: number
-}
-
-/** How long an endpoint has to answer a probe or a survey: a connection, and a place in its queue. */
-const PROBE_MS = 300
 /** The primary was reached so lately that asking it again shows nothing new. */
 const FRESH_MS = 300
 
-/** An endpoint counts the connections of dead hosts for about three seconds; one that was turned away for longer without any answer is out of reach. */
-const FULL_MS = 4000
-
 const leaseShape = z.object({ holder: z.string(), asksFor: z.string().optional() })
 const objectionShape = z.object({ fence: z.number() })
 
@@ -57,7 +47,11 @@
   private lease: Lease | undefined
   private readonly probing = new Set<EndpointId>()
 
-  private constructor (private readonly options: Options) {}
+  private readonly probes: Probes
+
+  private constructor (private readonly options: Options) {
+    this.probes = Probes.create(options.group, options.platform.dialer)
+  }
 
   static create (options: Options): Successor {
     return new Successor(options)
@@ -69,7 +63,14 @@
     for (const { id } of group.known) {
       if (!this.probing.has(id) && group.contact(id).isDoubtful(clock.now())) this.settleDoubt(id)
     }
-    this.step({ kind: 'tick' })
+    if (!this.succession.isCalm || !this.isWell) this.step({ kind: 'tick' })
+  }
+
+  /** Whether there is nothing to judge: nearly always, so it's looked at before the view is put together. */
+  private get isWell (): boolean {
+    const { group } = this.options
+    const listed = group.leader === undefined ? undefined : group.endpoint(group.leader)
+    return listed !== undefined && !listed.isLeaving && !group.isLeaderOut()
   }
 
   /** A row of the shared table under this group's name. */
@@ -153,7 +154,7 @@
     const { group, log } = this.options
     const others = group.endpoints.filter(({ id }) => id !== old)
     const command: Command = isStopped ? { kind: 'pause', term: group.term + 1 as Term } : { kind: 'status' }
-    Promise.all(others.map(async ({ id }) => ({ id, status: await this.ask(id, command) }))).then(answers => {
+    Promise.all(others.map(async ({ id }) => ({ id, status: await this.probes.ask(id, command) }))).then(answers => {
       const statuses = new Map<EndpointId, EndpointStatus>()
       for (const { id, status } of answers) {
         if (status !== undefined) statuses.set(id, status)
@@ -176,12 +177,12 @@
   private resumeAll (): void {
     const { group, isSynchronous } = this.options
     if (!isSynchronous()) return
-    for (const { id } of group.endpoints) this.ask(id, { kind: 'resume' })
+    for (const { id } of group.endpoints) this.probes.ask(id, { kind: 'resume' })
   }
 
   private settleDoubt (id: EndpointId): void {
     this.probing.add(id)
-    this.probe(id).then(() => {
+    this.probes.leads(id).then(() => {
       this.probing.delete(id)
       this.step({ kind: 'tick' })
     })
@@ -190,57 +191,13 @@
   /** Another host finds the primary out of reach. One that reaches it says so. */
   private considerObjection (endpoint: EndpointId, fence: number): void {
     const { group, host, platform, table, log, signal } = this.options
-    const isReached = group.contact(endpoint).isFresh(FRESH_MS, clock.now()) ? Promise.resolve(true) : this.probe(endpoint)
+    const isReached = group.contact(endpoint).isFresh(FRESH_MS, clock.now()) ? Promise.resolve(true) : this.probes.leads(endpoint)
     isReached.then(isThere => {
       if (!isThere || group.leader !== endpoint) return
       log.write('objected', { group: group.id, endpoint, fence })
       platform.store.change([{ table, key: `objection/${group.id}/${host}`, value: JSON.stringify({ fence }) }], signal)
     })
   }
-
-  /** Whether the endpoint proves on a new connection that it leads; connections in use may be silent while new ones work. */
-  private async probe (id: EndpointId): Promise<boolean> {
-    const { group, platform } = this.options
-    const endpoint = group.endpoint(id) ?? group.lender(id)?.endpoint
-    const dialled = endpoint === undefined ? undefined : await platform.dialer.dial(endpoint, PROBE_MS)
-    if (dialled === undefined || dialled.isErr()) {
-      return this.noConnection(id, dialled?.isErr() === true ? dialled.error : 'unreachable')
-    }
-    const { answers } = await dialled.value.ask([{ kind: 'begin', isReadOnly: false }], PROBE_MS)
-    dialled.value.close()
-    const [answer] = answers
-    if (answer === undefined) {
-      group.missed(id)
-      return false
-    }
-    group.answered(id, answer.position, answer.sentAt, answer.fault === undefined)
-    if (answer.fault === 'notPrimary') group.notPrimary(id)
-    return answer.fault === undefined
-  }
-
-  /**
-   * Guard against a healthy primary that is replaced since it has no connection
-   * left: it turns probes away, with or without a word. One that answered
-   * lately, on connections in use, is then taken to be full and not dead.
-   */
-  private noConnection (id: EndpointId, fault: DialFault): boolean {
-    const { group } = this.options
-    if (fault === 'tooManyConnections') group.answered(id, undefined, clock.age(), false)
-    const isFull = fault === 'tooManyConnections' || (fault === 'turnedAway' && group.contact(id).isFresh(FULL_MS, clock.now()))
-    if (!isFull) group.missed(id)
-    return isFull
-  }
-
-  private async ask (id: EndpointId, command: Command): Promise<EndpointStatus | undefined> {
-    const { group, platform } = this.options
-    const endpoint = group.endpoint(id)
-    if (endpoint === undefined) return undefined
-    const dialled = await platform.dialer.dial(endpoint, PROBE_MS)
-    if (dialled.isErr()) return undefined
-    const { answers } = await dialled.value.ask([command], PROBE_MS)
-    dialled.value.close()
-    return answers[0]?.status
-  }
 }
 
 /** The fence under which an objection was made; undefined for a row that was erased or can't be read. */
