Changes of other entries don't renew the time without a primary

Found by reading: each change in the directory set back the time since when nobody leads, so a group without a primary was looked after late while entries came and went, and statements waited for news again.

--- a/src/core/pool/leadership.test.ts
+++ b/src/core/pool/leadership.test.ts
@@ -10,8 +10,17 @@
 
 const GROUP = 'g' as GroupId
 
-/** Plays texts such as `a+` (a calls itself primary), `a-` (a replica), `a!` (a refused), `a=3` (a proved term 3), `a.` (a is gone). */
+/** Plays texts as `leader` does, one a millisecond; how long nobody has led at the time. */
+function missingMs (now: number, ...texts: string[]): number {
+  return play(texts).missingMs(now as Instant)
+}
+
 function leader (...texts: string[]): EndpointId | undefined {
+  return play(texts).leader
+}
+
+/** Plays texts such as `a+` (a calls itself primary), `a-` (a replica), `a!` (a refused), `a=3` (a proved term 3), `a.` (a is gone). */
+function play (texts: readonly string[]): Leadership {
   let directory = Directory.empty
   let leadership = Leadership.create(GROUP, 0 as Instant)
   texts.forEach((text, i) => {
@@ -25,9 +34,19 @@
       leadership = leadership.listed(before, directory, i as Instant)
     }
   })
-  return leadership.leader
+  return leadership
 }
 
+describe('the time without a leader', () => {
+  // Writes are refused for as long as replicas come and go in the directory, although nobody leads.
+  // The primary refuses; entries of other endpoints change; each change began the time anew, and nobody was looked for.
+  it.each<[string, string[], number, number]>([
+    ['there is one', ['a+'], 1000, 0],
+    ['since it refused', ['a+', 'b-', 'a!'], 1002, 1000],
+    ['other entries change meanwhile', ['a+', 'b-', 'a!', 'c-', 'b.'], 1002, 1000]
+  ])('%s', (_, texts, now, expected) => expect(missingMs(now, ...texts)).toBe(expected))
+})
+
 describe('the leader', () => {
   it.each<[string, string[], string | undefined]>([
     ['nobody is listed', [], undefined],
--- a/src/core/pool/leadership.ts
+++ b/src/core/pool/leadership.ts
@@ -47,7 +47,7 @@
     const left = new Set([...disowned].filter(id => after.get(id) !== undefined && !began.some(one => one.id === id)))
     const isNews = began.length > 0 || this.fields.leader === undefined || after.get(this.fields.leader) === undefined
     const leader = isNews && claimed !== undefined && !left.has(claimed) ? claimed : this.fields.leader
-    return this.with({ leader, disowned: left, term: leader === this.fields.leader ? this.fields.term : 0, lostAt: now })
+    return this.with({ leader, disowned: left, term: leader === this.fields.leader ? this.fields.term : 0 })
   }
 
   /** An endpoint refused what only a primary takes. */
