--- a/src/core/pool/leadership.test.ts
+++ b/src/core/pool/leadership.test.ts
@@ -31,7 +31,7 @@
     else if (sign === '=') leadership = leadership.proved(id, Number(term))
     else {
       directory = sign === '.' ? directory.without(id) : directory.with({ id, group: GROUP, address: { ip: '10.0.0.1', port: 1 }, dataCentre: 'z' as DataCentreId, isLeaving: false, isPrimary: sign === '+' }, i + 1)
-      leadership = leadership.listed(before, directory, i as Instant)
+      leadership = leadership.listed(before, directory)
     }
   })
   return leadership
--- a/src/core/pool/leadership.ts
+++ b/src/core/pool/leadership.ts
@@ -40,7 +40,7 @@
     return this.fields.leader === undefined ? now - this.fields.lostAt : 0
   }
 
-  listed (before: Directory, after: Directory, now: Instant): Leadership {
+  listed (before: Directory, after: Directory): Leadership {
     const { group, disowned } = this.fields
     const claimed = after.primary(group)?.id
     const began = after.group(group).filter(({ id, isPrimary }) => isPrimary && before.get(id)?.isPrimary !== true)
--- a/src/shell/pool/group.ts
+++ b/src/shell/pool/group.ts
@@ -99,7 +99,7 @@
   listed (directory: Directory): void {
     const before = this.directory
     this.directory = directory
-    this.lead(this.leadership.listed(before, directory, clock.now()), 'directory')
+    this.lead(this.leadership.listed(before, directory), 'directory')
     const ids = new Set(this.endpoints.map(({ id }) => id))
     for (const id of this.lenders.keys()) {
       if (!ids.has(id) && id !== this.leader) this.forget(id)
