--- a/standin/lines/caller.ts
+++ b/standin/lines/caller.ts
@@ -56,6 +56,13 @@
     return await this.answer()
   }
 
+  /** Sends statements one after the other, under one id. */
+  async askAll (...texts: string[]): Promise<string[]> {
+    const answers: string[] = []
+    for (const text of texts) answers.push(await this.ask('q1', text))
+    return answers
+  }
+
   leave (): void {
     this.socket.destroy()
   }
