The next transaction at the primary is begun ahead

Cause: a strict read and the first statement of a transaction took two round trips one after the other, BEGIN and then the statement, since a statement must not go before its BEGIN is answered (refused, it would run outside). On the first site that is 2.8 ms between data centres in each such statement. Ruled out: sending BEGIN and the read together (a replica that lost the lead would run the read outside, on an old log); a shared check of the term (a round trip for a batch, see docs/PLATFORM.md).

--- a/src/shell/pool/lender.ts
+++ b/src/shell/pool/lender.ts
@@ -109,7 +109,8 @@
     const id = this.loans.get(link)
     if (id === undefined) return
     this.loans.delete(link)
-    const isUsable = link.isOpen && !link.isInTransaction && !this.isClosed && this.admission.open <= this.limit
+    const isClean = !link.isInTransaction || link.begunAt !== undefined
+    const isUsable = link.isOpen && isClean && !this.isClosed && this.admission.open <= this.limit
     if (isUsable) this.idle.push(link)
     else link.close()
     this.step({ kind: 'finished', id, isUsable })
