A planned replacement loses no acknowledged commit

Cause: an order to promote takes effect about a second later, and the successor leads with what it has received by then. What the leaving primary commits in the last milliseconds, or for seconds where replicas receive nothing, was acknowledged and then cut off. Where commits wait for a replica the replicas are stopped first, as before. Ruled out: STEPDOWN at the order, which was built and measured: writes are refused for the length of a promotion.

--- a/src/core/pool/succession.ts
+++ b/src/core/pool/succession.ts
@@ -59,6 +59,8 @@
 /** Without the lease the endpoints are asked so often who leads, with so long between. */
 const LOOKS = 4
 const LOOK_MS = 300
+/** A leaving primary's replicas are asked again after so long; each time costs a change of the lease. */
+const CATCH_UP_MS = 300
 /** The platform turned the order away undone; its rate is counted by the second. */
 const AGAIN_MS = 300
 
@@ -123,7 +125,7 @@
     if (this.fields.phase.kind !== 'claiming') return this.idle
     const cause = causeOf(view)
     if (cause === undefined) return this.rest(now)
-    if (cause === 'leaving' || cause === 'nobody') return this.survey(fence)
+    if (cause === 'leaving' || cause === 'nobody') return this.survey(fence, cause === 'leaving')
     return this.to({ kind: 'asking', until: later(now, ASK_MS + ASK_CLAIMS * tookMs), fence }, [])
   }
 
@@ -157,8 +159,8 @@
     return phase.kind === 'confirming' && phase.fence === fence ? this.survey(fence) : this.idle
   }
 
-  private survey (fence: number): Step {
-    return this.to({ kind: 'surveying', fence }, [{ kind: 'survey', old: this.fields.old }])
+  private survey (fence: number, isHandover = false): Step {
+    return this.to({ kind: 'surveying', fence }, [{ kind: 'survey', old: this.fields.old, isHandover }])
   }
 
   /**
@@ -166,16 +168,24 @@
    * dead like the others, but neither gets the lease nor hears of the successor,
    * and refuses writes for as long as the cut lasts. The endpoints themselves
    * tell it who leads.
+   *
+   * Guard also against a planned replacement that drops commits: the replicas
+   * receive nothing for a while, and a promotion takes only what was received.
+   * The old primary still serves, so its successor gets time to catch up.
    */
   private surveyed (statuses: ReadonlyMap<EndpointId, EndpointStatus>, view: SuccessionView, now: Instant): Step {
-    const { phase, old } = this.fields
+    const { phase, old, since } = this.fields
     if (phase.kind !== 'surveying' && phase.kind !== 'looking') return this.idle
     const leading = [...statuses].find(([id, { isPrimary }]) => isPrimary && id !== old)
     if (leading !== undefined) return this.rest(now, [{ kind: 'found', endpoint: leading[0], term: leading[1].term }])
     if (phase.kind === 'looking') return this.lookAgain(phase.left, now)
     const endpoint = longest(statuses, old, view)
     if (endpoint === undefined || !view.holds) return this.rest(now, [{ kind: 'giveUp' }])
-    return this.to({ kind: 'ordering', fence: phase.fence, endpoint }, [{ kind: 'promote', endpoint, fence: phase.fence }])
+    const leaver = old === undefined ? undefined : statuses.get(old)
+    const isBehind = leaver?.received.isAfter(statuses.get(endpoint)!.received) === true
+    if (isBehind && now - since < view.catchUpMs) return this.to({ kind: 'waiting', until: later(now, CATCH_UP_MS) }, [])
+    const handsOver = leaver?.isPrimary === true ? old : undefined
+    return this.to({ kind: 'ordering', fence: phase.fence, endpoint }, [{ kind: 'promote', endpoint, fence: phase.fence, handsOver }])
   }
 
   /**
--- a/src/core/pool/successionaction.ts
+++ b/src/core/pool/successionaction.ts
@@ -7,11 +7,12 @@
   | { readonly kind: 'claim', readonly cause: 'leaving' | 'gone' | 'unreached' | 'nobody', readonly asksFor: EndpointId | undefined }
   /** Read from the store whether any host objected under the fence. */
   | { readonly kind: 'confirm', readonly fence: number }
-  /** Ask all endpoints but the old primary how far their logs reach. */
-  | { readonly kind: 'survey', readonly old: EndpointId | undefined }
+  /** Ask the endpoints how far their logs reach; the old primary too, and first, where it hands over in order. */
+  | { readonly kind: 'survey', readonly old: EndpointId | undefined, readonly isHandover: boolean }
   /** Ask the same without stopping anything: only whether one of them leads. */
   | { readonly kind: 'look', readonly old: EndpointId | undefined }
-  | { readonly kind: 'promote', readonly endpoint: EndpointId, readonly fence: number }
+  /** `handsOver`: the old primary, where it leaves in order and commits until the order takes effect. */
+  | { readonly kind: 'promote', readonly endpoint: EndpointId, readonly fence: number, readonly handsOver: EndpointId | undefined }
   /** The survey found a primary. */
   | { readonly kind: 'found', readonly endpoint: EndpointId, readonly term: number }
   /** No promotion follows; what was stopped for it goes on. */
--- a/src/core/pool/successionview.ts
+++ b/src/core/pool/successionview.ts
@@ -9,6 +9,8 @@
   readonly leaderlessMs: number
   /** Whether the directory says that the primary leaves. */
   readonly isLeaving: boolean
+  /** Milliseconds for which a leaving primary may wait for a replica that has its whole log. */
+  readonly catchUpMs: number
   /** Whether the directory lists the primary. */
   readonly isListed: boolean
   /** Whether this host's tries to reach the primary keep failing. */
--- a/src/shell/pool/group.ts
+++ b/src/shell/pool/group.ts
@@ -9,6 +9,7 @@
 import { Directory as Endpoints } from '../../core/directory/directory.ts'
 import { readCandidates } from '../../core/pool/candidates.ts'
 import { Contact } from '../../core/pool/contact.ts'
+import type { Handover } from '../../core/pool/handover.ts'
 import { Leadership } from '../../core/pool/leadership.ts'
 import { Progress } from '../../core/pool/progress.ts'
 import { Standing } from '../../core/pool/standing.ts'
@@ -43,6 +44,8 @@
   private leadership: Leadership
   private progress = Progress.empty
   private share = 1
+  /** The newest that was announced; an old one concerns an endpoint that doesn't lead any more. */
+  private handover: Handover | undefined
   private readonly waiting = new Set<() => void>()
   /** For those who wait for an answer of an endpoint. */
   readonly watchers = Watchers.create()
@@ -113,6 +116,15 @@
     for (const lender of this.lenders.values()) lender.resize(share)
   }
 
+  handOver (handover: Handover): void {
+    this.handover = handover
+  }
+
+  /** Who must have received a commit of the endpoint before it's acknowledged; undefined when nobody must. */
+  successorOf (endpoint: EndpointId): EndpointId | undefined {
+    return this.handover?.concerns(endpoint) === true ? this.handover.successor : undefined
+  }
+
   /** The connections to the endpoint; undefined for one that isn't listed. */
   lender (id: EndpointId): Lender | undefined {
     const known = this.lenders.get(id)
--- a/src/shell/pool/node.ts
+++ b/src/shell/pool/node.ts
@@ -26,6 +26,8 @@
   readonly self: PoolHost
   /** Milliseconds within which a new configuration is to be in force. */
   readonly applyMs: number
+  /** Milliseconds for which an endpoint serves after it said that it leaves. */
+  readonly drainMs: number
   readonly platform: Platform
   readonly log: Log
   readonly metrics: PoolMetrics
@@ -185,10 +187,11 @@
   private shared (rows: readonly Row[]): void {
     for (const row of rows) {
       const [kind, name] = row.key.split('/')
-      if (kind === 'lease') this.sharedRows.set(row.key, row)
+      if (kind === 'lease' || kind === 'handover') this.sharedRows.set(row.key, row)
       const successor = this.successors.get(name as GroupId)
       if (kind === 'lease') successor?.leaseChanged(row)
       if (kind === 'objection') successor?.objectionMade(row)
+      if (kind === 'handover') successor?.handoverAnnounced(row)
     }
   }
 
@@ -212,9 +215,10 @@
   }
 
   private successorOf (group: PoolGroup): Successor {
-    const { self, platform, log, metrics } = this.options
+    const { self, platform, log, metrics, drainMs } = this.options
     const successor = Successor.create({
       host: self.id,
+      drainMs,
       group,
       platform,
       table: TABLE,
@@ -225,7 +229,9 @@
       signal: this.signal
     })
     const lease = this.sharedRows.get(`lease/${group.id}`)
+    const handover = this.sharedRows.get(`handover/${group.id}`)
     if (lease !== undefined) successor.leaseChanged(lease)
+    if (handover !== undefined) successor.handoverAnnounced(handover)
     return successor
   }
 
--- /dev/null
+++ b/src/shell/pool/receipt.ts
@@ -0,0 +1,46 @@
+/** Whether the endpoint that a leaving primary hands over to has received a commit. */
+
+import { setTimeout as pause } from 'node:timers/promises'
+import type { EndpointId } from '../../core/id/endpoint.ts'
+import type { Instant } from '../../core/id/instant.ts'
+import { Handover } from '../../core/pool/handover.ts'
+import { Values } from '../../core/session/values.ts'
+import type { Token } from '../../core/token.ts'
+import { Attempt } from './attempt.ts'
+import type { PoolGroup } from './group.ts'
+import { left } from './left.ts'
+
+interface Options {
+  readonly group: PoolGroup
+  readonly successor: EndpointId
+  readonly commit: Token
+  readonly database: string
+  readonly deadline: Instant
+}
+
+/** Between two questions: about the time in which a commit reaches a replica in another data centre. */
+const AGAIN_MS = 5
+/** An acknowledgement goes before all other work. */
+const FIRST = 0
+
+/** Resolves with false when that can't be told within the time; the commit then is in doubt. */
+export async function isReceived (options: Options): Promise<boolean> {
+  const { commit, deadline } = options
+  while (left(deadline) > 0) {
+    const status = await statusOf(options)
+    const fate = status === undefined ? 'missing' : Handover.fateOf(commit, status)
+    if (fate !== 'missing') return fate === 'received'
+    await pause(AGAIN_MS)
+  }
+  return false
+}
+
+async function statusOf ({ group, successor, database, deadline }: Options) {
+  const lender = group.lender(successor)
+  const borrowed = await lender?.borrow({ rank: FIRST, caller: database, leftMs: left(deadline), isTransaction: false, values: Values.empty() })
+  if (lender === undefined || borrowed?.isOk() !== true) return undefined
+  const attempt = Attempt.on(group, lender, borrowed.value)
+  const answer = await attempt.ask([{ kind: 'status' }], 0, left(deadline), false)
+  attempt.end()
+  return typeof answer === 'string' ? undefined : answer.status
+}
--- a/src/shell/pool/runner.ts
+++ b/src/shell/pool/runner.ts
@@ -18,6 +18,7 @@
 import type { EndpointLink } from './link.ts'
 import { left } from './left.ts'
 import { noteTry } from './notetry.ts'
+import { isReceived } from './receipt.ts'
 import type { Run } from './run.ts'
 import type { Transaction } from './transaction.ts'
 import type { Tries } from './tries.ts'
@@ -52,7 +53,7 @@
     const run = async (attempt: Attempt, target: Target) => {
       const answer = await this.runOn(attempt, target, work, deadline)
       attempt.end()
-      return answer
+      return work.what === 'write' ? await this.kept(attempt, answer, deadline, trail) : answer
     }
     return await tryAll(this.ctx, { ...this.common(route, work, deadline, trail), mustLead, isInside: false, run })
   }
@@ -140,8 +141,21 @@
     const behind = work.what === 'commit' && transaction.leads ? [BEGIN] : []
     const answer = await attempt.ask([...prelude, work.command(), ...behind], prelude.length, left(deadline), isLead)
     noteTry(this.ctx, trail, { endpoint: attempt.endpoint, after: undefined, ending: typeof answer === 'string' ? answer : 'done', ms: clock.now() - began })
-    if (typeof answer !== 'string') return { answer, attempt }
-    const verdict = verdictOf(answer, { what: work.what, isInside: true, isFirst: false, hasWritten })
+    const kept = work.what === 'commit' && hasWritten ? await this.kept(attempt, answer, deadline, trail) : answer
+    if (typeof kept !== 'string') return { answer: kept, attempt }
+    const verdict = verdictOf(kept, { what: work.what, isInside: true, isFirst: false, hasWritten })
     return { fault: verdict.kind === 'refuse' ? verdict.fault : 'aborted', retryAfterMs: 0 }
   }
+
+  /** What was committed while its primary hands over is done once the successor has it; else nobody can tell whether it's kept. */
+  private async kept (attempt: Attempt, answer: Answer | Ending, deadline: Instant, trail: Trail): Promise<Answer | Ending> {
+    const successor = attempt.group.successorOf(attempt.endpoint)
+    if (typeof answer === 'string' || successor === undefined) return answer
+    if (answer.position === undefined) return 'outOfTime'
+    const { ctx, database } = this
+    const began = clock.now()
+    const isKept = await isReceived({ group: attempt.group, successor, commit: answer.position, database, deadline })
+    noteTry(ctx, trail, { endpoint: successor, after: answer.position, ending: isKept ? 'received' : 'not received', ms: clock.now() - began })
+    return isKept ? answer : 'outOfTime'
+  }
 }
--- a/src/shell/pool/successor.ts
+++ b/src/shell/pool/successor.ts
@@ -2,6 +2,7 @@
 
 import type { EndpointId } from '../../core/id/endpoint.ts'
 import type { HostId } from '../../core/id/host.ts'
+import { Handover } from '../../core/pool/handover.ts'
 import { Lease } from '../../core/pool/lease.ts'
 import { Succession } from '../../core/pool/succession.ts'
 import type { SuccessionAction } from '../../core/pool/successionaction.ts'
@@ -31,6 +32,8 @@
   readonly metrics: PoolMetrics
   /** Hosts that are alive. */
   readonly hosts: () => readonly HostId[]
+  /** Milliseconds for which an endpoint serves after it said that it leaves. */
+  readonly drainMs: number
   /** Whether a commit waits for a replica, so that the successor must hold what any replica acknowledged. */
   readonly isSynchronous: () => boolean
   readonly signal: AbortSignal
@@ -39,7 +42,17 @@
 /** The primary was reached so lately that asking it again shows nothing new. */
 const FRESH_MS = 300
 
+/**
+ * The part of a leaving primary's time that its replicas get to catch up. The
+ * rest must do for the claim, a promotion of up to two seconds and its spreading; the shortest such time that is known is four seconds.
+ */
+const CATCH_UP_SHARE = 0.25
+
+type Promote = Extract<SuccessionAction, { kind: 'promote' }>
+type Survey = Extract<SuccessionAction, { kind: 'survey' }>
+
 const leaseShape = z.object({ holder: z.string(), asksFor: z.string().optional() })
+const handoverShape = z.object({ old: z.string(), successor: z.string() })
 const objectionShape = z.object({ fence: z.number() })
 
 export class Successor {
@@ -87,8 +100,15 @@
     if (fence !== undefined) this.step({ kind: 'objected', fence })
   }
 
+  handoverAnnounced ({ value }: Row): void {
+    const parsed = handoverShape.safeParse(value === undefined ? undefined : readJson(value))
+    if (!parsed.success) return
+    const { old, successor } = parsed.data
+    this.options.group.handOver(Handover.of({ old: old as EndpointId, successor: successor as EndpointId }))
+  }
+
   private get view (): SuccessionView {
-    const { group, host, hosts } = this.options
+    const { group, host, hosts, drainMs } = this.options
     const { leader, endpoints } = group
     const now = clock.age()
     const byRank = [...hosts()].sort((a, b) => weightOf(`${group.id}/${b}`) - weightOf(`${group.id}/${a}`))
@@ -97,6 +117,7 @@
       leader,
       leaderlessMs: endpoints.length === 0 ? 0 : group.leaderlessMs(),
       isLeaving: listed?.isLeaving === true,
+      catchUpMs: drainMs * CATCH_UP_SHARE,
       isListed: listed !== undefined,
       isFailing: leader !== undefined && group.contact(leader).isFailing(clock.now()),
       leaving: new Set(endpoints.filter(({ isLeaving }) => isLeaving).map(({ id }) => id)),
@@ -116,8 +137,8 @@
     switch (action.kind) {
       case 'claim': return this.claim(action)
       case 'confirm': return this.confirm(action.fence)
-      case 'survey': return this.survey(action.old, this.options.isSynchronous())
-      case 'look': return this.survey(action.old, false)
+      case 'survey': return this.survey(action, this.options.isSynchronous())
+      case 'look': return this.survey({ old: action.old, isHandover: false }, false)
       case 'promote': return this.promote(action)
       case 'found': return this.options.group.claimed(action.endpoint, action.term)
       case 'giveUp': return this.resumeAll()
@@ -149,31 +170,58 @@
   /**
    * Where commits wait for a replica, the replicas are stopped first: a commit
    * that a replica acknowledged after it was asked would be missing in the log that was chosen.
+   * Elsewhere an old primary that hands over is asked before them, so that a
+   * replica which holds what it said has missed nothing until then.
    */
-  private survey (old: EndpointId | undefined, isStopped: boolean): void {
-    const { group, log } = this.options
-    const others = group.endpoints.filter(({ id }) => id !== old)
+  private survey ({ old, isHandover }: Pick<Survey, 'old' | 'isHandover'>, isStopped: boolean): void {
+    const { group } = this.options
     const command: Command = isStopped ? { kind: 'pause', term: group.term + 1 as Term } : { kind: 'status' }
-    Promise.all(others.map(async ({ id }) => ({ id, status: await this.probes.ask(id, command) }))).then(answers => {
-      const statuses = new Map<EndpointId, EndpointStatus>()
-      for (const { id, status } of answers) {
-        if (status !== undefined) statuses.set(id, status)
-        log.write('surveyed', { group: group.id, endpoint: id, answered: status !== undefined, received: String(status?.received ?? '-'), isPrimary: status?.isPrimary ?? false })
-      }
-      this.step({ kind: 'surveyed', statuses })
-    })
+    const statuses = new Map<EndpointId, EndpointStatus>()
+    const ask = async (id: EndpointId) => {
+      const status = await this.probes.ask(id, command)
+      if (status !== undefined) statuses.set(id, status)
+      this.tellSurveyed(id, status)
+    }
+    const others = group.endpoints.filter(({ id }) => id !== old)
+    const first = isHandover && !isStopped && old !== undefined ? ask(old) : Promise.resolve()
+    first
+      .then(async () => await Promise.all(others.map(async ({ id }) => await ask(id))))
+      .then(() => this.step({ kind: 'surveyed', statuses }))
   }
 
-  private promote ({ endpoint, fence }: Extract<SuccessionAction, { kind: 'promote' }>): void {
-    const { host, group, platform, log, signal } = this.options
-    log.write('promotionBegun', { group: group.id, endpoint, fence, before: group.leader ?? 'none' })
-    platform.orders.promote({ group: group.id, endpoint, holder: host, fence }, signal).then(outcome => {
-      this.options.metrics.orders.inc({ outcome })
+  private tellSurveyed (endpoint: EndpointId, status: EndpointStatus | undefined): void {
+    const { group, log } = this.options
+    log.write('surveyed', { group: group.id, endpoint, answered: status !== undefined, received: String(status?.received ?? '-'), isPrimary: status?.isPrimary ?? false })
+  }
+
+  private promote (action: Promote): void {
+    const { group, log } = this.options
+    const { endpoint, fence, handsOver } = action
+    log.write('promotionBegun', { group: group.id, endpoint, fence, before: group.leader ?? 'none', isHandover: handsOver !== undefined })
+    this.announce(action).then(async isAnnounced => {
+      const outcome = isAnnounced ? await this.order(endpoint, fence) : 'notDone'
       log.write('promotionOrdered', { group: group.id, endpoint, fence, outcome })
       this.step({ kind: 'ordered', outcome })
     })
   }
 
+  /** Tells all hosts to whom a leaving primary hands over, before it's ordered; false when the store didn't take it. */
+  private async announce ({ endpoint, handsOver }: Promote): Promise<boolean> {
+    if (handsOver === undefined) return true
+    const { group, platform, table, signal } = this.options
+    const value = JSON.stringify({ old: handsOver, successor: endpoint })
+    const changed = await platform.store.change([{ table, key: `handover/${group.id}`, value }], signal)
+    if (changed.isOk()) group.handOver(Handover.of({ old: handsOver, successor: endpoint }))
+    return changed.isOk()
+  }
+
+  private async order (endpoint: EndpointId, fence: number): Promise<Awaited<ReturnType<Platform['orders']['promote']>>> {
+    const { host, group, platform, metrics, signal } = this.options
+    const outcome = await platform.orders.promote({ group: group.id, endpoint, holder: host, fence }, signal)
+    metrics.orders.inc({ outcome })
+    return outcome
+  }
+
   private resumeAll (): void {
     const { group, isSynchronous } = this.options
     if (!isSynchronous()) return
--- a/standin/lines/host.ts
+++ b/standin/lines/host.ts
@@ -30,6 +30,7 @@
     const node = PoolNode.start({
       self: { id: id as HostId, dataCentre: 'z1' as DataCentreId, address: { ip: IP, port: peerPort }, knowledgePort },
       applyMs: 2000,
+      drainMs: 8000,
       log,
       metrics: PoolMetrics.create(),
       chance: () => 0.5,
