BEGIN ahead is taken back

By the log the host put version 8 in force at 13.503 s. The transaction that showed version 8 had been begun ahead at 12.650 s; its statement came after 13.503 s, but what runs in a transaction counts from its BEGIN, so version 8 seemed to be in force 0.85 s early and the old one to return. Ruled out: an older version put in force (5001 shows 5, then 8, at each host once); a session passed on (none). Weighed: using only transactions that are begun within a part of that bound; with two to three such statements a second for each group and host hardly any would be found begun. Conclusion: a BEGIN goes only when its statement is there.

--- a/src/shell/pool/attempt.ts
+++ b/src/shell/pool/attempt.ts
@@ -27,13 +27,10 @@
    */
   async ask (commands: readonly Command[], index: number, timeoutMs: number, isLead: boolean): Promise<Answer | Ending> {
     this.group.asked(this.endpoint)
-    const wasBegun = this.link.begunAt !== undefined
     const { answers, lost } = await this.link.ask(commands, timeoutMs)
     const answer = answers[index]
     if (answers.slice(0, index).some(({ fault }) => fault !== undefined)) return this.spoil()
     if (answer === undefined) return this.lose(lost ?? 'broken')
-    // A transaction that was begun ahead may have been ended by the endpoint since; its caller has no part in that.
-    if (answer.fault === 'malformed' && wasBegun) return this.spoil()
     const isDone = answer.fault === undefined
     this.group.answered(this.endpoint, answer.position, answer.sentAt, isDone && isLead)
     if (answer.fault === 'behind') this.group.fellShort(this.endpoint)
@@ -41,10 +38,10 @@
     return answer.fault ?? answer
   }
 
-  /** Gives the connection back; a transaction that is open on it is rolled back first, unless it was begun ahead and nothing ran in it. */
+  /** Gives the connection back; a transaction that is open on it is rolled back first. */
   end (): void {
     const { link, lender } = this
-    if (!link.isOpen || !link.isInTransaction || link.begunAt !== undefined) return lender.giveBack(link)
+    if (!link.isOpen || !link.isInTransaction) return lender.giveBack(link)
     link.ask([{ kind: 'rollback' }], ROLLBACK_MS).then(() => lender.giveBack(link))
   }
 
--- a/src/shell/pool/lender.ts
+++ b/src/shell/pool/lender.ts
@@ -109,8 +109,7 @@
     const id = this.loans.get(link)
     if (id === undefined) return
     this.loans.delete(link)
-    const isClean = !link.isInTransaction || link.begunAt !== undefined
-    const isUsable = link.isOpen && isClean && !this.isClosed && this.admission.open <= this.limit
+    const isUsable = link.isOpen && !link.isInTransaction && !this.isClosed && this.admission.open <= this.limit
     if (isUsable) this.idle.push(link)
     else link.close()
     this.step({ kind: 'finished', id, isUsable })
--- a/src/shell/pool/link.ts
+++ b/src/shell/pool/link.ts
@@ -1,6 +1,5 @@
 /** A connection to an endpoint, whatever protocol it speaks. */
 
-import type { Instant } from '../../core/id/instant.ts'
 import type { Values } from '../../core/session/values.ts'
 import type { Answer } from '../../core/statement/answer.ts'
 import type { Command } from '../../core/statement/command.ts'
@@ -19,8 +18,6 @@
   readonly isOpen: boolean
   /** Whether its last answer left a transaction open. */
   readonly isInTransaction: boolean
-  /** When the last thing sent to it was a BEGIN of ours that may write, which it took; undefined otherwise. No caller's statement ran in that transaction yet. */
-  readonly begunAt: Instant | undefined
   /** Sends the commands at once and in order. Resolves always. */
   ask (commands: readonly Command[], timeoutMs: number): Promise<Asked>
   close (): void
--- a/src/shell/pool/runner.ts
+++ b/src/shell/pool/runner.ts
@@ -1,7 +1,6 @@
 /** Runs the statements of one session at endpoints, and knows the session's newest commit. */
 
 import type { Instant } from '../../core/id/instant.ts'
-import { Approach } from '../../core/pool/approach.ts'
 import type { Ending } from '../../core/pool/ending.ts'
 import type { Route } from '../../core/pool/route.ts'
 import type { Target } from '../../core/pool/target.ts'
@@ -10,12 +9,10 @@
 import type { Work } from '../../core/pool/work.ts'
 import type { Values } from '../../core/session/values.ts'
 import type { Answer } from '../../core/statement/answer.ts'
-import type { Command } from '../../core/statement/command.ts'
 import { Token } from '../../core/token.ts'
 import type { Attempt } from './attempt.ts'
 import { clock } from './clock.ts'
 import type { PoolContext } from './context.ts'
-import type { EndpointLink } from './link.ts'
 import { left } from './left.ts'
 import { noteTry } from './notetry.ts'
 import { isReceived } from './receipt.ts'
@@ -24,12 +21,6 @@
 import type { Tries } from './tries.ts'
 import { tryAll } from './tryall.ts'
 
-type Begin = Extract<Command, { kind: 'begin' }>
-
-/** Sent ahead, behind a statement that ran at the primary: the next one there needs no round trip of its own for it. */
-const BEGIN: Begin = { kind: 'begin', isReadOnly: false }
-const ROLLBACK: Command = { kind: 'rollback' }
-
 export class Runner {
   private newest = Token.zero
   private isOwnUnknown = false
@@ -82,31 +73,14 @@
 
   /** A read that only the primary may serve runs inside of a transaction of our own, which an endpoint that doesn't lead any more refuses. */
   private async runOn (attempt: Attempt, target: Target, work: Work, deadline: Instant): Promise<Answer | Ending> {
+    const prelude = work.preludeOn(attempt.link.values, this.values)
     const isRead = work.what === 'read'
-    const isGuarded = isRead && target.mustLead
-    const approach = this.approach(attempt, work, isGuarded ? BEGIN : undefined)
-    const opened = await this.open(attempt, approach, deadline, true)
-    if (typeof opened === 'string') return opened
-    const behind = isGuarded ? [ROLLBACK, BEGIN] : isRead ? [] : [BEGIN]
-    const commands = [...approach.together, work.command(target.after), ...behind]
-    return await attempt.ask(commands, approach.together.length, left(deadline), isGuarded || !isRead)
-  }
-
-  private approach (attempt: Attempt, work: Work, begin: Begin | undefined): Approach {
-    const { link } = attempt
-    const prelude = work.preludeOn(link.values, this.values)
-    return Approach.to({ begun: this.begunOn(link), prelude, begin })
-  }
-
-  /** A transaction of ours is held to the operator's limit for idle ones like any other; half of it leaves room for the way. */
-  private begunOn ({ begunAt }: EndpointLink): 'none' | 'fresh' | 'old' {
-    if (begunAt === undefined) return 'none'
-    return clock.age() - begunAt < this.ctx.config().idleTransactionMs / 2 ? 'fresh' : 'old'
-  }
-
-  /** Sends what has to be answered before the statement goes; undefined when nothing has to. */
-  private async open (attempt: Attempt, { ahead }: Approach, deadline: Instant, isLead: boolean): Promise<Answer | Ending | undefined> {
-    return ahead.length === 0 ? undefined : await attempt.ask(ahead, ahead.length - 1, left(deadline), isLead)
+    if (!isRead || !target.mustLead) {
+      return await attempt.ask([...prelude, work.command(target.after)], prelude.length, left(deadline), !isRead)
+    }
+    const begun = await attempt.ask([...prelude, { kind: 'begin', isReadOnly: false }], prelude.length, left(deadline), true)
+    if (typeof begun === 'string') return begun
+    return await attempt.ask([work.command(), { kind: 'rollback' }], 0, left(deadline), true)
   }
 
   /**
@@ -117,20 +91,19 @@
     const { route, isReadOnly } = transaction
     const mustLead = !isReadOnly || this.readsAtPrimary(route)
     const run = async (attempt: Attempt, target: Target) => {
-      const answer = await this.runFirst(attempt, target, work, deadline)
+      const begun = await this.beginOn(attempt, target, work, deadline)
+      const answer = typeof begun === 'string' ? begun : await attempt.ask([work.command()], 0, left(deadline), target.mustLead && work.what !== 'commit')
       if (typeof answer === 'string') attempt.end()
       return answer
     }
     return await tryAll(this.ctx, { ...this.common(route, work, deadline, trail), mustLead, isInside: true, run })
   }
 
-  private async runFirst (attempt: Attempt, { mustLead, after }: Target, work: Work, deadline: Instant): Promise<Answer | Ending> {
-    const approach = this.approach(attempt, work, mustLead ? BEGIN : { kind: 'begin', isReadOnly: true, after })
-    const opened = await this.open(attempt, approach, deadline, mustLead)
-    if (typeof opened === 'string') return opened
-    const isCommit = work.what === 'commit'
-    const behind = isCommit && mustLead ? [BEGIN] : []
-    return await attempt.ask([...approach.together, work.command(), ...behind], approach.together.length, left(deadline), mustLead && !isCommit)
+  /** A statement never goes before the answer to its BEGIN: were that refused, it would run outside of any transaction. */
+  private async beginOn (attempt: Attempt, target: Target, work: Work, deadline: Instant): Promise<Answer | Ending> {
+    const prelude = work.preludeOn(attempt.link.values, this.values)
+    const { mustLead, after } = target
+    return await attempt.ask([...prelude, { kind: 'begin', isReadOnly: !mustLead, after }], prelude.length, left(deadline), mustLead)
   }
 
   private async next (work: Work, transaction: Transaction, attempt: Attempt, deadline: Instant, trail: Trail): Promise<Run> {
@@ -138,8 +111,7 @@
     const { hasWritten } = transaction
     const isLead = transaction.leads && (work.what !== 'commit' || hasWritten)
     const began = clock.now()
-    const behind = work.what === 'commit' && transaction.leads ? [BEGIN] : []
-    const answer = await attempt.ask([...prelude, work.command(), ...behind], prelude.length, left(deadline), isLead)
+    const answer = await attempt.ask([...prelude, work.command()], prelude.length, left(deadline), isLead)
     noteTry(this.ctx, trail, { endpoint: attempt.endpoint, after: undefined, ending: typeof answer === 'string' ? answer : 'done', ms: clock.now() - began })
     const kept = work.what === 'commit' && hasWritten ? await this.kept(attempt, answer, deadline, trail) : answer
     if (typeof kept !== 'string') return { answer: kept, attempt }
--- a/standin/lines/endpoint.ts
+++ b/standin/lines/endpoint.ts
@@ -12,8 +12,6 @@
   breakOn?: string
   /** Runs the next statement whose text begins so, and sends nothing for it. */
   loseAnswerTo?: string
-  /** Answers nothing more on the connection on which the next statement comes whose text begins so; that one runs. */
-  silentFrom?: string
   /** Connections that it takes; further ones are reset without a word. */
   mostConnections?: number
   /** Answers nothing at all, on connections that are open and on new ones. */
@@ -25,7 +23,6 @@
   readonly number: number
   state: 'I' | 'T' | 'E'
   isPlain: boolean
-  isSilent: boolean
   readonly values: Map<string, string>
   readonly prepared: Map<string, string>
 }
@@ -50,7 +47,6 @@
   opened = 0
   turnedAway = 0
   private readonly sockets = new Set<Socket>()
-  private readonly connections = new Set<Connection>()
 
   private constructor (private readonly options: Options, private readonly server: Server) {
     this.isPrimary = options.isPrimary
@@ -75,11 +71,6 @@
     return JSON.stringify({ service, address: `127.0.0.1:${port}`, zone: 'z1', version: 'v1', capacity: 2, state: 'ready', coldLeftMs: 0, dbRole, sequence: 1, ...change })
   }
 
-  /** Ends every open transaction, as for idleness; their connections are told at their next statement. */
-  failTransactions (): void {
-    for (const connection of this.connections) if (connection.state === 'T') connection.state = 'E'
-  }
-
   /** Ends it as a crash does. */
   async stop (): Promise<void> {
     for (const socket of this.sockets) socket.resetAndDestroy()
@@ -93,8 +84,7 @@
       return
     }
     this.sockets.add(socket)
-    const connection: Connection = { socket, number: ++this.opened, state: 'I', isPlain: false, isSilent: false, values: new Map(), prepared: new Map() }
-    this.connections.add(connection)
+    const connection: Connection = { socket, number: ++this.opened, state: 'I', isPlain: false, values: new Map(), prepared: new Map() }
     let rest = ''
     socket.on('close', () => this.sockets.delete(socket))
     socket.on('error', () => socket.destroy())
@@ -106,7 +96,7 @@
   }
 
   private take (connection: Connection, line: string): void {
-    if (this.faults.isSilent === true || connection.isSilent) return
+    if (this.faults.isSilent === true) return
     const [word, first = '', ...rest] = line.split(' ')
     if (word === 'TERMINATE') return connection.socket.end() as unknown as void
     if (word === 'START') return this.start(connection, first, rest[1])
@@ -118,11 +108,6 @@
       connection.socket.resetAndDestroy()
       return
     }
-    if (this.faults.silentFrom !== undefined && text.startsWith(this.faults.silentFrom)) {
-      this.faults.silentFrom = undefined
-      connection.isSilent = true
-      return
-    }
     if (this.faults.loseAnswerTo !== undefined && text.startsWith(this.faults.loseAnswerTo)) {
       this.faults.loseAnswerTo = undefined
       return
