An order to promote that has no answer is given again soon

Ruled out: detection (out of reach at 4.4 s), objections (none), the survey. Change: an order without an answer is followed by the next claim after 0.5 s in place of 2.5 s and a rest of 1 s; the logs stand still without a primary, so the same endpoint is chosen, and the later order has the higher fence.

--- a/src/core/pool/succession.ts
+++ b/src/core/pool/succession.ts
@@ -52,13 +52,15 @@
 const ASK_CLAIMS = 4
 /** So long without any primary, and the group is surveyed: a successor's report arrives within a tenth of it. */
 const ORPHAN_MS = 1500
-/** A promotion takes about a second; twice that, and the order counts as lost. */
+/** A promotion takes about a second; twice that, and one that was answered has come to nothing. */
 const SETTLE_MS = 2500
 /** After a matter that came to nothing: once what stood in its way may have changed. */
 const REST_MS = 1000
 /** Without the lease the endpoints are asked so often who leads, with so long between. */
 const LOOKS = 4
 const LOOK_MS = 300
+/** An order that was carried out, though its answer was lost, makes a primary of the endpoint in about this time after the wait for the answer. */
+const UNANSWERED_MS = 500
 /** A leaving primary's replicas are asked again after so long; each time costs a change of the lease. */
 const CATCH_UP_MS = 300
 /** The platform turned the order away undone; its rate is counted by the second. */
@@ -190,15 +192,19 @@
 
   /**
    * After a refusal the matter is dropped: a higher fence was seen, so another
-   * host acts, or the chosen endpoint doesn't run. An order without an answer
-   * may be carried out later; it's given the time of a promotion, and the next
-   * choice takes a higher fence.
+   * host acts, or the chosen endpoint doesn't run.
+   *
+   * Guard against writes that are refused for as long as an order takes that
+   * was lost, or is carried out seconds late: it shows by an order without an
+   * answer. It's given again soon. The logs stand still without a primary, so the
+   * same endpoint is chosen, which takes no harm from two orders; and the later one has the higher fence.
    */
   private ordered (outcome: 'done' | 'refused' | 'notDone' | 'unknown', now: Instant): Step {
     const { phase } = this.fields
     if (phase.kind !== 'ordering') return this.idle
     if (outcome === 'refused') return this.rest(now, [{ kind: 'giveUp' }])
     if (outcome === 'notDone') return this.to({ kind: 'waiting', until: later(now, AGAIN_MS) }, [])
+    if (outcome === 'unknown') return this.to({ kind: 'waiting', until: later(now, UNANSWERED_MS) }, [])
     return this.to({ kind: 'settling', until: later(now, SETTLE_MS), endpoint: phase.endpoint }, [])
   }
 
