Audit records of the users' platform, with explain, status and trace for its operators

Cause: of a request that was done, nothing was left there but one log line in 64, so what the regulator asks of any single request couldn't be answered; `explain` and `status` didn't know the platform. Change: each statement that went to an endpoint, or was refused, leaves a record of the product's own kind (chain, checks and promises are shared), with the evidence of this side: it ran where only the primary serves, the log held a position, the primary committed, or why "not run" is true (src/core/pool/audited.ts). Batches go to the platform's objects every ten seconds; a full store loses its oldest hundred, counted (7005). What brings batches to a store left the MySQL recorder (src/shell/audit/batches.ts) and serves both. The commands are in target/tool.cjs in place of check.cjs; `--no-records` turns records off. Ruled out: records of statements that a process answers by itself (values, names: no promise to show); `burn` there, since the platform's configuration names no service levels.

--- a/src/core/audit/evidence.ts
+++ b/src/core/audit/evidence.ts
@@ -14,6 +14,10 @@
  * - `strict`: the primary and a second endpoint proved, after the read arrived, that no newer term had begun.
  * - `acknowledged`: a second endpoint received the write in its own term.
  * - `firstOutcome`: the idempotency key had run before, at or before `token`; nothing ran again.
+ * - `led`: the read ran inside of a transaction that only the primary serves, so it led while the read ran.
+ * - `held`: the endpoint's log held `token`, which covers all that was acknowledged `limitMs` before the read arrived.
+ * - `committed`: the primary, while it led, answered the commit; its log reached `token` then.
+ * - `noEffect`: a read, which keeps nothing whatever became of it.
  * - `notRun`: the typed refusal that proves that nothing ran.
  */
 export type Evidence =
@@ -22,4 +26,8 @@
   | { readonly promise: 'strict' }
   | { readonly promise: 'acknowledged', readonly token: string }
   | { readonly promise: 'firstOutcome', readonly token: string }
+  | { readonly promise: 'led' }
+  | { readonly promise: 'held', readonly token: string, readonly limitMs: number }
+  | { readonly promise: 'committed', readonly token: string }
+  | { readonly promise: 'noEffect' }
   | { readonly promise: 'notRun', readonly reason: ReasonName }
--- a/src/core/audit/explanation.ts
+++ b/src/core/audit/explanation.ts
@@ -64,6 +64,14 @@
       return `The acknowledgement was checked: a second endpoint had received ${evidence.token} in the same term.`
     case 'firstOutcome':
       return `At most once was checked: the key had run before, which a second endpoint confirmed up to ${evidence.token}; nothing ran again.`
+    case 'led':
+      return 'Strictness was checked: it ran inside of a transaction that only the primary serves, so its endpoint led while it ran.'
+    case 'held':
+      return `Its age was checked: the endpoint's log held ${evidence.token}, which covers all that was acknowledged ${round(evidence.limitMs)} ms before it arrived.`
+    case 'committed':
+      return `The acknowledgement was checked: the endpoint led while it committed, and its log reached ${evidence.token}.`
+    case 'noEffect':
+      return 'It was a read, which keeps nothing.'
     case 'notRun':
       return `"Not run" rests on this proof: ${reasons[evidence.reason].message}.`
   }
--- a/src/core/audit/promises.ts
+++ b/src/core/audit/promises.ts
@@ -17,6 +17,9 @@
   readonly broken: readonly string[]
 }
 
+/** Evidence by which an endpoint's place as primary was shown for an acknowledged write. */
+const ACKNOWLEDGING: ReadonlySet<string> = new Set(['acknowledged', 'committed'])
+
 export function checkPromises (records: readonly AuditRecord[], skewMs: number): Findings {
   const checks = {
     readYourWrites: readYourWrites(records, skewMs),
@@ -78,7 +81,7 @@
 /** In one term only one endpoint may have its writes acknowledged. */
 function oneAcknowledger (records: readonly AuditRecord[]): Check {
   const check: Check = { kept: 0, broken: [] }
-  const writes = records.filter(one => acknowledged(one) !== undefined && one.last?.evidence?.promise === 'acknowledged')
+  const writes = records.filter(one => acknowledged(one) !== undefined && ACKNOWLEDGING.has(one.last?.evidence?.promise ?? ''))
   for (const [term, members] of groupBy(writes, one => `${one.fields.group}, term ${acknowledged(one)!.term}`)) {
     const endpoints = new Set(members.map(one => one.last!.endpoint))
     if (endpoints.size === 1) check.kept++
@@ -102,6 +105,7 @@
 }
 
 function isProvedNotRun ({ evidence }: Attempt): boolean {
+  if (evidence?.promise === 'noEffect') return true
   return evidence?.promise === 'notRun' && reasons[evidence.reason].provesNotRun
 }
 
@@ -114,7 +118,9 @@
 /** A strict read needs no comparison: it was answered in the newest term, after the write. */
 function covers ({ last }: AuditRecord, write: Token): boolean {
   const evidence = last?.evidence
-  if (evidence?.promise === 'strict') return true
+  if (evidence?.promise === 'strict' || evidence?.promise === 'led') return true
+  // A newer term's token covers what the promotion kept of an older one; what it cut off nobody can show.
+  if (evidence?.promise === 'held') return !write.isAfter(Token.parse(evidence.token)!)
   if (evidence?.promise !== 'readYourWrites' && evidence?.promise !== 'age') return false
   const token = Token.parse(evidence.token)!
   const applied = Token.parse(evidence.applied)!
--- a/src/core/audit/record.ts
+++ b/src/core/audit/record.ts
@@ -19,6 +19,10 @@
   z.object({ promise: z.literal('strict') }),
   z.object({ promise: z.literal('acknowledged'), token }),
   z.object({ promise: z.literal('firstOutcome'), token }),
+  z.object({ promise: z.literal('led') }),
+  z.object({ promise: z.literal('held'), token, limitMs: z.number() }),
+  z.object({ promise: z.literal('committed'), token }),
+  z.object({ promise: z.literal('noEffect') }),
   z.object({ promise: z.literal('notRun'), reason: reasonName })
 ])
 
@@ -42,6 +46,8 @@
 
 const shape = z.object({
   id: z.string(),
+  /** The caller's own id of the request, where the protocol has one. */
+  request: z.string().optional(),
   /** Milliseconds since 1970 on the host's clock when the request arrived. */
   at: z.number(),
   session: z.string(),
--- /dev/null
+++ b/src/core/pool/audited.ts
@@ -0,0 +1,150 @@
+/** The audit record of a statement of a pooled session. */
+
+import { classes } from '../admission/classes.ts'
+import type { Evidence } from '../audit/evidence.ts'
+import { AuditRecord } from '../audit/record.ts'
+import type { Outcome } from '../outcome.ts'
+import type { ReasonName } from '../reasonname.ts'
+import type { Fault } from '../statement/fault.ts'
+import type { Reply } from '../statement/reply.ts'
+import type { Statement } from '../statement/statement.ts'
+import type { Route } from './route.ts'
+import type { Trail } from './trail.ts'
+import type { Try } from './try.ts'
+
+interface Audited {
+  readonly id: string
+  /** Milliseconds since 1970 on the host's clock when the statement arrived. */
+  readonly at: number
+  /** The caller's own id of the statement. */
+  readonly request: string
+  readonly session: string
+  readonly caller: string
+  readonly database: string
+  /** Undefined for a database that isn't configured. */
+  readonly route: Route | undefined
+  readonly config: number
+  readonly kind: Statement['kind'] | 'none'
+  readonly transaction: string | undefined
+  readonly trail: Trail
+  readonly reply: Reply
+  readonly tookMs: number
+}
+
+type Attempt = Parameters<AuditRecord['attempted']>[0]
+
+const OUTCOMES: Readonly<Record<Fault, Outcome>> = {
+  busy: 'notRun',
+  aborted: 'notRun',
+  behind: 'notRun',
+  notPrimary: 'notRun',
+  wrongEndpoint: 'notRun',
+  tooManyConnections: 'notRun',
+  failed: 'failed',
+  timeout: 'unknown',
+  unknown: 'unknown',
+  unknownStatement: 'failed',
+  unknownDatabase: 'failed',
+  malformed: 'failed',
+  tooLarge: 'failed',
+  unauthorised: 'failed'
+}
+
+/** What proves "not run" of a try that ended so. */
+const PROOFS: ReadonlyMap<string, ReasonName> = new Map<string, ReasonName>([
+  ['busy', 'busy'],
+  ['no connection', 'busy'],
+  ['behind', 'behind'],
+  ['notPrimary', 'replaced'],
+  ['wrongEndpoint', 'unreachable'],
+  ['tooManyConnections', 'unreachable'],
+  ['unknownStatement', 'notSent']
+])
+
+/** What a record says of a statement that was refused before any endpoint was asked. */
+const UNTRIED: ReadonlyMap<Fault, ReasonName> = new Map<Fault, ReasonName>([['busy', 'noPrimary'], ['aborted', 'lostTransaction']])
+/** The successor of a leaving primary has a commit: the try before stands for it. */
+const RECEIPT = 'received'
+
+export function auditRecordOf (audited: Audited): AuditRecord {
+  const { id, at, request, session, caller, database, route, config, kind, trail, reply, tookMs } = audited
+  const { freshness } = route ?? {}
+  const isRead = trail.tries[0]?.what === 'read'
+  const begun = AuditRecord.begin({
+    id,
+    request,
+    at,
+    session,
+    caller,
+    pool: database,
+    group: route?.group ?? '',
+    config,
+    kind,
+    freshness: isRead && freshness !== undefined ? textOf(freshness) : undefined,
+    class: classes[route?.rank ?? 0] ?? classes[0],
+    statement: kind.toUpperCase(),
+    deadlineMs: route?.statementMs ?? 0
+  })
+  const attempts = attemptsOf(audited)
+  const outcome = reply.kind === 'done' ? 'done' : OUTCOMES[reply.fault]
+  return attempts.reduce((record, attempt) => record.attempted(attempt), begun).ended(outcome, tenths(tookMs))
+}
+
+function attemptsOf ({ trail, reply, route, transaction }: Audited): readonly Attempt[] {
+  const tries = trail.tries.filter(({ ending }) => ending !== RECEIPT)
+  if (tries.length > 0 || reply.kind === 'done') return tries.map(one => attemptOf(one, route, transaction))
+  const reason = UNTRIED.get(reply.fault)
+  const evidence: Evidence | undefined = reason === undefined ? undefined : { promise: 'notRun', reason }
+  return [{ endpoint: '', access: 'none', startMs: 0, tookMs: 0, outcome: OUTCOMES[reply.fault], reason: reason ?? reply.fault, evidence }]
+}
+
+function attemptOf (one: Try, route: Route | undefined, transaction: string | undefined): Attempt {
+  const { endpoint, what, isInside, ending, position, startMs, ms } = one
+  const evidence = evidenceOf(one, route)
+  return {
+    endpoint,
+    access: accessOf(one),
+    transaction: isInside ? transaction : undefined,
+    startMs: tenths(startMs),
+    tookMs: tenths(ms),
+    outcome: outcomeOf(ending, evidence),
+    reason: ending === 'done' ? '' : ending,
+    token: ending === 'done' && what !== 'read' && !(isInside && what === 'write') ? position?.toString() : undefined,
+    evidence
+  }
+}
+
+function accessOf ({ what, isInside, mustLead }: Try): Attempt['access'] {
+  if (what === 'commit') return 'commit'
+  if (isInside) return 'transaction'
+  if (what === 'write') return 'write'
+  return mustLead ? 'strict' : 'read'
+}
+
+function outcomeOf (ending: string, evidence: Evidence | undefined): Outcome {
+  if (ending === 'done' || ending === 'failed') return ending
+  return evidence?.promise === 'notRun' ? 'notRun' : 'unknown'
+}
+
+function evidenceOf ({ ending, what, isInside, hasWritten, mustLead, after, position }: Try, route: Route | undefined): Evidence | undefined {
+  const isCommitted = what === 'commit' ? hasWritten : what === 'write' && !isInside
+  if (ending === 'done') {
+    if (isCommitted) return position === undefined ? undefined : { promise: 'committed', token: position.toString() }
+    if (mustLead && what !== 'commit') return { promise: 'led' }
+    return after === undefined ? undefined : { promise: 'held', token: after.toString(), limitMs: route?.freshness.kind === 'age' ? route.freshness.ms : 0 }
+  }
+  const reason = PROOFS.get(ending)
+  if (reason !== undefined) return { promise: 'notRun', reason }
+  if (ending !== 'broken' && ending !== 'outOfTime') return undefined
+  if (isInside && !isCommitted) return { promise: 'notRun', reason: 'rolledBack' }
+  return what === 'read' ? { promise: 'noEffect' } : undefined
+}
+
+function textOf (freshness: Route['freshness']): string {
+  return freshness.kind === 'age' ? `${freshness.ms}ms` : freshness.kind
+}
+
+/** A tenth of a millisecond is as fine as an explanation needs, and shorter to keep. */
+function tenths (ms: number): number {
+  return Math.round(ms * 10) / 10
+}
--- a/src/core/pool/trail.ts
+++ b/src/core/pool/trail.ts
@@ -1,21 +1,11 @@
 /** What was tried for one statement, for the line that explains it. */
 
-import type { EndpointId } from '../id/endpoint.ts'
 import type { Instant } from '../id/instant.ts'
-import type { Token } from '../token.ts'
-
-interface Try {
-  readonly endpoint: EndpointId
-  /** `done`, how it ended otherwise, or why no connection was had. */
-  readonly ending: string
-  /** The position that the endpoint's log had to hold. */
-  readonly after: Token | undefined
-  readonly ms: number
-}
+import type { Try } from './try.ts'
 
 /** Changes in place: each statement has one, and few are written. */
 export class Trail {
-  private readonly tries: Try[] = []
+  private readonly noted: Try[] = []
 
   private constructor (readonly since: Instant) {}
 
@@ -24,11 +14,16 @@
   }
 
   add (one: Try): void {
-    this.tries.push(one)
+    this.noted.push(one)
+  }
+
+  /** In their order. */
+  get tries (): readonly Try[] {
+    return this.noted
   }
 
   get count (): number {
-    return this.tries.length
+    return this.noted.length
   }
 
   /** Such as `i-1 after 3:7 behind 2 ms, i-2 done 9 ms`; empty when no endpoint was asked. */
--- a/src/core/reason.ts
+++ b/src/core/reason.ts
@@ -32,5 +32,6 @@
   alreadyDone: { code: 1586, message: 'a transaction with this idempotency key was committed before and its effect stands; do not run it again', provesNotRun: false },
   voided: { code: 1586, message: 'the idempotency key was settled as not run and never will run; use a new key', provesNotRun: true },
   lostWrite: { code: 1776, message: 'a write of this session was lost at a failover; its token is forgotten', provesNotRun: true },
+  behind: { code: 1290, message: 'the endpoint does not hold the needed commits yet; try another', provesNotRun: true },
   unproved: { code: 1290, message: 'no second server could prove that the primary is current; try again', provesNotRun: true }
 } as const satisfies Record<string, Reason>
--- /dev/null
+++ b/src/shell/audit/batches.ts
@@ -0,0 +1,154 @@
+/** Brings the records of a process to the object store, in batches and in order. */
+
+import { promisify } from 'node:util'
+import { gzip } from 'node:zlib'
+import type { Batch } from '../../core/audit/batch.ts'
+import { Batcher } from '../../core/audit/batcher.ts'
+import type { AuditRecord } from '../../core/audit/record.ts'
+import type { HostId } from '../../core/id/host.ts'
+import type { Log } from '../log/log.ts'
+import type { BoundedStore } from '../platform/boundedstore.ts'
+import type { ObjectStore } from '../platform/objectstore.ts'
+import { StoreFull } from '../platform/storefull.ts'
+import { digest } from './digest.ts'
+import { BatchKey } from './key.ts'
+import type { auditMetrics } from './metrics.ts'
+
+interface Options {
+  readonly host: HostId
+  /** Twelve hexadecimal digits, new for each run of the process. */
+  readonly incarnation: string
+  /** One that is bounded has its oldest batches dropped when it's full. */
+  readonly store: ObjectStore | BoundedStore
+  readonly limits: Parameters<typeof Batcher.create>[0]['limits']
+  readonly log: Log
+  readonly metrics: { readonly audit: ReturnType<typeof auditMetrics> }
+}
+
+/** A cut batch, compressed: an outage of the store then fits into a tenth of the memory. */
+interface Packed {
+  readonly key: string
+  readonly sequence: number
+  readonly entries: number
+  readonly hash: string
+  readonly body: Buffer
+}
+
+const TICKS_PER_AGE = 4
+const RETRY_MS = 500
+/** The oldest batches that are dropped at once from a full store, so that it isn't full again with the next one. */
+const DROPPED = 100
+const ALL = 'audit/'
+const compress = promisify(gzip)
+
+export class Batches {
+  private readonly batcher: Batcher
+  private readonly queue: Packed[] = []
+  private packing: Promise<void> = Promise.resolve()
+  private storing: Promise<void> | undefined
+  private reported = 0
+  private isFailing = false
+  private isClosed = false
+
+  private constructor (private readonly options: Options, private readonly signal: AbortSignal) {
+    const { host, incarnation, limits } = options
+    this.batcher = Batcher.create({ host, incarnation, limits, digest })
+  }
+
+  static start (options: Options, signal: AbortSignal): Batches {
+    const it = new Batches(options, signal)
+    const ticker = setInterval(() => it.tick(), options.limits.ageMs / TICKS_PER_AGE)
+    ticker.unref()
+    signal.addEventListener('abort', () => clearInterval(ticker), { once: true })
+    return it
+  }
+
+  keep (record: AuditRecord): void {
+    const { metrics } = this.options
+    if (this.isClosed) return metrics.audit.dropped.inc()
+    metrics.audit.records.inc()
+    this.enqueue(this.batcher.add(record, Date.now()))
+  }
+
+  /** Writes what is in memory and ends the process's chain; resolves within `ms`, also when the store is down. */
+  async flush (ms: number): Promise<void> {
+    if (this.isClosed) return
+    this.isClosed = true
+    this.enqueue(this.batcher.close(Date.now()))
+    const all = this.packing.then(async () => await this.storing)
+    await Promise.race([all, pause(ms)])
+    const lost = this.queue.reduce((sum, batch) => sum + batch.entries, 0)
+    if (lost === 0) return
+    this.options.metrics.audit.dropped.inc(lost)
+    this.options.log.write('recordsLost', { count: lost })
+  }
+
+  private tick (): void {
+    const { metrics, log } = this.options
+    this.enqueue(this.batcher.tick(Date.now()))
+    metrics.audit.waiting.set(this.batcher.waiting)
+    const count = this.batcher.dropped - this.reported
+    if (count === 0) return
+    this.reported += count
+    metrics.audit.dropped.inc(count)
+    log.write('recordsDropped', { count })
+  }
+
+  /** Batches are packed and stored one after the other, so that one is in the store before the one that names it as previous. */
+  private enqueue (batch: Batch | undefined): void {
+    if (batch === undefined) return
+    this.packing = this.packing.then(async () => {
+      this.queue.push(await pack(batch))
+      this.batcher.holds(batch.fields.sequence, this.queue.at(-1)!.body.length)
+      this.storing ??= this.storeAll().finally(() => { this.storing = undefined })
+    })
+  }
+
+  private async storeAll (): Promise<void> {
+    while (this.queue.length > 0 && !this.signal.aborted) {
+      if (await this.store(this.queue[0]!)) this.queue.shift()
+      else await pause(RETRY_MS)
+    }
+  }
+
+  /** A put whose answer was lost is repeated: the same bytes under the same key. */
+  private async store ({ key, sequence, entries, hash, body }: Packed): Promise<boolean> {
+    const { store, log, metrics } = this.options
+    try {
+      await store.put(key, body)
+      this.batcher.holds(sequence, 0)
+      metrics.audit.batches.inc()
+      metrics.audit.bytes.inc(body.length)
+      log.write('batchStored', { key, entries, bytes: body.length, hash })
+      this.isFailing = false
+      return true
+    } catch (err) {
+      if (!this.isFailing) log.write('batchFailed', { err: (err as Error).message })
+      this.isFailing = true
+      if (err instanceof StoreFull && 'drop' in store) await this.makeRoom(store)
+      return false
+    }
+  }
+
+  /** Against records that stop for good once the store is full: the oldest go first, whichever host wrote them, since keys begin with the time. */
+  private async makeRoom (store: BoundedStore): Promise<void> {
+    const { log, metrics } = this.options
+    try {
+      const oldest = await store.list(ALL, '', DROPPED)
+      for (const key of oldest) await store.drop(key)
+      metrics.audit.removed.inc(oldest.length)
+      log.write('batchesRemoved', { batches: oldest.length, newest: oldest.at(-1) ?? 'none' })
+    } catch (err) {
+      log.write('batchFailed', { err: (err as Error).message })
+    }
+  }
+}
+
+async function pack (batch: Batch): Promise<Packed> {
+  const { sequence, lines, hash } = batch.fields
+  return { key: BatchKey.of(batch).text, sequence, entries: lines.length, hash, body: await compress(batch.text) }
+}
+
+async function pause (ms: number): Promise<void> {
+  await new Promise(resolve => { setTimeout(resolve, ms) })
+}
--- a/src/shell/log/events.ts
+++ b/src/shell/log/events.ts
@@ -62,5 +62,6 @@
   batchStored: { id: 7001, level: 'info', message: 'stored a batch of audit records' },
   batchFailed: { id: 7002, level: 'warn', message: 'a batch of audit records could not be stored' },
   recordsDropped: { id: 7003, level: 'warn', message: 'dropped audit records for want of room' },
-  recordsLost: { id: 7004, level: 'error', message: 'ended without storing audit records' }
+  recordsLost: { id: 7004, level: 'error', message: 'ended without storing audit records' },
+  batchesRemoved: { id: 7005, level: 'warn', message: 'took the oldest batches of audit records from a full store' }
 } as const satisfies Record<string, Event>
--- a/src/shell/pool/context.ts
+++ b/src/shell/pool/context.ts
@@ -7,6 +7,7 @@
 import type { PoolHost } from '../../core/pool/host.ts'
 import type { LineBudget } from '../../core/pool/linebudget.ts'
 import type { Log } from '../log/log.ts'
+import type { Auditor } from './auditor.ts'
 import type { PoolGroup } from './group.ts'
 import type { PoolMetrics } from './metrics.ts'
 
@@ -26,4 +27,6 @@
   /** For lines of requests. */
   readonly lines: LineBudget
   readonly metrics: PoolMetrics
+  /** Undefined when the operator wants no records. */
+  readonly auditor: Auditor | undefined
 }
--- a/src/shell/pool/explanation.ts
+++ b/src/shell/pool/explanation.ts
@@ -10,6 +10,8 @@
 
 interface Explained {
   readonly id: string
+  readonly session: string
+  readonly caller: string
   readonly kind: Statement['kind'] | 'none'
   readonly database: string
   readonly reply: Reply
@@ -19,11 +21,26 @@
   readonly retryAfterMs: number
 }
 
-/** Counts the statement, and writes its line when it wasn't done, when it took more than one try, or for the sample. */
-export function explain (ctx: PoolContext, explained: Explained): void {
+/**
+ * Counts the statement, records it, and writes its line when it wasn't done,
+ * when it took more than one try, or for the sample. The id of the record; undefined without one.
+ */
+export function explain (ctx: PoolContext, explained: Explained): string | undefined {
+  const ms = clock.now() - explained.trail.since
+  tell(ctx, explained, ms)
+  return record(ctx, explained, ms)
+}
+
+/** What this process answers by itself and takes, such as a value that is set, promises nothing that a record could show. */
+function record ({ auditor, config }: PoolContext, { id, session, caller, kind, database, reply, trail, transaction }: Explained, tookMs: number): string | undefined {
+  if (reply.kind === 'done' && trail.count === 0) return undefined
+  const route = transaction?.route ?? config().route(database)
+  return auditor?.take({ request: id, session, caller, kind, database, route, config: config().version, transaction: transaction?.id, trail, reply, tookMs })
+}
+
+function tell (ctx: PoolContext, explained: Explained, ms: number): void {
   const { id, kind, database, reply, trail } = explained
   const { log, lines, metrics } = ctx
-  const ms = clock.now() - trail.since
   const outcome = reply.kind === 'done' ? 'done' : reply.fault
   metrics.statements.inc({ database, kind, outcome })
   if (trail.count > 0) metrics.statementSeconds.observe({ kind }, ms / 1000)
--- a/src/shell/pool/membership.ts
+++ b/src/shell/pool/membership.ts
@@ -35,6 +35,8 @@
  * each host would else wake all others, a cost that grows with the square of the hosts.
  */
 export class Membership {
+  /** Where the hosts' rows lie. */
+  static readonly table = TABLE
   private known = Hosts.empty
 
   private constructor (private readonly options: Options) {}
--- a/src/shell/pool/metrics.ts
+++ b/src/shell/pool/metrics.ts
@@ -1,6 +1,7 @@
 /** The counters and histograms of a process that pools connections. */
 
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import { auditMetrics } from '../audit/metrics.ts'
 
 /** From 0.5 ms, below any round trip, to 4 s, above the longest statement, each half again as long as the one before. */
 const SECONDS = Array.from({ length: 23 }, (_, i) => 0.0005 * 1.5 ** i)
@@ -32,6 +33,7 @@
   readonly passedOn = new Counter({ name: 'agatepond_sessions_passed_on_total', help: 'Sessions handed to a host that has connections for them', registers: [this.registry] })
   readonly configVersion = new Gauge({ name: 'agatepond_config_version', help: 'Version of the configuration in force', registers: [this.registry] })
   readonly linesDropped = new Counter({ name: 'agatepond_log_lines_dropped_total', help: 'Lines of requests that went over the budget', registers: [this.registry] })
+  readonly audit = auditMetrics(this.registry)
 
   private constructor () {
     const memory: Gauge = new Gauge({
--- a/src/shell/pool/node.ts
+++ b/src/shell/pool/node.ts
@@ -8,6 +8,7 @@
 import { shareOf } from '../../core/pool/share.ts'
 import { SharedBudget } from '../../core/retry/budget.ts'
 import type { Log } from '../log/log.ts'
+import type { Auditor } from './auditor.ts'
 import { askPeers } from './askpeers.ts'
 import { clock } from './clock.ts'
 import type { PoolContext } from './context.ts'
@@ -32,6 +33,8 @@
   readonly log: Log
   readonly metrics: PoolMetrics
   readonly chance: () => number
+  /** Undefined when the operator wants no records. */
+  readonly auditor?: Auditor | undefined
 }
 
 /** A question to the store is held open for this part of the time in which a version must be in force: a connection that goes silent is then found, and replaced, within it. */
@@ -43,6 +46,8 @@
 const TICK_MS = 100
 
 export class PoolNode {
+  /** Where the rows that all hosts share lie. */
+  static readonly table = TABLE
   readonly context: PoolContext
   private readonly groups = new Map<GroupId, PoolGroup>()
   private readonly ownerships = new Map<GroupId, Ownership>()
@@ -68,7 +73,8 @@
       budget: SharedBudget.create(clock.now()),
       lines: LineBudget.create(clock.now()),
       log,
-      metrics
+      metrics,
+      auditor: options.auditor
     }
     this.configuration = Configuration.create({ log, metrics, ...options.platform.config })
     this.listing = Listing.create({ log, parse: options.platform.endpoints.parse, onChange: () => this.spread() })
--- a/src/shell/pool/runner.ts
+++ b/src/shell/pool/runner.ts
@@ -44,7 +44,7 @@
     const run = async (attempt: Attempt, target: Target) => {
       const answer = await this.runOn(attempt, target, work, deadline)
       attempt.end()
-      return work.what === 'write' ? await this.kept(attempt, answer, deadline, trail) : answer
+      return work.what === 'write' ? await this.kept(attempt, answer, work, deadline, trail) : answer
     }
     return await tryAll(this.ctx, { ...this.common(route, work, deadline, trail), mustLead, isInside: false, run })
   }
@@ -112,22 +112,43 @@
     const isLead = transaction.leads && (work.what !== 'commit' || hasWritten)
     const began = clock.now()
     const answer = await attempt.ask([...prelude, work.command()], prelude.length, left(deadline), isLead)
-    noteTry(this.ctx, trail, { endpoint: attempt.endpoint, after: undefined, ending: typeof answer === 'string' ? answer : 'done', ms: clock.now() - began })
-    const kept = work.what === 'commit' && hasWritten ? await this.kept(attempt, answer, deadline, trail) : answer
+    const isDone = typeof answer !== 'string'
+    noteTry(this.ctx, trail, {
+      endpoint: attempt.endpoint,
+      what: work.what,
+      isInside: true,
+      hasWritten,
+      mustLead: isLead,
+      ending: isDone ? 'done' : answer,
+      after: undefined,
+      position: isDone ? answer.position : undefined,
+      ms: clock.now() - began
+    })
+    const kept = work.what === 'commit' && hasWritten ? await this.kept(attempt, answer, work, deadline, trail) : answer
     if (typeof kept !== 'string') return { answer: kept, attempt }
     const verdict = verdictOf(kept, { what: work.what, isInside: true, isFirst: false, hasWritten })
     return { fault: verdict.kind === 'refuse' ? verdict.fault : 'aborted', retryAfterMs: 0 }
   }
 
   /** What was committed while its primary hands over is done once the successor has it; else nobody can tell whether it's kept. */
-  private async kept (attempt: Attempt, answer: Answer | Ending, deadline: Instant, trail: Trail): Promise<Answer | Ending> {
+  private async kept (attempt: Attempt, answer: Answer | Ending, work: Work, deadline: Instant, trail: Trail): Promise<Answer | Ending> {
     const successor = attempt.group.successorOf(attempt.endpoint)
     if (typeof answer === 'string' || successor === undefined) return answer
     if (answer.position === undefined) return 'outOfTime'
     const { ctx, database } = this
     const began = clock.now()
     const isKept = await isReceived({ group: attempt.group, successor, commit: answer.position, database, deadline })
-    noteTry(ctx, trail, { endpoint: successor, after: answer.position, ending: isKept ? 'received' : 'not received', ms: clock.now() - began })
+    noteTry(ctx, trail, {
+      endpoint: successor,
+      what: work.what,
+      isInside: work.what === 'commit',
+      hasWritten: true,
+      mustLead: false,
+      ending: isKept ? 'received' : 'not received',
+      after: answer.position,
+      position: undefined,
+      ms: clock.now() - began
+    })
     return isKept ? answer : 'outOfTime'
   }
 }
--- a/src/shell/pool/session.ts
+++ b/src/shell/pool/session.ts
@@ -1,5 +1,6 @@
 /** One caller's session: its values, its transaction, and the way of each statement to an endpoint. */
 
+import { randomBytes } from 'node:crypto'
 import { remedyOf } from '../../core/pool/remedy.ts'
 import { Trail } from '../../core/pool/trail.ts'
 import { Work } from '../../core/pool/work.ts'
@@ -14,7 +15,11 @@
 import { Runner } from './runner.ts'
 import { Transaction } from './transaction.ts'
 
+/** Sessions of a day on all hosts share no id but once in some thousand years. */
+const ID_BYTES = 8
+
 export class Session {
+  private readonly id = randomBytes(ID_BYTES).toString('hex')
   private readonly values = Values.empty()
   private readonly runner: Runner
   private transaction: Transaction | undefined
@@ -25,13 +30,13 @@
   private trail = Trail.begin(clock.now())
   private retryAfterMs = 0
 
-  private constructor (private readonly ctx: PoolContext, private readonly database: string) {
+  private constructor (private readonly ctx: PoolContext, private readonly database: string, private readonly caller: string) {
     this.runner = Runner.create(ctx, database, this.values)
   }
 
-  /** Undefined when there is no such database. */
-  static create (ctx: PoolContext, database: string): Session | undefined {
-    return ctx.config().route(database) === undefined ? undefined : new Session(ctx, database)
+  /** Undefined when there is no such database. `caller`: who signs in, as it calls itself. */
+  static create (ctx: PoolContext, database: string, caller: string): Session | undefined {
+    return ctx.config().route(database) === undefined ? undefined : new Session(ctx, database, caller)
   }
 
   /** As the caller sees it. */
@@ -48,19 +53,18 @@
     this.retryAfterMs = 0
     const reply = await this.answer(id, statement)
     this.isRunning = false
-    this.explain(id, statement.kind, reply, transaction)
+    const told = this.explain(id, statement.kind, reply, transaction)
     this.afterRun?.()
     this.afterRun = undefined
     if (this.transaction?.attempt !== undefined) this.watchIdle()
-    return reply
+    return told
   }
 
   /** Refuses what isn't a statement. */
   reject (id: string): Reply {
     this.trail = Trail.begin(clock.now())
     const reply = this.failInside({ fault: 'malformed', retryAfterMs: 0 })
-    this.explain(id, 'none', reply)
-    return reply
+    return this.explain(id, 'none', reply)
   }
 
   /**
@@ -179,11 +183,13 @@
     return { kind: 'refused', fault, message: remedyOf(fault, retryAfterMs) }
   }
 
-  /** `transaction`: the one that was open before, which a commit has ended. */
-  private explain (id: string, kind: Statement['kind'] | 'none', reply: Reply, transaction = this.transaction): void {
-    const { ctx, database, trail, retryAfterMs } = this
+  /** The reply as the caller gets it: one that isn't "done" names its record. `transaction`: the one that was open before, which a commit has ended. */
+  private explain (id: string, kind: Statement['kind'] | 'none', reply: Reply, transaction = this.transaction): Reply {
+    const { ctx, id: session, caller, database, trail, retryAfterMs } = this
     const { own } = this.runner
-    explain(ctx, { id, kind, database, reply, trail, transaction, own, retryAfterMs })
+    const record = explain(ctx, { id, session, caller, kind, database, reply, trail, transaction, own, retryAfterMs })
+    if (reply.kind === 'done' || record === undefined) return reply
+    return { ...reply, message: `${reply.message} (request ${record})` }
   }
 
   /** A transaction that nobody goes on with holds a connection that others wait for. */
--- a/src/shell/pool/tryall.ts
+++ b/src/shell/pool/tryall.ts
@@ -5,6 +5,7 @@
 import type { Target } from '../../core/pool/target.ts'
 import { verdictOf } from '../../core/pool/verdict.ts'
 import type { Fault } from '../../core/statement/fault.ts'
+import type { Token } from '../../core/token.ts'
 import { Attempt } from './attempt.ts'
 import { clock } from './clock.ts'
 import type { PoolContext } from './context.ts'
@@ -52,7 +53,10 @@
  */
 async function tryOnce (ctx: PoolContext, group: PoolGroup, target: Target, tries: Tries): Promise<Once> {
   const began = clock.now()
-  const note = (ending: string) => noteTry(ctx, tries.trail, { endpoint: target.endpoint, after: target.after, ending, ms: clock.now() - began })
+  const { endpoint, after, mustLead } = target
+  const note = (ending: string, position?: Token) => noteTry(ctx, tries.trail, {
+    endpoint, after, mustLead, what: tries.what, isInside: tries.isInside, hasWritten: false, ending, position, ms: clock.now() - began
+  })
   const attempt = await borrow(group, target, tries)
   if (!(attempt instanceof Attempt)) {
     note('no connection')
@@ -61,7 +65,8 @@
   const unwatch = tries.what === 'read' ? group.watchers.watch(target.endpoint, () => attempt.link.close()) : undefined
   const answer = await tries.run(attempt, target)
   unwatch?.()
-  note(typeof answer === 'string' ? answer : 'done')
+  if (typeof answer === 'string') note(answer)
+  else note('done', answer.position)
   if (typeof answer === 'string') return ended(ctx, answer, tries)
   ctx.budget.succeeded()
   return { kind: 'done', run: { answer, attempt } }
--- a/standin/lines/host.ts
+++ b/standin/lines/host.ts
@@ -1,5 +1,6 @@
 /** One host of a stage: a node on the line protocol, in the process of a test. */
 
+import { PlatformBlobs } from '../../platform/blobs.ts'
 import { parsePoolConfig } from '../../platform/document.ts'
 import { Front } from '../../platform/front.ts'
 import { LineLink } from '../../platform/link.ts'
@@ -10,6 +11,7 @@
 import type { DataCentreId } from '../../src/core/id/datacentre.ts'
 import type { HostId } from '../../src/core/id/host.ts'
 import type { Log } from '../../src/shell/log/log.ts'
+import { Auditor } from '../../src/shell/pool/auditor.ts'
 import { PoolMetrics } from '../../src/shell/pool/metrics.ts'
 import { PoolNode } from '../../src/shell/pool/node.ts'
 import { freePorts } from '../ports.ts'
@@ -17,9 +19,10 @@
 
 const IP = '127.0.0.1'
 const CALL_MS = 1000
+const INCARNATION = '0123456789ab'
 
 export class LineHost {
-  private constructor (readonly node: PoolNode, readonly port: number, readonly knowledgePort: number, private readonly store: CuttableStore, private readonly fronts: readonly Front[], private readonly stopped: AbortController) {}
+  private constructor (readonly node: PoolNode, readonly port: number, readonly knowledgePort: number, private readonly store: CuttableStore, private readonly fronts: readonly Front[], private readonly stopped: AbortController, readonly auditor: Auditor) {}
 
   /** `seeds`: ports at which it may ask other hosts what they know. */
   static async start (id: string, storePort: number, log: Log, seeds: readonly number[] = []): Promise<LineHost> {
@@ -27,12 +30,16 @@
     const stopped = new AbortController()
     const address = { ip: IP, port: storePort }
     const cut = CuttableStore.create(PlatformStore.create({ address, timeoutMs: CALL_MS }))
+    const metrics = PoolMetrics.create()
+    const blobs = PlatformBlobs.create({ address, timeoutMs: CALL_MS, signal: stopped.signal })
+    const auditor = Auditor.start({ host: id as HostId, incarnation: INCARNATION, store: blobs, log, metrics }, stopped.signal)
     const node = PoolNode.start({
+      auditor,
       self: { id: id as HostId, dataCentre: 'z1' as DataCentreId, address: { ip: IP, port: peerPort }, knowledgePort },
       applyMs: 2000,
       drainMs: 8000,
       log,
-      metrics: PoolMetrics.create(),
+      metrics,
       chance: () => 0.5,
       platform: {
         store: cut,
@@ -45,7 +52,7 @@
     }, stopped.signal)
     SeedPeers.serve({ ip: IP, port: knowledgePort }, () => node.knowledge, stopped.signal)
     const fronts = [Front.create(node.context, { ip: IP, port }), Front.create(node.context, { ip: IP, port: peerPort }, true)]
-    return new LineHost(node, port, knowledgePort, cut, fronts, stopped)
+    return new LineHost(node, port, knowledgePort, cut, fronts, stopped, auditor)
   }
 
   /** Leaves in order, within the time. */
--- a/standin/lines/stage.ts
+++ b/standin/lines/stage.ts
@@ -29,6 +29,11 @@
 export class LineStage {
   private constructor (readonly store: RowServer, readonly endpoints: readonly LineEndpoint[], readonly hosts: LineHost[], private readonly storePort: number) {}
 
+  /** Where its store listens. */
+  get storeAddress () {
+    return { ip: '127.0.0.1', port: this.storePort }
+  }
+
   static async start (options: Options = {}): Promise<LineStage> {
     const { hosts: count = 1, isStoreDown = false } = options
     const [storePort, ...ports] = await freePorts(1 + ENDPOINTS) as [number, ...number[]]
--- a/standin/lines/store.ts
+++ b/standin/lines/store.ts
@@ -2,6 +2,7 @@
 
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { bodyOf } from '../body.ts'
+import { ObjectServer } from './objects.ts'
 
 interface Row {
   readonly table: string
@@ -30,6 +31,7 @@
   readonly faults: { isDown?: boolean, isForgetful?: boolean, loseNextWrite?: boolean, isSilent?: boolean } = {}
   /** Carries a promotion out; the answer's status. */
   onPromote: (order: Order) => number = () => 200
+  readonly objects = ObjectServer.create()
   private readonly rows = new Map<string, Row>()
   private version = 0
   private readonly waiting = new Set<() => void>()
@@ -67,6 +69,7 @@
     if (this.faults.isSilent === true) return
     if (this.faults.isDown === true) return answer(res, 503, {})
     const url = new URL(req.url!, 'http://store')
+    if (await this.objects.handle(url, req, res)) return
     const body = (await bodyOf(req)).toString()
     if (url.pathname === '/promote') return this.promote(req, res, body)
     if (url.pathname === '/rows-get') return answer(res, 200, { rows: this.of(url, 0).filter(({ value }) => value !== undefined), hasMore: false, ver: this.version, nowMs: 0 })
--- a/tools/target.mjs
+++ b/tools/target.mjs
@@ -1,4 +1,4 @@
-/** Bundles the program for the users' platform into target/, one file without the clients of other platforms: start-up is charged. The check of settings is a file of its own. */
+/** Bundles the program for the users' platform into target/, one file without the clients of other platforms: start-up is charged. The operators' commands are a file of their own. */
 
 import { build } from 'esbuild'
 
@@ -11,5 +11,5 @@
   logLevel: 'warning',
   outExtension: { '.js': '.cjs' },
   outdir: 'target',
-  entryPoints: { agatepond: 'platform/main.ts', check: 'platform/check.ts' }
+  entryPoints: { agatepond: 'platform/main.ts', tool: 'platform/tool.ts' }
 })
