The circle between a run's scripts and what they want next is undone

runnext.ts named RunScript for the state that a `send` carries, and runscript.ts named RunNext for what a script returns. RunNext takes the script's type as a parameter now, so imports go one way.

--- a/src/core/request/ledgerscript.ts
+++ b/src/core/request/ledgerscript.ts
@@ -21,7 +21,7 @@
 type Answered = Extract<RunEvent, { kind: 'answered' }>
 type Found = Extract<RunEvent, { kind: 'found' }>
 type Refused = Extract<RunEvent, { kind: 'refused' }>
-type Last = Extract<RunNext, { kind: 'end' }>['last']
+type Last = Extract<RunNext<RunScript>, { kind: 'end' }>['last']
 
 interface Fields {
   readonly spec: RunSpec
@@ -50,7 +50,7 @@
     })
   }
 
-  first (): RunNext {
+  first (): RunNext<RunScript> {
     switch (this.fields.spec.access) {
       case 'settle': return this.send('void')
       case 'begin': return this.send('statement')
@@ -58,7 +58,7 @@
     }
   }
 
-  answered (step: RunStep, event: Answered): RunNext {
+  answered (step: RunStep, event: Answered): RunNext<RunScript> {
     const { access } = this.fields.spec
     // Outside of a transaction the key and the effect would be kept apart.
     if (INSIDE.has(step) && !event.isOpen) return close(refuse(step === 'begin' ? 'rolledBack' : 'endedTransaction'))
@@ -76,7 +76,7 @@
     }
   }
 
-  found ({ row }: Found): RunNext {
+  found ({ row }: Found): RunNext<RunScript> {
     const { refusal } = this.fields
     const clean = { kind: 'giveBack', how: 'clean' } as const
     if (row === undefined) return { kind: 'end', back: clean, last: { kind: 'failed', code: refusal!.code, message: refusal!.message } }
@@ -84,7 +84,7 @@
     return this.with({ counts: row.counts, isVoid: row.claim === 'void' }).send('touch')
   }
 
-  refused (step: RunStep, event: Refused): RunNext {
+  refused (step: RunStep, event: Refused): RunNext<RunScript> {
     const kind = errorKind(event.code, event.message)
     if (step === 'rollback') return this.rolledBack(true)
     if (step === 'lookup' || step === 'touch') return close(refuse('lost', event.message))
@@ -103,11 +103,11 @@
     return spec.access === 'begin' ? 'lostTransaction' : 'rolledBack'
   }
 
-  private get began (): RunNext {
+  private get began (): RunNext<RunScript> {
     return { kind: 'end', back: { kind: 'keep' }, last: { kind: 'done', counts: NONE, token: undefined, isOpen: true } }
   }
 
-  private ran (event: Answered): RunNext {
+  private ran (event: Answered): RunNext<RunScript> {
     if (event.hasRows) return this.rollBack(refuse('onceRows'))
     return this.with({ counts: event.counts }).send('record')
   }
@@ -121,23 +121,23 @@
   }
 
   /** A write to the ledger without a position can't be confirmed, so nothing is said of it. */
-  private written (event: Answered, last: Last): RunNext {
+  private written (event: Answered, last: Last): RunNext<RunScript> {
     if (event.token === undefined) return close(refuse('unconfirmed', 'the endpoint told no position'))
     return { kind: 'confirm', back: { kind: 'giveBack', how: event.isOpen ? 'close' : 'clean' }, token: event.token, last }
   }
 
-  private rollBack (next: Fields['next']): RunNext {
+  private rollBack (next: Fields['next']): RunNext<RunScript> {
     return this.with({ next }).send('rollback')
   }
 
-  private rolledBack (isOpen: boolean): RunNext {
+  private rolledBack (isOpen: boolean): RunNext<RunScript> {
     const { next, isDuplicate } = this.fields
     if (typeof next === 'object') return { kind: 'end', back: { kind: 'giveBack', how: isOpen ? 'close' : 'clean' }, last: next }
     if (isOpen) return close(refuse(isDuplicate ? 'lost' : 'rolledBack'))
     return this.send(next)
   }
 
-  private send (step: RunStep): RunNext {
+  private send (step: RunStep): RunNext<RunScript> {
     return { kind: 'send', script: this, step, counts: this.fields.counts }
   }
 
@@ -146,7 +146,7 @@
   }
 }
 
-function close (last: Last): RunNext {
+function close (last: Last): RunNext<RunScript> {
   return { kind: 'end', back: { kind: 'giveBack', how: 'close' }, last }
 }
 
--- a/src/core/request/plainscript.ts
+++ b/src/core/request/plainscript.ts
@@ -12,7 +12,7 @@
 
 type Answered = Extract<RunEvent, { kind: 'answered' }>
 type Refused = Extract<RunEvent, { kind: 'refused' }>
-type Last = Extract<RunNext, { kind: 'end' }>['last']
+type Last = Extract<RunNext<RunScript>, { kind: 'end' }>['last']
 
 const NONE: Counts = { affected: 0, insertId: 0 }
 
@@ -23,11 +23,11 @@
     return new PlainScript(spec)
   }
 
-  first (): RunNext {
+  first (): RunNext<RunScript> {
     return { kind: 'send', script: this, step: 'statement', counts: NONE }
   }
 
-  answered (_step: RunStep, event: Answered): RunNext {
+  answered (_step: RunStep, event: Answered): RunNext<RunScript> {
     switch (this.spec.access) {
       case 'begin': return event.isOpen ? kept(event) : close(refuse('lostTransaction', 'no transaction began'))
       // A statement that ended its transaction has committed what came before it, which nobody asked for.
@@ -39,11 +39,11 @@
     }
   }
 
-  found (): RunNext {
+  found (): RunNext<RunScript> {
     return close(refuse('lost'))
   }
 
-  refused (_step: RunStep, event: Refused): RunNext {
+  refused (_step: RunStep, event: Refused): RunNext<RunScript> {
     const { access, commitsItself } = this.spec
     const failed: Last = { kind: 'failed', code: event.code, message: event.message }
     const isRead = access === 'read' || access === 'strict'
@@ -70,7 +70,7 @@
   }
 }
 
-function kept (event: Answered): RunNext {
+function kept (event: Answered): RunNext<RunScript> {
   return { kind: 'end', back: { kind: 'keep' }, last: { kind: 'done', counts: event.counts, token: undefined, isOpen: true } }
 }
 
@@ -80,7 +80,7 @@
  * ("no such booking", say). A proof that is asked for now covers all that it
  * saw, since terms only grow.
  */
-function proved ({ counts, isOpen }: Answered, how: 'clean' | 'reset'): RunNext {
+function proved ({ counts, isOpen }: Answered, how: 'clean' | 'reset'): RunNext<RunScript> {
   return {
     kind: 'prove',
     back: { kind: 'giveBack', how: isOpen ? 'close' : how },
@@ -88,14 +88,14 @@
   }
 }
 
-function written (event: Answered, how: 'clean' | 'reset'): RunNext {
+function written (event: Answered, how: 'clean' | 'reset'): RunNext<RunScript> {
   const { counts, token, isOpen } = event
   const back: RunAction = { kind: 'giveBack', how: isOpen ? 'close' : how }
   const last: Last = { kind: 'done', counts, token, isOpen: false }
   return token === undefined ? { kind: 'end', back, last } : { kind: 'confirm', back, token, last }
 }
 
-function close (last: Last): RunNext {
+function close (last: Last): RunNext<RunScript> {
   return { kind: 'end', back: { kind: 'giveBack', how: 'close' }, last }
 }
 
--- a/src/core/request/run.ts
+++ b/src/core/request/run.ts
@@ -83,7 +83,7 @@
     return this.to({ kind: 'obtaining' }, { kind: 'obtain' })
   }
 
-  private follow (next: RunNext): Step {
+  private follow (next: RunNext<RunScript>): Step {
     switch (next.kind) {
       case 'send': {
         const run = new SlotRun(this.spec, next.script, { kind: 'running', step: next.step })
--- a/src/core/request/runnext.ts
+++ b/src/core/request/runnext.ts
@@ -3,20 +3,19 @@
 import type { Token } from '../token.ts'
 import type { Counts } from './counts.ts'
 import type { RunAction } from './runaction.ts'
-import type { RunScript } from './runscript.ts'
 import type { RunStep } from './runstep.ts'
 
 type Back = Extract<RunAction, { kind: 'keep' | 'giveBack' }>
 type Last = Extract<RunAction, { kind: 'done' | 'failed' | 'refuse' }>
 
 /**
- * - `send`: the next statement.
+ * - `send`: the next statement; `script` is the state in which the script then is.
  * - `end`: the outcome, and what becomes of the connection.
  * - `confirm`: the same, once a second server has the position.
  * - `prove`: the same, once the endpoint is proved to be the current primary.
  */
-export type RunNext =
-  | { readonly kind: 'send', readonly script: RunScript, readonly step: RunStep, readonly counts: Counts }
+export type RunNext<Script> =
+  | { readonly kind: 'send', readonly script: Script, readonly step: RunStep, readonly counts: Counts }
   | { readonly kind: 'end', readonly back: Back, readonly last: Last }
   | { readonly kind: 'prove', readonly back: Back, readonly last: Last }
   | { readonly kind: 'confirm', readonly back: Back, readonly token: Token, readonly last: Last }
--- a/src/core/request/runscript.ts
+++ b/src/core/request/runscript.ts
@@ -7,10 +7,10 @@
 
 /** Immutable; a `send` that is returned carries the script's next state. */
 export interface RunScript {
-  first (): RunNext
-  answered (step: RunStep, event: Extract<RunEvent, { kind: 'answered' }>): RunNext
-  found (event: Extract<RunEvent, { kind: 'found' }>): RunNext
-  refused (step: RunStep, event: Extract<RunEvent, { kind: 'refused' }>): RunNext
+  first (): RunNext<RunScript>
+  answered (step: RunStep, event: Extract<RunEvent, { kind: 'answered' }>): RunNext<RunScript>
+  found (event: Extract<RunEvent, { kind: 'found' }>): RunNext<RunScript>
+  refused (step: RunStep, event: Extract<RunEvent, { kind: 'refused' }>): RunNext<RunScript>
   /** What is known when the connection breaks, or is closed, before the answer to the step. */
   broken (step: RunStep, reason: 'lost' | 'deadline'): ReasonName
 }
