A host objects to a replacement only by an answer to the question itself

Cause: after a primary's crash four of seven hosts objected to its replacement, since an answer of the last 300 ms counted as reaching it; the crash was 60 ms old. Ruled out: detection (48 ms), the store (10 ms a call), the survey (20 ms), the promotion (1.0 s). Change: a host that is asked has the primary prove its lead on a new connection, always. The test over sockets failed before.

--- a/src/shell/pool/successor.ts
+++ b/src/shell/pool/successor.ts
@@ -39,9 +39,6 @@
   readonly signal: AbortSignal
 }
 
-/** The primary was reached so lately that asking it again shows nothing new. */
-const FRESH_MS = 300
-
 /**
  * The part of a leaving primary's time that its replicas get to catch up. The
  * rest must do for the claim, a promotion of up to two seconds and its spreading; the shortest such time that is known is four seconds.
@@ -236,11 +233,15 @@
     })
   }
 
-  /** Another host finds the primary out of reach. One that reaches it says so. */
+  /**
+   * Another host finds the primary out of reach. One that reaches it says so.
+   * Guard against an objection by what was true before a crash, which costs a
+   * second of writes: only a question that is asked now counts, on a new
+   * connection, since an answer of a moment ago may be older than the crash.
+   */
   private considerObjection (endpoint: EndpointId, fence: number): void {
     const { group, host, platform, table, log, signal } = this.options
-    const isReached = group.contact(endpoint).isFresh(FRESH_MS, clock.now()) ? Promise.resolve(true) : this.probes.leads(endpoint)
-    isReached.then(isThere => {
+    this.probes.leads(endpoint).then(isThere => {
       if (!isThere || group.leader !== endpoint) return
       log.write('objected', { group: group.id, endpoint, fence })
       platform.store.change([{ table, key: `objection/${group.id}/${host}`, value: JSON.stringify({ fence }) }], signal)
