A replaced primary that comes back is believed only after it called itself a replica

Cause: a primary that was cut off from the store and replaced returned to the directory at 11.559 s, and its first entry still said primary. All hosts took it for one that had just begun to lead, though its successor led a newer term, proved and listed. Ruled out: a second promotion (none), the successor (it answered all the while), the store. Change: an endpoint that led before another did isn't believed until it calls itself a replica, or proves a newer term; a refusal, or the leader's own entry that says replica, falls back to who else is listed.

--- a/src/core/directory/directory.ts
+++ b/src/core/directory/directory.ts
@@ -41,16 +41,14 @@
   }
 
   /**
-   * The endpoint that last began to call itself primary. Guard against a
-   * replaced primary that is cut off from the directory: its entry still says
+   * The endpoints that call themselves primary, the one that last began to first.
+   * Guard against a replaced primary that is cut off from the directory: its entry still says
    * primary beside that of its successor, and writes would go to it first.
    */
-  primary (id: GroupId): Endpoint | undefined {
-    let latest: Listed | undefined
-    for (const one of this.listed.values()) {
-      if (one.endpoint.group !== id || !one.endpoint.isPrimary) continue
-      if (latest === undefined || one.leadsSince > latest.leadsSince) latest = one
-    }
-    return latest?.endpoint
+  primaries (id: GroupId): readonly Endpoint[] {
+    return [...this.listed.values()]
+      .filter(({ endpoint }) => endpoint.group === id && endpoint.isPrimary)
+      .sort((a, b) => b.leadsSince - a.leadsSince)
+      .map(({ endpoint }) => endpoint)
   }
 }
--- a/src/core/pool/leadership.test.ts
+++ b/src/core/pool/leadership.test.ts
@@ -59,6 +59,15 @@
     ['one that refused and then is promoted again', ['a+', 'a!', 'a-', 'a+'], 'a'],
     ['a proof while the directory is silent', ['a+', 'b-', 'b=2'], 'b'],
     ['a proof of an older term', ['a+', 'a=3', 'b=2'], 'a'],
-    ['the leader\'s entry lapses with nobody else listed', ['a+', 'b-', 'a.'], 'a']
+    ['the leader\'s entry lapses with nobody else listed', ['a+', 'b-', 'a.'], 'a'],
+    // Hosts refuse writes for up to eight seconds, though the primary is well and listed all the while.
+    // The old primary was cut off from the directory and replaced; it's back, and its first entry still says primary.
+    ['a replaced one that comes back and still says so', ['a+', 'b-', 'b+', 'a.', 'a+'], 'b'],
+    ['the same after a proof of the new one', ['a+', 'b-', 'b=2', 'b+', 'a.', 'a+'], 'b'],
+    ['the same, listed as a replica first, and then promoted again', ['a+', 'b-', 'b+', 'a.', 'a-', 'a+'], 'a'],
+    ['a replaced one that proves a newer term', ['a+', 'b-', 'b=2', 'a=3'], 'a'],
+    ['one that refuses while another is listed', ['a+', 'b-', 'b+', 'a=3', 'a!'], 'b'],
+    ['one whose entry says that it stopped, while another is listed', ['a+', 'b+', 'a=3', 'a-'], 'b'],
+    ['the one listed refuses, and the one that led before is the last resort', ['a+', 'b+', 'b!'], 'a']
   ])('%s', (_, texts, expected) => expect(leader(...texts)).toBe(expected))
 })
--- a/src/core/pool/leadership.ts
+++ b/src/core/pool/leadership.ts
@@ -12,8 +12,12 @@
   readonly term: number
   /** When there last was a leader. */
   readonly lostAt: Instant
+  /** Endpoints that are listed as primary, the one that last began to call itself so first. */
+  readonly claims: readonly EndpointId[]
   /** Endpoints that refused as replicas since they last called themselves primary. */
   readonly disowned: ReadonlySet<EndpointId>
+  /** Endpoints that led before another did, and haven't called themselves replica since. */
+  readonly replaced: ReadonlySet<EndpointId>
 }
 
 /**
@@ -23,12 +27,17 @@
  * once. It may be wrong or old, so an endpoint's own refusal goes before it:
  * one that refused as a replica isn't taken for the primary again until it
  * begins to call itself so, or proves it.
+ *
+ * Guard against a replaced primary that was cut off from the directory and
+ * comes back: its first entry still calls it primary, as if it had just begun
+ * to lead. It shows as writes that are refused, by an endpoint and then for want of a primary. So
+ * one that was replaced is believed again only after it called itself a replica.
  */
 export class Leadership {
   private constructor (private readonly fields: Fields) {}
 
   static create (group: GroupId, now: Instant): Leadership {
-    return new Leadership({ group, leader: undefined, term: 0, lostAt: now, disowned: new Set() })
+    return new Leadership({ group, leader: undefined, term: 0, lostAt: now, claims: [], disowned: new Set(), replaced: new Set() })
   }
 
   get leader (): EndpointId | undefined {
@@ -41,31 +50,59 @@
   }
 
   listed (before: Directory, after: Directory): Leadership {
-    const { group, disowned } = this.fields
-    const claimed = after.primary(group)?.id
-    const began = after.group(group).filter(({ id, isPrimary }) => isPrimary && before.get(id)?.isPrimary !== true)
-    const left = new Set([...disowned].filter(id => after.get(id) !== undefined && !began.some(one => one.id === id)))
-    const isNews = began.length > 0 || this.fields.leader === undefined || after.get(this.fields.leader) === undefined
-    const leader = isNews && claimed !== undefined && !left.has(claimed) ? claimed : this.fields.leader
-    return this.with({ leader, disowned: left, term: leader === this.fields.leader ? this.fields.term : 0 })
+    const { group, leader } = this.fields
+    const members = after.group(group)
+    const began = members.filter(({ id, isPrimary }) => isPrimary && before.get(id)?.isPrimary !== true).map(({ id }) => id)
+    const replicas = new Set(members.filter(({ isPrimary }) => !isPrimary).map(({ id }) => id))
+    const next = this.with({
+      claims: after.primaries(group).map(({ id }) => id),
+      disowned: new Set([...this.fields.disowned].filter(id => after.get(id) !== undefined && !began.includes(id))),
+      replaced: new Set([...this.fields.replaced].filter(id => !replicas.has(id)))
+    })
+    const [newest] = next.fields.claims
+    if (newest !== undefined && began.includes(newest) && !next.fields.replaced.has(newest)) return next.lead(newest, 0)
+    const hasStopped = leader !== undefined && replicas.has(leader) && before.get(leader)?.isPrimary === true
+    const isKept = leader !== undefined && after.get(leader) !== undefined && !hasStopped
+    const claimed = isKept ? undefined : next.claimed
+    return claimed === undefined ? next : next.lead(claimed, 0)
   }
 
   /** An endpoint refused what only a primary takes. */
   refused (endpoint: EndpointId, now: Instant): Leadership {
-    const disowned = new Set([...this.fields.disowned, endpoint])
-    if (endpoint !== this.fields.leader) return this.with({ disowned })
-    return this.with({ disowned, leader: undefined, term: 0, lostAt: now })
+    const next = this.with({ disowned: new Set([...this.fields.disowned, endpoint]) })
+    if (endpoint !== this.fields.leader) return next
+    const { claimed } = next
+    return claimed === undefined ? next.with({ leader: undefined, term: 0, lostAt: now }) : next.lead(claimed, 0)
   }
 
   /** An endpoint did what only a primary can, or said that it's primary, in the term. */
   proved (endpoint: EndpointId, term: number): Leadership {
-    const { leader, disowned } = this.fields
+    const { leader } = this.fields
     if (endpoint === leader && term === this.fields.term) return this
     if (endpoint !== leader && term <= this.fields.term) return this
-    return this.with({ leader: endpoint, term, disowned: new Set([...disowned].filter(id => id !== endpoint)) })
+    const next = this.lead(endpoint, term)
+    const { disowned, replaced } = next.fields
+    return next.with({ disowned: without(disowned, endpoint), replaced: without(replaced, endpoint) })
+  }
+
+  /** The listed primary that is most to be believed; one that was replaced is the last resort, since its own refusal corrects it. */
+  private get claimed (): EndpointId | undefined {
+    const { claims, disowned, replaced } = this.fields
+    const usable = claims.filter(id => !disowned.has(id))
+    return usable.find(id => !replaced.has(id)) ?? usable[0]
+  }
+
+  private lead (leader: EndpointId, term: number): Leadership {
+    const { leader: old, replaced } = this.fields
+    if (old === leader) return this.with({ term: term === 0 ? this.fields.term : term })
+    return this.with({ leader, term, replaced: old === undefined ? replaced : new Set([...replaced, old]) })
   }
 
   private with (change: Partial<Fields>): Leadership {
     return new Leadership({ ...this.fields, ...change })
   }
 }
+
+function without (ids: ReadonlySet<EndpointId>, id: EndpointId): ReadonlySet<EndpointId> {
+  return new Set([...ids].filter(other => other !== id))
+}
