A host that lost the primary has its statements run by one that reaches it

Ruled out: a majority that has the primary replaced (a promotion and lost commits for a cut of the network); new connections through the other host (the endpoint counts the lost ones for three seconds and takes no others). Change: an objection names the endpoint; a host that finds the primary out of reach opens, for one operation, a session at a host that objected in the last 2.5 s, brings it to its caller's values and names, and runs the statement or the transaction there. A session that came from another host isn't sent on again.

--- /dev/null
+++ b/src/core/pool/reach.test.ts
@@ -0,0 +1,25 @@
+/** Who is asked to run statements at an endpoint that this host lost. */
+
+import { expect, it } from 'vitest'
+import type { EndpointId } from '../id/endpoint.ts'
+import type { Instant } from '../id/instant.ts'
+import type { PoolHost } from './host.ts'
+import { Reach } from './reach.ts'
+
+/** Objections such as `h1@0 h2@900`, all about the endpoint `a`; who reaches it at the time. */
+function reached (now: number, objections: string, endpoint = 'a'): string {
+  const reach = objections.split(' ').reduce((sum, text) => {
+    const [id, at] = text.split('@')
+    return sum.with('a' as EndpointId, { id } as PoolHost, Number(at) as Instant)
+  }, Reach.none)
+  return reach.hosts(endpoint as EndpointId, now as Instant).map(({ id }) => id).join(' ')
+}
+
+it.each<[string, number, string, string]>([
+  ['one that objected just now', 100, 'h1@0', 'h1'],
+  ['two of them', 1000, 'h1@0 h2@900', 'h1 h2'],
+  ['one that objected again', 3000, 'h1@0 h2@100 h1@2000', 'h1'],
+  ['none for long', 3000, 'h1@0', '']
+])('%s', (_name, now, objections, hosts) => expect(reached(now, objections)).toBe(hosts))
+
+it('nobody for another endpoint', () => expect(reached(0, 'h1@0', 'b')).toBe(''))
--- a/src/core/pool/target.ts
+++ b/src/core/pool/target.ts
@@ -1,6 +1,7 @@
 /** Where one try of an operation goes. */
 
 import type { EndpointId } from '../id/endpoint.ts'
+import type { PoolHost } from './host.ts'
 import type { Token } from '../token.ts'
 
 export interface Target {
@@ -9,4 +10,6 @@
   readonly after: Token | undefined
   /** Whether the endpoint has to prove that it leads. */
   readonly mustLead: boolean
+  /** The host that runs it there, when this one doesn't reach the endpoint. */
+  readonly via?: PoolHost
 }
--- a/src/shell/pool/attempt.ts
+++ b/src/shell/pool/attempt.ts
@@ -5,19 +5,19 @@
 import type { Answer } from '../../core/statement/answer.ts'
 import type { Command } from '../../core/statement/command.ts'
 import type { PoolGroup } from './group.ts'
-import type { Lender } from './lender.ts'
 import type { EndpointLink } from './link.ts'
+import type { Loans } from './loans.ts'
 
 /** A connection on loan, with what it belongs to. */
 export class Attempt {
-  private constructor (readonly group: PoolGroup, readonly lender: Lender, readonly link: EndpointLink) {}
+  private constructor (readonly group: PoolGroup, readonly loans: Loans, readonly link: EndpointLink) {}
 
-  static on (group: PoolGroup, lender: Lender, link: EndpointLink): Attempt {
-    return new Attempt(group, lender, link)
+  static on (group: PoolGroup, loans: Loans, link: EndpointLink): Attempt {
+    return new Attempt(group, loans, link)
   }
 
   get endpoint (): EndpointId {
-    return this.lender.endpoint.id
+    return this.loans.endpoint.id
   }
 
   /**
@@ -40,9 +40,9 @@
 
   /** Gives the connection back; a transaction that is open on it is rolled back first. */
   end (): void {
-    const { link, lender } = this
-    if (!link.isOpen || !link.isInTransaction) return lender.giveBack(link)
-    link.ask([{ kind: 'rollback' }], ROLLBACK_MS).then(() => lender.giveBack(link))
+    const { link, loans } = this
+    if (!link.isOpen || !link.isInTransaction) return loans.giveBack(link)
+    link.ask([{ kind: 'rollback' }], ROLLBACK_MS).then(() => loans.giveBack(link))
   }
 
   /**
@@ -56,7 +56,7 @@
 
   private lose (lost: 'broken' | 'outOfTime'): Ending {
     this.group.missed(this.endpoint)
-    if (lost === 'outOfTime') this.lender.distrust()
+    if (lost === 'outOfTime') this.loans.distrust()
     return lost
   }
 }
--- a/src/shell/pool/context.ts
+++ b/src/shell/pool/context.ts
@@ -8,6 +8,7 @@
 import type { LineBudget } from '../../core/pool/linebudget.ts'
 import type { Log } from '../log/log.ts'
 import type { Auditor } from './auditor.ts'
+import type { Dialer } from './dialer.ts'
 import type { PoolGroup } from './group.ts'
 import type { PoolMetrics } from './metrics.ts'
 
@@ -21,6 +22,8 @@
   readonly self: HostId
   /** Hosts that have connections for the database, the best first; empty when this host serves it itself. */
   readonly placesFor: (database: string) => readonly PoolHost[]
+  /** Opens a connection to a host that reaches an endpoint of the database. */
+  readonly dialHost: (host: PoolHost, database: string, timeoutMs: number) => ReturnType<Dialer['dialHost']>
   readonly group: (id: GroupId) => PoolGroup | undefined
   readonly budget: SharedBudget
   readonly log: Log
--- a/src/shell/pool/group.ts
+++ b/src/shell/pool/group.ts
@@ -11,7 +11,9 @@
 import { Contact } from '../../core/pool/contact.ts'
 import type { Handover } from '../../core/pool/handover.ts'
 import { Leadership } from '../../core/pool/leadership.ts'
+import type { PoolHost } from '../../core/pool/host.ts'
 import { Progress } from '../../core/pool/progress.ts'
+import { Reach } from '../../core/pool/reach.ts'
 import { Standing } from '../../core/pool/standing.ts'
 import type { Token } from '../../core/token.ts'
 import type { Log } from '../log/log.ts'
@@ -46,6 +48,7 @@
   private share = 1
   /** The newest that was announced; an old one concerns an endpoint that doesn't lead any more. */
   private handover: Handover | undefined
+  private reach = Reach.none
   private readonly waiting = new Set<() => void>()
   /** For those who wait for an answer of an endpoint. */
   readonly watchers = Watchers.create()
@@ -89,6 +92,17 @@
     return this.contacts.get(id) ?? Contact.none
   }
 
+  /** Another host reaches the endpoint. */
+  reachedBy (id: EndpointId, host: PoolHost): void {
+    this.reach = this.reach.with(id, host, clock.now())
+  }
+
+  /** A host that reached the endpoint lately, in this data centre if there is one; undefined when none did. */
+  hostFor (id: EndpointId | undefined): PoolHost | undefined {
+    const hosts = id === undefined ? [] : this.reach.hosts(id, clock.now())
+    return hosts.find(({ dataCentre }) => dataCentre === this.options.dataCentre) ?? hosts[0]
+  }
+
   /** Whether there is a leader that this host doesn't reach. */
   isLeaderOut (): boolean {
     return this.leader !== undefined && this.contact(this.leader).isFailing(clock.now())
--- a/src/shell/pool/lender.ts
+++ b/src/shell/pool/lender.ts
@@ -14,6 +14,7 @@
 import type { Dialer } from './dialer.ts'
 import type { DialFault } from './dialfault.ts'
 import type { EndpointLink } from './link.ts'
+import type { Loans } from './loans.ts'
 
 interface Wish {
   readonly rank: number
@@ -53,7 +54,7 @@
 /** The time to come back to an endpoint that is out of reach: about the time in which a successor is found. */
 const OUT_MS = 500
 
-export class Lender {
+export class Lender implements Loans {
   private readonly admission: Admission
   private readonly idle: EndpointLink[] = []
   private readonly loans = new Map<EndpointLink, number>()
--- a/src/shell/pool/node.ts
+++ b/src/shell/pool/node.ts
@@ -69,6 +69,7 @@
       self: options.self.id,
       catchUp: async (version, host) => await this.catchUp(version, host),
       placesFor: database => this.placesFor(database),
+      dialHost: async (host, database, ms) => await options.platform.dialer.dialHost(host, database, this.config.version, ms),
       group: id => this.groups.get(id),
       budget: SharedBudget.create(clock.now()),
       lines: LineBudget.create(clock.now()),
@@ -230,7 +231,7 @@
       table: TABLE,
       log,
       metrics,
-      hosts: () => this.membership.hosts.map(({ id }) => id),
+      hosts: () => this.membership.hosts,
       isSynchronous: () => this.config.group(group.id)?.isSynchronous === true,
       signal: this.signal
     })
--- a/src/shell/pool/runner.ts
+++ b/src/shell/pool/runner.ts
@@ -25,11 +25,11 @@
   private newest = Token.zero
   private isOwnUnknown = false
 
-  private constructor (private readonly ctx: PoolContext, private readonly database: string, private readonly values: Values) {}
+  private constructor (private readonly ctx: PoolContext, private readonly database: string, private readonly values: Values, private readonly mayDetour: boolean) {}
 
-  /** `values`: what the session has set and prepared, now and later. */
-  static create (ctx: PoolContext, database: string, values: Values): Runner {
-    return new Runner(ctx, database, values)
+  /** `values`: what the session has set and prepared, now and later. `mayDetour`: whether other hosts may run its statements. */
+  static create (ctx: PoolContext, database: string, values: Values, mayDetour: boolean): Runner {
+    return new Runner(ctx, database, values, mayDetour)
   }
 
   /** The session's newest commit. */
@@ -49,9 +49,9 @@
     return await tryAll(this.ctx, { ...this.common(route, work, deadline, trail), mustLead, isInside: false, run })
   }
 
-  private common (route: Route, work: Work, deadline: Instant, trail: Trail): Pick<Tries, 'route' | 'database' | 'what' | 'deadline' | 'own' | 'values' | 'trail'> {
-    const { database, own, values } = this
-    return { route, database, what: work.what, deadline, own, values, trail }
+  private common (route: Route, work: Work, deadline: Instant, trail: Trail): Pick<Tries, 'route' | 'database' | 'what' | 'deadline' | 'own' | 'values' | 'mayDetour' | 'trail'> {
+    const { database, own, values, mayDetour } = this
+    return { route, database, what: work.what, deadline, own, values, mayDetour, trail }
   }
 
   private readsAtPrimary ({ freshness }: Route): boolean {
--- a/src/shell/pool/successor.ts
+++ b/src/shell/pool/successor.ts
@@ -3,6 +3,7 @@
 import type { EndpointId } from '../../core/id/endpoint.ts'
 import type { HostId } from '../../core/id/host.ts'
 import { Handover } from '../../core/pool/handover.ts'
+import type { PoolHost } from '../../core/pool/host.ts'
 import { Lease } from '../../core/pool/lease.ts'
 import { Succession } from '../../core/pool/succession.ts'
 import type { SuccessionAction } from '../../core/pool/successionaction.ts'
@@ -31,7 +32,7 @@
   readonly log: Log
   readonly metrics: PoolMetrics
   /** Hosts that are alive. */
-  readonly hosts: () => readonly HostId[]
+  readonly hosts: () => readonly PoolHost[]
   /** Milliseconds for which an endpoint serves after it said that it leaves. */
   readonly drainMs: number
   /** Whether a commit waits for a replica, so that the successor must hold what any replica acknowledged. */
@@ -50,7 +51,7 @@
 
 const leaseShape = z.object({ holder: z.string(), asksFor: z.string().optional() })
 const handoverShape = z.object({ old: z.string(), successor: z.string() })
-const objectionShape = z.object({ fence: z.number() })
+const objectionShape = z.object({ fence: z.number(), endpoint: z.string() })
 
 export class Successor {
   private succession = Succession.create(clock.now())
@@ -92,9 +93,13 @@
     if (this.lease.asksFor !== undefined && holder !== this.options.host) this.considerObjection(this.lease.asksFor, version)
   }
 
-  objectionMade ({ value }: Row): void {
-    const fence = fenceOf(value)
-    if (fence !== undefined) this.step({ kind: 'objected', fence })
+  objectionMade ({ key, value }: Row): void {
+    const objection = objectionOf(value)
+    if (objection === undefined) return
+    const { fence, endpoint } = objection
+    const host = this.options.hosts().find(({ id }) => key.endsWith(`/${id}`))
+    if (host !== undefined && host.id !== this.options.host) this.options.group.reachedBy(endpoint, host)
+    this.step({ kind: 'objected', fence })
   }
 
   handoverAnnounced ({ value }: Row): void {
@@ -108,7 +113,7 @@
     const { group, host, hosts, drainMs } = this.options
     const { leader, endpoints } = group
     const now = clock.age()
-    const byRank = [...hosts()].sort((a, b) => weightOf(`${group.id}/${b}`) - weightOf(`${group.id}/${a}`))
+    const byRank = hosts().map(({ id }) => id).sort((a, b) => weightOf(`${group.id}/${b}`) - weightOf(`${group.id}/${a}`))
     const listed = leader === undefined ? undefined : group.endpoint(leader)
     return {
       leader,
@@ -158,7 +163,7 @@
     const { group, platform, table, log, signal } = this.options
     platform.store.read(table, signal).then(read => {
       if (read.isErr()) return this.step({ kind: 'claimLost' })
-      const objections = read.value.rows.filter(({ key, value }) => key.startsWith(`objection/${group.id}/`) && fenceOf(value) === fence)
+      const objections = read.value.rows.filter(({ key, value }) => key.startsWith(`objection/${group.id}/`) && objectionOf(value)?.fence === fence)
       log.write('objectionsRead', { group: group.id, fence, objections: objections.length })
       this.step(objections.length > 0 ? { kind: 'objected', fence } : { kind: 'confirmed', fence })
     })
@@ -244,13 +249,13 @@
     this.probes.leads(endpoint).then(isThere => {
       if (!isThere || group.leader !== endpoint) return
       log.write('objected', { group: group.id, endpoint, fence })
-      platform.store.change([{ table, key: `objection/${group.id}/${host}`, value: JSON.stringify({ fence }) }], signal)
+      platform.store.change([{ table, key: `objection/${group.id}/${host}`, value: JSON.stringify({ fence, endpoint }) }], signal)
     })
   }
 }
 
-/** The fence under which an objection was made; undefined for a row that was erased or can't be read. */
-function fenceOf (value: string | undefined): number | undefined {
+/** The fence under which an objection was made, and the endpoint that its host reaches; undefined for a row that was erased or can't be read. */
+function objectionOf (value: string | undefined): { readonly fence: number, readonly endpoint: EndpointId } | undefined {
   const parsed = objectionShape.safeParse(value === undefined ? undefined : readJson(value))
-  return parsed.success ? parsed.data.fence : undefined
+  return parsed.success ? { fence: parsed.data.fence, endpoint: parsed.data.endpoint as EndpointId } : undefined
 }
--- a/src/shell/pool/target.ts
+++ b/src/shell/pool/target.ts
@@ -12,6 +12,8 @@
   readonly freshness: Freshness
   /** The session's newest commit. */
   readonly own: Token
+  /** Whether another host may run it; not for one that came from another host. */
+  readonly mayDetour: boolean
   /** Endpoints that refused this operation as replicas or were out of reach. */
   readonly tried: ReadonlySet<EndpointId>
 }
@@ -24,7 +26,7 @@
 const NEWS_MS = 100
 
 /** Resolves with undefined when nothing can serve it now. */
-export async function nextTarget (group: PoolGroup, { mustLead, freshness, own, tried }: Wanted): Promise<Target | undefined> {
+export async function nextTarget (group: PoolGroup, { mustLead, freshness, own, mayDetour, tried }: Wanted): Promise<Target | undefined> {
   if (!mustLead && freshness.kind === 'age') {
     const after = group.required(own, freshness.ms)
     const endpoint = after === undefined ? undefined : group.readers(after).find(id => !tried.has(id))
@@ -32,7 +34,13 @@
   }
   // Against requests that are held for their whole time before they are refused: what would go to a primary that
   // is out of reach is known not to be served until it's replaced.
-  if (group.isLeaderOut()) return undefined
+  if (group.isLeaderOut()) return mayDetour ? detour(group) : undefined
   const leader = group.leader ?? await group.awaitLeader(NEWS_MS - group.leaderlessMs())
   return leader === undefined ? undefined : { endpoint: leader, after: undefined, mustLead: true }
 }
+
+function detour (group: PoolGroup): Target | undefined {
+  const { leader } = group
+  const via = group.hostFor(leader)
+  return leader === undefined || via === undefined ? undefined : { endpoint: leader, after: undefined, mustLead: true, via }
+}
--- a/src/shell/pool/tries.ts
+++ b/src/shell/pool/tries.ts
@@ -18,6 +18,8 @@
   readonly deadline: Instant
   /** Whether only the primary may do it. */
   readonly mustLead: boolean
+  /** Whether another host may run it. */
+  readonly mayDetour: boolean
   /** Whether it begins a caller's transaction. */
   readonly isInside: boolean
   /** The session's newest commit, and what it has set and prepared. */
--- a/src/shell/pool/tryall.ts
+++ b/src/shell/pool/tryall.ts
@@ -2,6 +2,7 @@
 
 import type { EndpointId } from '../../core/id/endpoint.ts'
 import type { Ending } from '../../core/pool/ending.ts'
+import type { PoolHost } from '../../core/pool/host.ts'
 import type { Target } from '../../core/pool/target.ts'
 import { verdictOf } from '../../core/pool/verdict.ts'
 import type { Fault } from '../../core/statement/fault.ts'
@@ -9,6 +10,7 @@
 import { Attempt } from './attempt.ts'
 import { clock } from './clock.ts'
 import type { PoolContext } from './context.ts'
+import { Detour } from './detour.ts'
 import type { PoolGroup } from './group.ts'
 import { left } from './left.ts'
 import { noteTry } from './notetry.ts'
@@ -24,13 +26,13 @@
 
 /** Resolves always, within the operation's time. */
 export async function tryAll (ctx: PoolContext, tries: Tries): Promise<Run> {
-  const { route, mustLead, deadline, own } = tries
+  const { route, mustLead, deadline, own, mayDetour } = tries
   const group = ctx.group(route.group)
   let last: Refused = { fault: 'busy', retryAfterMs: LEADERLESS_MS }
   if (group === undefined) return last
   const tried = new Set<EndpointId>()
   for (let i = 0; i < MOST_TRIES && left(deadline) > 0; i++) {
-    const target = await nextTarget(group, { mustLead, freshness: route.freshness, own, tried })
+    const target = await nextTarget(group, { mustLead, freshness: route.freshness, own, mayDetour, tried })
     if (target === undefined) return last
     tried.add(target.endpoint)
     const run = await tryOnce(ctx, group, target, tries)
@@ -53,16 +55,17 @@
  */
 async function tryOnce (ctx: PoolContext, group: PoolGroup, target: Target, tries: Tries): Promise<Once> {
   const began = clock.now()
-  const { endpoint, after, mustLead } = target
+  const { after, mustLead } = target
+  const endpoint = target.via === undefined ? target.endpoint : Detour.by(target.via).endpoint.id
   const note = (ending: string, position?: Token) => noteTry(ctx, tries.trail, {
     endpoint, after, mustLead, what: tries.what, isInside: tries.isInside, hasWritten: false, ending, position, ms: clock.now() - began
   })
-  const attempt = await borrow(group, target, tries)
+  const attempt = target.via === undefined ? await borrow(group, target, tries) : await detour(ctx, group, target.via, tries)
   if (!(attempt instanceof Attempt)) {
     note('no connection')
     return { kind: target.mustLead ? 'refused' : 'elsewhere', refused: attempt }
   }
-  const unwatch = tries.what === 'read' ? group.watchers.watch(target.endpoint, () => attempt.link.close()) : undefined
+  const unwatch = tries.what === 'read' && target.via === undefined ? group.watchers.watch(target.endpoint, () => attempt.link.close()) : undefined
   const answer = await tries.run(attempt, target)
   unwatch?.()
   if (typeof answer === 'string') note(answer)
@@ -89,6 +92,11 @@
   return { fault: 'busy', retryAfterMs: borrowed.error.retryAfterMs }
 }
 
+async function detour (ctx: PoolContext, group: PoolGroup, host: PoolHost, { database, deadline }: Tries): Promise<Attempt | Refused> {
+  const dialled = await ctx.dialHost(host, database, left(deadline))
+  return dialled.isOk() ? Attempt.on(group, Detour.by(host), dialled.value) : { fault: 'busy', retryAfterMs: LEADERLESS_MS }
+}
+
 /** How an ending that proves "not run" is told when no endpoint is left. */
 function faultOf (ending: Ending): Fault {
   return ending === 'broken' || ending === 'outOfTime' || ending === 'unknownStatement' ? 'aborted' : ending
--- a/standin/lines/host.ts
+++ b/standin/lines/host.ts
@@ -1,6 +1,7 @@
 /** One host of a stage: a node on the line protocol, in the process of a test. */
 
 import { PlatformBlobs } from '../../platform/blobs.ts'
+import { err } from 'neverthrow'
 import { parsePoolConfig } from '../../platform/document.ts'
 import { Front } from '../../platform/front.ts'
 import { LineLink } from '../../platform/link.ts'
@@ -22,14 +23,15 @@
 const INCARNATION = '0123456789ab'
 
 export class LineHost {
-  private constructor (readonly node: PoolNode, readonly port: number, readonly knowledgePort: number, private readonly store: CuttableStore, private readonly fronts: readonly Front[], private readonly stopped: AbortController, readonly auditor: Auditor) {}
+  private constructor (readonly node: PoolNode, readonly port: number, readonly knowledgePort: number, private readonly store: CuttableStore, private readonly fronts: readonly Front[], private readonly stopped: AbortController, readonly auditor: Auditor, private readonly cut: Set<string>) {}
 
   /** `seeds`: ports at which it may ask other hosts what they know. */
   static async start (id: string, storePort: number, log: Log, seeds: readonly number[] = []): Promise<LineHost> {
     const [port, peerPort, knowledgePort] = await freePorts(3) as [number, number, number]
     const stopped = new AbortController()
     const address = { ip: IP, port: storePort }
-    const cut = CuttableStore.create(PlatformStore.create({ address, timeoutMs: CALL_MS }))
+    const cut = new Set<string>()
+    const store = CuttableStore.create(PlatformStore.create({ address, timeoutMs: CALL_MS }))
     const metrics = PoolMetrics.create()
     const blobs = PlatformBlobs.create({ address, timeoutMs: CALL_MS, signal: stopped.signal })
     const auditor = Auditor.start({ host: id as HostId, incarnation: INCARNATION, store: blobs, log, metrics }, stopped.signal)
@@ -42,17 +44,20 @@
       metrics,
       chance: () => 0.5,
       platform: {
-        store: cut,
+        store,
         peers: SeedPeers.create(seeds.map(seed => ({ ip: IP, port: seed }))),
         orders: PlatformOrders.create({ address, timeoutMs: CALL_MS }),
-        dialer: { dial: async (endpoint, timeoutMs) => await LineLink.dial(endpoint, id, timeoutMs) },
+        dialer: {
+          dial: async (endpoint, timeoutMs) => cut.has(endpoint.id) ? err('unreachable') : await LineLink.dial(endpoint, id, timeoutMs),
+          dialHost: async (host, database, version, timeoutMs) => await LineLink.dialHost(host, database, id, version, timeoutMs)
+        },
         config: { table: 'op', key: 'config', parse: parsePoolConfig },
         endpoints: { table: 'servers', parse: parseEndpoint }
       }
     }, stopped.signal)
     SeedPeers.serve({ ip: IP, port: knowledgePort }, () => node.knowledge, stopped.signal)
     const fronts = [Front.create(node.context, { ip: IP, port }), Front.create(node.context, { ip: IP, port: peerPort }, true)]
-    return new LineHost(node, port, knowledgePort, cut, fronts, stopped, auditor)
+    return new LineHost(node, port, knowledgePort, store, fronts, stopped, auditor, cut)
   }
 
   /** Leaves in order, within the time. */
@@ -60,6 +65,11 @@
     await Promise.all(this.fronts.map(async front => await front.leave(graceMs)))
   }
 
+  /** From now on it opens no connection to the endpoint. */
+  cutFrom (endpoint: string): void {
+    this.cut.add(endpoint)
+  }
+
   /** From now on the store answers this host nothing. */
   cutFromStore (): void {
     this.store.cut()
