Audit records are made two seconds after their statements

Change: a statement leaves its facts, without its rows, and records are made of them every two seconds; the id that an error names is given at once. Beyond 50,000 that wait, the rest is dropped and counted.

--- a/src/core/pool/audited.test.ts
+++ b/src/core/pool/audited.test.ts
@@ -7,7 +7,6 @@
 import type { GroupId } from '../id/group.ts'
 import type { Instant } from '../id/instant.ts'
 import type { Fault } from '../statement/fault.ts'
-import type { Reply } from '../statement/reply.ts'
 import { Token } from '../token.ts'
 import { auditRecordOf } from './audited.ts'
 import type { Route } from './route.ts'
@@ -18,14 +17,13 @@
 const PLAIN: Try = {
   endpoint: 'a' as EndpointId, what: 'read', isInside: false, hasWritten: false, mustLead: false, ending: 'done', after: undefined, position: Token.of(1, 9), startMs: 0, ms: 5
 }
-const DONE: Reply = { kind: 'done', rows: '', proof: 'p' }
-const refused = (fault: Fault): Reply => ({ kind: 'refused', fault, message: '' })
+type Ending = 'done' | Fault
 
-function record (reply: Reply, ...tries: ReadonlyArray<Partial<Try>>) {
+function record (ending: Ending, ...tries: ReadonlyArray<Partial<Try>>) {
   const trail = Trail.begin(0 as Instant)
   for (const one of tries) trail.add({ ...PLAIN, ...one })
   return auditRecordOf({
-    id: 'h.0123456789ab.1.1', at: 0, request: 'q1', session: 's', caller: 'c', database: 'db', route: ROUTE, config: 3, kind: 'read', transaction: 't', trail, reply, tookMs: 7
+    id: 'h.0123456789ab.1.1', at: 0, request: 'q1', session: 's', caller: 'c', database: 'db', route: ROUTE, config: 3, kind: 'read', transaction: 't', trail, ending, tookMs: 7
   })
 }
 
@@ -33,37 +31,37 @@
 const COMMIT = { what: 'commit', isInside: true, hasWritten: true, mustLead: true } as const
 
 it.each<[string, ReturnType<typeof record>, string, string]>([
-  ['a read at a replica', record(DONE, { after: Token.of(1, 7) }), 'done', 'held'],
-  ['a strict read', record(DONE, { mustLead: true }), 'done', 'led'],
-  ['a write', record(DONE, WRITE), 'done', 'committed'],
-  ['a commit', record(DONE, COMMIT), 'done', 'committed'],
-  ['a write inside of a transaction', record(DONE, { ...WRITE, isInside: true }), 'done', 'led'],
-  ['a replica that is behind', record(refused('behind'), { ending: 'behind', after: Token.of(1, 7) }), 'notRun', 'notRun'],
-  ['no connection', record(refused('busy'), { ending: 'no connection' }), 'notRun', 'notRun'],
-  ['nobody leads', record(refused('busy')), 'notRun', 'notRun'],
-  ['a transaction that broke before its commit', record(refused('aborted'), { ...WRITE, isInside: true, ending: 'broken' }), 'notRun', 'notRun'],
-  ['a commit without an answer', record(refused('unknown'), { ...COMMIT, ending: 'broken' }), 'unknown', 'none'],
-  ['a write without an answer', record(refused('unknown'), { ...WRITE, ending: 'outOfTime' }), 'unknown', 'none'],
-  ['a read that broke, and found no other endpoint', record(refused('busy'), { ending: 'broken' }), 'notRun', 'noEffect'],
-  ['a commit that its successor lacks', record(refused('unknown'), COMMIT, { ...COMMIT, endpoint: 'b' as EndpointId, ending: 'not received' }), 'unknown', 'none']
+  ['a read at a replica', record('done', { after: Token.of(1, 7) }), 'done', 'held'],
+  ['a strict read', record('done', { mustLead: true }), 'done', 'led'],
+  ['a write', record('done', WRITE), 'done', 'committed'],
+  ['a commit', record('done', COMMIT), 'done', 'committed'],
+  ['a write inside of a transaction', record('done', { ...WRITE, isInside: true }), 'done', 'led'],
+  ['a replica that is behind', record('behind', { ending: 'behind', after: Token.of(1, 7) }), 'notRun', 'notRun'],
+  ['no connection', record('busy', { ending: 'no connection' }), 'notRun', 'notRun'],
+  ['nobody leads', record('busy'), 'notRun', 'notRun'],
+  ['a transaction that broke before its commit', record('aborted', { ...WRITE, isInside: true, ending: 'broken' }), 'notRun', 'notRun'],
+  ['a commit without an answer', record('unknown', { ...COMMIT, ending: 'broken' }), 'unknown', 'none'],
+  ['a write without an answer', record('unknown', { ...WRITE, ending: 'outOfTime' }), 'unknown', 'none'],
+  ['a read that broke, and found no other endpoint', record('busy', { ending: 'broken' }), 'notRun', 'noEffect'],
+  ['a commit that its successor lacks', record('unknown', COMMIT, { ...COMMIT, endpoint: 'b' as EndpointId, ending: 'not received' }), 'unknown', 'none']
 ])('%s', (_name, { fields, last }, outcome, promise) => {
   expect([fields.outcome, last?.evidence?.promise ?? 'none']).toEqual([outcome, promise])
 })
 
 it('a commit that its successor received is acknowledged by the endpoint that led', () => {
-  const one = record(DONE, COMMIT, { ...COMMIT, endpoint: 'b' as EndpointId, ending: 'received' })
+  const one = record('done', COMMIT, { ...COMMIT, endpoint: 'b' as EndpointId, ending: 'received' })
   expect([one.fields.attempts.length, one.last!.endpoint, one.last!.token]).toEqual([1, 'a', '1:9'])
 })
 
 it('records show the promises of a session as kept, and one that was not', () => {
   const at = (ms: number, one: ReturnType<typeof record>) => Object.assign(one, { fields: { ...one.fields, at: ms } })
-  const written = at(0, record(DONE, { ...WRITE, position: Token.of(1, 12) }))
-  expect(checkPromises([written, at(500, record(DONE, { after: Token.of(1, 12) }))], 0).kept.readYourWrites).toBe(1)
-  expect(checkPromises([written, at(500, record(DONE, { after: Token.of(1, 11) }))], 0).broken).toHaveLength(1)
+  const written = at(0, record('done', { ...WRITE, position: Token.of(1, 12) }))
+  expect(checkPromises([written, at(500, record('done', { after: Token.of(1, 12) }))], 0).kept.readYourWrites).toBe(1)
+  expect(checkPromises([written, at(500, record('done', { after: Token.of(1, 11) }))], 0).broken).toHaveLength(1)
 })
 
 it('a story names the endpoints, the proof and the outcome', () => {
-  const told = explanationOf(record(DONE, { ending: 'behind', after: Token.of(1, 12) }, { endpoint: 'b' as EndpointId, mustLead: true, startMs: 5 })).join(' ')
+  const told = explanationOf(record('done', { ending: 'behind', after: Token.of(1, 12) }, { endpoint: 'b' as EndpointId, mustLead: true, startMs: 5 })).join(' ')
   expect(told).toContain('went to a (read) and was not run')
   expect(told).toContain('went to b (strict) and was done')
   expect(told).toContain('its endpoint led while it ran')
--- a/src/core/pool/audited.ts
+++ b/src/core/pool/audited.ts
@@ -6,7 +6,6 @@
 import type { Outcome } from '../outcome.ts'
 import type { ReasonName } from '../reasonname.ts'
 import type { Fault } from '../statement/fault.ts'
-import type { Reply } from '../statement/reply.ts'
 import type { Statement } from '../statement/statement.ts'
 import type { Route } from './route.ts'
 import type { Trail } from './trail.ts'
@@ -27,7 +26,7 @@
   readonly kind: Statement['kind'] | 'none'
   readonly transaction: string | undefined
   readonly trail: Trail
-  readonly reply: Reply
+  readonly ending: 'done' | Fault
   readonly tookMs: number
 }
 
@@ -67,7 +66,7 @@
 const RECEIPT = 'received'
 
 export function auditRecordOf (audited: Audited): AuditRecord {
-  const { id, at, request, session, caller, database, route, config, kind, trail, reply, tookMs } = audited
+  const { id, at, request, session, caller, database, route, config, kind, trail, ending, tookMs } = audited
   const { freshness } = route ?? {}
   const isRead = trail.tries[0]?.what === 'read'
   const begun = AuditRecord.begin({
@@ -86,16 +85,16 @@
     deadlineMs: route?.statementMs ?? 0
   })
   const attempts = attemptsOf(audited)
-  const outcome = reply.kind === 'done' ? 'done' : OUTCOMES[reply.fault]
+  const outcome = ending === 'done' ? ending : OUTCOMES[ending]
   return attempts.reduce((record, attempt) => record.attempted(attempt), begun).ended(outcome, tenths(tookMs))
 }
 
-function attemptsOf ({ trail, reply, route, transaction }: Audited): readonly Attempt[] {
+function attemptsOf ({ trail, ending, route, transaction }: Audited): readonly Attempt[] {
   const tries = trail.tries.filter(({ ending }) => ending !== RECEIPT)
-  if (tries.length > 0 || reply.kind === 'done') return tries.map(one => attemptOf(one, route, transaction))
-  const reason = UNTRIED.get(reply.fault)
+  if (tries.length > 0 || ending === 'done') return tries.map(one => attemptOf(one, route, transaction))
+  const reason = UNTRIED.get(ending)
   const evidence: Evidence | undefined = reason === undefined ? undefined : { promise: 'notRun', reason }
-  return [{ endpoint: '', access: 'none', startMs: 0, tookMs: 0, outcome: OUTCOMES[reply.fault], reason: reason ?? reply.fault, evidence }]
+  return [{ endpoint: '', access: 'none', startMs: 0, tookMs: 0, outcome: OUTCOMES[ending], reason: reason ?? ending, evidence }]
 }
 
 function attemptOf (one: Try, route: Route | undefined, transaction: string | undefined): Attempt {
--- a/src/shell/pool/auditor.ts
+++ b/src/shell/pool/auditor.ts
@@ -4,7 +4,7 @@
 import { AuditId } from '../../core/audit/id.ts'
 import { Batches } from '../audit/batches.ts'
 
-type Audited = Omit<Parameters<typeof auditRecordOf>[0], 'id' | 'at'>
+type Audited = Parameters<typeof auditRecordOf>[0]
 type Options = Omit<Parameters<typeof Batches.start>[0], 'limits'>
 
 /**
@@ -13,27 +13,45 @@
  * second (250 characters a record), within a twentieth of the memory that hosts have.
  */
 const LIMITS = { records: 5000, bytes: 1_048_576, ageMs: 10_000, bufferBytes: 8_388_608 }
+/**
+ * What statements leave is made into records so much later: a process that has just started serves those who
+ * wait for it first. More than so many are dropped and counted, as at a hundred times the planned load of a host.
+ */
+const LATER_MS = 2000
+const MOST_WAITING = 50_000
 
 export class Auditor {
   private count = 0
+  private waiting: Audited[] = []
 
   private constructor (private readonly options: Options, private readonly batches: Batches) {}
 
   static start (options: Options, signal: AbortSignal): Auditor {
-    return new Auditor(options, Batches.start({ ...options, limits: LIMITS }, signal))
+    const auditor = new Auditor(options, Batches.start({ ...options, limits: LIMITS }, signal))
+    const timer = setInterval(() => auditor.record(), LATER_MS)
+    signal.addEventListener('abort', () => clearInterval(timer), { once: true })
+    return auditor
   }
 
   /** Takes in a statement that has ended; the id of its record. */
-  take (audited: Audited): string {
-    const { host, incarnation } = this.options
+  take (audited: Omit<Audited, 'id' | 'at'>): string {
+    const { host, incarnation, metrics } = this.options
     const at = Math.round(Date.now() - audited.tookMs)
     const id = AuditId.of(host, incarnation, at, ++this.count).toString()
-    this.batches.keep(auditRecordOf({ ...audited, id, at }))
+    if (this.waiting.length < MOST_WAITING) this.waiting.push({ ...audited, id, at })
+    else metrics.audit.dropped.inc()
     return id
   }
 
   /** Stores what is in memory; resolves within `ms`. */
   async flush (ms: number): Promise<void> {
+    this.record()
     await this.batches.flush(ms)
   }
+
+  private record (): void {
+    const { waiting } = this
+    this.waiting = []
+    for (const audited of waiting) this.batches.keep(auditRecordOf(audited))
+  }
 }
--- a/src/shell/pool/explanation.ts
+++ b/src/shell/pool/explanation.ts
@@ -35,7 +35,7 @@
 function record ({ auditor, config }: PoolContext, { id, session, caller, kind, database, reply, trail, transaction }: Explained, tookMs: number): string | undefined {
   if (reply.kind === 'done' && trail.count === 0) return undefined
   const route = transaction?.route ?? config().route(database)
-  return auditor?.take({ request: id, session, caller, kind, database, route, config: config().version, transaction: transaction?.id, trail, reply, tookMs })
+  return auditor?.take({ request: id, session, caller, kind, database, route, config: config().version, transaction: transaction?.id, trail, ending: reply.kind === 'done' ? 'done' : reply.fault, tookMs })
 }
 
 function tell (ctx: PoolContext, explained: Explained, ms: number): void {
