Who waits and the survey of a group in files of their own

Waiting for a leader and waiting for a process to be ready were the same code twice (src/shell/pool/waiters.ts now); the questions of a survey left successor.ts.

--- a/src/shell/pool/group.ts
+++ b/src/shell/pool/group.ts
@@ -22,6 +22,7 @@
 import type { DialFault } from './dialfault.ts'
 import { Lender } from './lender.ts'
 import type { PoolMetrics } from './metrics.ts'
+import { Waiters } from './waiters.ts'
 import { Watchers } from './watchers.ts'
 
 interface Options {
@@ -49,7 +50,8 @@
   /** The newest that was announced; an old one concerns an endpoint that doesn't lead any more. */
   private handover: Handover | undefined
   private reach = Reach.none
-  private readonly waiting = new Set<() => void>()
+  /** For those who wait for a leader. */
+  private readonly waiting = Waiters.create()
   /** For those who wait for an answer of an endpoint. */
   readonly watchers = Watchers.create()
 
@@ -220,17 +222,7 @@
 
   /** Resolves with the leader as soon as there is one, or with undefined after the time. */
   async awaitLeader (ms: number): Promise<EndpointId | undefined> {
-    if (this.leader !== undefined || ms <= 0) return this.leader
-    await new Promise<void>(resolve => {
-      const timer = setTimeout(done, ms)
-      const { waiting } = this
-      function done (): void {
-        waiting.delete(done)
-        clearTimeout(timer)
-        resolve()
-      }
-      waiting.add(done)
-    })
+    if (this.leader === undefined && ms > 0) await this.waiting.wait(ms)
     return this.leader
   }
 
@@ -260,8 +252,7 @@
     if (next.leader === before) return
     this.options.metrics.leaderChanges.inc({ group: this.id })
     this.options.log.write('leaderChanged', { group: this.id, leader: next.leader ?? 'none', before: before ?? 'none', cause, term: this.progress.term, markAgeMs: Math.round(this.markAgeMs() ?? -1) })
-    if (next.leader === undefined) return
-    for (const wake of [...this.waiting]) wake()
+    if (next.leader !== undefined) this.waiting.wake()
   }
 
   private forget (id: EndpointId): void {
--- a/src/shell/pool/node.ts
+++ b/src/shell/pool/node.ts
@@ -22,6 +22,7 @@
 import type { Platform } from './platform.ts'
 import { Successor } from './successor.ts'
 import type { Row } from './row.ts'
+import { Waiters } from './waiters.ts'
 
 interface Options {
   readonly self: PoolHost
@@ -58,7 +59,8 @@
   private readonly membership: Membership
   private readonly configuration: Configuration
   private isStoreThere = false
-  private readonly starting: Array<() => void> = []
+  /** Callers who came before the process was ready. */
+  private readonly starting = Waiters.create()
   private readonly startedAt = clock.now()
 
   private constructor (private readonly options: Options, private readonly signal: AbortSignal) {
@@ -135,21 +137,13 @@
   }
 
   private async whenReady (ms: number): Promise<boolean> {
-    if (this.isReady) return true
-    await new Promise<void>(resolve => {
-      const timer = setTimeout(resolve, ms)
-      this.starting.push(() => {
-        clearTimeout(timer)
-        resolve()
-      })
-    })
+    if (!this.isReady) await this.starting.wait(ms)
     return this.isReady
   }
 
   /** Lets those in who came before the process was ready. */
   private letIn (): void {
-    if (!this.isReady) return
-    for (const enter of this.starting.splice(0)) enter()
+    if (this.isReady) this.starting.wake()
   }
 
   /** Takes this host out of the list of hosts. */
--- a/src/shell/pool/successor.ts
+++ b/src/shell/pool/successor.ts
@@ -9,9 +9,6 @@
 import type { SuccessionAction } from '../../core/pool/successionaction.ts'
 import type { SuccessionEvent } from '../../core/pool/successionevent.ts'
 import type { SuccessionView } from '../../core/pool/successionview.ts'
-import type { Command } from '../../core/statement/command.ts'
-import type { EndpointStatus } from '../../core/statement/status.ts'
-import type { Term } from '../../core/id/term.ts'
 import { readJson } from '../../core/readjson.ts'
 import { weightOf } from '../../core/weight.ts'
 import { z } from 'zod'
@@ -22,6 +19,7 @@
 import type { Platform } from './platform.ts'
 import { Probes } from './probes.ts'
 import type { Row } from './row.ts'
+import { surveyAll } from './surveyall.ts'
 
 interface Options {
   readonly host: HostId
@@ -169,31 +167,9 @@
     })
   }
 
-  /**
-   * Where commits wait for a replica, the replicas are stopped first: a commit
-   * that a replica acknowledged after it was asked would be missing in the log that was chosen.
-   * Elsewhere an old primary that hands over is asked before them, so that a
-   * replica which holds what it said has missed nothing until then.
-   */
   private survey ({ old, isHandover }: Pick<Survey, 'old' | 'isHandover'>, isStopped: boolean): void {
-    const { group } = this.options
-    const command: Command = isStopped ? { kind: 'pause', term: group.term + 1 as Term } : { kind: 'status' }
-    const statuses = new Map<EndpointId, EndpointStatus>()
-    const ask = async (id: EndpointId) => {
-      const status = await this.probes.ask(id, command)
-      if (status !== undefined) statuses.set(id, status)
-      this.tellSurveyed(id, status)
-    }
-    const others = group.endpoints.filter(({ id }) => id !== old)
-    const first = isHandover && !isStopped && old !== undefined ? ask(old) : Promise.resolve()
-    first
-      .then(async () => await Promise.all(others.map(async ({ id }) => await ask(id))))
-      .then(() => this.step({ kind: 'surveyed', statuses }))
-  }
-
-  private tellSurveyed (endpoint: EndpointId, status: EndpointStatus | undefined): void {
     const { group, log } = this.options
-    log.write('surveyed', { group: group.id, endpoint, answered: status !== undefined, received: String(status?.received ?? '-'), isPrimary: status?.isPrimary ?? false })
+    surveyAll({ group, probes: this.probes, log, old, isHandover, isStopped }).then(statuses => this.step({ kind: 'surveyed', statuses }))
   }
 
   private promote (action: Promote): void {
--- /dev/null
+++ b/src/shell/pool/surveyall.ts
@@ -0,0 +1,39 @@
+/** Asks the endpoints of a group how far their logs reach. */
+
+import type { EndpointId } from '../../core/id/endpoint.ts'
+import type { Term } from '../../core/id/term.ts'
+import type { Command } from '../../core/statement/command.ts'
+import type { EndpointStatus } from '../../core/statement/status.ts'
+import type { Log } from '../log/log.ts'
+import type { PoolGroup } from './group.ts'
+import type { Probes } from './probes.ts'
+
+interface Options {
+  readonly group: PoolGroup
+  readonly probes: Probes
+  readonly log: Log
+  readonly old: EndpointId | undefined
+  /** Whether the old primary hands over, and so is asked as well. */
+  readonly isHandover: boolean
+  /** Whether the replicas are to stop where they are. */
+  readonly isStopped: boolean
+}
+
+/**
+ * Where commits wait for a replica, the replicas are stopped first: a commit
+ * that a replica acknowledged after it was asked would be missing in the log that was chosen.
+ * Elsewhere an old primary that hands over is asked before them, so that a
+ * replica which holds what it said has missed nothing until then. Resolves with those that answered.
+ */
+export async function surveyAll ({ group, probes, log, old, isHandover, isStopped }: Options): Promise<ReadonlyMap<EndpointId, EndpointStatus>> {
+  const command: Command = isStopped ? { kind: 'pause', term: group.term + 1 as Term } : { kind: 'status' }
+  const statuses = new Map<EndpointId, EndpointStatus>()
+  const ask = async (endpoint: EndpointId) => {
+    const status = await probes.ask(endpoint, command)
+    if (status !== undefined) statuses.set(endpoint, status)
+    log.write('surveyed', { group: group.id, endpoint, answered: status !== undefined, received: String(status?.received ?? '-'), isPrimary: status?.isPrimary ?? false })
+  }
+  if (isHandover && !isStopped && old !== undefined) await ask(old)
+  await Promise.all(group.endpoints.filter(({ id }) => id !== old).map(async ({ id }) => await ask(id)))
+  return statuses
+}
