A host that is asked in another's place has 0.3 s to take the session

Against callers who wait out their statement's time when the host that reached the primary has died since it objected (review of the change; no run showed it). Tests of the adapter pass.

--- a/src/shell/pool/tryall.ts
+++ b/src/shell/pool/tryall.ts
@@ -21,6 +21,8 @@
 
 /** Tries of one operation: each of three endpoints, and the primary once more. */
 const MOST_TRIES = 4
+/** A host in reach takes a session within milliseconds; against callers who wait for their whole time on one that died since. */
+const DETOUR_MS = 300
 /** The time to come back while nobody leads: about a round of finding the new primary. */
 const LEADERLESS_MS = 500
 
@@ -93,7 +95,7 @@
 }
 
 async function detour (ctx: PoolContext, group: PoolGroup, host: PoolHost, { database, deadline }: Tries): Promise<Attempt | Refused> {
-  const dialled = await ctx.dialHost(host, database, left(deadline))
+  const dialled = await ctx.dialHost(host, database, Math.min(DETOUR_MS, left(deadline)))
   return dialled.isOk() ? Attempt.on(group, Detour.by(host), dialled.value) : { fault: 'busy', retryAfterMs: LEADERLESS_MS }
 }
 
