--- a/standin/lines/endpoint.ts
+++ b/standin/lines/endpoint.ts
@@ -25,6 +25,8 @@
   isPlain: boolean
   readonly values: Map<string, string>
   readonly prepared: Map<string, string>
+  /** Writes of the open transaction. */
+  pending: string[]
 }
 
 interface Options {
@@ -40,6 +42,8 @@
   readonly heard: string[] = []
   /** Statements that ran, as `text {values}`. */
   readonly ran: string[] = []
+  /** Writes that took effect: single ones, and those of transactions that were committed. */
+  readonly kept: string[] = []
   readonly faults: Faults = {}
   isPrimary: boolean
   term = 1
@@ -84,7 +88,7 @@
       return
     }
     this.sockets.add(socket)
-    const connection: Connection = { socket, number: ++this.opened, state: 'I', isPlain: false, values: new Map(), prepared: new Map() }
+    const connection: Connection = { socket, number: ++this.opened, state: 'I', isPlain: false, values: new Map(), prepared: new Map(), pending: [] }
     let rest = ''
     socket.on('close', () => this.sockets.delete(socket))
     socket.on('error', () => socket.destroy())
@@ -141,6 +145,7 @@
       case 'BEGIN': return this.begin(connection, args[0])
       case 'ROLLBACK':
         connection.state = 'I'
+        connection.pending = []
         return 'COMPLETE -'
       case 'EXECUTE':
         return connection.prepared.has(args[0]!) ? this.run(connection, connection.prepared.get(args[0]!)!, args.slice(1)) : this.fail(connection, 'NOSUCHSTMT')
@@ -172,11 +177,19 @@
     const values = [...connection.values].map(([name, value]) => `${name}=${value}`).join(',')
     this.ran.push(`${[verb, ...args].join(' ')} {${values}}`)
     if (isWrite) this.position++
-    if (verb === 'COMMIT') connection.state = 'I'
+    if (isWrite && connection.state === 'T') connection.pending.push(args.join(' '))
+    else if (isWrite) this.kept.push(args.join(' '))
+    if (verb === 'COMMIT') this.commit(connection)
     const rows = isWrite || verb === 'COMMIT' ? '' : `DATAROW row-of-${args[0]}\r\n`
     return `${rows}COMPLETE proof.${this.id}`
   }
 
+  private commit (connection: Connection): void {
+    if (connection.state === 'T') this.kept.push(...connection.pending)
+    connection.pending = []
+    connection.state = 'I'
+  }
+
   private fail (connection: Connection, word: string): string {
     if (connection.state === 'T') connection.state = 'E'
     return `ERROR ${word} ${this.id}`
