The default time for a request to the platform is a named constant

Cause: a bare 1000 stood in the settings of the MySQL side. Change: PLATFORM_TIMEOUT_MS with its unit and origin, as before in value.

--- a/src/core/settings/settings.ts
+++ b/src/core/settings/settings.ts
@@ -8,6 +8,9 @@
 import { problemsOf } from './problem.ts'
 import { parseSize } from './size.ts'
 
+/** One request to the platform, in milliseconds: the default that docs/OPERATIONS.md names. An estimate of a slow answer; no run gave the figure. */
+const PLATFORM_TIMEOUT_MS = 1000
+
 const LIST_OF_KEYS = '"Settings" in docs/OPERATIONS.md'
 
 const duration = z.string({ error: 'write a duration as text with a unit, such as "250ms" or "1.5s"' }).transform((text, context) => {
@@ -44,7 +47,7 @@
     region: z.string().default('local'),
     table: z.string().default('agatepond'),
     bucket: z.string().default('agatepond'),
-    timeout: duration.default(1000)
+    timeout: duration.default(PLATFORM_TIMEOUT_MS)
   }),
   endpoints: z.strictObject({
     user: z.string(),
