--- a/src/core/audit/page.ts
+++ b/src/core/audit/page.ts
@@ -1,7 +1,7 @@
 /** A batch read back: its entries, and what is wrong with it. */
 
 import { err, ok, type Result } from 'neverthrow'
-import { z } from 'zod'
+import * as z from 'zod'
 import { Chain } from './chain.ts'
 import { AuditRecord } from './record.ts'
 
--- a/src/core/audit/record.ts
+++ b/src/core/audit/record.ts
@@ -4,7 +4,7 @@
  * of a statement, only its shape.
  */
 
-import { z } from 'zod'
+import * as z from 'zod'
 import type { Outcome } from '../outcome.ts'
 import { reasons } from '../reason.ts'
 import type { ReasonName } from '../reasonname.ts'
--- a/src/core/burn/counts.ts
+++ b/src/core/burn/counts.ts
@@ -1,6 +1,6 @@
 /** What the records of some batches count for service levels, by minute. It can be kept, so that batches are read once. */
 
-import { z } from 'zod'
+import * as z from 'zod'
 import type { AuditRecord } from '../audit/record.ts'
 import { judge } from './judge.ts'
 import type { ServiceLevel } from './servicelevel.ts'
--- a/src/core/config/document.ts
+++ b/src/core/config/document.ts
@@ -1,7 +1,7 @@
 /** The configuration as operators write it, checked and turned into a `Config`. */
 
 import { err, ok, type Result } from 'neverthrow'
-import { z } from 'zod'
+import * as z from 'zod'
 import { parseAddress } from '../settings/address.ts'
 import { parseDuration } from '../settings/duration.ts'
 import { problemsOf } from '../settings/problem.ts'
--- a/src/core/config/record.ts
+++ b/src/core/config/record.ts
@@ -1,7 +1,7 @@
 /** What the table service keeps of an accepted version. */
 
 import { err, ok, type Result } from 'neverthrow'
-import { z } from 'zod'
+import * as z from 'zod'
 
 const shape = z.object({
   /** The patch's id, by which a lost answer is settled. */
--- a/src/core/config/servicelevels.ts
+++ b/src/core/config/servicelevels.ts
@@ -1,6 +1,6 @@
 /** The section of a configuration that sets the service levels of its pools. */
 
-import { z } from 'zod'
+import * as z from 'zod'
 import { parseDuration } from '../settings/duration.ts'
 
 const within = z.string().transform((text, context): number => {
--- a/src/core/settings/settings.ts
+++ b/src/core/settings/settings.ts
@@ -1,7 +1,7 @@
 /** The settings of one process: its addresses, its data centre and where the platform is. */
 
 import { err, ok, type Result } from 'neverthrow'
-import { z } from 'zod'
+import * as z from 'zod'
 import { parseAddress } from './address.ts'
 import { contradictionIn } from './contradiction.ts'
 import { parseDuration } from './duration.ts'
--- a/src/core/trace/line.ts
+++ b/src/core/trace/line.ts
@@ -1,6 +1,6 @@
 /** One line of a process's log. */
 
-import { z } from 'zod'
+import * as z from 'zod'
 import { readJson } from '../readjson.ts'
 
 const shape = z.looseObject({
--- a/src/shell/log/events.ts
+++ b/src/shell/log/events.ts
@@ -15,6 +15,7 @@
   stopped: { id: 1002, level: 'info', message: 'agatepond stopped' },
 
   settingsReloaded: { id: 1004, level: 'info', message: 'read the settings again' },
+  runtimeWarned: { id: 1005, level: 'warn', message: 'Node warns of something in this process' },
 
   slotTaken: { id: 2001, level: 'info', message: 'took a slot' },
   slotLeft: { id: 2002, level: 'info', message: 'gave a slot back' },
--- a/src/shell/platform/httphostlist.ts
+++ b/src/shell/platform/httphostlist.ts
@@ -1,6 +1,6 @@
 /** The host list as JSON over HTTP. */
 
-import { z } from 'zod'
+import * as z from 'zod'
 import type { HostList } from './hostlist.ts'
 
 const shape = z.array(z.object({
--- a/src/shell/pool/membership.ts
+++ b/src/shell/pool/membership.ts
@@ -1,7 +1,7 @@
 /** Keeps this host's row in the table of hosts, and knows the others by theirs. */
 
 import { setTimeout as pause } from 'node:timers/promises'
-import { z } from 'zod'
+import * as z from 'zod'
 import type { DataCentreId } from '../../core/id/datacentre.ts'
 import type { HostId } from '../../core/id/host.ts'
 import { Hosts } from '../../core/pool/hosts.ts'
