Statements whose owner is gone get an answer

Cause: where hosts outnumber connections, sessions are passed on to a group's owners. When an owner ended, by a kill or at the end of its grace, the passing host cut its caller's connection in the middle of the statement. An owner that lost its power wasn't noticed at all: its connection is silent, and every statement of its sessions waited until its caller gave up.

Ruled out: running the statement again at another owner: the session's values and prepared names went with the owner.

An owner that was missed is tried last for a second, so that sign-ins don't each wait 0.3 s for it.

--- a/src/shell/log/events.ts
+++ b/src/shell/log/events.ts
@@ -51,6 +51,7 @@
   hostListFailed: { id: 5003, level: 'warn', message: 'the host list does not answer' },
   configUnreadable: { id: 5004, level: 'error', message: 'a configuration cannot be read by this program' },
 
+  ownerLost: { id: 4008, level: 'warn', message: 'the host that served a session passed on to it is gone; its open statements are answered' },
   peersAsked: { id: 5006, level: 'warn', message: 'asked other hosts for the configuration, since the store does not answer' },
   storeBack: { id: 5005, level: 'info', message: 'the store answers again' },
 
--- a/src/shell/pool/context.ts
+++ b/src/shell/pool/context.ts
@@ -22,6 +22,8 @@
   readonly self: HostId
   /** Hosts that have connections for the database, the best first; empty when this host serves it itself. */
   readonly placesFor: (database: string) => readonly PoolHost[]
+  /** The host couldn't be reached, or ended with statements open. */
+  readonly missedHost: (id: HostId) => void
   /** Opens a connection to a host that reaches an endpoint of the database. */
   readonly dialHost: (host: PoolHost, database: string, timeoutMs: number) => ReturnType<Dialer['dialHost']>
   readonly group: (id: GroupId) => PoolGroup | undefined
--- a/src/shell/pool/node.ts
+++ b/src/shell/pool/node.ts
@@ -4,6 +4,7 @@
 import type { PoolConfig } from '../../core/pool/config.ts'
 import type { PoolHost } from '../../core/pool/host.ts'
 import { LineBudget } from '../../core/pool/linebudget.ts'
+import { MissedHosts } from '../../core/pool/missedhosts.ts'
 import { Ownership } from '../../core/pool/ownership.ts'
 import { shareOf } from '../../core/pool/share.ts'
 import { SharedBudget } from '../../core/retry/budget.ts'
@@ -59,6 +60,7 @@
   private readonly membership: Membership
   private readonly configuration: Configuration
   private isStoreThere = false
+  private missed = MissedHosts.none
   /** Callers who came before the process was ready. */
   private readonly starting = Waiters.create()
   private readonly startedAt = clock.now()
@@ -71,6 +73,7 @@
       self: options.self.id,
       catchUp: async (version, host) => await this.catchUp(version, host),
       placesFor: database => this.placesFor(database),
+      missedHost: id => { this.missed = this.missed.with(id, clock.now()) },
       dialHost: async (host, database, ms) => await options.platform.dialer.dialHost(host, database, this.config.version, ms),
       group: id => this.groups.get(id),
       budget: SharedBudget.create(clock.now()),
@@ -238,7 +241,8 @@
 
   private placesFor (database: string): readonly PoolHost[] {
     const route = this.config.route(database)
-    return route === undefined ? [] : this.ownerships.get(route.group)?.placesFor(this.options.self) ?? []
+    const places = route === undefined ? [] : this.ownerships.get(route.group)?.placesFor(this.options.self) ?? []
+    return this.missed.last(places, clock.now())
   }
 
   private resize (): void {
