Pool folders by concern: statements, reads, placing, lending, succession, membership

Cause: src/core/pool and src/shell/pool had grown into flat floors of 32 and 42 files, in which a newcomer finds no decision by its place.

Measured: types, linter, and the 705 tests of src and platform pass.

--- a/src/cli/overviewcommand.ts
+++ b/src/cli/overviewcommand.ts
@@ -3,7 +3,7 @@
 import { command } from 'cmd-ts'
 import type { Endpoint } from '../core/directory/endpoint.ts'
 import type { Platform } from '../shell/pool/platform.ts'
-import type { Row } from '../shell/pool/row.ts'
+import type { Row } from '../shell/pool/membership/row.ts'
 import { exit } from './exit.ts'
 import { options } from './options.ts'
 import { stop } from './stop.ts'
--- a/src/core/pool/host.ts
+++ b/src/core/pool/placing/host.ts
@@ -1,7 +1,7 @@
 /** A host as its row in the shared table describes it. */
 
-import type { DataCentreId } from '../id/datacentre.ts'
-import type { HostId } from '../id/host.ts'
+import type { DataCentreId } from '../../id/datacentre.ts'
+import type { HostId } from '../../id/host.ts'
 
 export interface PoolHost {
   readonly id: HostId
--- a/src/core/pool/hosts.test.ts
+++ b/src/core/pool/placing/hosts.test.ts
@@ -1,9 +1,9 @@
 /** Which hosts count as alive. */
 
 import { expect, it } from 'vitest'
-import type { DataCentreId } from '../id/datacentre.ts'
-import type { HostId } from '../id/host.ts'
-import type { Instant } from '../id/instant.ts'
+import type { DataCentreId } from '../../id/datacentre.ts'
+import type { HostId } from '../../id/host.ts'
+import type { Instant } from '../../id/instant.ts'
 import { Hosts } from './hosts.ts'
 
 /** Rows as `id version@instant`. */
--- a/src/core/pool/hosts.ts
+++ b/src/core/pool/placing/hosts.ts
@@ -1,7 +1,7 @@
 /** The hosts that are alive, as their rows in the shared table show. */
 
-import type { HostId } from '../id/host.ts'
-import type { Instant } from '../id/instant.ts'
+import type { HostId } from '../../id/host.ts'
+import type { Instant } from '../../id/instant.ts'
 import type { PoolHost } from './host.ts'
 
 interface Seen {
--- a/src/core/pool/missedhosts.test.ts
+++ b/src/core/pool/placing/missedhosts.test.ts
@@ -1,9 +1,9 @@
 /** Which hosts are tried last. */
 
 import { expect, it } from 'vitest'
-import type { DataCentreId } from '../id/datacentre.ts'
-import type { HostId } from '../id/host.ts'
-import type { Instant } from '../id/instant.ts'
+import type { DataCentreId } from '../../id/datacentre.ts'
+import type { HostId } from '../../id/host.ts'
+import type { Instant } from '../../id/instant.ts'
 import { MissedHosts } from './missedhosts.ts'
 
 const hosts = ['a', 'b', 'c'].map(id => ({ id: id as HostId, dataCentre: 'z' as DataCentreId, address: { ip: '10.0.0.1', port: 1 }, knowledgePort: 1 }))
--- a/src/core/pool/missedhosts.ts
+++ b/src/core/pool/placing/missedhosts.ts
@@ -1,7 +1,7 @@
 /** Hosts that couldn't be reached lately. */
 
-import type { HostId } from '../id/host.ts'
-import type { Instant } from '../id/instant.ts'
+import type { HostId } from '../../id/host.ts'
+import type { Instant } from '../../id/instant.ts'
 import type { PoolHost } from './host.ts'
 
 /** A host that is started again takes sessions after about a second; one that was missed wrongly is back as soon. */
--- a/src/core/pool/ownership.test.ts
+++ b/src/core/pool/placing/ownership.test.ts
@@ -1,9 +1,9 @@
 /** Who owns a group's connections, and where the others pass sessions on. */
 
 import { describe, expect, it } from 'vitest'
-import type { DataCentreId } from '../id/datacentre.ts'
-import type { GroupId } from '../id/group.ts'
-import type { HostId } from '../id/host.ts'
+import type { DataCentreId } from '../../id/datacentre.ts'
+import type { GroupId } from '../../id/group.ts'
+import type { HostId } from '../../id/host.ts'
 import type { PoolHost } from './host.ts'
 import { Ownership } from './ownership.ts'
 import { shareOf } from './share.ts'
--- a/src/core/pool/ownership.ts
+++ b/src/core/pool/placing/ownership.ts
@@ -1,8 +1,8 @@
 /** Which hosts connect to the endpoints of a group, and where the others pass its sessions on. */
 
-import type { GroupId } from '../id/group.ts'
-import type { HostId } from '../id/host.ts'
-import { weightOf } from '../weight.ts'
+import type { GroupId } from '../../id/group.ts'
+import type { HostId } from '../../id/host.ts'
+import { weightOf } from '../../weight.ts'
 import type { PoolHost } from './host.ts'
 import { dealt } from './dealt.ts'
 
--- a/src/core/pool/reach.test.ts
+++ b/src/core/pool/placing/reach.test.ts
@@ -1,8 +1,8 @@
 /** Who is asked to run statements at an endpoint that this host lost. */
 
 import { expect, it } from 'vitest'
-import type { EndpointId } from '../id/endpoint.ts'
-import type { Instant } from '../id/instant.ts'
+import type { EndpointId } from '../../id/endpoint.ts'
+import type { Instant } from '../../id/instant.ts'
 import type { PoolHost } from './host.ts'
 import { Reach } from './reach.ts'
 
--- a/src/core/pool/reach.ts
+++ b/src/core/pool/placing/reach.ts
@@ -1,7 +1,7 @@
 /** Which other hosts reach an endpoint, as their objections to its replacement show. */
 
-import type { EndpointId } from '../id/endpoint.ts'
-import type { Instant } from '../id/instant.ts'
+import type { EndpointId } from '../../id/endpoint.ts'
+import type { Instant } from '../../id/instant.ts'
 import type { PoolHost } from './host.ts'
 
 interface Seen {
--- a/src/core/pool/thrift.test.ts
+++ b/src/core/pool/placing/thrift.test.ts
@@ -1,7 +1,7 @@
 /** How long unused connections are kept. */
 
 import { expect, it } from 'vitest'
-import type { Instant } from '../id/instant.ts'
+import type { Instant } from '../../id/instant.ts'
 import { Thrift } from './thrift.ts'
 
 // Callers of some hosts can't write for seconds after all hosts lost their power and came back.
--- a/src/core/pool/thrift.ts
+++ b/src/core/pool/placing/thrift.ts
@@ -1,6 +1,6 @@
 /** When connections to an endpoint are scarce, and how long an unused one is kept. */
 
-import type { Instant } from '../id/instant.ts'
+import type { Instant } from '../../id/instant.ts'
 
 /**
  * An endpoint counts the connections of a host that lost its power for about
--- a/src/core/pool/ageclock.ts
+++ b/src/core/pool/reads/ageclock.ts
@@ -1,6 +1,6 @@
 /** A clock that doesn't hide the time in which the host was suspended. */
 
-import type { Instant } from '../id/instant.ts'
+import type { Instant } from '../../id/instant.ts'
 
 /**
  * Between two looks the time of day and the monotonic clock drift apart by less
--- a/src/core/pool/candidates.test.ts
+++ b/src/core/pool/reads/candidates.test.ts
@@ -1,11 +1,11 @@
 /** Which endpoints a read may use, the best first. */
 
 import { describe, expect, it } from 'vitest'
-import type { DataCentreId } from '../id/datacentre.ts'
-import type { EndpointId } from '../id/endpoint.ts'
-import type { GroupId } from '../id/group.ts'
-import type { Instant } from '../id/instant.ts'
-import { Token } from '../token.ts'
+import type { DataCentreId } from '../../id/datacentre.ts'
+import type { EndpointId } from '../../id/endpoint.ts'
+import type { GroupId } from '../../id/group.ts'
+import type { Instant } from '../../id/instant.ts'
+import { Token } from '../../token.ts'
 import { readCandidates } from './candidates.ts'
 import { Standing } from './standing.ts'
 
--- a/src/core/pool/candidates.ts
+++ b/src/core/pool/reads/candidates.ts
@@ -1,10 +1,10 @@
 /** Which endpoints an operation may use, the best first. */
 
-import type { Endpoint } from '../directory/endpoint.ts'
-import type { DataCentreId } from '../id/datacentre.ts'
-import type { EndpointId } from '../id/endpoint.ts'
-import type { Instant } from '../id/instant.ts'
-import type { Token } from '../token.ts'
+import type { Endpoint } from '../../directory/endpoint.ts'
+import type { DataCentreId } from '../../id/datacentre.ts'
+import type { EndpointId } from '../../id/endpoint.ts'
+import type { Instant } from '../../id/instant.ts'
+import type { Token } from '../../token.ts'
 import type { Standing } from './standing.ts'
 
 interface View {
--- a/src/core/pool/progress.test.ts
+++ b/src/core/pool/reads/progress.test.ts
@@ -1,8 +1,8 @@
 /** Which position a read must find, by its age and its session's own commits. */
 
 import { describe, expect, it } from 'vitest'
-import type { Instant } from '../id/instant.ts'
-import { Token } from '../token.ts'
+import type { Instant } from '../../id/instant.ts'
+import { Token } from '../../token.ts'
 import { Progress } from './progress.ts'
 
 /** Marks as `term:position@instant`. */
--- a/src/core/pool/progress.ts
+++ b/src/core/pool/reads/progress.ts
@@ -1,8 +1,8 @@
 /** How far a group's log is known to reach, and which position a read must find. */
 
-import type { Instant } from '../id/instant.ts'
-import { Marks } from '../routing/marks.ts'
-import { Token } from '../token.ts'
+import type { Instant } from '../../id/instant.ts'
+import { Marks } from '../../routing/marks.ts'
+import { Token } from '../../token.ts'
 import { AgeClock } from './ageclock.ts'
 
 /**
--- a/src/core/pool/standing.ts
+++ b/src/core/pool/reads/standing.ts
@@ -1,7 +1,7 @@
 /** What one process has seen of an endpoint's log: where it stood and when. */
 
-import type { Instant } from '../id/instant.ts'
-import type { Token } from '../token.ts'
+import type { Instant } from '../../id/instant.ts'
+import type { Token } from '../../token.ts'
 
 /** A replica that was found short is passed over for so long: about the time in which replication carries it further. */
 const PASS_OVER_MS = 50
--- a/src/core/pool/audited.test.ts
+++ b/src/core/pool/statements/audited.test.ts
@@ -1,15 +1,15 @@
 /** What the record of a statement says of each way in which it can go. */
 
 import { expect, it } from 'vitest'
-import { checkPromises } from '../audit/promises.ts'
-import { explanationOf } from '../audit/explanation.ts'
-import type { EndpointId } from '../id/endpoint.ts'
-import type { GroupId } from '../id/group.ts'
-import type { Instant } from '../id/instant.ts'
-import type { Fault } from '../statement/fault.ts'
-import { Token } from '../token.ts'
+import { checkPromises } from '../../audit/promises.ts'
+import { explanationOf } from '../../audit/explanation.ts'
+import type { EndpointId } from '../../id/endpoint.ts'
+import type { GroupId } from '../../id/group.ts'
+import type { Instant } from '../../id/instant.ts'
+import type { Fault } from '../../statement/fault.ts'
+import { Token } from '../../token.ts'
 import { auditRecordOf } from './audited.ts'
-import type { Route } from './route.ts'
+import type { Route } from '../route.ts'
 import { Trail } from './trail.ts'
 import type { Try } from './try.ts'
 
--- a/src/core/pool/audited.ts
+++ b/src/core/pool/statements/audited.ts
@@ -1,13 +1,13 @@
 /** The audit record of a statement of a pooled session. */
 
-import { classes } from '../admission/classes.ts'
-import type { Evidence } from '../audit/evidence.ts'
-import { AuditRecord } from '../audit/record.ts'
-import type { Outcome } from '../outcome.ts'
-import type { ReasonName } from '../reasonname.ts'
-import type { Fault } from '../statement/fault.ts'
-import type { Statement } from '../statement/statement.ts'
-import type { Route } from './route.ts'
+import { classes } from '../../admission/classes.ts'
+import type { Evidence } from '../../audit/evidence.ts'
+import { AuditRecord } from '../../audit/record.ts'
+import type { Outcome } from '../../outcome.ts'
+import type { ReasonName } from '../../reasonname.ts'
+import type { Fault } from '../../statement/fault.ts'
+import type { Statement } from '../../statement/statement.ts'
+import type { Route } from '../route.ts'
 import type { Trail } from './trail.ts'
 import type { Try } from './try.ts'
 
--- a/src/core/pool/linebudget.test.ts
+++ b/src/core/pool/statements/linebudget.test.ts
@@ -1,7 +1,7 @@
 /** How many lines are written, and what is said of the others. */
 
 import { expect, it } from 'vitest'
-import type { Instant } from '../id/instant.ts'
+import type { Instant } from '../../id/instant.ts'
 import { LineBudget } from './linebudget.ts'
 
 it('writes a burst, then so many a second, and counts what it drops', () => {
--- a/src/core/pool/linebudget.ts
+++ b/src/core/pool/statements/linebudget.ts
@@ -1,7 +1,7 @@
 /** How many lines of requests a process writes. */
 
-import type { Instant } from '../id/instant.ts'
-import { weightOf } from '../weight.ts'
+import type { Instant } from '../../id/instant.ts'
+import { weightOf } from '../../weight.ts'
 
 /**
  * Lines of requests in a second. A line takes about 15 microseconds to make, so
--- a/src/core/pool/lostowner.ts
+++ b/src/core/pool/statements/lostowner.ts
@@ -1,7 +1,7 @@
 /** What a caller is told of its statements when the host that served its session is gone. */
 
-import type { Fault } from '../statement/fault.ts'
-import type { Statement } from '../statement/statement.ts'
+import type { Fault } from '../../statement/fault.ts'
+import type { Statement } from '../../statement/statement.ts'
 
 /** `none` stands for a text that is no statement. */
 type Kind = Statement['kind'] | 'none'
--- a/src/core/pool/remedy.ts
+++ b/src/core/pool/statements/remedy.ts
@@ -1,6 +1,6 @@
 /** What a caller is told beside a fault: what happened, and what to do. */
 
-import type { Fault } from '../statement/fault.ts'
+import type { Fault } from '../../statement/fault.ts'
 
 const REMEDIES: Readonly<Record<Fault, string>> = {
   busy: 'not run; the database has no room',
--- a/src/core/pool/target.ts
+++ b/src/core/pool/statements/target.ts
@@ -1,8 +1,8 @@
 /** Where one try of an operation goes. */
 
-import type { EndpointId } from '../id/endpoint.ts'
-import type { PoolHost } from './host.ts'
-import type { Token } from '../token.ts'
+import type { EndpointId } from '../../id/endpoint.ts'
+import type { PoolHost } from '../placing/host.ts'
+import type { Token } from '../../token.ts'
 
 export interface Target {
   readonly endpoint: EndpointId
--- a/src/core/pool/trail.ts
+++ b/src/core/pool/statements/trail.ts
@@ -1,6 +1,6 @@
 /** What was tried for one statement, for the line that explains it. */
 
-import type { Instant } from '../id/instant.ts'
+import type { Instant } from '../../id/instant.ts'
 import type { Try } from './try.ts'
 
 /** Changes in place: each statement has one, and few are written. */
--- a/src/core/pool/try.ts
+++ b/src/core/pool/statements/try.ts
@@ -1,7 +1,7 @@
 /** One try of a statement at an endpoint, as it's told afterwards. */
 
-import type { EndpointId } from '../id/endpoint.ts'
-import type { Token } from '../token.ts'
+import type { EndpointId } from '../../id/endpoint.ts'
+import type { Token } from '../../token.ts'
 
 export interface Try {
   readonly endpoint: EndpointId
--- a/src/core/pool/verdict.ts
+++ b/src/core/pool/statements/verdict.ts
@@ -1,6 +1,6 @@
 /** What becomes of a statement that an endpoint didn't do: it's tried elsewhere, or its caller gets a fault. */
 
-import type { Fault } from '../statement/fault.ts'
+import type { Fault } from '../../statement/fault.ts'
 import type { Ending } from './ending.ts'
 
 interface Attempted {
--- a/src/core/pool/work.ts
+++ b/src/core/pool/statements/work.ts
@@ -1,10 +1,10 @@
 /** A caller's statement as it's sent to an endpoint. */
 
-import type { Values } from '../session/values.ts'
-import type { Command } from '../statement/command.ts'
-import type { Statement } from '../statement/statement.ts'
-import { preparedName } from '../statement/preparedname.ts'
-import type { Token } from '../token.ts'
+import type { Values } from '../../session/values.ts'
+import type { Command } from '../../statement/command.ts'
+import type { Statement } from '../../statement/statement.ts'
+import { preparedName } from '../../statement/preparedname.ts'
+import type { Token } from '../../token.ts'
 
 interface Fields {
   readonly id: string
--- a/src/core/pool/contact.test.ts
+++ b/src/core/pool/succession/contact.test.ts
@@ -1,7 +1,7 @@
 /** When an endpoint is doubted, and when it counts as out of reach. */
 
 import { describe, expect, it } from 'vitest'
-import type { Instant } from '../id/instant.ts'
+import type { Instant } from '../../id/instant.ts'
 import { Contact } from './contact.ts'
 
 /** Plays texts such as `?0` (asked at 0), `+100` (reached) and `-200` (missed). */
--- a/src/core/pool/contact.ts
+++ b/src/core/pool/succession/contact.ts
@@ -1,6 +1,6 @@
 /** Whether this host reaches an endpoint. */
 
-import type { Instant } from '../id/instant.ts'
+import type { Instant } from '../../id/instant.ts'
 
 interface Fields {
   readonly reachedAt: Instant
--- a/src/core/pool/handover.test.ts
+++ b/src/core/pool/succession/handover.test.ts
@@ -1,7 +1,7 @@
 /** Whether a commit of a leaving primary survives its replacement. */
 
 import { expect, it } from 'vitest'
-import { Token } from '../token.ts'
+import { Token } from '../../token.ts'
 import { Handover } from './handover.ts'
 
 const COMMIT = Token.of(1, 9)
--- a/src/core/pool/leadership.test.ts
+++ b/src/core/pool/succession/leadership.test.ts
@@ -1,11 +1,11 @@
 /** Who is taken for the primary, as the directory, refusals and proofs say. */
 
 import { describe, expect, it } from 'vitest'
-import { Directory } from '../directory/directory.ts'
-import type { DataCentreId } from '../id/datacentre.ts'
-import type { EndpointId } from '../id/endpoint.ts'
-import type { GroupId } from '../id/group.ts'
-import type { Instant } from '../id/instant.ts'
+import { Directory } from '../../directory/directory.ts'
+import type { DataCentreId } from '../../id/datacentre.ts'
+import type { EndpointId } from '../../id/endpoint.ts'
+import type { GroupId } from '../../id/group.ts'
+import type { Instant } from '../../id/instant.ts'
 import { Leadership } from './leadership.ts'
 
 const GROUP = 'g' as GroupId
--- a/src/core/pool/leadership.ts
+++ b/src/core/pool/succession/leadership.ts
@@ -1,9 +1,9 @@
 /** Which endpoint of a group is taken for its primary, and why. */
 
-import type { Directory } from '../directory/directory.ts'
-import type { EndpointId } from '../id/endpoint.ts'
-import type { GroupId } from '../id/group.ts'
-import type { Instant } from '../id/instant.ts'
+import type { Directory } from '../../directory/directory.ts'
+import type { EndpointId } from '../../id/endpoint.ts'
+import type { GroupId } from '../../id/group.ts'
+import type { Instant } from '../../id/instant.ts'
 
 interface Fields {
   readonly group: GroupId
--- a/src/core/pool/lease.test.ts
+++ b/src/core/pool/succession/lease.test.ts
@@ -1,8 +1,8 @@
 /** Who may claim a lease, and for how long its holder may give orders. */
 
 import { describe, expect, it } from 'vitest'
-import type { HostId } from '../id/host.ts'
-import type { Instant } from '../id/instant.ts'
+import type { HostId } from '../../id/host.ts'
+import type { Instant } from '../../id/instant.ts'
 import { Lease } from './lease.ts'
 
 const lease = Lease.of({ holder: 'a' as HostId, asksFor: undefined, version: 4, seenAt: 1000 as Instant })
--- a/src/core/pool/lease.ts
+++ b/src/core/pool/succession/lease.ts
@@ -1,8 +1,8 @@
 /** Who may order promotions of a group, as the row in the shared table shows. */
 
-import type { EndpointId } from '../id/endpoint.ts'
-import type { HostId } from '../id/host.ts'
-import type { Instant } from '../id/instant.ts'
+import type { EndpointId } from '../../id/endpoint.ts'
+import type { HostId } from '../../id/host.ts'
+import type { Instant } from '../../id/instant.ts'
 
 interface Fields {
   readonly holder: HostId
--- a/src/core/pool/succession.mix.test.ts
+++ b/src/core/pool/succession/succession.mix.test.ts
@@ -1,12 +1,12 @@
 /** Successions of several hosts against one store and one group, in virtual time, under faults that a seed picks. */
 
 import { describe, expect, it } from 'vitest'
-import type { EndpointId } from '../id/endpoint.ts'
-import type { HostId } from '../id/host.ts'
-import type { Instant } from '../id/instant.ts'
-import { mix } from '../mix.ts'
-import type { EndpointStatus } from '../statement/status.ts'
-import { Token } from '../token.ts'
+import type { EndpointId } from '../../id/endpoint.ts'
+import type { HostId } from '../../id/host.ts'
+import type { Instant } from '../../id/instant.ts'
+import { mix } from '../../mix.ts'
+import type { EndpointStatus } from '../../statement/status.ts'
+import { Token } from '../../token.ts'
 import { Lease } from './lease.ts'
 import { Succession } from './succession.ts'
 import type { SuccessionAction } from './successionaction.ts'
--- a/src/core/pool/succession.test.ts
+++ b/src/core/pool/succession/succession.test.ts
@@ -1,10 +1,10 @@
 /** When a primary is replaced, by whom, and when it's left alone. */
 
 import { describe, expect, it } from 'vitest'
-import type { EndpointId } from '../id/endpoint.ts'
-import type { Instant } from '../id/instant.ts'
-import type { EndpointStatus } from '../statement/status.ts'
-import { Token } from '../token.ts'
+import type { EndpointId } from '../../id/endpoint.ts'
+import type { Instant } from '../../id/instant.ts'
+import type { EndpointStatus } from '../../statement/status.ts'
+import { Token } from '../../token.ts'
 import { Succession } from './succession.ts'
 import type { SuccessionAction } from './successionaction.ts'
 import type { SuccessionEvent } from './successionevent.ts'
--- a/src/core/pool/succession.ts
+++ b/src/core/pool/succession/succession.ts
@@ -9,9 +9,9 @@
  * commits that no replica has received.
  */
 
-import type { EndpointId } from '../id/endpoint.ts'
-import type { Instant } from '../id/instant.ts'
-import type { EndpointStatus } from '../statement/status.ts'
+import type { EndpointId } from '../../id/endpoint.ts'
+import type { Instant } from '../../id/instant.ts'
+import type { EndpointStatus } from '../../statement/status.ts'
 import type { SuccessionAction } from './successionaction.ts'
 import type { SuccessionEvent } from './successionevent.ts'
 import type { SuccessionView } from './successionview.ts'
--- a/src/core/pool/successionaction.ts
+++ b/src/core/pool/succession/successionaction.ts
@@ -1,6 +1,6 @@
 /** What the succession of a group wants done. */
 
-import type { EndpointId } from '../id/endpoint.ts'
+import type { EndpointId } from '../../id/endpoint.ts'
 
 export type SuccessionAction =
   /** Take the lease; `asksFor`: ask the other hosts whether they reach this primary. */
--- a/src/core/pool/successionview.ts
+++ b/src/core/pool/succession/successionview.ts
@@ -1,6 +1,6 @@
 /** What the succession of a group is told of its surroundings at each step. */
 
-import type { EndpointId } from '../id/endpoint.ts'
+import type { EndpointId } from '../../id/endpoint.ts'
 
 export interface SuccessionView {
   /** The endpoint that is taken for the primary. */
--- a/src/shell/pool/clock.ts
+++ b/src/shell/pool/clock.ts
@@ -2,7 +2,7 @@
 
 import { performance } from 'node:perf_hooks'
 import type { Instant } from '../../core/id/instant.ts'
-import { AgeClock } from '../../core/pool/ageclock.ts'
+import { AgeClock } from '../../core/pool/reads/ageclock.ts'
 
 const ages = AgeClock.create()
 
--- a/src/shell/pool/attempt.ts
+++ b/src/shell/pool/lending/attempt.ts
@@ -1,10 +1,10 @@
 /** One try to run a statement on a connection, and what its answers show of the endpoint. */
 
-import type { EndpointId } from '../../core/id/endpoint.ts'
-import type { Ending } from '../../core/pool/ending.ts'
-import type { Answer } from '../../core/statement/answer.ts'
-import type { Command } from '../../core/statement/command.ts'
-import type { PoolGroup } from './group.ts'
+import type { EndpointId } from '../../../core/id/endpoint.ts'
+import type { Ending } from '../../../core/pool/statements/ending.ts'
+import type { Answer } from '../../../core/statement/answer.ts'
+import type { Command } from '../../../core/statement/command.ts'
+import type { PoolGroup } from '../group.ts'
 import type { EndpointLink } from './link.ts'
 import type { Loans } from './loans.ts'
 
--- a/src/shell/pool/detour.ts
+++ b/src/shell/pool/lending/detour.ts
@@ -1,7 +1,7 @@
 /** A connection to an endpoint by way of another host, for one operation. */
 
-import type { Endpoint } from '../../core/directory/endpoint.ts'
-import type { PoolHost } from '../../core/pool/host.ts'
+import type { Endpoint } from '../../../core/directory/endpoint.ts'
+import type { PoolHost } from '../../../core/pool/placing/host.ts'
 import type { Loans } from './loans.ts'
 import type { EndpointLink } from './link.ts'
 
--- a/src/shell/pool/dialer.ts
+++ b/src/shell/pool/lending/dialer.ts
@@ -1,8 +1,8 @@
 /** Opens connections to endpoints. */
 
 import type { Result } from 'neverthrow'
-import type { Endpoint } from '../../core/directory/endpoint.ts'
-import type { PoolHost } from '../../core/pool/host.ts'
+import type { Endpoint } from '../../../core/directory/endpoint.ts'
+import type { PoolHost } from '../../../core/pool/placing/host.ts'
 import type { DialFault } from './dialfault.ts'
 import type { EndpointLink } from './link.ts'
 
--- a/src/shell/pool/link.ts
+++ b/src/shell/pool/lending/link.ts
@@ -1,8 +1,8 @@
 /** A connection to an endpoint, whatever protocol it speaks. */
 
-import type { Values } from '../../core/session/values.ts'
-import type { Answer } from '../../core/statement/answer.ts'
-import type { Command } from '../../core/statement/command.ts'
+import type { Values } from '../../../core/session/values.ts'
+import type { Answer } from '../../../core/statement/answer.ts'
+import type { Command } from '../../../core/statement/command.ts'
 
 interface Asked {
   /** Answers in the order of the commands; fewer than these when the connection ended before. */
--- a/src/shell/pool/loans.ts
+++ b/src/shell/pool/lending/loans.ts
@@ -1,6 +1,6 @@
 /** Where a connection on loan comes from. */
 
-import type { Endpoint } from '../../core/directory/endpoint.ts'
+import type { Endpoint } from '../../../core/directory/endpoint.ts'
 import type { EndpointLink } from './link.ts'
 
 export interface Loans {
--- a/src/shell/pool/askpeers.ts
+++ b/src/shell/pool/membership/askpeers.ts
@@ -1,8 +1,8 @@
 /** Asks other hosts for the configuration while the store is away. */
 
 import { setTimeout as pause } from 'node:timers/promises'
-import type { PoolHost } from '../../core/pool/host.ts'
-import type { Log } from '../log/log.ts'
+import type { PoolHost } from '../../../core/pool/placing/host.ts'
+import type { Log } from '../../log/log.ts'
 import type { Knowledge } from './knowledge.ts'
 import type { Peers } from './peers.ts'
 
--- a/src/shell/pool/configuration.ts
+++ b/src/shell/pool/membership/configuration.ts
@@ -1,10 +1,10 @@
 /** The operator's configuration that is in force in this process. */
 
 import type { Result } from 'neverthrow'
-import type { ConfigVersion } from '../../core/id/version.ts'
-import { PoolConfig } from '../../core/pool/config.ts'
-import type { Log } from '../log/log.ts'
-import type { PoolMetrics } from './metrics.ts'
+import type { ConfigVersion } from '../../../core/id/version.ts'
+import { PoolConfig } from '../../../core/pool/config.ts'
+import type { Log } from '../../log/log.ts'
+import type { PoolMetrics } from '../metrics.ts'
 import type { KnownRow } from './knownrow.ts'
 import type { Row } from './row.ts'
 
--- a/src/shell/pool/feed.ts
+++ b/src/shell/pool/membership/feed.ts
@@ -1,9 +1,9 @@
 /** Follows one table of the store: all of it once, then its changes. */
 
 import { setTimeout as pause } from 'node:timers/promises'
-import { backoff } from '../../core/membership/backoff.ts'
-import type { Log } from '../log/log.ts'
-import type { PoolMetrics } from './metrics.ts'
+import { backoff } from '../../../core/membership/backoff.ts'
+import type { Log } from '../../log/log.ts'
+import type { PoolMetrics } from '../metrics.ts'
 import type { RowStore } from './rows.ts'
 import type { Row } from './row.ts'
 
--- a/src/shell/pool/listing.ts
+++ b/src/shell/pool/membership/listing.ts
@@ -1,11 +1,11 @@
 /** The endpoints that list themselves in the store, as this process has heard of them. */
 
-import { Directory } from '../../core/directory/directory.ts'
-import type { Endpoint } from '../../core/directory/endpoint.ts'
-import { Lapses } from '../../core/directory/lapses.ts'
-import type { EndpointId } from '../../core/id/endpoint.ts'
-import type { Log } from '../log/log.ts'
-import { clock } from './clock.ts'
+import { Directory } from '../../../core/directory/directory.ts'
+import type { Endpoint } from '../../../core/directory/endpoint.ts'
+import { Lapses } from '../../../core/directory/lapses.ts'
+import type { EndpointId } from '../../../core/id/endpoint.ts'
+import type { Log } from '../../log/log.ts'
+import { clock } from '../clock.ts'
 import type { KnownRow } from './knownrow.ts'
 import type { Row } from './row.ts'
 
--- a/src/shell/pool/membership.ts
+++ b/src/shell/pool/membership/membership.ts
@@ -2,12 +2,12 @@
 
 import { setTimeout as pause } from 'node:timers/promises'
 import * as z from 'zod'
-import type { DataCentreId } from '../../core/id/datacentre.ts'
-import type { HostId } from '../../core/id/host.ts'
-import { Hosts } from '../../core/pool/hosts.ts'
-import type { PoolHost } from '../../core/pool/host.ts'
-import { readJson } from '../../core/readjson.ts'
-import { clock } from './clock.ts'
+import type { DataCentreId } from '../../../core/id/datacentre.ts'
+import type { HostId } from '../../../core/id/host.ts'
+import { Hosts } from '../../../core/pool/placing/hosts.ts'
+import type { PoolHost } from '../../../core/pool/placing/host.ts'
+import { readJson } from '../../../core/readjson.ts'
+import { clock } from '../clock.ts'
 import type { RowStore } from './rows.ts'
 
 interface Options {
--- a/src/shell/pool/peers.ts
+++ b/src/shell/pool/membership/peers.ts
@@ -1,6 +1,6 @@
 /** Other hosts, as a process that starts may ask them. */
 
-import type { PoolHost } from '../../core/pool/host.ts'
+import type { PoolHost } from '../../../core/pool/placing/host.ts'
 import type { Knowledge } from './knowledge.ts'
 
 export interface Peers {
--- a/src/shell/pool/platform.ts
+++ b/src/shell/pool/platform.ts
@@ -3,10 +3,10 @@
 import type { Result } from 'neverthrow'
 import type { Endpoint } from '../../core/directory/endpoint.ts'
 import type { PoolConfig } from '../../core/pool/config.ts'
-import type { Dialer } from './dialer.ts'
-import type { PromotionOrders } from './orders.ts'
-import type { Peers } from './peers.ts'
-import type { RowStore } from './rows.ts'
+import type { Dialer } from './lending/dialer.ts'
+import type { PromotionOrders } from './succession/orders.ts'
+import type { Peers } from './membership/peers.ts'
+import type { RowStore } from './membership/rows.ts'
 
 export interface Platform {
   readonly store: RowStore
--- a/src/shell/pool/auditor.ts
+++ b/src/shell/pool/statements/auditor.ts
@@ -1,8 +1,8 @@
 /** Makes the audit records of a process's sessions, and brings them to the object store. */
 
-import { auditRecordOf } from '../../core/pool/audited.ts'
-import { AuditId } from '../../core/audit/id.ts'
-import { Batches } from '../audit/batches.ts'
+import { auditRecordOf } from '../../../core/pool/statements/audited.ts'
+import { AuditId } from '../../../core/audit/id.ts'
+import { Batches } from '../../audit/batches.ts'
 
 type Audited = Parameters<typeof auditRecordOf>[0]
 type Options = Omit<Parameters<typeof Batches.start>[0], 'limits'>
--- a/src/shell/pool/explanation.ts
+++ b/src/shell/pool/statements/explanation.ts
@@ -1,11 +1,11 @@
 /** The line that explains a statement: what was decided, on which knowledge, of which age. */
 
-import type { Trail } from '../../core/pool/trail.ts'
-import type { Reply } from '../../core/statement/reply.ts'
-import type { Statement } from '../../core/statement/statement.ts'
-import type { Token } from '../../core/token.ts'
-import { clock } from './clock.ts'
-import type { PoolContext } from './context.ts'
+import type { Trail } from '../../../core/pool/statements/trail.ts'
+import type { Reply } from '../../../core/statement/reply.ts'
+import type { Statement } from '../../../core/statement/statement.ts'
+import type { Token } from '../../../core/token.ts'
+import { clock } from '../clock.ts'
+import type { PoolContext } from '../context.ts'
 import type { Transaction } from './transaction.ts'
 
 interface Explained {
--- a/src/shell/pool/left.ts
+++ b/src/shell/pool/statements/left.ts
@@ -1,7 +1,7 @@
 /** What is left until a deadline. */
 
-import type { Instant } from '../../core/id/instant.ts'
-import { clock } from './clock.ts'
+import type { Instant } from '../../../core/id/instant.ts'
+import { clock } from '../clock.ts'
 
 /** Milliseconds, never below 0. */
 export function left (deadline: Instant): number {
--- a/src/shell/pool/notetry.ts
+++ b/src/shell/pool/statements/notetry.ts
@@ -1,9 +1,9 @@
 /** Counts a try, and notes it for the line that explains its statement. */
 
-import type { Trail } from '../../core/pool/trail.ts'
-import type { Try } from '../../core/pool/try.ts'
-import { clock } from './clock.ts'
-import type { PoolContext } from './context.ts'
+import type { Trail } from '../../../core/pool/statements/trail.ts'
+import type { Try } from '../../../core/pool/statements/try.ts'
+import { clock } from '../clock.ts'
+import type { PoolContext } from '../context.ts'
 
 export function noteTry ({ metrics }: PoolContext, trail: Trail, one: Omit<Try, 'startMs'>): void {
   trail.add({ ...one, startMs: clock.now() - one.ms - trail.since })
--- a/src/shell/pool/receipt.ts
+++ b/src/shell/pool/statements/receipt.ts
@@ -1,13 +1,13 @@
 /** Whether the endpoint that a leaving primary hands over to has received a commit. */
 
 import { setTimeout as pause } from 'node:timers/promises'
-import type { EndpointId } from '../../core/id/endpoint.ts'
-import type { Instant } from '../../core/id/instant.ts'
-import { Handover } from '../../core/pool/handover.ts'
-import { Values } from '../../core/session/values.ts'
-import type { Token } from '../../core/token.ts'
-import { Attempt } from './attempt.ts'
-import type { PoolGroup } from './group.ts'
+import type { EndpointId } from '../../../core/id/endpoint.ts'
+import type { Instant } from '../../../core/id/instant.ts'
+import { Handover } from '../../../core/pool/succession/handover.ts'
+import { Values } from '../../../core/session/values.ts'
+import type { Token } from '../../../core/token.ts'
+import { Attempt } from '../lending/attempt.ts'
+import type { PoolGroup } from '../group.ts'
 import { left } from './left.ts'
 
 interface Options {
--- a/src/shell/pool/refused.ts
+++ b/src/shell/pool/statements/refused.ts
@@ -1,6 +1,6 @@
 /** A statement that wasn't done: why, and when a new try may do better. */
 
-import type { Fault } from '../../core/statement/fault.ts'
+import type { Fault } from '../../../core/statement/fault.ts'
 
 export interface Refused {
   readonly fault: Fault
--- a/src/shell/pool/target.ts
+++ b/src/shell/pool/statements/target.ts
@@ -1,10 +1,10 @@
 /** Picks the endpoint for the next try of an operation. */
 
-import type { EndpointId } from '../../core/id/endpoint.ts'
-import type { Target } from '../../core/pool/target.ts'
-import type { Freshness } from '../../core/routing/freshness.ts'
-import type { Token } from '../../core/token.ts'
-import type { PoolGroup } from './group.ts'
+import type { EndpointId } from '../../../core/id/endpoint.ts'
+import type { Target } from '../../../core/pool/statements/target.ts'
+import type { Freshness } from '../../../core/routing/freshness.ts'
+import type { Token } from '../../../core/token.ts'
+import type { PoolGroup } from '../group.ts'
 
 interface Wanted {
   /** True for writes, and for transactions that may write. */
--- a/src/shell/pool/transaction.ts
+++ b/src/shell/pool/statements/transaction.ts
@@ -1,7 +1,7 @@
 /** A caller's open transaction, and the connection that it holds from its first statement on. */
 
-import type { Route } from '../../core/pool/route.ts'
-import type { Attempt } from './attempt.ts'
+import type { Route } from '../../../core/pool/route.ts'
+import type { Attempt } from '../lending/attempt.ts'
 
 type State = 'open' | 'aborted' | 'failed'
 
--- a/src/shell/pool/tries.ts
+++ b/src/shell/pool/statements/tries.ts
@@ -1,15 +1,15 @@
 /** An operation that is tried from endpoint to endpoint. */
 
-import type { Instant } from '../../core/id/instant.ts'
-import type { Ending } from '../../core/pool/ending.ts'
-import type { Route } from '../../core/pool/route.ts'
-import type { Target } from '../../core/pool/target.ts'
-import type { Trail } from '../../core/pool/trail.ts'
-import type { Work } from '../../core/pool/work.ts'
-import type { Values } from '../../core/session/values.ts'
-import type { Answer } from '../../core/statement/answer.ts'
-import type { Token } from '../../core/token.ts'
-import type { Attempt } from './attempt.ts'
+import type { Instant } from '../../../core/id/instant.ts'
+import type { Ending } from '../../../core/pool/statements/ending.ts'
+import type { Route } from '../../../core/pool/route.ts'
+import type { Target } from '../../../core/pool/statements/target.ts'
+import type { Trail } from '../../../core/pool/statements/trail.ts'
+import type { Work } from '../../../core/pool/statements/work.ts'
+import type { Values } from '../../../core/session/values.ts'
+import type { Answer } from '../../../core/statement/answer.ts'
+import type { Token } from '../../../core/token.ts'
+import type { Attempt } from '../lending/attempt.ts'
 
 export interface Tries {
   readonly route: Route
--- a/src/shell/pool/orders.ts
+++ b/src/shell/pool/succession/orders.ts
@@ -1,8 +1,8 @@
 /** Orders to the platform to make an endpoint the primary of its group. */
 
-import type { EndpointId } from '../../core/id/endpoint.ts'
-import type { GroupId } from '../../core/id/group.ts'
-import type { HostId } from '../../core/id/host.ts'
+import type { EndpointId } from '../../../core/id/endpoint.ts'
+import type { GroupId } from '../../../core/id/group.ts'
+import type { HostId } from '../../../core/id/host.ts'
 
 interface Order {
   readonly group: GroupId
--- a/src/shell/pool/probes.ts
+++ b/src/shell/pool/succession/probes.ts
@@ -1,12 +1,12 @@
 /** Questions to the endpoints of a group, each on a new connection beside those in use. */
 
-import type { EndpointId } from '../../core/id/endpoint.ts'
-import type { Command } from '../../core/statement/command.ts'
-import type { EndpointStatus } from '../../core/statement/status.ts'
-import { clock } from './clock.ts'
-import type { Dialer } from './dialer.ts'
-import type { DialFault } from './dialfault.ts'
-import type { PoolGroup } from './group.ts'
+import type { EndpointId } from '../../../core/id/endpoint.ts'
+import type { Command } from '../../../core/statement/command.ts'
+import type { EndpointStatus } from '../../../core/statement/status.ts'
+import { clock } from '../clock.ts'
+import type { Dialer } from '../lending/dialer.ts'
+import type { DialFault } from '../lending/dialfault.ts'
+import type { PoolGroup } from '../group.ts'
 
 /** How long an endpoint has to answer: a connection, and a place in its queue. */
 const PROBE_MS = 300
