--- a/bench/main.ts
+++ b/bench/main.ts
@@ -18,11 +18,12 @@
 import { limitsBenchmark } from './limits.ts'
 import { patches } from './patches.ts'
 import { placement } from './placement.ts'
+import { policyBenchmark } from './policy.ts'
 import { proxy } from './proxy.ts'
 import { reads } from './reads.ts'
 
 /** Those that end within three minutes together; they run when none is named. */
-const QUICK: readonly Benchmark[] = [core, limitsBenchmark, audit, control, document, proxy]
+const QUICK: readonly Benchmark[] = [core, limitsBenchmark, policyBenchmark, audit, control, document, proxy]
 const BENCHMARKS: readonly Benchmark[] = [...QUICK, callers, failover, gossip, idle, patches, placement, reads]
 const RESULTS = 'bench/results'
 const DIGITS = 4
