A host is ready once it has asked for the other hosts

Endpoints turned 1,384 connections away; statements waited 0.3 to 0.7 s and were refused.

Change: the table of hosts is read while the own row is written, and a host is ready when it has asked for it, whether the store answered or not, or when other hosts told it what it knows while the store is away.

--- a/src/shell/pool/membership/membership.ts
+++ b/src/shell/pool/membership/membership.ts
@@ -38,6 +38,7 @@
   /** Where the hosts' rows lie. */
   static readonly table = TABLE
   private known = Hosts.empty
+  private wasAsked = false
 
   private constructor (private readonly options: Options) {}
 
@@ -52,14 +53,19 @@
     return [...others, self].sort((a, b) => a.id < b.id ? -1 : 1)
   }
 
+  /** Whether the table was read once, or the store had no answer when it was asked for it. */
+  get isAsked (): boolean {
+    return this.wasAsked
+  }
+
   async run (signal: AbortSignal): Promise<void> {
     const { store, self, chance } = this.options
     const { dataCentre, address, knowledgePort } = self
     const value = JSON.stringify({ dataCentre, ...address, knowledgePort })
     let isSettled = false
     while (!signal.aborted) {
-      const renewed = await store.change([{ table: TABLE, key: self.id, value }], signal)
-      const isRead = await this.read(signal)
+      // Together, since a process that starts needs the others at once: they may have been there before it.
+      const [renewed, isRead] = await Promise.all([store.change([{ table: TABLE, key: self.id, value }], signal), this.read(signal)])
       const ms = renewed.isErr() || !isRead ? RETRY_MS : isSettled ? RENEW_MS : SETTLED_MS
       isSettled ||= renewed.isOk() && isRead
       await pause(ms * (1 + chance()) / 2, undefined, { signal }).catch(() => 'the signal ends the loop')
@@ -73,7 +79,11 @@
 
   private async read (signal: AbortSignal): Promise<boolean> {
     const read = await this.options.store.read(TABLE, signal)
-    if (read.isErr()) return false
+    this.wasAsked = true
+    if (read.isErr()) {
+      this.options.onChange()
+      return false
+    }
     this.known = read.value.rows.reduce((known, { key, value, version }) => {
       const parsed = shape.safeParse(readJson(value ?? 'null'))
       if (!parsed.success) return known
--- a/src/shell/pool/node.ts
+++ b/src/shell/pool/node.ts
@@ -60,6 +60,8 @@
   private readonly membership: Membership
   private readonly configuration: Configuration
   private isStoreThere = false
+  /** Whether other hosts told it what it knows. */
+  private isTaught = false
   private missed = MissedHosts.none
   /** Callers who came before the process was ready. */
   private readonly starting = Waiters.create()
@@ -84,7 +86,7 @@
     }
     this.configuration = Configuration.create({ log, metrics, ...options.platform.config })
     this.listing = Listing.create({ log, parse: options.platform.endpoints.parse, onChange: () => this.spread() })
-    this.membership = Membership.create({ self: options.self, store: options.platform.store, chance: options.chance, onChange: () => this.resize() })
+    this.membership = Membership.create({ self: options.self, store: options.platform.store, chance: options.chance, onChange: () => this.hostsChanged() })
   }
 
   /** Runs until the signal. */
@@ -98,9 +100,16 @@
     return this.configuration.config
   }
 
-  /** Whether it can serve: with a configuration and the directory. */
+  /**
+   * Whether it can serve: with a configuration, the directory and the other hosts.
+   *
+   * Guard against a host that takes itself for the only one at its start: the callers that
+   * wait for it would all be served by it and not by the owners, each on a connection of its own, for as long as
+   * their sessions last. It shows, after all hosts lost their power, as endpoints that turn connections away and statements that
+   * wait for one (a second and a half with 88 hosts). What comes from other hosts while the store is away has no list of hosts, and is enough.
+   */
   get isReady (): boolean {
-    return this.configuration.isKnown && this.listing.isRead
+    return this.configuration.isKnown && this.listing.isRead && (this.membership.isAsked || this.isTaught)
   }
 
   get hosts (): readonly PoolHost[] {
@@ -115,6 +124,7 @@
   /** Whether it was news. */
   private learn ({ config, endpoints }: Knowledge): boolean {
     if (config.length === 0) return false
+    this.isTaught = true
     const { version } = this.config
     this.configured(config)
     if (!this.listing.isRead) this.listing.take(endpoints, true)
@@ -245,6 +255,11 @@
     return this.missed.last(places, clock.now())
   }
 
+  private hostsChanged (): void {
+    this.resize()
+    this.letIn()
+  }
+
   private resize (): void {
     const { hosts } = this.membership
     const { self } = this.options
