Owners are picked where half of the connections don't reach for all hosts

Cause: with 66 hosts before endpoints that take 98 connections each host owned every group with one connection. After all hosts lost their power an endpoint still counted 66 dead ones, so it turned 12,806 away; what was had was given back after 30 ms unused, as is done while connections are scarce, and opened again for the next statement, which takes 27 ms of one of an endpoint's two places. So the endpoints did little but open connections: for ten seconds after the power was back next to nothing was served, and the scarcity was renewed by each refusal.

Ruled out: the start of hosts alone (from the second second on all run), and slow endpoints (the same statements take 9 ms of work before).

Change: every host owns a group only where twice as many connections are there as hosts. Else owners are picked, as before, who have half of the connections, two each at least: the living fit beside as many dead, and such a host doesn't expect scarcity at its start. With no more hosts than half of the connections nothing changes.

Tests: ownership.test.ts as a table, of which the five cases of room beside the dead fail on the code before; thrift.test.ts.

--- a/src/core/pool/placing/ownership.test.ts
+++ b/src/core/pool/placing/ownership.test.ts
@@ -6,7 +6,6 @@
 import type { HostId } from '../../id/host.ts'
 import type { PoolHost } from './host.ts'
 import { Ownership } from './ownership.ts'
-import { shareOf } from './share.ts'
 
 /** So many hosts, dealt over three data centres in turn. */
 function hosts (count: number): PoolHost[] {
@@ -18,13 +17,21 @@
 }
 
 describe('the owners of a group', () => {
-  it.each([[7, 16, 7, 2], [7, 30, 7, 4], [14, 16, 14, 1], [15, 16, 7, 2], [64, 22, 10, 2], [64, 98, 64, 1], [3, 1, 1, 1], [1, 16, 1, 14]])('%d hosts, %d connections: %d owners with %d each', (count, connections, expected, share) => {
+  it.each([[7, 16, 7, 2], [7, 30, 7, 4], [8, 16, 8, 1], [9, 16, 4, 2], [14, 16, 4, 2], [64, 22, 5, 2], [88, 40, 10, 2], [66, 98, 24, 2], [49, 98, 49, 1], [3, 1, 1, 1], [1, 16, 1, 14]])('%d hosts, %d connections: %d owners with %d each', (count, connections, expected, share) => {
     const made = owners(count, connections)
     expect(made.owners.length).toBe(expected)
-    expect(shareOf(connections, made.owners.length)).toBe(share)
+    expect(made.share).toBe(share)
     expect(expected * share).toBeLessThanOrEqual(Math.max(1, connections))
   })
 
+  // All hosts lose their power and come back within a second; for ten seconds more hardly anything is served.
+  // Endpoints count the dead connections for three seconds; the owners' new ones are turned away and tried again, and each try takes the endpoint's time.
+  it.each([[9, 16], [88, 40], [64, 22], [66, 98], [195, 58]])('%d hosts, %d connections: picked owners have room beside as many dead', (count, connections) => {
+    const { owners: picked, share, hasRoom } = owners(count, connections)
+    expect(hasRoom).toBe(true)
+    expect(2 * picked.length * share).toBeLessThanOrEqual(connections)
+  })
+
   it('stand in all data centres', () => expect(new Set(owners(64, 22).owners.map(({ dataCentre }) => dataCentre)).size).toBe(3))
 
   it('differ from group to group', () => {
@@ -41,7 +48,7 @@
 
 describe('a host that is no owner', () => {
   it('passes on to its own data centre first, and others to other owners', () => {
-    const made = owners(64, 22)
+    const made = owners(64, 40)
     const others = hosts(64).filter(({ id }) => !made.isOwner(id))
     expect(others.every(host => made.placesFor(host)[0]!.dataCentre === host.dataCentre)).toBe(true)
     expect(new Set(others.map(host => made.placesFor(host)[0]!.id)).size).toBeGreaterThan(5)
--- a/src/core/pool/placing/ownership.ts
+++ b/src/core/pool/placing/ownership.ts
@@ -4,7 +4,7 @@
 import type { HostId } from '../../id/host.ts'
 import { weightOf } from '../../weight.ts'
 import type { PoolHost } from './host.ts'
-import { dealt } from './dealt.ts'
+import { shareOf } from './share.ts'
 
 /** With one connection each, a transaction at one owner would keep its other sessions waiting while another owner's connection is unused. */
 const LEAST_PER_OWNER = 2
@@ -12,20 +12,27 @@
 /**
  * The owners of one group among the hosts that are alive. Immutable.
  *
- * With at least as many connections an endpoint as hosts every host owns the
+ * With at least twice as many connections an endpoint as hosts every host owns the
  * group and connects by itself. With fewer, a part of the hosts owns it, each
  * with a few connections, picked by rendezvous hashing, so that a host that comes
  * or goes moves few sessions, and dealt over the data centres in turn, so that
  * most sessions find an owner in theirs.
+ *
+ * Guard against endpoints that are full of dead connections: they count those of a host that lost its power
+ * for about three seconds more. After all hosts lost theirs, connections were turned away, opened again and again, and each opening
+ * took a place from statements: with 66 owners of one connection each before endpoints that take 98, next to nothing was
+ * served for ten seconds. So owners that are picked have half of the connections, and the living fit beside as many dead.
  */
 export class Ownership {
-  private constructor (readonly owners: readonly PoolHost[]) {}
+  /** `share`: connections to an endpoint for each owner. `hasRoom`: whether the living fit beside as many dead. */
+  private constructor (readonly owners: readonly PoolHost[], readonly share: number, readonly hasRoom: boolean) {}
 
   static of (group: GroupId, hosts: readonly PoolHost[], connections: number): Ownership {
-    const room = dealt(connections)
-    if (room >= hosts.length) return new Ownership(hosts)
-    const most = Math.max(1, Math.floor(room / LEAST_PER_OWNER))
-    return new Ownership(inTurn(byDataCentre(hosts, group)).slice(0, most))
+    const half = Math.max(1, Math.floor(connections / 2))
+    if (half >= hosts.length) return new Ownership(hosts, shareOf(connections, hosts.length), false)
+    const most = Math.max(1, Math.floor(half / LEAST_PER_OWNER))
+    const owners = inTurn(byDataCentre(hosts, group)).slice(0, most)
+    return new Ownership(owners, Math.max(1, Math.floor(half / owners.length)), true)
   }
 
   isOwner (host: HostId): boolean {
--- a/src/core/pool/placing/thrift.test.ts
+++ b/src/core/pool/placing/thrift.test.ts
@@ -9,6 +9,7 @@
 it.each<[string, Thrift, number, boolean]>([
   ['just started', Thrift.started(0 as Instant), 1000, true],
   ['started long ago', Thrift.started(0 as Instant), 4000, false],
+  ['with room beside the dead', Thrift.none, 1, false],
   ['refused lately', Thrift.started(0 as Instant).refused(10_000 as Instant), 12_000, true],
   ['refused long ago', Thrift.started(0 as Instant).refused(10_000 as Instant), 14_000, false]
 ])('%s', (_, thrift, now, isScarce) => {
--- a/src/core/pool/placing/thrift.ts
+++ b/src/core/pool/placing/thrift.ts
@@ -22,6 +22,9 @@
 export class Thrift {
   private constructor (private readonly until: Instant) {}
 
+  /** None is expected to be scarce until one is refused. */
+  static readonly none = new Thrift(-Infinity as Instant)
+
   /** A process that starts may follow a power loss of all hosts, its own host's earlier life among them. */
   static started (now: Instant): Thrift {
     return new Thrift(now + SCARCE_MS as Instant)
--- a/src/shell/pool/group.ts
+++ b/src/shell/pool/group.ts
@@ -14,11 +14,13 @@
 import type { PoolHost } from '../../core/pool/placing/host.ts'
 import { Progress } from '../../core/pool/reads/progress.ts'
 import { Reach } from '../../core/pool/placing/reach.ts'
+import { Thrift } from '../../core/pool/placing/thrift.ts'
 import { Standing } from '../../core/pool/reads/standing.ts'
 import type { Token } from '../../core/token.ts'
 import type { Log } from '../log/log.ts'
 import { clock } from './clock.ts'
 import type { Dialer } from './lending/dialer.ts'
+import type { Dealt } from './lending/dealt.ts'
 import type { DialFault } from './lending/dialfault.ts'
 import { Lender } from './lending/lender.ts'
 import type { PoolMetrics } from './metrics.ts'
@@ -46,7 +48,7 @@
   private directory: Directory = Endpoints.empty
   private leadership: Leadership
   private progress = Progress.empty
-  private share = 1
+  private dealt: Dealt = { connections: 1, isOwner: false, hasRoom: false }
   /** The newest that was announced; an old one concerns an endpoint that doesn't lead any more. */
   private handover: Handover | undefined
   private reach = Reach.none
@@ -125,11 +127,12 @@
     }
   }
 
-  /** Takes another share of each endpoint's connections; a host that is no owner uses its one only when no owner is reached. */
-  resize (share: number, isOwner: boolean): void {
-    if (share !== this.share) this.options.log.write('shareDealt', { group: this.id, connections: share, isOwner })
-    this.share = share
-    for (const lender of this.lenders.values()) lender.resize(share)
+  /** Takes another share of each endpoint's connections. */
+  resize (dealt: Dealt): void {
+    const { connections, isOwner } = dealt
+    if (connections !== this.dealt.connections) this.options.log.write('shareDealt', { group: this.id, connections, isOwner })
+    this.dealt = dealt
+    for (const lender of this.lenders.values()) lender.resize(connections)
   }
 
   handOver (handover: Handover): void {
@@ -147,9 +150,10 @@
     if (known !== undefined) return known
     const endpoint = this.directory.get(id)
     if (endpoint === undefined) return undefined
-    const { dialer, chance } = this.options
+    const { dialer, chance, startedAt } = this.options
+    const { connections, hasRoom } = this.dealt
     const onDialled = (outcome: 'opened' | DialFault) => this.dialled(id, outcome)
-    const lender = Lender.create({ endpoint, dialer, chance, startedAt: this.options.startedAt, connections: this.share, onDialled })
+    const lender = Lender.create({ endpoint, dialer, chance, thrift: hasRoom ? Thrift.none : Thrift.started(startedAt), connections, onDialled })
     this.lenders.set(id, lender)
     return lender
   }
--- a/src/shell/pool/lending/lender.ts
+++ b/src/shell/pool/lending/lender.ts
@@ -41,8 +41,8 @@
   readonly dialer: Dialer
   readonly connections: number
   readonly chance: () => number
-  /** When the process started. */
-  readonly startedAt: Instant
+  /** Whether connections are scarce as it begins. */
+  readonly thrift: Thrift
   /** Told of each try to open a connection. */
   readonly onDialled: (outcome: 'opened' | DialFault) => void
 }
@@ -69,7 +69,7 @@
 
   private constructor (private readonly options: Options) {
     this.limit = options.connections
-    this.thrift = Thrift.started(options.startedAt)
+    this.thrift = options.thrift
     this.admission = Admission.create(limitsOf(options.connections))
   }
 
--- a/src/shell/pool/node.ts
+++ b/src/shell/pool/node.ts
@@ -6,7 +6,6 @@
 import { LineBudget } from '../../core/pool/statements/linebudget.ts'
 import { MissedHosts } from '../../core/pool/placing/missedhosts.ts'
 import { Ownership } from '../../core/pool/placing/ownership.ts'
-import { shareOf } from '../../core/pool/placing/share.ts'
 import { SharedBudget } from '../../core/retry/budget.ts'
 import type { Log } from '../log/log.ts'
 import type { Auditor } from './statements/auditor.ts'
@@ -267,7 +266,8 @@
     for (const { id, connections } of this.config.groups) {
       const ownership = Ownership.of(id, hosts, connections)
       this.ownerships.set(id, ownership)
-      this.groups.get(id)?.resize(ownership.isOwner(self.id) ? shareOf(connections, ownership.owners.length) : 1, ownership.isOwner(self.id))
+      const isOwner = ownership.isOwner(self.id)
+      this.groups.get(id)?.resize({ connections: isOwner ? ownership.share : 1, isOwner, hasRoom: isOwner && ownership.hasRoom })
     }
   }
 }
