No promise for a write whose commit was sent right behind it

Where an owner is gone, each open statement was judged by itself. A write of a transaction with its commit sent behind it, before any answer, was told that nothing is kept; the commit was told in doubt, and may be done. A caller that believes the first runs its write again.

Change: one open statement that may be kept leaves all of them in doubt.

--- a/src/core/pool/statements/lostowner.test.ts
+++ b/src/core/pool/statements/lostowner.test.ts
@@ -16,6 +16,8 @@
   ['a commit', ['commit'], true, 'unknown'],
   ['a value', ['set'], false, 'aborted'],
   ['what is no statement', ['none'], false, 'aborted'],
-  ['a transaction that is sent at once', ['begin', 'write', 'commit'], false, 'aborted unknown unknown'],
-  ['a transaction behind the commit of another', ['commit', 'begin', 'write'], true, 'unknown aborted unknown']
+  ['reads that are sent at once', ['read', 'read'], false, 'aborted aborted'],
+  ['a transaction that is sent at once', ['begin', 'write', 'commit'], false, 'unknown unknown unknown'],
+  ['a write with the commit behind it', ['write', 'commit'], true, 'unknown unknown'],
+  ['a transaction behind the commit of another', ['commit', 'begin', 'write'], true, 'unknown unknown unknown']
 ])('%s', (_, kinds, isInTransaction, expected) => expect(lostOwnerFaults(kinds, isInTransaction).join(' ')).toBe(expected))
