--- a/src/core/directory/endpoint.ts
+++ b/src/core/directory/endpoint.ts
@@ -13,4 +13,6 @@
   readonly isLeaving: boolean
   /** How it sees itself; a replaced primary that is cut off may still call itself primary. */
   readonly isPrimary: boolean
+  /** When its process started, in milliseconds of its own time of day; another one under the same id holds and knows nothing of what this one did. Undefined where it isn't told. */
+  readonly bornAt?: number | undefined
 }
--- /dev/null
+++ b/src/core/pool/membership/due.ts
@@ -0,0 +1,46 @@
+/** Whether this host is to ask the store about a table now, and what. */
+
+import type { Instant } from '../../id/instant.ts'
+import type { ControlAction } from './controlaction.ts'
+import type { ControlState } from './controlstate.ts'
+import type { TableName } from './tablename.ts'
+
+type Ask = Extract<ControlAction, { kind: 'ask' }>
+
+/** The least time that a neighbour gets to answer a process that starts: a connection and two ways, beside other work. */
+const PATIENCE_MS = 50
+/** And so many times what the store took for the roll: asking it for the rest takes about as long. */
+const PATIENCE = 2
+/** Where no host is known yet the whole system starts, and nobody waits to be served: those that the settings name get this time to have all started. */
+const BOOT_MS = 1500
+
+/**
+ * A reader's question is held open. A host that hears from others asks nothing,
+ * unless it lacks a table that none of them can tell it soon, or for too long none of them
+ * has heard from the store itself: then it asks for what changed, without waiting.
+ */
+export function dueQuestion (state: ControlState, table: TableName, isReader: boolean, now: Instant): Ask | undefined {
+  const { questions, tables, pace, coveredAt } = state
+  const question = questions[table]
+  if (question.isOpen || now < question.notBefore) return undefined
+  // A store that fails one question fails the others too, and refused calls count like any.
+  if (table !== 'config' && questions.config.failures > 0) return undefined
+  const { version } = tables[table]
+  if (version === undefined) return isReader || table === 'roll' || !isPromised(state, now) ? { kind: 'ask', table, after: undefined, waitMs: 0, why: 'start' } : undefined
+  const after = question.isForgotten ? undefined : version
+  // A host that begins to ask for others is of use to them once it has an answer, so its first question isn't held open.
+  const isHeld = question.lateMs(pace.waitMs[table], now) <= pace.answerMs
+  if (isReader) return { kind: 'ask', table, after, waitMs: isHeld ? pace.waitMs[table] : 0, why: 'reader' }
+  const answeredAt = question.answeredAt ?? -Infinity
+  const isDue = now - coveredAt > pace.silentMs && now - answeredAt > pace.waitMs[table]
+  return isDue ? { kind: 'ask', table, after, waitMs: 0, why: 'alone' } : undefined
+}
+
+/** Whether other hosts will tell this one soon what it doesn't know: no later than the store itself would. */
+function isPromised ({ tables, questions, ranking, startedAt, seeds, links, pace }: ControlState, now: Instant): boolean {
+  const { roll } = questions
+  if (tables.roll.version === undefined && roll.failures === 0) return true
+  if (ranking.hosts.length === 1) return seeds.length > 0 && now - startedAt < BOOT_MS
+  const tookMs = roll.answeredAt === undefined ? 0 : roll.answeredAt - roll.askedAt
+  return links.isPromising(Math.max(PATIENCE_MS, PATIENCE * tookMs), pace, now)
+}
--- /dev/null
+++ b/src/core/pool/membership/links.ts
@@ -0,0 +1,125 @@
+/** The hosts from which this one hears what the store holds. */
+
+import type { Instant } from '../../id/instant.ts'
+import type { LinkId } from './linkid.ts'
+import type { Pace } from './pace.ts'
+
+interface Link {
+  readonly since: Instant
+  readonly isOpen: boolean
+  /** When the last word came; undefined before the first. */
+  readonly heardAt: Instant | undefined
+  /** Undefined until the host said so. */
+  readonly hasTables: boolean | undefined
+  /** What the store owes that host, by its last word; infinite before that. */
+  readonly lateMs: number
+}
+
+type Fault = 'unreachable' | 'silent' | 'late'
+
+/** A host in reach takes a connection within milliseconds, a loaded one within a tenth of a second. */
+const OPEN_MS = 300
+/** A host that failed is left out for so long: a process that is started again takes about a second. */
+const MISSED_MS = 2000
+/** While so many are left out, none more is for being late: the store keeps all waiting then, and each host that is tried instead asks it once more. */
+const MOST_MISSED = 4
+
+/** Immutable; what happens to links yields the next value. */
+export class Links {
+  private constructor (private readonly links: ReadonlyMap<LinkId, Link>, private readonly missed: ReadonlyMap<LinkId, Instant>) {}
+
+  static readonly none = new Links(new Map(), new Map())
+
+  get ids (): readonly LinkId[] {
+    return [...this.links.keys()]
+  }
+
+  get open (): readonly LinkId[] {
+    return this.ids.filter(id => this.links.get(id)?.isOpen === true)
+  }
+
+  has (id: LinkId): boolean {
+    return this.links.has(id)
+  }
+
+  begun (id: LinkId, now: Instant): Links {
+    return this.with(id, { since: now, isOpen: false, heardAt: undefined, hasTables: undefined, lateMs: Infinity })
+  }
+
+  opened (id: LinkId, now: Instant): Links {
+    return this.change(id, { isOpen: true, since: now })
+  }
+
+  welcomed (id: LinkId, hasTables: boolean, now: Instant): Links {
+    return this.change(id, { heardAt: now, hasTables })
+  }
+
+  heard (id: LinkId, now: Instant): Links {
+    return this.change(id, { heardAt: now })
+  }
+
+  beat (id: LinkId, lateMs: number, hasTables: boolean, now: Instant): Links {
+    return this.change(id, { heardAt: now, lateMs, hasTables })
+  }
+
+  /** Not needed any more. */
+  closed (id: LinkId): Links {
+    return new Links(new Map([...this.links].filter(([other]) => other !== id)), this.missed)
+  }
+
+  /** It failed, so it's left out for a while. */
+  lost (id: LinkId, now: Instant): Links {
+    const kept = [...this.missed].filter(([, at]) => now - at < MISSED_MS)
+    return new Links(this.closed(id).links, new Map([...kept, [id, now]]))
+  }
+
+  /** `forMs`: for how long one that failed is left out. */
+  isMissed (id: LinkId, now: Instant, forMs = MISSED_MS): boolean {
+    return now - (this.missed.get(id) ?? -Infinity) < forMs
+  }
+
+  /** Whether what this host has is as new as what the one at the other end has, and that one hears from the store. */
+  isCurrent (id: LinkId, { silentMs, answerMs }: Pace, now: Instant): boolean {
+    const link = this.links.get(id)
+    return link?.heardAt !== undefined && now - link.heardAt <= silentMs && link.lateMs <= answerMs
+  }
+
+  /** Whether a link may soon bring the tables: it's opening, or the host at its end has them. */
+  isPromising (withinMs: number, { silentMs }: Pace, now: Instant): boolean {
+    return [...this.links.values()].some(({ since, hasTables }) => hasTables === undefined ? now - since < withinMs : hasTables && now - since < silentMs)
+  }
+
+  /** Links to give up, and why: no host at the other end, none that speaks, or one that the store keeps waiting. */
+  failing ({ silentMs, answerMs }: Pace, now: Instant): ReadonlyMap<LinkId, Fault> {
+    const missed = [...this.missed.keys()].filter(id => this.isMissed(id, now)).length
+    const faultOf = ({ since, isOpen, heardAt, lateMs }: Link): Fault | undefined => {
+      if (!isOpen) return now - since > OPEN_MS ? 'unreachable' : undefined
+      if (now - (heardAt ?? since) > silentMs) return 'silent'
+      // A host that was asked first a moment ago asks the store only since then.
+      return lateMs > answerMs && now - since > silentMs && missed < MOST_MISSED ? 'late' : undefined
+    }
+    return new Map([...this.links].flatMap(([id, link]) => {
+      const fault = faultOf(link)
+      return fault === undefined ? [] : [[id, fault]]
+    }))
+  }
+
+  /** This process itself did nothing for a while, so nobody else's silence counts. */
+  resumed (ms: number): Links {
+    const later = (at: Instant) => at + ms as Instant
+    return new Links(new Map([...this.links].map(([id, link]) => [id, {
+      ...link,
+      since: later(link.since),
+      heardAt: link.heardAt === undefined ? undefined : later(link.heardAt)
+    }])), this.missed)
+  }
+
+  private change (id: LinkId, change: Partial<Link>): Links {
+    const link = this.links.get(id)
+    return link === undefined ? this : this.with(id, { ...link, ...change })
+  }
+
+  private with (id: LinkId, link: Link): Links {
+    return new Links(new Map([...this.links, [id, link]]), this.missed)
+  }
+}
--- /dev/null
+++ b/src/core/pool/membership/pace.ts
@@ -0,0 +1,60 @@
+/** The times by which hosts follow the store and each other, worked out from the settings. */
+
+import type { TableName } from './tablename.ts'
+
+interface Bounds {
+  /** Milliseconds within which a new configuration is to be in force. */
+  readonly applyMs: number
+  /** Milliseconds for which an endpoint serves after it said that it leaves. */
+  readonly drainMs: number
+  /** Milliseconds for which the store knows what changed. */
+  readonly historyMs: number
+}
+
+/** A question to the store is held open for this part of the bound: a connection that went silent is found, and replaced, within it. */
+const WAIT_SHARE = 0.5
+/** The same for the list of endpoints, whose bound is longer; the rest of it is for a replacement of the primary. */
+const DRAIN_SHARE = 0.4
+/** Leases and the roll of hosts have no bound, and none of them is needed to serve, so a silent connection may be found late. */
+const UNBOUND_WAIT_MS = 8000
+/** The parts of the bound that are for an answer that doesn't come, and for a reader that goes silent; with the wait they leave three tenths for the rest. */
+const ANSWER_SHARE = 1 / 6
+const SILENT_SHARE = 1 / 6
+/** The copy of the configuration is said to be as new as it is so often: what it says is then young enough for the store also after a second or two without any host. */
+const COPY_SHARE = 1 / 4
+/** A store that answers at all does so within this time; the limit of each call. */
+const MOST_ANSWER_MS = 750
+/** Words in the time after which a reader counts as silent: one may be late. */
+const BEATS = 2.5
+
+/** Immutable. All in milliseconds. */
+export class Pace {
+  private constructor (
+    /** How long the store may hold a question open. */
+    readonly waitMs: Readonly<Record<TableName, number>>,
+    /** An answer that is later than this doesn't come. */
+    readonly answerMs: number,
+    /** A reader that says nothing for so long is gone or out of reach. */
+    readonly silentMs: number,
+    /** How often a reader speaks to those that follow it. */
+    readonly beatMs: number,
+    /** How often the copy of the configuration is said to be as new as it is. */
+    readonly copyMs: number
+  ) {}
+
+  /**
+   * The worst case that is added up here: a reader's question to the store goes silent just before a change (the wait and
+   * an answer's time pass), then those that take its place are silent too (a reader's silence passes), and the store is asked directly:
+   * 1/2 + 1/6 + 1/6 of the bound, and one call.
+   */
+  static of ({ applyMs, drainMs, historyMs }: Bounds): Pace {
+    const silentMs = Math.round(applyMs * SILENT_SHARE)
+    return new Pace(
+      { config: Math.round(applyMs * WAIT_SHARE), endpoints: Math.round(drainMs * DRAIN_SHARE), shared: UNBOUND_WAIT_MS, roll: UNBOUND_WAIT_MS },
+      Math.min(MOST_ANSWER_MS, Math.round(applyMs * ANSWER_SHARE)),
+      silentMs,
+      Math.round(silentMs / BEATS),
+      Math.round(historyMs * COPY_SHARE)
+    )
+  }
+}
--- /dev/null
+++ b/src/core/pool/membership/rollrow.ts
@@ -0,0 +1,28 @@
+/** How a host's row of the roll is written, and read. */
+
+import * as z from 'zod'
+import { readJson } from '../../readjson.ts'
+import type { DataCentreId } from '../../id/datacentre.ts'
+import type { HostId } from '../../id/host.ts'
+import type { HostEntry } from './hostentry.ts'
+
+const PREFIX = 'hosts/'
+/** In a list, since a row has all hosts of a data centre: id, data centre, address, port for sessions, port for links, incarnation, whether it leaves. */
+const shape = z.array(z.tuple([z.string(), z.string(), z.string(), z.int(), z.int(), z.int(), z.boolean()]))
+
+export const rollRow = {
+  keyOf: (writer: HostId): string => `${PREFIX}${writer}`,
+
+  /** The host that wrote the row; undefined for a row of another kind. */
+  writerOf: (key: string): HostId | undefined => key.startsWith(PREFIX) ? key.slice(PREFIX.length) as HostId : undefined,
+
+  encode: (entries: readonly HostEntry[]): string =>
+    JSON.stringify(entries.map(({ id, dataCentre, address: { ip, port }, linkPort, incarnation, isLeaving }) => [id, dataCentre, ip, port, linkPort, incarnation, isLeaving])),
+
+  /** No hosts for a text that can't be read, such as that of a later version of this program. */
+  decode: (text: string): readonly HostEntry[] => {
+    const parsed = shape.safeParse(readJson(text))
+    if (!parsed.success) return []
+    return parsed.data.map(([id, dataCentre, ip, port, linkPort, incarnation, isLeaving]) => ({ id: id as HostId, dataCentre: dataCentre as DataCentreId, address: { ip, port }, linkPort, incarnation, isLeaving }))
+  }
+}
--- /dev/null
+++ b/src/core/pool/membership/word.ts
@@ -0,0 +1,23 @@
+/** What hosts say to each other over a link. */
+
+import type { HostEntry } from './hostentry.ts'
+import type { Row } from './row.ts'
+import type { TableName } from './tablename.ts'
+
+/** The versions up to which a host has each table. */
+type Versions = Readonly<Partial<Record<TableName, number>>>
+
+export type Word =
+  /** From the host that follows: who it is, and what it has. The first word of a link, and said again when either changes otherwise than by what it's told. */
+  | { readonly kind: 'follow', readonly self: HostEntry, readonly versions: Versions }
+  /** From the host that follows: it's still there. */
+  | { readonly kind: 'alive' }
+  /** From the host that is followed: rows as the store gave them, all of them or what changed since what it told before. */
+  | { readonly kind: 'rows', readonly table: TableName, readonly isWhole: boolean, readonly rows: readonly Row[], readonly version: number }
+  /**
+   * From the host that is followed, after all rows that it knows: how much longer than planned the store owes it an answer, in milliseconds;
+   * 0 while all is well. `versions`: all rows up to them were told.
+   */
+  | { readonly kind: 'beat', readonly lateMs: number, readonly versions: Versions }
+  /** From the host that is followed, at once: whether it has every table, so that rows will come. */
+  | { readonly kind: 'welcome', readonly hasTables: boolean }
--- a/src/core/pool/placing/host.ts
+++ b/src/core/pool/placing/host.ts
@@ -8,6 +8,6 @@
   readonly dataCentre: DataCentreId
   /** Where it takes sessions that other hosts pass on. */
   readonly address: { readonly ip: string, readonly port: number }
-  /** The port at which it tells what it knows. */
-  readonly knowledgePort: number
+  /** The port at which it takes links of other hosts. */
+  readonly linkPort: number
 }
--- a/src/core/pool/placing/missedhosts.test.ts
+++ b/src/core/pool/placing/missedhosts.test.ts
@@ -6,7 +6,7 @@
 import type { Instant } from '../../id/instant.ts'
 import { MissedHosts } from './missedhosts.ts'
 
-const hosts = ['a', 'b', 'c'].map(id => ({ id: id as HostId, dataCentre: 'z' as DataCentreId, address: { ip: '10.0.0.1', port: 1 }, knowledgePort: 1 }))
+const hosts = ['a', 'b', 'c'].map(id => ({ id: id as HostId, dataCentre: 'z' as DataCentreId, address: { ip: '10.0.0.1', port: 1 }, linkPort: 1 }))
 const missed = (...ids: string[]) => ids.reduce((known, id) => known.with(id as HostId, 0 as Instant), MissedHosts.none)
 
 // Each sign-in takes a third of a second for as long as a dead host stays in the table.
--- a/src/core/pool/placing/ownership.test.ts
+++ b/src/core/pool/placing/ownership.test.ts
@@ -9,7 +9,7 @@
 
 /** So many hosts, dealt over three data centres in turn. */
 function hosts (count: number): PoolHost[] {
-  return Array.from({ length: count }, (_, i) => ({ id: `h${i}` as HostId, dataCentre: `z${i % 3}` as DataCentreId, address: { ip: '10.0.0.1', port: i + 1 }, knowledgePort: 1 }))
+  return Array.from({ length: count }, (_, i) => ({ id: `h${i}` as HostId, dataCentre: `z${i % 3}` as DataCentreId, address: { ip: '10.0.0.1', port: i + 1 }, linkPort: 1 }))
 }
 
 function owners (count: number, connections: number, group = 'g'): Ownership {
--- a/src/core/pool/placing/ownership.ts
+++ b/src/core/pool/placing/ownership.ts
@@ -2,6 +2,7 @@
 
 import type { GroupId } from '../../id/group.ts'
 import type { HostId } from '../../id/host.ts'
+import { inTurn } from '../../inturn.ts'
 import { weightOf } from '../../weight.ts'
 import type { PoolHost } from './host.ts'
 import { shareOf } from './share.ts'
@@ -56,9 +57,3 @@
   }
   return [...centres.keys()].sort().map(id => centres.get(id)!)
 }
-
-/** The first of each list, then the second of each, and so on. */
-function inTurn (lists: readonly PoolHost[][]): readonly PoolHost[] {
-  const longest = Math.max(0, ...lists.map(list => list.length))
-  return Array.from({ length: longest }, (_, i) => lists.flatMap(list => list.slice(i, i + 1))).flat()
-}
--- a/src/shell/log/events.ts
+++ b/src/shell/log/events.ts
@@ -52,7 +52,8 @@
   configUnreadable: { id: 5004, level: 'error', message: 'a configuration cannot be read by this program' },
 
   ownerLost: { id: 4008, level: 'warn', message: 'the host that served a session passed on to it is gone; its open statements are answered' },
-  peersAsked: { id: 5006, level: 'warn', message: 'asked other hosts for the configuration, since the store does not answer' },
+  sourceLost: { id: 4009, level: 'info', message: 'lost a host that tells this one what the store holds' },
+  storeAsked: { id: 5007, level: 'info', message: 'this host asks the store itself' },
   storeBack: { id: 5005, level: 'info', message: 'the store answers again' },
 
   callerRefused: { id: 6001, level: 'info', message: 'refused a caller' },
--- a/src/shell/pool/membership/configuration.ts
+++ b/src/shell/pool/membership/configuration.ts
@@ -5,8 +5,7 @@
 import { PoolConfig } from '../../../core/pool/config.ts'
 import type { Log } from '../../log/log.ts'
 import type { PoolMetrics } from '../metrics.ts'
-import type { KnownRow } from './knownrow.ts'
-import type { Row } from './row.ts'
+import type { Row } from '../../../core/pool/membership/row.ts'
 
 interface Options {
   readonly log: Log
@@ -20,7 +19,7 @@
 
 export class Configuration {
   private current = NONE
-  private row: KnownRow | undefined
+  private wasRead = false
 
   private constructor (private readonly options: Options) {}
 
@@ -34,12 +33,7 @@
   }
 
   get isKnown (): boolean {
-    return this.row !== undefined
-  }
-
-  /** The row that is in force, as the store gave it. */
-  get rows (): readonly KnownRow[] {
-    return this.row === undefined ? [] : [this.row]
+    return this.wasRead
   }
 
   /** Whether a newer version came into force; an older one never does again, whoever offers it. */
@@ -55,7 +49,7 @@
     const { value: config } = parsed
     if (config.version <= this.current.version) return false
     this.current = config
-    this.row = { ...newest, value: newest.value }
+    this.wasRead = true
     metrics.configVersion.set(config.version)
     log.write('configApplied', { version: config.version, databases: config.routes.length })
     return true
--- a/src/shell/pool/membership/listing.ts
+++ b/src/shell/pool/membership/listing.ts
@@ -6,8 +6,7 @@
 import type { EndpointId } from '../../../core/id/endpoint.ts'
 import type { Log } from '../../log/log.ts'
 import { clock } from '../clock.ts'
-import type { KnownRow } from './knownrow.ts'
-import type { Row } from './row.ts'
+import type { Row } from '../../../core/pool/membership/row.ts'
 
 interface Options {
   readonly log: Log
@@ -20,8 +19,6 @@
   private known = Directory.empty
   private lapses = Lapses.empty
   private wasRead = false
-  /** The rows behind the directory, as the store gave them. */
-  private readonly taken = new Map<EndpointId, KnownRow>()
 
   private constructor (private readonly options: Options) {}
 
@@ -38,15 +35,8 @@
     return this.wasRead
   }
 
-  get rows (): readonly KnownRow[] {
-    return [...this.taken.values()]
-  }
-
-  /** `isWhole`: the rows are all there are; else they are changes. */
-  take (rows: readonly Row[], isWhole: boolean): void {
-    const present = new Set(rows.map(({ key }) => key))
-    const missing = isWhole ? this.known.ids.filter(id => !present.has(id)) : []
-    for (const id of missing) this.gone(id)
+  /** Rows that changed, erased ones among them. */
+  take (rows: readonly Row[]): void {
     for (const row of rows) this.list(row)
     this.wasRead = true
     this.options.onChange()
@@ -65,11 +55,13 @@
     if (value === undefined) return this.gone(id)
     const { log, parse } = this.options
     const endpoint = parse(key, value)
-    if (endpoint === undefined) return log.write('endpointUnreadable', { endpoint: id, version })
+    if (endpoint === undefined) {
+      log.write('endpointUnreadable', { endpoint: id, version })
+      return this.forget(id)
+    }
     const old = this.known.get(id)
-    const isNews = old === undefined || old.isLeaving !== endpoint.isLeaving || old.isPrimary !== endpoint.isPrimary
+    const isNews = old === undefined || old.isLeaving !== endpoint.isLeaving || old.isPrimary !== endpoint.isPrimary || old.bornAt !== endpoint.bornAt
     if (isNews) log.write('endpointListed', { endpoint: id, group: endpoint.group, isLeaving: endpoint.isLeaving, isPrimary: endpoint.isPrimary, version })
-    this.taken.set(id, { key, value, version })
     this.lapses = this.lapses.without(id)
     this.known = this.known.with(endpoint, version)
   }
@@ -84,7 +76,6 @@
 
   private forget (id: EndpointId): void {
     this.lapses = this.lapses.without(id)
-    this.taken.delete(id)
     this.known = this.known.without(id)
   }
 }
--- a/src/shell/pool/membership/rows.ts
+++ b/src/shell/pool/membership/rows.ts
@@ -1,7 +1,7 @@
 /** Tables of versioned rows that all hosts share. */
 
 import type { Result } from 'neverthrow'
-import type { Row } from './row.ts'
+import type { Row } from '../../../core/pool/membership/row.ts'
 
 interface Change {
   readonly table: string
@@ -23,8 +23,8 @@
 
 /** Every method resolves, within its time. */
 export interface RowStore {
-  /** All rows of a table as of one moment. */
-  read (table: string, signal: AbortSignal): Promise<Result<Rows, Fault>>
+  /** All rows of a table as of one moment, or those whose keys begin so. */
+  read (table: string, signal: AbortSignal, prefix?: string): Promise<Result<Rows, Fault>>
   /** What changed after the version, as soon as something did or the time is over. `forgotten`: that is not known any more. */
   changes (table: string, after: number, waitMs: number, signal: AbortSignal): Promise<Result<Rows, Fault | 'forgotten'>>
   /** Makes all changes or none; the version of the changes. `conflict`: a row had another version. */
--- /dev/null
+++ b/src/shell/pool/membership/tables.ts
@@ -0,0 +1,235 @@
+/** Keeps what this process knows of the store's tables: carries out what its control decides. */
+
+import { createServer } from 'node:net'
+import { setTimeout as pause } from 'node:timers/promises'
+import { Control } from '../../../core/pool/membership/control.ts'
+import type { ControlAction } from '../../../core/pool/membership/controlaction.ts'
+import type { ControlEvent } from '../../../core/pool/membership/controlevent.ts'
+import type { LinkId } from '../../../core/pool/membership/linkid.ts'
+import { linkOf } from '../../../core/pool/membership/linkof.ts'
+import type { Pace } from '../../../core/pool/membership/pace.ts'
+import { rollRow } from '../../../core/pool/membership/rollrow.ts'
+import type { Row } from '../../../core/pool/membership/row.ts'
+import { Table } from '../../../core/pool/membership/table.ts'
+import type { TableName } from '../../../core/pool/membership/tablename.ts'
+import type { PoolHost } from '../../../core/pool/placing/host.ts'
+import type { Log } from '../../log/log.ts'
+import { clock } from '../clock.ts'
+import type { PoolMetrics } from '../metrics.ts'
+import { Waiters } from '../waiters.ts'
+import { Copies } from './copies.ts'
+import type { RowStore } from './rows.ts'
+import { WordLink } from './wordlink.ts'
+
+interface Options {
+  readonly self: PoolHost
+  readonly pace: Pace
+  /** Where hosts that the settings name take links. */
+  readonly seeds: readonly LinkId[]
+  readonly store: RowStore
+  /** What the tables are called in the store. */
+  readonly names: Readonly<Record<TableName, string>>
+  /** Where the copy of the configuration lies. */
+  readonly copies: string
+  readonly log: Log
+  readonly metrics: PoolMetrics
+  readonly chance: () => number
+  /** Rows changed, erased ones among them; `isFirst`: the table wasn't known before. */
+  readonly onNews: (table: TableName, rows: readonly Row[], isFirst: boolean) => void
+  /** The hosts that are alive changed. */
+  readonly onHosts: () => void
+}
+
+type Ask = Extract<ControlAction, { kind: 'ask' }>
+type Write = Extract<ControlAction, { kind: 'write' }>
+
+/** A fifth of the time after which a host counts as silent, with the shortest bounds that are known. */
+const TICK_MS = 100
+/** A host that leaves tells others, or writes to the store, within this time; the shortest grace that is known leaves 0.8 s for all that is done at the end. */
+const LEAVE_MS = 300
+const LOOK_MS = 10
+
+export class Tables {
+  private control: Control
+  private readonly sources = new Map<LinkId, WordLink>()
+  private readonly followers = new Map<number, WordLink>()
+  private links = 0
+  private readonly events: ControlEvent[] = []
+  private isStepping = false
+  private readonly failing = new Set<TableName>()
+  private why: Ask['why'] | 'others' = 'others'
+  /** Those who wait for rows that another host has. */
+  private readonly waiting = Waiters.create()
+
+  private readonly copies: Copies
+
+  private constructor (private readonly options: Options, private readonly signal: AbortSignal) {
+    const { store, copies: table, metrics } = options
+    this.copies = Copies.create({ store, table, metrics })
+    const { self, pace, seeds } = options
+    const own = linkOf(self)
+    // A host that starts anew contradicts what was said of its life before, whatever the time of day says by then.
+    const entry = { ...self, incarnation: Date.now(), isLeaving: false }
+    this.control = Control.create({ self: entry, pace, seeds: seeds.filter(seed => seed !== own), isSeed: seeds.includes(own) }, clock.now())
+  }
+
+  /** Runs until the signal. */
+  static start (options: Options, signal: AbortSignal): Tables {
+    const tables = new Tables(options, signal)
+    tables.listen()
+    const timer = setInterval(() => tables.step({ kind: 'tick' }), TICK_MS)
+    signal.addEventListener('abort', () => {
+      clearInterval(timer)
+      for (const link of [...tables.sources.values(), ...tables.followers.values()]) link.close()
+    })
+    tables.copies.look(signal)
+    tables.step({ kind: 'tick' })
+    return tables
+  }
+
+  /** This host among them, in the order of their ids. */
+  get hosts (): readonly PoolHost[] {
+    return this.control.hosts
+  }
+
+  get isKnown (): boolean {
+    return this.control.isKnown
+  }
+
+  /** Resolves once a host that has something newer has told of it, or after the time. */
+  async consult (host: PoolHost, ms: number): Promise<void> {
+    this.step({ kind: 'consult', link: linkOf(host) })
+    await this.waiting.wait(ms)
+  }
+
+  /** Tells that this host leaves. */
+  async leave (): Promise<void> {
+    this.step({ kind: 'leave' })
+    const until = clock.now() + LEAVE_MS
+    while (this.control.isWriting && clock.now() < until) await pause(LOOK_MS)
+  }
+
+  /** One after the other, since what an event brings about may be another event, and words must leave in their order. */
+  private step (event: ControlEvent): void {
+    if (this.signal.aborted) return
+    this.events.push(event)
+    if (this.isStepping) return
+    this.isStepping = true
+    for (let next = this.events.shift(); next !== undefined; next = this.events.shift()) {
+      const stepped = this.control.step(next, this.options.chance(), clock.now())
+      this.control = stepped.next
+      for (const action of stepped.actions) this.act(action)
+    }
+    this.isStepping = false
+  }
+
+  private act (action: ControlAction): void {
+    const { log, onNews, onHosts } = this.options
+    switch (action.kind) {
+      case 'news': {
+        onNews(action.table, action.rows, action.isFirst)
+        return this.waiting.wake()
+      }
+      case 'hosts': return onHosts()
+      case 'ask': {
+        this.ask(action)
+        return
+      }
+      case 'write': {
+        this.write(action)
+        return
+      }
+      case 'copy': {
+        this.copies.write(action, this.signal).then(isDone => this.step({ kind: 'copied', isDone }))
+        return
+      }
+      case 'open': return this.open(action.link)
+      case 'close': {
+        if (action.why !== 'others') log.write('sourceLost', { link: action.link, why: action.why })
+        this.sources.get(action.link)?.close()
+        this.sources.delete(action.link)
+        return
+      }
+      case 'say': return this.sources.get(action.link)?.say(action.word)
+      case 'tell': return this.followers.get(action.link)?.say(action.word)
+      case 'drop': {
+        this.followers.get(action.link)?.close()
+        this.followers.delete(action.link)
+      }
+    }
+  }
+
+  private async ask ({ table, after, waitMs, why }: Ask): Promise<void> {
+    const { store, names, metrics, log } = this.options
+    if (why !== this.why) log.write('storeAsked', { why, before: this.why })
+    this.why = why
+    const copied = table === 'config' && after === undefined ? await this.copied() : undefined
+    if (copied !== undefined) return this.step({ kind: 'answered', table, isWhole: true, ...copied })
+    metrics.storeCalls.inc({ call: after === undefined ? 'read' : 'changes', table, why })
+    const answer = after === undefined ? await store.read(names[table], this.signal) : await store.changes(names[table], after, waitMs, this.signal)
+    this.notice(table, answer.isErr() && answer.error !== 'forgotten')
+    if (answer.isOk()) return this.step({ kind: 'answered', table, isWhole: after === undefined, ...answer.value })
+    this.step({ kind: answer.error === 'forgotten' ? 'forgotten' : 'failed', table })
+  }
+
+  /** The configuration by its copy, and what changed since it was as new as it says; undefined when that can't be told. */
+  private async copied (): Promise<{ readonly rows: readonly Row[], readonly version: number } | undefined> {
+    const { store, names, metrics } = this.options
+    const copy = await this.copies.read(this.signal)
+    if (copy === undefined) return undefined
+    metrics.storeCalls.inc({ call: 'changes', table: 'config', why: 'copy' })
+    const changed = await store.changes(names.config, copy.version, 0, this.signal)
+    if (changed.isErr()) return undefined
+    const { next } = Table.empty.whole(copy.rows, copy.version).next.changed(changed.value.rows, changed.value.version)
+    return { rows: next.rows, version: changed.value.version }
+  }
+
+  private notice (table: TableName, isFailed: boolean): void {
+    const { log, metrics } = this.options
+    if (isFailed) metrics.storeFailures.inc({ table })
+    if (isFailed === this.failing.has(table)) return
+    if (isFailed) this.failing.add(table)
+    else this.failing.delete(table)
+    log.write(isFailed ? 'storeFailed' : 'storeBack', { table })
+  }
+
+  private async write ({ value, erased }: Write): Promise<void> {
+    const { store, names, self, metrics } = this.options
+    metrics.storeCalls.inc({ call: 'write', table: 'roll', why: 'roll' })
+    const own = { table: names.roll, key: rollRow.keyOf(self.id), value }
+    const written = await store.change([own, ...erased.map(key => ({ table: names.roll, key, value: undefined }))], this.signal)
+    this.step({ kind: 'written', isDone: written.isOk() })
+  }
+
+  private open (link: LinkId): void {
+    const opened = WordLink.dial(link, {
+      onOpen: () => this.step({ kind: 'opened', link }),
+      onWord: word => {
+        if (word.kind === 'rows' || word.kind === 'beat' || word.kind === 'welcome') this.step({ kind: 'told', link, word })
+      },
+      onEnd: () => {
+        this.sources.delete(link)
+        this.options.log.write('sourceLost', { link, why: 'ended' })
+        this.step({ kind: 'lost', link })
+      }
+    })
+    this.sources.set(link, opened)
+  }
+
+  private listen (): void {
+    const { address: { ip: host }, linkPort: port } = this.options.self
+    const server = createServer(socket => {
+      const link = ++this.links
+      this.followers.set(link, WordLink.of(socket, {
+        onWord: word => {
+          if (word.kind === 'follow' || word.kind === 'alive') this.step({ kind: 'spoke', link, word })
+        },
+        onEnd: () => {
+          this.followers.delete(link)
+          this.step({ kind: 'left', link })
+        }
+      }))
+    })
+    server.listen({ port, host, signal: this.signal })
+  }
+}
--- /dev/null
+++ b/src/shell/pool/membership/wordline.ts
@@ -0,0 +1,63 @@
+/** Words between hosts as lines of JSON, long ones compressed. */
+
+import { deflateRawSync, inflateRawSync } from 'node:zlib'
+import * as z from 'zod'
+import type { DataCentreId } from '../../../core/id/datacentre.ts'
+import type { HostId } from '../../../core/id/host.ts'
+import type { Word } from '../../../core/pool/membership/word.ts'
+import { tableNames } from '../../../core/pool/membership/tablenames.ts'
+import { readJson } from '../../../core/readjson.ts'
+
+/** From here on compressing saves more of a link than it takes of a processor: a configuration of 300 KB shrinks to a tenth. Characters. */
+const LONG = 2000
+
+const versions = z.partialRecord(z.enum(tableNames), z.number())
+const row = z.object({ key: z.string(), version: z.number(), value: z.string().optional() }).transform(({ key, version, value }) => ({ key, version, value }))
+const entry = z.object({
+  id: z.string().transform(id => id as HostId),
+  dataCentre: z.string().transform(id => id as DataCentreId),
+  address: z.object({ ip: z.string(), port: z.int() }),
+  linkPort: z.int(),
+  incarnation: z.int(),
+  isLeaving: z.boolean()
+})
+const word = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('follow'), self: entry, versions }),
+  z.object({ kind: z.literal('alive') }),
+  z.object({ kind: z.literal('rows'), table: z.enum(tableNames), isWhole: z.boolean(), rows: z.array(row), version: z.number() }),
+  z.object({ kind: z.literal('beat'), lateMs: z.number(), versions }),
+  z.object({ kind: z.literal('welcome'), hasTables: z.boolean() })
+])
+const packed = z.object({ packed: z.string() })
+
+/** A reader tells the same word to all who follow it, so it's made into a line once. */
+const encoded = new WeakMap<Word, string>()
+
+export const wordLine = {
+  /** With its end. */
+  encode (said: Word): string {
+    const known = encoded.get(said)
+    if (known !== undefined) return known
+    const text = JSON.stringify(said)
+    const line = text.length < LONG ? `${text}\n` : `${JSON.stringify({ packed: deflateRawSync(text).toString('base64') })}\n`
+    encoded.set(said, line)
+    return line
+  },
+
+  /** Undefined for a line that is no word, such as that of another program. */
+  decode (line: string): Word | undefined {
+    const json = readJson(line)
+    const long = packed.safeParse(json)
+    const parsed = word.safeParse(long.success ? readJson(unpack(long.data.packed)) : json)
+    return parsed.success ? parsed.data : undefined
+  }
+}
+
+function unpack (text: string): string {
+  try {
+    return inflateRawSync(Buffer.from(text, 'base64')).toString('utf8')
+  } catch {
+    // Cut or foreign bytes: the line is no word then, and its link ends.
+    return ''
+  }
+}
--- /dev/null
+++ b/src/shell/pool/membership/wordlink.ts
@@ -0,0 +1,72 @@
+/** A connection over which two hosts say words to each other. */
+
+import { connect, type Socket } from 'node:net'
+import { StringDecoder } from 'node:string_decoder'
+import type { LinkId } from '../../../core/pool/membership/linkid.ts'
+import type { Word } from '../../../core/pool/membership/word.ts'
+import { wordLine } from './wordline.ts'
+
+interface Listeners {
+  readonly onOpen?: () => void
+  readonly onWord: (word: Word) => void
+  /** Once, and not after `close`. */
+  readonly onEnd: () => void
+}
+
+/** A configuration with a hundred thousand databases, compressed; a longer line is none of ours. Characters. */
+const MOST_CHARACTERS = 16_777_216
+
+/**
+ * Lines over a connection of its own, in place of a stream of the house's library between processes: its modules would be
+ * loaded at each start, which is time without service, and nothing here needs its codecs.
+ */
+export class WordLink {
+  private readonly decoder = new StringDecoder('utf8')
+  private rest = ''
+  private isEnded = false
+
+  private constructor (private readonly socket: Socket, private readonly listeners: Listeners) {
+    socket.setNoDelay(true)
+    socket.on('connect', () => listeners.onOpen?.())
+    socket.on('data', chunk => this.received(chunk))
+    socket.on('error', () => this.end())
+    socket.on('close', () => this.end())
+  }
+
+  static dial (to: LinkId, listeners: Listeners): WordLink {
+    const colon = to.lastIndexOf(':')
+    return new WordLink(connect({ host: to.slice(0, colon), port: Number(to.slice(colon + 1)) }), listeners)
+  }
+
+  static of (socket: Socket, listeners: Listeners): WordLink {
+    return new WordLink(socket, listeners)
+  }
+
+  say (word: Word): void {
+    if (!this.isEnded) this.socket.write(wordLine.encode(word))
+  }
+
+  close (): void {
+    this.isEnded = true
+    this.socket.destroy()
+  }
+
+  private received (chunk: Buffer): void {
+    const lines = (this.rest + this.decoder.write(chunk)).split('\n')
+    this.rest = lines.pop()!
+    for (const line of lines) {
+      if (this.isEnded) return
+      const word = wordLine.decode(line)
+      // What can't be read may hold anything, also the end of a row, so the link begins anew.
+      if (word === undefined) return this.end()
+      this.listeners.onWord(word)
+    }
+    if (this.rest.length > MOST_CHARACTERS) this.end()
+  }
+
+  private end (): void {
+    if (this.isEnded) return
+    this.close()
+    this.listeners.onEnd()
+  }
+}
--- a/src/shell/pool/metrics.ts
+++ b/src/shell/pool/metrics.ts
@@ -29,6 +29,10 @@
   readonly leaderChanges = new Counter({ name: 'agatepond_leader_changes_total', help: 'Changes of the primary that this process believes in', labelNames: ['group'] as const, registers: [this.registry] })
   readonly orders = new Counter({ name: 'agatepond_promotion_orders_total', help: 'Orders to promote, by outcome', labelNames: ['outcome'] as const, registers: [this.registry] })
   readonly storeFailures = new Counter({ name: 'agatepond_store_failures_total', help: 'Failed questions to the store', labelNames: ['table'] as const, registers: [this.registry] })
+  readonly storeCalls = new Counter({
+    name: 'agatepond_store_calls_total', help: 'Calls to the store, by what was asked, of which table and for which reason', labelNames: ['call', 'table', 'why'] as const, registers: [this.registry]
+  })
+
   readonly sessions = new Gauge({ name: 'agatepond_sessions', help: 'Open sessions of callers', registers: [this.registry] })
   readonly passedOn = new Counter({ name: 'agatepond_sessions_passed_on_total', help: 'Sessions handed to a host that has connections for them', registers: [this.registry] })
   readonly configVersion = new Gauge({ name: 'agatepond_config_version', help: 'Version of the configuration in force', registers: [this.registry] })
--- a/src/shell/pool/node.ts
+++ b/src/shell/pool/node.ts
@@ -2,6 +2,10 @@
 
 import type { GroupId } from '../../core/id/group.ts'
 import type { PoolConfig } from '../../core/pool/config.ts'
+import type { LinkId } from '../../core/pool/membership/linkid.ts'
+import { Pace } from '../../core/pool/membership/pace.ts'
+import type { Row } from '../../core/pool/membership/row.ts'
+import type { TableName } from '../../core/pool/membership/tablename.ts'
 import type { PoolHost } from '../../core/pool/placing/host.ts'
 import { LineBudget } from '../../core/pool/statements/linebudget.ts'
 import { MissedHosts } from '../../core/pool/placing/missedhosts.ts'
@@ -9,27 +13,27 @@
 import { SharedBudget } from '../../core/retry/budget.ts'
 import type { Log } from '../log/log.ts'
 import type { Auditor } from './statements/auditor.ts'
-import { askPeers } from './membership/askpeers.ts'
 import { clock } from './clock.ts'
 import type { PoolContext } from './context.ts'
 import { Configuration } from './membership/configuration.ts'
-import { follow } from './membership/feed.ts'
 import { PoolGroup } from './group.ts'
 import { Listing } from './membership/listing.ts'
-import { Membership } from './membership/membership.ts'
 import type { PoolMetrics } from './metrics.ts'
-import type { Knowledge } from './membership/knowledge.ts'
 import type { Platform } from './platform.ts'
 import { Successor } from './succession/successor.ts'
-import type { Row } from './membership/row.ts'
+import { Tables } from './membership/tables.ts'
 import { Waiters } from './waiters.ts'
 
 interface Options {
   readonly self: PoolHost
+  /** Where hosts that the settings name take links; this one may be among them. */
+  readonly seeds: readonly LinkId[]
   /** Milliseconds within which a new configuration is to be in force. */
   readonly applyMs: number
   /** Milliseconds for which an endpoint serves after it said that it leaves. */
   readonly drainMs: number
+  /** Milliseconds for which the store knows what changed. */
+  readonly historyMs: number
   readonly platform: Platform
   readonly log: Log
   readonly metrics: PoolMetrics
@@ -38,17 +42,22 @@
   readonly auditor?: Auditor | undefined
 }
 
-/** A question to the store is held open for this part of the time in which a version must be in force: a connection that goes silent is then found, and replaced, within it. */
-const WAIT_SHARE = 0.7
-/** The rows of leases and objections. They change rarely, and none of them is needed to serve, so a silent connection may be found late. */
+/** Where what hosts tell each other through the store lies: leases, objections and handovers; */
 const TABLE = 'agatepond'
-const TABLE_WAIT_MS = 5000
+/** and who is there. */
+const ROLL_TABLE = 'agatepond-hosts'
+/** The copy of the configuration. */
+const COPIES_TABLE = 'agatepond-copies'
+/** A host that is asked for something newer answers in milliseconds; one that doesn't must not hold a sign-in up. */
+const CONSULT_MS = 300
 /** How often each group's primary is looked at. */
 const TICK_MS = 100
 
 export class PoolNode {
-  /** Where the rows that all hosts share lie. */
+  /** Where what hosts tell each other through the store lies. */
   static readonly table = TABLE
+  /** Where the roll of hosts lies. */
+  static readonly rollTable = ROLL_TABLE
   readonly context: PoolContext
   private readonly groups = new Map<GroupId, PoolGroup>()
   private readonly ownerships = new Map<GroupId, Ownership>()
@@ -56,11 +65,8 @@
   /** Rows of the shared table that came before the configuration named their group. */
   private readonly sharedRows = new Map<string, Row>()
   private readonly listing: Listing
-  private readonly membership: Membership
+  private readonly tables: Tables
   private readonly configuration: Configuration
-  private isStoreThere = false
-  /** Whether other hosts told it what it knows. */
-  private isTaught = false
   private missed = MissedHosts.none
   /** Callers who came before the process was ready. */
   private readonly starting = Waiters.create()
@@ -85,13 +91,25 @@
     }
     this.configuration = Configuration.create({ log, metrics, ...options.platform.config })
     this.listing = Listing.create({ log, parse: options.platform.endpoints.parse, onChange: () => this.spread() })
-    this.membership = Membership.create({ self: options.self, store: options.platform.store, chance: options.chance, onChange: () => this.hostsChanged() })
+    this.tables = Tables.start({
+      self: options.self,
+      pace: Pace.of(options),
+      seeds: options.seeds,
+      store: options.platform.store,
+      names: { config: options.platform.config.table, endpoints: options.platform.endpoints.table, shared: TABLE, roll: ROLL_TABLE },
+      copies: COPIES_TABLE,
+      log,
+      metrics,
+      chance: options.chance,
+      onNews: (table, rows) => this.heard(table, rows),
+      onHosts: () => this.hostsChanged()
+    }, signal)
   }
 
   /** Runs until the signal. */
   static start (options: Options, signal: AbortSignal): PoolNode {
     const node = new PoolNode(options, signal)
-    node.follow()
+    node.watch()
     return node
   }
 
@@ -105,29 +123,14 @@
    * Guard against a host that takes itself for the only one at its start: the callers that
    * wait for it would all be served by it and not by the owners, each on a connection of its own, for as long as
    * their sessions last. It shows, after all hosts lost their power, as endpoints that turn connections away and statements that
-   * wait for one (a second and a half with 88 hosts). What comes from other hosts while the store is away has no list of hosts, and is enough.
+   * wait for one (a second and a half with 88 hosts).
    */
   get isReady (): boolean {
-    return this.configuration.isKnown && this.listing.isRead && (this.membership.isAsked || this.isTaught)
+    return this.configuration.isKnown && this.tables.isKnown
   }
 
   get hosts (): readonly PoolHost[] {
-    return this.membership.hosts
-  }
-
-  /** What this process knows, for one that starts while the store is away. */
-  get knowledge (): Knowledge {
-    return { config: this.configuration.rows, endpoints: this.listing.rows }
-  }
-
-  /** Whether it was news. */
-  private learn ({ config, endpoints }: Knowledge): boolean {
-    if (config.length === 0) return false
-    this.isTaught = true
-    const { version } = this.config
-    this.configured(config)
-    if (!this.listing.isRead) this.listing.take(endpoints, true)
-    return this.config.version > version
+    return this.tables.hosts
   }
 
   /**
@@ -138,14 +141,10 @@
    */
   private async catchUp (version: number, host: string): Promise<void> {
     if (version <= this.config.version) return
-    const passing = this.others.find(({ id }) => id === host)
+    const passing = this.hosts.find(({ id }) => id === host)
     if (passing === undefined) return
-    const [knowledge] = await this.options.platform.peers.ask([passing], this.signal)
-    if (knowledge !== undefined) this.learn(knowledge)
-  }
-
-  private get others (): readonly PoolHost[] {
-    return this.membership.hosts.filter(({ id }) => id !== this.options.self.id)
+    const until = clock.now() + CONSULT_MS
+    for (let left = CONSULT_MS; version > this.config.version && left > 0; left = until - clock.now()) await this.tables.consult(passing, left)
   }
 
   private async whenReady (ms: number): Promise<boolean> {
@@ -158,26 +157,12 @@
     if (this.isReady) this.starting.wake()
   }
 
-  /** Takes this host out of the list of hosts. */
+  /** Tells the other hosts that this one leaves. */
   async leave (): Promise<void> {
-    await this.membership.leave(this.signal)
+    await this.tables.leave()
   }
 
-  private follow (): void {
-    const { platform, log, metrics, chance, applyMs } = this.options
-    const common = { metrics, store: platform.store, waitMs: Math.round(applyMs * WAIT_SHARE), log, chance }
-    follow({ ...common, table: platform.config.table, onRows: rows => this.configured(rows), onAnswered: isAnswered => { this.isStoreThere = isAnswered } }, this.signal)
-    follow({ ...common, table: platform.endpoints.table, onRows: (rows, isWhole) => this.listing.take(rows, isWhole) }, this.signal)
-    follow({ ...common, waitMs: TABLE_WAIT_MS, table: TABLE, onRows: rows => this.shared(rows) }, this.signal)
-    this.membership.run(this.signal)
-    askPeers({
-      peers: platform.peers,
-      log,
-      chance,
-      isSettled: () => this.isReady && this.isStoreThere,
-      hosts: () => this.others,
-      learn: knowledge => this.learn(knowledge)
-    }, this.signal)
+  private watch (): void {
     const timer = setInterval(() => {
       this.listing.forgetLapsed()
       for (const successor of this.successors.values()) successor.tick()
@@ -185,16 +170,24 @@
     this.signal.addEventListener('abort', () => clearInterval(timer))
   }
 
+  private heard (table: TableName, rows: readonly Row[]): void {
+    switch (table) {
+      case 'config': this.configured(rows); break
+      case 'endpoints': this.listing.take(rows); break
+      case 'shared': this.shared(rows); break
+      case 'roll': break
+    }
+    this.letIn()
+  }
+
   private configured (rows: readonly Row[]): void {
     if (!this.configuration.take(rows)) return
     this.regroup()
-    this.letIn()
   }
 
   /** Tells the groups what the directory says now. */
   private spread (): void {
     for (const group of this.groups.values()) group.listed(this.listing.directory)
-    this.letIn()
   }
 
   private shared (rows: readonly Row[]): void {
@@ -237,7 +230,7 @@
       table: TABLE,
       log,
       metrics,
-      hosts: () => this.membership.hosts,
+      hosts: () => this.hosts,
       isSynchronous: () => this.config.group(group.id)?.isSynchronous === true,
       signal: this.signal
     })
@@ -260,7 +253,7 @@
   }
 
   private resize (): void {
-    const { hosts } = this.membership
+    const { hosts } = this
     const { self } = this.options
     this.ownerships.clear()
     for (const { id, connections } of this.config.groups) {
--- a/src/shell/pool/platform.ts
+++ b/src/shell/pool/platform.ts
@@ -5,14 +5,12 @@
 import type { PoolConfig } from '../../core/pool/config.ts'
 import type { Dialer } from './lending/dialer.ts'
 import type { PromotionOrders } from './succession/orders.ts'
-import type { Peers } from './membership/peers.ts'
 import type { RowStore } from './membership/rows.ts'
 
 export interface Platform {
   readonly store: RowStore
   readonly dialer: Dialer
   readonly orders: PromotionOrders
-  readonly peers: Peers
   /** Where the operator's configuration lies: its newest version, whole, under one key. */
   readonly config: { readonly table: string, readonly key: string, readonly parse: (text: string) => Result<PoolConfig, string> }
   /** Where endpoints list themselves, each under its id. */
--- a/src/shell/pool/succession/successor.ts
+++ b/src/shell/pool/succession/successor.ts
@@ -18,7 +18,7 @@
 import type { PoolMetrics } from '../metrics.ts'
 import type { Platform } from '../platform.ts'
 import { Probes } from './probes.ts'
-import type { Row } from '../membership/row.ts'
+import type { Row } from '../../../core/pool/membership/row.ts'
 import { surveyAll } from './surveyall.ts'
 
 interface Options {
@@ -146,7 +146,8 @@
   }
 
   private claim ({ cause, asksFor }: Extract<SuccessionAction, { kind: 'claim' }>): void {
-    const { host, group, platform, table, log, signal } = this.options
+    const { host, group, platform, table, log, metrics, signal } = this.options
+    metrics.storeCalls.inc({ call: 'write', table: 'shared', why: 'lease' })
     const change = { table, key: `lease/${group.id}`, value: JSON.stringify({ holder: host, asksFor }), expected: this.lease?.version ?? 0 }
     const began = clock.now()
     platform.store.change([change], signal).then(changed => {
@@ -158,10 +159,11 @@
   }
 
   private confirm (fence: number): void {
-    const { group, platform, table, log, signal } = this.options
-    platform.store.read(table, signal).then(read => {
+    const { group, platform, table, log, metrics, signal } = this.options
+    metrics.storeCalls.inc({ call: 'read', table: 'shared', why: 'objections' })
+    platform.store.read(table, signal, `objection/${group.id}/`).then(read => {
       if (read.isErr()) return this.step({ kind: 'claimLost' })
-      const objections = read.value.rows.filter(({ key, value }) => key.startsWith(`objection/${group.id}/`) && objectionOf(value)?.fence === fence)
+      const objections = read.value.rows.filter(({ value }) => objectionOf(value)?.fence === fence)
       log.write('objectionsRead', { group: group.id, fence, objections: objections.length })
       this.step(objections.length > 0 ? { kind: 'objected', fence } : { kind: 'confirmed', fence })
     })
@@ -186,7 +188,8 @@
   /** Tells all hosts to whom a leaving primary hands over, before it's ordered; false when the store didn't take it. */
   private async announce ({ endpoint, handsOver }: Promote): Promise<boolean> {
     if (handsOver === undefined) return true
-    const { group, platform, table, signal } = this.options
+    const { group, platform, table, metrics, signal } = this.options
+    metrics.storeCalls.inc({ call: 'write', table: 'shared', why: 'handover' })
     const value = JSON.stringify({ old: handsOver, successor: endpoint })
     const changed = await platform.store.change([{ table, key: `handover/${group.id}`, value }], signal)
     if (changed.isOk()) group.handOver(Handover.of({ old: handsOver, successor: endpoint }))
@@ -221,10 +224,11 @@
    * connection, since an answer of a moment ago may be older than the crash.
    */
   private considerObjection (endpoint: EndpointId, fence: number): void {
-    const { group, host, platform, table, log, signal } = this.options
+    const { group, host, platform, table, log, metrics, signal } = this.options
     this.probes.leads(endpoint).then(isThere => {
       if (!isThere || group.leader !== endpoint) return
       log.write('objected', { group: group.id, endpoint, fence })
+      metrics.storeCalls.inc({ call: 'write', table: 'shared', why: 'objection' })
       platform.store.change([{ table, key: `objection/${group.id}/${host}`, value: JSON.stringify({ fence, endpoint }) }], signal)
     })
   }
--- a/standin/lines/host.ts
+++ b/standin/lines/host.ts
@@ -6,11 +6,11 @@
 import { Front } from '../../platform/front.ts'
 import { LineLink } from '../../platform/link.ts'
 import { PlatformOrders } from '../../platform/orders.ts'
-import { SeedPeers } from '../../platform/peers.ts'
 import { parseEndpoint } from '../../platform/server.ts'
 import { PlatformStore } from '../../platform/store.ts'
 import type { DataCentreId } from '../../src/core/id/datacentre.ts'
 import type { HostId } from '../../src/core/id/host.ts'
+import type { LinkId } from '../../src/core/pool/membership/linkid.ts'
 import type { Log } from '../../src/shell/log/log.ts'
 import { Auditor } from '../../src/shell/pool/statements/auditor.ts'
 import { PoolMetrics } from '../../src/shell/pool/metrics.ts'
@@ -23,11 +23,11 @@
 const INCARNATION = '0123456789ab'
 
 export class LineHost {
-  private constructor (readonly node: PoolNode, readonly port: number, readonly knowledgePort: number, private readonly store: CuttableStore, private readonly fronts: readonly Front[], private readonly stopped: AbortController, readonly auditor: Auditor, private readonly cut: Set<string>) {}
+  private constructor (readonly node: PoolNode, readonly port: number, readonly link: LinkId, private readonly store: CuttableStore, private readonly fronts: readonly Front[], private readonly stopped: AbortController, readonly auditor: Auditor, private readonly cut: Set<string>) {}
 
-  /** `seeds`: ports at which it may ask other hosts what they know. */
-  static async start (id: string, storePort: number, log: Log, seeds: readonly number[] = []): Promise<LineHost> {
-    const [port, peerPort, knowledgePort] = await freePorts(3) as [number, number, number]
+  /** `seeds`: hosts that its settings name. */
+  static async start (id: string, storePort: number, log: Log, seeds: readonly LinkId[] = []): Promise<LineHost> {
+    const [port, peerPort, linkPort] = await freePorts(3) as [number, number, number]
     const stopped = new AbortController()
     const address = { ip: IP, port: storePort }
     const cut = new Set<string>()
@@ -37,15 +37,16 @@
     const auditor = Auditor.start({ host: id as HostId, incarnation: INCARNATION, store: blobs, log, metrics }, stopped.signal)
     const node = PoolNode.start({
       auditor,
-      self: { id: id as HostId, dataCentre: 'z1' as DataCentreId, address: { ip: IP, port: peerPort }, knowledgePort },
+      self: { id: id as HostId, dataCentre: 'z1' as DataCentreId, address: { ip: IP, port: peerPort }, linkPort },
+      seeds,
       applyMs: 2000,
       drainMs: 8000,
+      historyMs: 20_000,
       log,
       metrics,
       chance: () => 0.5,
       platform: {
         store,
-        peers: SeedPeers.create(seeds.map(seed => ({ ip: IP, port: seed }))),
         orders: PlatformOrders.create({ address, timeoutMs: CALL_MS }),
         dialer: {
           dial: async (endpoint, timeoutMs) => cut.has(endpoint.id) ? err('unreachable') : await LineLink.dial(endpoint, id, timeoutMs),
@@ -55,9 +56,8 @@
         endpoints: { table: 'servers', parse: parseEndpoint }
       }
     }, stopped.signal)
-    SeedPeers.serve({ ip: IP, port: knowledgePort }, () => node.knowledge, stopped.signal)
     const fronts = [Front.create(node.context, { ip: IP, port }), Front.create(node.context, { ip: IP, port: peerPort }, true)]
-    return new LineHost(node, port, knowledgePort, store, fronts, stopped, auditor, cut)
+    return new LineHost(node, port, `${IP}:${linkPort}` as LinkId, store, fronts, stopped, auditor, cut)
   }
 
   /** Leaves in order, within the time. */
--- a/standin/lines/stage.ts
+++ b/standin/lines/stage.ts
@@ -43,7 +43,7 @@
     store.put('op', 'config', LineStage.config(1, options))
     store.faults.isDown = isStoreDown
     const hosts: LineHost[] = []
-    for (let i = 1; i <= count; i++) hosts.push(await LineHost.start(`h${i}`, storePort, options.log ?? Log.silent))
+    for (let i = 1; i <= count; i++) hosts.push(await LineHost.start(`h${i}`, storePort, options.log ?? Log.silent, hosts.map(({ link }) => link)))
     const stage = new LineStage(store, endpoints, hosts, storePort)
     if (!isStoreDown) await stage.until(() => hosts.every(({ node }) => node.isReady && node.hosts.length === count))
     return stage
@@ -83,9 +83,9 @@
     return LineCaller.open(this.hosts[0]!.port, database)
   }
 
-  /** Starts one more host, which may ask the others what they know. */
-  async addHost (): Promise<LineHost> {
-    const host = await LineHost.start(`h${this.hosts.length + 1}`, this.storePort, Log.silent, this.hosts.map(({ knowledgePort }) => knowledgePort))
+  /** Starts one more host; `seeds`: hosts that its settings name, all others when none are given. */
+  async addHost (seeds = this.hosts.map(({ link }) => link)): Promise<LineHost> {
+    const host = await LineHost.start(`h${this.hosts.length + 1}`, this.storePort, Log.silent, seeds)
     this.hosts.push(host)
     return host
   }
--- a/standin/lines/store.ts
+++ b/standin/lines/store.ts
@@ -28,7 +28,7 @@
 
 export class RowServer {
   readonly orders: Order[] = []
-  readonly faults: { isDown?: boolean, isForgetful?: boolean, loseNextWrite?: boolean, isSilent?: boolean } = {}
+  readonly faults: { isDown?: boolean, isForgetful?: boolean, hasNoHistory?: boolean, loseNextWrite?: boolean, isSilent?: boolean } = {}
   /** Carries a promotion out; the answer's status. */
   onPromote: (order: Order) => number = () => 200
   readonly objects = ObjectServer.create()
@@ -79,10 +79,15 @@
   }
 
   private of (url: URL, after: number): readonly Row[] {
-    return [...this.rows.values()].filter(({ table, ver }) => table === url.searchParams.get('table') && ver > after).sort((a, b) => a.ver - b.ver)
+    const from = url.searchParams.get('from') ?? ''
+    const target = url.searchParams.get('target')
+    return [...this.rows.values()]
+      .filter(({ table, key, ver }) => table === url.searchParams.get('table') && ver > after && key >= from && (target === null || key < target))
+      .sort((a, b) => a.ver - b.ver)
   }
 
   private async feed (url: URL, res: ServerResponse): Promise<void> {
+    if (this.faults.hasNoHistory === true) return answer(res, 410, {})
     if (this.faults.isForgetful === true) {
       this.faults.isForgetful = false
       return answer(res, 410, {})
--- /dev/null
+++ b/test/control/host.ts
@@ -0,0 +1,114 @@
+/** One host in virtual time: the product's control, and what carries out its actions. */
+
+import { Control } from '../../src/core/pool/membership/control.ts'
+import type { ControlAction } from '../../src/core/pool/membership/controlaction.ts'
+import type { ControlEvent } from '../../src/core/pool/membership/controlevent.ts'
+import type { HostEntry } from '../../src/core/pool/membership/hostentry.ts'
+import type { LinkId } from '../../src/core/pool/membership/linkid.ts'
+import { rollRow } from '../../src/core/pool/membership/rollrow.ts'
+import type { Pace } from '../../src/core/pool/membership/pace.ts'
+import type { Instant } from '../../src/core/id/instant.ts'
+import type { HostId } from '../../src/core/id/host.ts'
+import type { ControlWorld } from './world.ts'
+
+const TICK_MS = 100
+
+interface Options {
+  readonly self: HostEntry
+  readonly seeds: readonly LinkId[]
+  readonly isSeed: boolean
+  readonly pace: Pace
+}
+
+export class ModelHost {
+  control: Control
+  isUp = true
+  isFrozen = false
+  /** Its questions to the store get no answer. */
+  isCutFromStore = false
+  /** The newest configuration that it knows, and whether it ever went back. */
+  config = 0
+  wentBack = false
+  /** When it became able to serve. */
+  knownAt: number | undefined
+  private waiting: ControlEvent[] = []
+
+  constructor (private readonly world: ControlWorld, readonly options: Options) {
+    this.control = Control.create(options, world.now as Instant)
+    this.tick()
+  }
+
+  get id (): HostId {
+    return this.options.self.id
+  }
+
+  step (event: ControlEvent): void {
+    if (!this.isUp) return
+    if (this.isFrozen) {
+      this.waiting.push(event)
+      return
+    }
+    const { next, actions } = this.control.step(event, this.world.chance(), this.world.now as Instant)
+    this.control = next
+    if (next.isKnown) this.knownAt ??= this.world.now
+    for (const action of actions) this.act(action)
+  }
+
+  thaw (): void {
+    this.isFrozen = false
+    for (const event of this.waiting.splice(0)) this.step(event)
+  }
+
+  private tick (): void {
+    if (!this.isUp) return
+    if (!this.isFrozen) this.step({ kind: 'tick' })
+    this.world.agenda.add(TICK_MS, () => this.tick())
+  }
+
+  private act (action: ControlAction): void {
+    const { world } = this
+    switch (action.kind) {
+      case 'news': {
+        if (action.table !== 'config') return
+        for (const { value } of action.rows) this.took(Number(value))
+        return
+      }
+      case 'ask': return this.ask(action)
+      case 'write': {
+        if (this.isCutFromStore) return world.agenda.add(CUT_MS, () => this.step({ kind: 'written', isDone: false }))
+        return world.store.write(rollRow.keyOf(this.id), action.value, action.erased, isDone => this.step({ kind: 'written', isDone }))
+      }
+      case 'copy': return world.agenda.add(CUT_MS, () => this.step({ kind: 'copied', isDone: true }))
+      case 'open': return world.open(this, action.link)
+      case 'close': return world.close(this, action.link)
+      case 'say': return world.say(this, action.link, action.word)
+      case 'tell': return world.tell(this, action.link, action.word)
+      case 'drop': return world.drop(this, action.link)
+    }
+  }
+
+  private ask ({ table, after, waitMs }: Extract<ControlAction, { kind: 'ask' }>): void {
+    const { world } = this
+    let isOver = false
+    const end = (event: ControlEvent) => {
+      if (isOver) return
+      isOver = true
+      this.step(event)
+    }
+    // An answer that never comes: cut off before the question, or while it's held open.
+    world.agenda.add(waitMs + CUT_MS, () => end({ kind: 'failed', table }))
+    const wasCut = this.isCutFromStore
+    world.store.ask(table, after, waitMs, answer => {
+      if (wasCut || this.isCutFromStore) return
+      end(answer.kind === 'rows' ? { kind: 'answered', table, isWhole: after === undefined, rows: answer.rows, version: answer.version } : { kind: answer.kind, table })
+    })
+  }
+
+  private took (version: number): void {
+    this.wentBack ||= version < this.config
+    this.config = version
+  }
+}
+
+/** The limit of a call. */
+const CUT_MS = 750
