--- a/src/core/pool/succession/leadership.test.ts
+++ b/src/core/pool/succession/leadership.test.ts
@@ -19,7 +19,7 @@
   return play(texts).leader
 }
 
-/** Plays texts such as `a+` (a calls itself primary), `a-` (a replica), `a!` (a refused), `a=3` (a proved term 3), `a.` (a is gone). */
+/** Plays texts such as `a+` (a calls itself primary), `a-` (a replica), `a-2` (the same in its second life), `a!` (a refused), `a=3` (a proved term 3), `a.` (a is gone). */
 function play (texts: readonly string[]): Leadership {
   let directory = Directory.empty
   let leadership = Leadership.create(GROUP, 0 as Instant)
@@ -30,7 +30,7 @@
     if (sign === '!') leadership = leadership.refused(id, i as Instant)
     else if (sign === '=') leadership = leadership.proved(id, Number(term))
     else {
-      directory = sign === '.' ? directory.without(id) : directory.with({ id, group: GROUP, address: { ip: '10.0.0.1', port: 1 }, dataCentre: 'z' as DataCentreId, isLeaving: false, isPrimary: sign === '+' }, i + 1)
+      directory = sign === '.' ? directory.without(id) : directory.with({ id, group: GROUP, address: { ip: '10.0.0.1', port: 1 }, dataCentre: 'z' as DataCentreId, isLeaving: false, isPrimary: sign === '+', bornAt: Number(term ?? 1) }, i + 1)
       leadership = leadership.listed(before, directory)
     }
   })
@@ -57,6 +57,9 @@
     // Writes go to a replaced primary for seconds: it's cut off from the directory, where its entry says primary still.
     ['an old entry of one that refused', ['a+', 'b-', 'a!', 'c-'], undefined],
     ['one that refused and then is promoted again', ['a+', 'a!', 'a-', 'a+'], 'a'],
+    // Writes are refused though the primary is listed: it was started again under its id, and its refusal of the life before still counts.
+    ['one that refused, and says so in its second life', ['a+', 'b-', 'a!', 'a+2'], 'a'],
+    ['one that refused, and is a replica in its second life', ['a+', 'b-', 'a!', 'a-2'], undefined],
     ['a proof while the directory is silent', ['a+', 'b-', 'b=2'], 'b'],
     ['a proof of an older term', ['a+', 'a=3', 'b=2'], 'a'],
     ['the leader\'s entry lapses with nobody else listed', ['a+', 'b-', 'a.'], 'a'],
--- a/src/core/pool/succession/leadership.ts
+++ b/src/core/pool/succession/leadership.ts
@@ -52,11 +52,12 @@
   listed (before: Directory, after: Directory): Leadership {
     const { group, leader } = this.fields
     const members = after.group(group)
-    const began = members.filter(({ id, isPrimary }) => isPrimary && before.get(id)?.isPrimary !== true).map(({ id }) => id)
+    const reborn = new Set(members.filter(({ id, bornAt }) => before.get(id)?.bornAt !== bornAt).map(({ id }) => id))
+    const began = members.filter(({ id, isPrimary }) => isPrimary && (before.get(id)?.isPrimary !== true || reborn.has(id))).map(({ id }) => id)
     const replicas = new Set(members.filter(({ isPrimary }) => !isPrimary).map(({ id }) => id))
     const next = this.with({
       claims: after.primaries(group).map(({ id }) => id),
-      disowned: new Set([...this.fields.disowned].filter(id => after.get(id) !== undefined && !began.includes(id))),
+      disowned: new Set([...this.fields.disowned].filter(id => after.get(id) !== undefined && !began.includes(id) && !reborn.has(id))),
       replaced: new Set([...this.fields.replaced].filter(id => !replicas.has(id)))
     })
     const [newest] = next.fields.claims
--- a/src/shell/pool/group.ts
+++ b/src/shell/pool/group.ts
@@ -121,6 +121,10 @@
     const before = this.directory
     this.directory = directory
     this.lead(this.leadership.listed(before, directory), 'directory')
+    for (const { id, bornAt } of this.endpoints) {
+      const old = before.get(id)
+      if (old !== undefined && old.bornAt !== bornAt) this.forget(id)
+    }
     const ids = new Set(this.endpoints.map(({ id }) => id))
     for (const id of this.lenders.keys()) {
       if (!ids.has(id) && id !== this.leader) this.forget(id)
