--- a/tools/target.mjs
+++ b/tools/target.mjs
@@ -29,7 +29,7 @@
 // A script of its own, unlike a module, can be compiled with a cache; the function gives it what a module has.
 writeFileSync(program, `(function (exports, require, module, __filename, __dirname) {${readFileSync(program, 'utf8')}\n})`)
 copyFileSync('platform/start.cjs', `${to}/agatepond.cjs`)
-execFileSync(process.execPath, [...flags(), 'tools/cache.cjs', program], { stdio: 'inherit' })
+execFileSync(process.execPath, [...flags(), 'tools/cache.cjs', program], { stdio: ['ignore', 'ignore', 'inherit'] })
 
 /** The flags that the deploy file gives Node: V8 takes a cache only under the flags that it was made with. */
 function flags () {
