Owners act first when a primary is lost, and what was passed on to them may go by a host that reaches it

Cause: hosts replace a primary in turn, 50 ms each, by a ranking of all hosts, but only owners find out that it's dead. With 14 owners among 195 hosts some fifteen others stood before the first of them: about a second. All hosts that reached it objected, each by a write to the store.

Ruled out: a longer or shorter turn (it would change small sites, where all hosts own all groups); any number of detours (a session might go round in circles).

Change: Ownership gives the turns, owners first; a sign-in between hosts says whether it's a detour, and only such a one goes no further; hosts object in turn within half of the time that they have, and are silent once they heard an objection. The copy of the configuration is read in one call, when it's needed, and not looked for at every start.

--- a/src/core/pool/placing/ownership.test.ts
+++ b/src/core/pool/placing/ownership.test.ts
@@ -32,6 +32,13 @@
     expect(2 * picked.length * share).toBeLessThanOrEqual(connections)
   })
 
+  // Writes are refused for a second longer than needed after a primary's crash: hosts act in turn, and only owners know that it's dead.
+  it.each([[7, 16], [64, 22], [195, 58]])('%d hosts, %d connections: act before all others', (count, connections) => {
+    const { owners: picked, turns } = owners(count, connections)
+    expect(new Set(turns.slice(0, picked.length))).toEqual(new Set(picked.map(({ id }) => id)))
+    expect([turns.length, new Set(turns).size]).toEqual([count, count])
+  })
+
   it('stand in all data centres', () => expect(new Set(owners(64, 22).owners.map(({ dataCentre }) => dataCentre)).size).toBe(3))
 
   it('differ from group to group', () => {
--- a/src/core/pool/placing/ownership.ts
+++ b/src/core/pool/placing/ownership.ts
@@ -26,14 +26,25 @@
  */
 export class Ownership {
   /** `share`: connections to an endpoint for each owner. `hasRoom`: whether the living fit beside as many dead. */
-  private constructor (readonly owners: readonly PoolHost[], readonly share: number, readonly hasRoom: boolean) {}
+  private constructor (
+    readonly owners: readonly PoolHost[],
+    readonly share: number,
+    readonly hasRoom: boolean,
+    /**
+     * All hosts in the order in which they act for the group: owners first. Against writes that are refused for a second longer than needed: only owners find out that a
+     * primary is dead, and with 195 hosts the first of 14 owners had some fifteen others before it, each with its turn of 50 ms.
+     */
+    readonly turns: readonly HostId[]
+  ) {}
 
   static of (group: GroupId, hosts: readonly PoolHost[], connections: number): Ownership {
     const half = Math.max(1, Math.floor(connections / 2))
-    if (half >= hosts.length) return new Ownership(hosts, shareOf(connections, hosts.length), false)
+    const byWeight = [...hosts].map(({ id }) => ({ id, weight: weightOf(`${group}/${id}`) })).sort((a, b) => b.weight - a.weight).map(({ id }) => id)
+    if (half >= hosts.length) return new Ownership(hosts, shareOf(connections, hosts.length), false, byWeight)
     const most = Math.max(1, Math.floor(half / LEAST_PER_OWNER))
     const owners = inTurn(byDataCentre(hosts, group)).slice(0, most)
-    return new Ownership(owners, Math.max(1, Math.floor(half / owners.length)), true)
+    const owning = new Set(owners.map(({ id }) => id))
+    return new Ownership(owners, Math.max(1, Math.floor(half / owners.length)), true, [...byWeight.filter(id => owning.has(id)), ...byWeight.filter(id => !owning.has(id))])
   }
 
   isOwner (host: HostId): boolean {
--- a/src/shell/pool/membership/copies.ts
+++ b/src/shell/pool/membership/copies.ts
@@ -33,15 +33,12 @@
 const partShape = z.object({ of: z.number(), text: z.string() })
 const rowsShape = z.array(z.object({ key: z.string(), version: z.number(), value: z.string() }))
 
-type Head = z.output<typeof headShape>
-
 /**
  * Guard against a second without service after a power loss of all hosts: each read a configuration of 300 KB, which takes 0.4 s on a
  * link of 7 Mbit/s, where the copy takes 0.04 s. The copy alone proves nothing, so whoever
  * takes it asks the store what changed since the version that it's as new as; where the store doesn't know that any more, the whole is read.
  */
 export class Copies {
-  private head: Promise<Head | undefined> | undefined
   /** Which rows the parts in the store hold, as far as this host wrote them. */
   private written: number | undefined
   private count = 0
@@ -52,21 +49,15 @@
     return new Copies(options)
   }
 
-  /** Asks whether there is one, for `read`. */
-  look (signal: AbortSignal): void {
-    this.head = this.rows(HEAD, signal).then(rows => parsed(headShape, rows?.[0]))
-  }
-
   /** What the copy holds; undefined without one that can be used. */
   async read (signal: AbortSignal): Promise<Copied | undefined> {
-    const head = await this.head
-    // It's asked for once, at the start: later it may be too old for the store.
-    this.head = undefined
-    if (head === undefined) return undefined
-    const rows = await this.rows(PART, signal)
-    const parts = rows?.filter(row => parsed(partShape, row)?.of === head.of).sort((a, b) => indexOf(a) - indexOf(b))
-    if (parts?.length !== head.parts) return undefined
-    const decoded = rowsShape.safeParse(readJson(unpack(parts.map(row => parsed(partShape, row)!.text).join(''))))
+    const { store, table, metrics } = this.options
+    metrics.storeCalls.inc({ call: 'read', table: 'config', why: 'copy' })
+    const rows = (await store.read(table, signal)).match(read => read.rows, () => [])
+    const head = parsed(headShape, rows.find(({ key }) => key === HEAD))
+    const parts = rows.filter(({ key }) => key.startsWith(PART)).sort((a, b) => indexOf(a) - indexOf(b)).flatMap(row => parsed(partShape, row) ?? []).filter(({ of }) => of === head?.of)
+    if (head === undefined || parts.length !== head.parts) return undefined
+    const decoded = rowsShape.safeParse(readJson(unpack(parts.map(({ text }) => text).join(''))))
     return decoded.success ? { rows: decoded.data, version: head.version } : undefined
   }
 
@@ -87,12 +78,6 @@
     this.count = count
     return changed.isOk()
   }
-
-  private async rows (prefix: string, signal: AbortSignal): Promise<readonly Row[] | undefined> {
-    const { store, table, metrics } = this.options
-    metrics.storeCalls.inc({ call: 'read', table: 'config', why: 'copy' })
-    return (await store.read(table, signal, prefix)).match(({ rows }) => rows, () => undefined)
-  }
 }
 
 /** None for a configuration that is read as it is. */
--- a/src/shell/pool/membership/tables.ts
+++ b/src/shell/pool/membership/tables.ts
@@ -82,7 +82,6 @@
       clearInterval(timer)
       for (const link of [...tables.sources.values(), ...tables.followers.values()]) link.close()
     })
-    tables.copies.look(signal)
     tables.step({ kind: 'tick' })
     return tables
   }
--- a/src/shell/pool/node.ts
+++ b/src/shell/pool/node.ts
@@ -231,6 +231,7 @@
       log,
       metrics,
       hosts: () => this.hosts,
+      turns: () => this.ownerships.get(group.id)?.turns ?? [self.id],
       isSynchronous: () => this.config.group(group.id)?.isSynchronous === true,
       signal: this.signal
     })
--- a/src/shell/pool/statements/session.ts
+++ b/src/shell/pool/statements/session.ts
@@ -30,13 +30,13 @@
   private trail = Trail.begin(clock.now())
   private retryAfterMs = 0
 
-  private constructor (private readonly ctx: PoolContext, private readonly database: string, private readonly caller: string, isPassedOn: boolean) {
-    this.runner = Runner.create(ctx, database, this.values, !isPassedOn)
+  private constructor (private readonly ctx: PoolContext, private readonly database: string, private readonly caller: string, mayDetour: boolean) {
+    this.runner = Runner.create(ctx, database, this.values, mayDetour)
   }
 
-  /** Undefined when there is no such database. `caller`: who signs in, as it calls itself. `isPassedOn`: another host passed it on to this one. */
-  static create (ctx: PoolContext, database: string, caller: string, isPassedOn: boolean): Session | undefined {
-    return ctx.config().route(database) === undefined ? undefined : new Session(ctx, database, caller, isPassedOn)
+  /** Undefined when there is no such database. `caller`: who signs in, as it calls itself. `mayDetour`: other hosts may run its statements. */
+  static create (ctx: PoolContext, database: string, caller: string, mayDetour: boolean): Session | undefined {
+    return ctx.config().route(database) === undefined ? undefined : new Session(ctx, database, caller, mayDetour)
   }
 
   /** As the caller sees it. */
--- a/src/shell/pool/statements/target.ts
+++ b/src/shell/pool/statements/target.ts
@@ -12,7 +12,7 @@
   readonly freshness: Freshness
   /** The session's newest commit. */
   readonly own: Token
-  /** Whether another host may run it; not for one that came from another host. */
+  /** Whether another host may run it; not for one that came as a detour itself, so that none goes round in circles. */
   readonly mayDetour: boolean
   /** Endpoints that refused this operation as replicas or were out of reach. */
   readonly tried: ReadonlySet<EndpointId>
--- a/src/shell/pool/succession/successor.ts
+++ b/src/shell/pool/succession/successor.ts
@@ -1,5 +1,6 @@
 /** Carries out what the succession of one group decides: claims, surveys, orders and objections. */
 
+import { setTimeout as pause } from 'node:timers/promises'
 import type { EndpointId } from '../../../core/id/endpoint.ts'
 import type { HostId } from '../../../core/id/host.ts'
 import { Handover } from '../../../core/pool/succession/handover.ts'
@@ -10,7 +11,6 @@
 import type { SuccessionEvent } from '../../../core/pool/succession/successionevent.ts'
 import type { SuccessionView } from '../../../core/pool/succession/successionview.ts'
 import { readJson } from '../../../core/readjson.ts'
-import { weightOf } from '../../../core/weight.ts'
 import * as z from 'zod'
 import type { Log } from '../../log/log.ts'
 import { clock } from '../clock.ts'
@@ -31,6 +31,8 @@
   readonly metrics: PoolMetrics
   /** Hosts that are alive. */
   readonly hosts: () => readonly PoolHost[]
+  /** The same, in the order in which they act. */
+  readonly turns: () => readonly HostId[]
   /** Milliseconds for which an endpoint serves after it said that it leaves. */
   readonly drainMs: number
   /** Whether a commit waits for a replica, so that the successor must hold what any replica acknowledged. */
@@ -44,6 +46,9 @@
  */
 const CATCH_UP_SHARE = 0.25
 
+/** Half of the least time that hosts have to object. */
+const OBJECT_MS = 100
+
 type Promote = Extract<SuccessionAction, { kind: 'promote' }>
 type Survey = Extract<SuccessionAction, { kind: 'survey' }>
 
@@ -55,7 +60,8 @@
   private succession = Succession.create(clock.now())
   private lease: Lease | undefined
   private readonly probing = new Set<EndpointId>()
-
+  /** The newest fence under which a host objected. */
+  private objectedTo = 0
   private readonly probes: Probes
 
   private constructor (private readonly options: Options) {
@@ -95,6 +101,7 @@
     const objection = objectionOf(value)
     if (objection === undefined) return
     const { fence, endpoint } = objection
+    this.objectedTo = Math.max(this.objectedTo, fence)
     const host = this.options.hosts().find(({ id }) => key.endsWith(`/${id}`))
     if (host !== undefined && host.id !== this.options.host) this.options.group.reachedBy(endpoint, host)
     this.step({ kind: 'objected', fence })
@@ -108,10 +115,9 @@
   }
 
   private get view (): SuccessionView {
-    const { group, host, hosts, drainMs } = this.options
+    const { group, host, turns, drainMs } = this.options
     const { leader, endpoints } = group
     const now = clock.age()
-    const byRank = hosts().map(({ id }) => id).sort((a, b) => weightOf(`${group.id}/${b}`) - weightOf(`${group.id}/${a}`))
     const listed = leader === undefined ? undefined : group.endpoint(leader)
     return {
       leader,
@@ -121,7 +127,7 @@
       isListed: listed !== undefined,
       isFailing: leader !== undefined && group.contact(leader).isFailing(clock.now()),
       leaving: new Set(endpoints.filter(({ isLeaving }) => isLeaving).map(({ id }) => id)),
-      rank: Math.max(0, byRank.indexOf(host)),
+      rank: Math.max(0, turns().indexOf(host)),
       mayClaim: this.lease === undefined || this.lease.mayClaim(host, now),
       holds: this.lease?.isHeldBy(host, now) === true
     }
@@ -222,9 +228,13 @@
    * Guard against an objection by what was true before a crash, which costs a
    * second of writes: only a question that is asked now counts, on a new
    * connection, since an answer of a moment ago may be older than the crash.
+   * One objection is enough, and a few let the others share the way: with many hosts they speak in turn, and those who have heard one are silent.
    */
-  private considerObjection (endpoint: EndpointId, fence: number): void {
-    const { group, host, platform, table, log, metrics, signal } = this.options
+  private async considerObjection (endpoint: EndpointId, fence: number): Promise<void> {
+    const { group, host, turns, platform, table, log, metrics, signal } = this.options
+    const order = turns()
+    await pause(OBJECT_MS * Math.max(0, order.indexOf(host)) / Math.max(1, order.length), undefined, { signal }).catch(() => 'the process ends')
+    if (signal.aborted || this.objectedTo >= fence) return
     this.probes.leads(endpoint).then(isThere => {
       if (!isThere || group.leader !== endpoint) return
       log.write('objected', { group: group.id, endpoint, fence })
