A process that is started again asks the store for every table at once

Not ruled out yet: the larger code cache, the links that a start opens; this change mends a part only.

Change: only where the whole system starts for the first time, by the settings' own word, does a host wait to be told. Elsewhere all tables are asked for at once, the configuration by its copy first.

--- a/src/core/pool/membership/control.ts
+++ b/src/core/pool/membership/control.ts
@@ -32,7 +32,7 @@
 import { wanted } from './wanted.ts'
 import type { Word } from './word.ts'
 
-type Options = Pick<ControlState, 'self' | 'pace' | 'seeds' | 'isSeed'>
+type Options = Pick<ControlState, 'self' | 'pace' | 'seeds' | 'isSeed' | 'isFirstStart'>
 type Event<K extends ControlEvent['kind']> = Extract<ControlEvent, { kind: K }>
 
 interface Step {
--- a/src/core/pool/membership/controlstate.ts
+++ b/src/core/pool/membership/controlstate.ts
@@ -18,6 +18,8 @@
   readonly seeds: readonly LinkId[]
   /** Whether the settings name this one. */
   readonly isSeed: boolean
+  /** Whether the whole system starts for the first time. */
+  readonly isFirstStart: boolean
   readonly self: HostEntry
   readonly startedAt: Instant
   readonly tickedAt: Instant
--- a/src/core/pool/membership/due.ts
+++ b/src/core/pool/membership/due.ts
@@ -20,13 +20,14 @@
  * has heard from the store itself: then it asks for what changed, without waiting.
  */
 export function dueQuestion (state: ControlState, table: TableName, isReader: boolean, now: Instant): Ask | undefined {
-  const { questions, tables, pace, coveredAt } = state
+  const { questions, tables, pace, coveredAt, isFirstStart } = state
   const question = questions[table]
   if (question.isOpen || now < question.notBefore) return undefined
   // A store that fails one question fails the others too, and refused calls count like any.
   if (table !== 'config' && questions.config.failures > 0) return undefined
   const { version } = tables[table]
-  if (version === undefined) return isReader || table === 'roll' || !isPromised(state, now) ? { kind: 'ask', table, after: undefined, waitMs: 0, why: 'start' } : undefined
+  // A process that is started again asks for all at once: after a power loss its neighbours know no more than it does, and callers wait for it.
+  if (version === undefined) return isReader || table === 'roll' || !isFirstStart || !isPromised(state, now) ? { kind: 'ask', table, after: undefined, waitMs: 0, why: 'start' } : undefined
   const after = question.isForgotten ? undefined : version
   // A host that begins to ask for others is of use to them once it has an answer, so its first question isn't held open.
   const isHeld = question.lateMs(pace.waitMs[table], now) <= pace.answerMs
@@ -36,7 +37,7 @@
   return isDue ? { kind: 'ask', table, after, waitMs: 0, why: 'alone' } : undefined
 }
 
-/** Whether other hosts will tell this one soon what it doesn't know: no later than the store itself would. */
+/** Whether other hosts will tell this one soon what it doesn't know, where the whole system starts for the first time and nobody waits to be served. */
 function isPromised ({ tables, questions, ranking, startedAt, seeds, links, pace }: ControlState, now: Instant): boolean {
   const { roll } = questions
   if (tables.roll.version === undefined && roll.failures === 0) return true
--- a/src/shell/pool/membership/tables.ts
+++ b/src/shell/pool/membership/tables.ts
@@ -26,6 +26,8 @@
   readonly pace: Pace
   /** Where hosts that the settings name take links. */
   readonly seeds: readonly LinkId[]
+  /** Whether the whole system starts for the first time. */
+  readonly isFirstStart: boolean
   readonly store: RowStore
   /** What the tables are called in the store. */
   readonly names: Readonly<Record<TableName, string>>
@@ -66,11 +68,11 @@
   private constructor (private readonly options: Options, private readonly signal: AbortSignal) {
     const { store, copies: table, metrics } = options
     this.copies = Copies.create({ store, table, metrics })
-    const { self, pace, seeds } = options
+    const { self, pace, seeds, isFirstStart } = options
     const own = linkOf(self)
     // A host that starts anew contradicts what was said of its life before, whatever the time of day says by then.
     const entry = { ...self, incarnation: Date.now(), isLeaving: false }
-    this.control = Control.create({ self: entry, pace, seeds: seeds.filter(seed => seed !== own), isSeed: seeds.includes(own) }, clock.now())
+    this.control = Control.create({ self: entry, pace, seeds: seeds.filter(seed => seed !== own), isSeed: seeds.includes(own), isFirstStart }, clock.now())
   }
 
   /** Runs until the signal. */
@@ -82,8 +84,8 @@
       clearInterval(timer)
       for (const link of [...tables.sources.values(), ...tables.followers.values()]) link.close()
     })
-    tables.step({ kind: 'tick' })
     tables.copies.look(signal)
+    tables.step({ kind: 'tick' })
     return tables
   }
 
--- a/src/shell/pool/node.ts
+++ b/src/shell/pool/node.ts
@@ -28,6 +28,8 @@
   readonly self: PoolHost
   /** Where hosts that the settings name take links; this one may be among them. */
   readonly seeds: readonly LinkId[]
+  /** Whether the whole system starts for the first time. */
+  readonly isFirstStart: boolean
   /** Milliseconds within which a new configuration is to be in force. */
   readonly applyMs: number
   /** Milliseconds for which an endpoint serves after it said that it leaves. */
@@ -95,6 +97,7 @@
       self: options.self,
       pace: Pace.of(options),
       seeds: options.seeds,
+      isFirstStart: options.isFirstStart,
       store: options.platform.store,
       names: { config: options.platform.config.table, endpoints: options.platform.endpoints.table, shared: TABLE, roll: ROLL_TABLE },
       copies: COPIES_TABLE,
--- a/standin/lines/host.ts
+++ b/standin/lines/host.ts
@@ -39,6 +39,7 @@
       auditor,
       self: { id: id as HostId, dataCentre: 'z1' as DataCentreId, address: { ip: IP, port: peerPort }, linkPort },
       seeds,
+      isFirstStart: false,
       applyMs: 2000,
       drainMs: 8000,
       historyMs: 20_000,
--- a/test/control/host.ts
+++ b/test/control/host.ts
@@ -17,6 +17,7 @@
   readonly self: HostEntry
   readonly seeds: readonly LinkId[]
   readonly isSeed: boolean
+  readonly isFirstStart: boolean
   readonly pace: Pace
 }
 
