--- a/bench/load/agenda.ts
+++ b/bench/load/agenda.ts
@@ -30,6 +30,11 @@
     this.heap[i] = entry
   }
 
+  /** When the next event is; undefined without one. */
+  get nextAt (): number | undefined {
+    return this.heap[0]?.at
+  }
+
   /** Runs all events up to an instant. */
   runUntil (end: number): void {
     while (this.heap.length > 0 && this.heap[0]!.at <= end) {
--- a/src/core/admission/admission.ts
+++ b/src/core/admission/admission.ts
@@ -92,10 +92,21 @@
       case 'finished': return this.finished(event.id, event.isUsable, now)
       case 'cancelled': return this.drop(event.id)
       case 'opened':
-        this.opener.succeeded()
+        if (event.isVacant === true) this.opener.found()
+        else this.opener.succeeded()
         this.idle++
         return
-      case 'openFailed': return this.openFailed(now, chance)
+      case 'added':
+        this.idle++
+        return
+      case 'dialled': return this.opener.recovered()
+      case 'dialFailed':
+        this.opener.backOff(now, chance)
+        return this.refuseStranded(now, chance)
+      case 'dialRefused': return this.opener.rest(now, chance)
+      case 'openFailed':
+        this.opener.failed(now, chance)
+        return this.refuseStranded(now, chance)
       case 'openRefused': return this.opener.refused(now, chance)
       case 'lost':
         this.idle = Math.max(0, this.idle - event.count)
@@ -151,8 +162,7 @@
    * With no connection left nothing that waits can run here, and its caller can be
    * served elsewhere; while one is open the failure only makes the slot smaller.
    */
-  private openFailed (now: Instant, chance: number): void {
-    this.opener.failed(now, chance)
+  private refuseStranded (now: Instant, chance: number): void {
     if (this.open > 0 || this.opener.pending > 0) return
     for (const request of [...this.waiting.values()]) this.refuse(request, 'unreachable', now, chance)
   }
--- a/src/core/admission/opener.ts
+++ b/src/core/admission/opener.ts
@@ -39,6 +39,16 @@
 
   succeeded (): void {
     this.underWay--
+    this.recovered()
+  }
+
+  /** Room was found, and nothing opened yet. */
+  found (): void {
+    this.underWay--
+  }
+
+  /** The endpoint takes connections again. */
+  recovered (): void {
     this.failures = 0
   }
 
@@ -49,6 +59,11 @@
    */
   refused (now: Instant, chance: number): void {
     this.underWay--
+    this.rest(now, chance)
+  }
+
+  /** The same for an opening that wasn't counted here. */
+  rest (now: Instant, chance: number): void {
     this.nextAt = now + this.opening.backOffMs * (0.5 + chance / 2) as Instant
   }
 
@@ -58,6 +73,11 @@
    */
   failed (now: Instant, chance: number): void {
     this.underWay--
+    this.backOff(now, chance)
+  }
+
+  /** The same for an opening that wasn't counted here. */
+  backOff (now: Instant, chance: number): void {
     const { backOffMs, mostBackOffMs } = this.opening
     const ms = Math.min(mostBackOffMs, backOffMs * 2 ** this.failures)
     this.failures++
--- /dev/null
+++ b/src/core/allowance/allowance.test.ts
@@ -0,0 +1,165 @@
+/** The parts of an allowance: shards, buckets, who issues, and what a host has in hand. */
+
+import { describe, expect, it } from 'vitest'
+import type { HostId } from '../id/host.ts'
+import type { Instant } from '../id/instant.ts'
+import type { TeamId } from '../id/team.ts'
+import { Bucket } from './bucket.ts'
+import { Issuer } from './issuer.ts'
+import { Issuers } from './issuers.ts'
+import { Mandate } from './mandate.ts'
+import { Shard } from './shard.ts'
+import { Tokens } from './tokens.ts'
+
+const BOUNDS = { windowMs: 5000, overage: 0.1, slack: 20 }
+const at = (ms: number): Instant => ms as Instant
+const hosts = (count: number): HostId[] => Array.from({ length: count }, (_, i) => `h${i}` as HostId)
+
+describe('a shard', () => {
+  it.each([[134, 134], [5, 5], [1, 1], [0.1, 0], [2000, 10_000]])('%f a second, burst %d: all shards together stay within the bound', (perSecond, burst) => {
+    const shard = Shard.of({ perSecond, burst }, BOUNDS)
+    const most = Shard.count * (shard.depth + shard.perMs * (BOUNDS.windowMs + shard.lifetimeMs))
+    expect(most).toBeLessThanOrEqual((perSecond * 5 + burst) * 1.1 + 20 + 1e-9)
+    expect(shard.depth).toBeGreaterThanOrEqual(1)
+  })
+
+  it('lies at three different places, which differ from team to team', () => {
+    const places = Array.from({ length: 50 }, (_, i) => Shard.placesOf(`t${i}`, 6))
+    expect(places.every(of => new Set(of).size === 3)).toBe(true)
+    expect(new Set(places.map(of => of.join())).size).toBeGreaterThan(20)
+  })
+})
+
+describe('a bucket', () => {
+  // 3 a second and a burst of 3 in three shards: one token a second, and depth (3 + 10.9) / 3.
+  const shard = Shard.of({ perSecond: 3, burst: 3 }, BOUNDS)
+  const taken = (bucket: Bucket, wanted: number, ms: number) => bucket.take(wanted, at(ms)).taken
+
+  it.each<[string, Bucket, number, number]>([
+    ['is full where nobody issued before', Bucket.since(at(-Infinity), shard), 100, 4],
+    ['is empty at its start', Bucket.since(at(0), shard), 0, 0],
+    ['fills', Bucket.since(at(0), shard), 2500, 2],
+    ['fills up to its depth', Bucket.since(at(0), shard), 60_000, 4]
+  ])('%s', (_name, bucket, ms, expected) => expect(taken(bucket, 10, ms)).toBe(expected))
+
+  it('gives no more than is wanted, and tells when there is another', () => {
+    const { next } = Bucket.since(at(-Infinity), shard).take(3, at(0))
+    expect(taken(next, 10, 0)).toBe(1)
+    expect(next.take(1, at(0)).next.nextMs(at(0))).toBeGreaterThan(0)
+  })
+
+  it('keeps what gathered under another limit, as far as that lets it', () => {
+    const full = Bucket.since(at(-Infinity), shard)
+    expect(taken(full.under(Shard.of({ perSecond: 1, burst: 0 }, { ...BOUNDS, slack: 6 }), at(0)), 10, 0)).toBe(1)
+    expect(taken(Bucket.since(at(0), shard).under(Shard.of({ perSecond: 300, burst: 300 }, BOUNDS), at(0)), 10, 0)).toBe(0)
+  })
+
+  it('never has one where the rate is nothing and the burst is used', () => {
+    const none = Shard.of({ perSecond: 0, burst: 0 }, { ...BOUNDS, slack: 0 })
+    expect(Bucket.since(at(0), none).nextMs(at(0))).toBe(Infinity)
+  })
+})
+
+describe('the hosts that issue', () => {
+  it.each([[7, 3], [84, 6], [300, 19], [2000, 125]])('%d hosts have %d places', (count, expected) => {
+    const { places } = Issuers.first(hosts(count))
+    expect([places.length, new Set(places.map(({ host }) => host)).size]).toEqual([expected, expected])
+  })
+
+  it('are fewer than places where there are fewer hosts', () => expect(Issuers.first(hosts(1)).places.length).toBe(3))
+
+  it('are read as they were written', () => {
+    const made = Issuers.first(hosts(84)).without(2, hosts(84))!
+    expect(Issuers.decode(made.encode())!.places).toEqual(made.places)
+    expect(['', '[]', '{}', '[{"host":1}]'].map(text => Issuers.decode(text))).toEqual([undefined, undefined, undefined, undefined])
+  })
+
+  it('have another in place of one that is gone, and no other is moved', () => {
+    const before = Issuers.first(hosts(84))
+    const after = before.without(2, hosts(84))!
+    expect(after.places.filter(({ host }, i) => host !== before.places[i]!.host).length).toBe(1)
+    expect(after.places.map(({ term }) => term)).toEqual([0, 0, 1, 0, 0, 0])
+  })
+})
+
+describe('a mandate', () => {
+  const first = Issuers.first(hosts(84))
+  const [own, other] = [first.places[0]!.host, first.places[1]!.host]
+  const options = { self: own, trustMs: 5000, isFirstStart: false }
+  const moved = first.without(1, hosts(84))!
+  const backAgain = Issuers.decode(JSON.stringify(first.places.map((place, i) => i === 0 ? { ...place, term: 2 } : place)))!
+  const successor = moved.places[1]!.host
+
+  it.each<[string, Mandate, number, number, number, number | undefined]>([
+    ['of nobody', Mandate.none(options), 0, 0, 10, undefined],
+    ['at its own place, from its start', Mandate.none(options).learnt(first, at(100)), 0, 0, 100, 100],
+    ['at the first start of all, from ever', Mandate.none({ ...options, isFirstStart: true }).learnt(first, at(100)), 0, 0, 100, -Infinity],
+    ['at another\'s place', Mandate.none(options).learnt(first, at(100)), 1, 0, 200, undefined],
+    ['on knowledge that is too old', Mandate.none(options).learnt(first, at(100)), 0, 5001, 200, undefined],
+    ['in place of another, before that one has stopped', Mandate.none({ ...options, self: successor }).learnt(moved, at(100)), 1, 0, 5349, undefined],
+    ['in place of another, later', Mandate.none({ ...options, self: successor }).learnt(moved, at(100)), 1, 0, 5350, 5350],
+    ['replaced', Mandate.none({ ...options, self: other }).learnt(first, at(100)).learnt(moved, at(200)), 1, 0, 300, undefined],
+    ['given to another and back, of which it heard only now', Mandate.none(options).learnt(first, at(100)).learnt(backAgain, at(20_000)), 0, 0, 20_100, undefined],
+    ['kept through a change elsewhere', Mandate.none(options).learnt(first, at(100)).learnt(moved, at(200)), 0, 0, 300, 100]
+  ])('%s', (_name, mandate, place, ageMs, now, expected) => expect(mandate.issuesSince(place, ageMs, at(now))).toBe(expected))
+})
+
+describe('an issuer', () => {
+  const shard = Shard.of({ perSecond: 3, burst: 3 }, BOUNDS)
+  const wanted = (count: number, since: number, place = 0) => ({ place, team: 't' as TeamId, count, shard, since: at(since) })
+
+  it('gives a bucket once, to whoever asks', () => {
+    const issuer = Issuer.create()
+    const counts = [2, 10, 10].map(count => issuer.issue(wanted(count, -Infinity), at(0)).count)
+    expect(counts).toEqual([2, 2, 0])
+    expect(issuer.issue(wanted(10, -Infinity, 1), at(0)).count).toBe(4)
+  })
+
+  it('begins anew, and empty, when it takes a place again', () => {
+    const issuer = Issuer.create()
+    issuer.issue(wanted(1, -Infinity), at(0))
+    expect(issuer.issue(wanted(10, 1000), at(1000)).count).toBe(0)
+  })
+})
+
+describe('the tokens in hand', () => {
+  const made = () => Tokens.of([0, 1, 2], 0, at(0))
+  const got = (count: number, nextMs = 0, askedAt = 0) => ({ count, nextMs, askedAt: at(askedAt), lifetimeMs: 400 })
+
+  it('count from the question for them, and no longer', () => {
+    const tokens = made()
+    tokens.answered(0, got(2), at(50))
+    expect([tokens.take(at(399)), tokens.take(at(400))]).toEqual([400, undefined])
+  })
+
+  it('are none after a suspension', () => {
+    const tokens = made()
+    tokens.answered(0, got(2), at(50))
+    expect(tokens.take(at(86_400_000))).toBeUndefined()
+  })
+
+  it('come from one place after the other, and not from one that has none or is silent', () => {
+    const tokens = made()
+    const places = () => [0, 1, 2].map(() => tokens.next(1, 400, at(10))).map(next => next.kind === 'ask' ? next.place : -1)
+    expect(places()).toEqual([0, 1, 2])
+    tokens.answered(0, got(0, 300), at(10))
+    tokens.silent(1, at(10))
+    expect(places()).toEqual([2, 2, 2])
+    tokens.answered(2, got(0, 700), at(10))
+    expect(tokens.next(1, 400, at(10))).toEqual({ kind: 'none', ms: 300 })
+  })
+
+  it('are fetched ahead by what was used lately', () => {
+    const tokens = made()
+    for (let i = 0; i < 40; i++) tokens.take(at(i * 10))
+    expect(tokens.ahead(400, at(400))).toBeGreaterThanOrEqual(5)
+    expect(tokens.ahead(400, at(5000))).toBe(0)
+  })
+
+  it('that were put back are used again', () => {
+    const tokens = made()
+    tokens.answered(0, got(1), at(50))
+    tokens.putBack(tokens.take(at(60))!)
+    expect(tokens.take(at(70))).toBe(400)
+  })
+})
--- /dev/null
+++ b/src/core/allowance/bucket.ts
@@ -0,0 +1,38 @@
+/** The tokens of one shard that can be issued. */
+
+import type { Instant } from '../id/instant.ts'
+import type { Shard } from './shard.ts'
+
+/** Immutable. A token stands for one operation. */
+export class Bucket {
+  private constructor (private readonly shard: Shard, private readonly level: number, private readonly at: Instant) {}
+
+  /** Empty at the moment, and filled since. */
+  static since (at: Instant, shard: Shard): Bucket {
+    return new Bucket(shard, 0, at)
+  }
+
+  /** Under other limits from now on. What gathered stays, as far as it may. */
+  under (shard: Shard, now: Instant): Bucket {
+    return new Bucket(shard, Math.min(this.levelAt(now), shard.depth), now)
+  }
+
+  /** Takes whole tokens, as many as there are and no more than are wanted. */
+  take (wanted: number, now: Instant): { readonly next: Bucket, readonly taken: number } {
+    const level = this.levelAt(now)
+    const taken = Math.max(0, Math.min(wanted, Math.floor(level)))
+    return { next: new Bucket(this.shard, level - taken, now), taken }
+  }
+
+  /** Milliseconds until there is a whole token; infinite where none ever comes. */
+  nextMs (now: Instant): number {
+    const missing = 1 - this.levelAt(now)
+    if (missing <= 0) return 0
+    return this.shard.perMs > 0 && this.shard.depth >= 1 ? Math.ceil(missing / this.shard.perMs) : Infinity
+  }
+
+  private levelAt (now: Instant): number {
+    const ms = Math.max(0, now - this.at)
+    return Math.min(this.shard.depth, ms === Infinity ? this.shard.depth : this.level + ms * this.shard.perMs)
+  }
+}
--- /dev/null
+++ b/src/core/pool/access/permission.test.ts
@@ -0,0 +1,23 @@
+/** Whether a statement may go out, by what its host knows and how old that may be. */
+
+import { expect, it } from 'vitest'
+import type { TeamId } from '../../id/team.ts'
+import { permissionOf } from './permission.ts'
+import type { Team } from './team.ts'
+
+const TEAM: Team = { id: 't' as TeamId, keys: [], rate: undefined }
+const STRICT = { trustMs: 4750, freshMs: 3900 }
+const LAX = { trustMs: Infinity, freshMs: 3900 }
+
+it.each<[string, Parameters<typeof permissionOf>[0], Parameters<typeof permissionOf>[1], string]>([
+  ['a key that is held', { isOpen: false, holder: TEAM, ageMs: 100 }, STRICT, 't'],
+  ['a key that nobody holds', { isOpen: false, holder: undefined, ageMs: 100 }, STRICT, 'unauthorised'],
+  ['a key that may have been added since', { isOpen: false, holder: undefined, ageMs: 3901 }, STRICT, 'outOfTouch'],
+  ['a key that may have been taken away since, within the bound', { isOpen: false, holder: TEAM, ageMs: 4750 }, STRICT, 't'],
+  ['a key that may have been taken away for longer', { isOpen: false, holder: TEAM, ageMs: 4751 }, STRICT, 'outOfTouch'],
+  ['the same where that is allowed', { isOpen: false, holder: TEAM, ageMs: Infinity }, LAX, 't'],
+  ['no key where none is needed, whatever is known', { isOpen: true, holder: undefined, ageMs: Infinity }, STRICT, 'open']
+])('%s', (_name, asked, bounds, expected) => {
+  const permission = permissionOf(asked, bounds)
+  expect(permission.kind === 'granted' ? permission.team?.id ?? 'open' : permission.fault).toBe(expected)
+})
--- a/src/core/pool/config.ts
+++ b/src/core/pool/config.ts
@@ -1,7 +1,10 @@
 /** One version of what operators decide: the databases, their groups and the limits. */
 
 import type { GroupId } from '../id/group.ts'
+import type { TeamId } from '../id/team.ts'
 import type { ConfigVersion } from '../id/version.ts'
+import type { KeyDigest } from './access/keydigest.ts'
+import type { Team } from './access/team.ts'
 import type { Route } from './route.ts'
 
 interface GroupLimits {
@@ -18,6 +21,8 @@
   readonly groups: readonly GroupLimits[]
   /** After so long without a statement a transaction may be ended; milliseconds. */
   readonly idleTransactionMs: number
+  /** Undefined where callers need no keys at all. */
+  readonly teams?: readonly Team[] | undefined
 }
 
 /** Immutable. */
@@ -26,6 +31,10 @@
   readonly routes: readonly Route[]
   readonly groups: readonly GroupLimits[]
   readonly idleTransactionMs: number
+  readonly teams: readonly Team[] | undefined
+  private readonly perSecond: number
+  private readonly byKey: ReadonlyMap<KeyDigest, Team>
+  private readonly byTeam: ReadonlyMap<TeamId, Team>
   private readonly byDatabase: ReadonlyMap<string, Route>
   private readonly byGroup: ReadonlyMap<GroupId, GroupLimits>
 
@@ -34,6 +43,10 @@
     this.routes = fields.routes
     this.groups = fields.groups
     this.idleTransactionMs = fields.idleTransactionMs
+    this.teams = fields.teams
+    this.perSecond = fields.teams?.reduce((sum, { rate }) => sum + (rate?.perSecond ?? 0), 0) ?? 0
+    this.byKey = new Map(fields.teams?.flatMap(team => team.keys.map(key => [key, team] as const)))
+    this.byTeam = new Map(fields.teams?.map(team => [team.id, team]))
     this.byDatabase = new Map(fields.routes.map(route => [route.database, route]))
     this.byGroup = new Map(fields.groups.map(group => [group.id, group]))
   }
@@ -46,6 +59,26 @@
     return this.byDatabase.get(database)
   }
 
+  /** Whether callers of the database need no key. */
+  isOpen (route: Route): boolean {
+    return this.teams === undefined || route.isOpen === true
+  }
+
+  /** The team that holds the key; undefined for nobody. */
+  holderOf (key: KeyDigest | undefined): Team | undefined {
+    return key === undefined ? undefined : this.byKey.get(key)
+  }
+
+  /** The part of all that teams may ask which is the team's, from 0 to 1; as large a part as any other's where it has no limit. */
+  shareOf ({ rate }: Team): number {
+    const { teams = [] } = this
+    return rate === undefined || this.perSecond === 0 ? 1 / Math.max(1, teams.length) : rate.perSecond / this.perSecond
+  }
+
+  team (id: TeamId): Team | undefined {
+    return this.byTeam.get(id)
+  }
+
   group (id: GroupId): GroupLimits | undefined {
     return this.byGroup.get(id)
   }
--- a/src/core/pool/membership/control.ts
+++ b/src/core/pool/membership/control.ts
@@ -27,6 +27,7 @@
 import { ranked } from './ranked.ts'
 import { Ranking } from './ranking.ts'
 import { Roll } from './roll.ts'
+import { Soundness } from './soundness.ts'
 import { Table } from './table.ts'
 import type { TableName } from './tablename.ts'
 import { tableNames } from './tablenames.ts'
@@ -66,6 +67,7 @@
       tickedAt: now,
       tables: { config: Table.empty, endpoints: Table.empty, shared: Table.empty, roll: Table.empty },
       questions: { config: Question.none, endpoints: Question.none, shared: Question.none, roll: Question.none },
+      soundness: Soundness.none,
       links: Links.none,
       followers: Followers.none,
       roll: Roll.empty,
@@ -101,18 +103,23 @@
     return this.state.row.isOpen
   }
 
-  /** `chance`: spreads tries; from 0 to 1. */
-  step (event: ControlEvent, chance: number, now: Instant): Step {
-    const taken = take(this.state, event, chance, now)
+  /** Milliseconds for which the table may have been another one in the store. `age`: of the clock that counts suspension. */
+  ageMs (table: TableName, age: Instant): number {
+    return this.state.soundness.ageMs(table, age)
+  }
+
+  /** `chance`: spreads tries; from 0 to 1. `age`: the time on the clock that counts suspension. */
+  step (event: ControlEvent, chance: number, now: Instant, age: Instant = now): Step {
+    const taken = take(this.state, event, chance, now, age)
     // By far the most frequent events, and what follows from them has time until the next tick.
     const isFrequent = (event.kind === 'told' && event.word.kind === 'beat') || (event.kind === 'spoke' && event.word.kind === 'alive')
     if (isFrequent) return { next: new Control(taken.state), actions: taken.actions }
-    const planned = plan(taken.state, now)
+    const planned = plan(taken.state, now, age)
     return { next: new Control(planned.state), actions: [...taken.actions, ...planned.actions] }
   }
 }
 
-function take (state: ControlState, event: ControlEvent, chance: number, now: Instant): ControlStep {
+function take (state: ControlState, event: ControlEvent, chance: number, now: Instant, age: Instant): ControlStep {
   switch (event.kind) {
     case 'tick': return ticked(state, now)
     case 'answered': return answered(state, event, now)
@@ -120,10 +127,10 @@
     case 'failed': return failed(state, event.table, chance, now)
     case 'written': return only({ ...state, row: event.isDone ? { ...state.row, isOpen: false } : { ...state.row, value: '', notBefore: now + REWRITE_MS as Instant, isOpen: false } })
     case 'copied': return only({ ...state, copy: { ...state.copy, isOpen: false } })
-    case 'opened': return opened(state, event.link, now)
+    case 'opened': return opened(state, event.link, now, age)
     case 'lost': return only({ ...state, links: state.links.has(event.link) ? state.links.lost(event.link, now) : state.links })
     case 'told': return told(state, event, now)
-    case 'spoke': return spoke(state, event, now)
+    case 'spoke': return spoke(state, event, now, age)
     case 'left': return only({ ...state, followers: state.followers.left(event.link) })
     case 'consult': return only({ ...state, consulted: new Map([...state.consulted, [event.link, now + state.pace.silentMs as Instant]]) })
     case 'leave': return left(state, now)
@@ -138,10 +145,11 @@
   return now - rankedAt < RANK_MS ? only(next) : ranked(next, now)
 }
 
-function answered (state: ControlState, { table, isWhole, rows, version }: Event<'answered'>, now: Instant): ControlStep {
+function answered (state: ControlState, { table, isWhole, rows, version, askedAt, storeMs }: Event<'answered'>, now: Instant): ControlStep {
   const { questions, pace, beatAt } = state
+  const soundness = state.soundness.sampled(askedAt, storeMs).known({ [table]: storeMs })
   const restMs = table === 'roll' && rows.length > 0 ? ROLL_REST_MS : 0
-  const next = { ...state, questions: { ...questions, [table]: questions[table].answered(now, restMs) } }
+  const next = { ...state, soundness, questions: { ...questions, [table]: questions[table].answered(now, restMs) } }
   // Those who wait to hear that the store answers again are told at once.
   const wasLate = latenessOf(state, now).ownLateMs > pace.answerMs
   return learnt({ ...next, beatAt: wasLate ? NEVER : beatAt }, { table, isWhole, rows, version }, now)
@@ -156,8 +164,8 @@
   return only({ ...next, beatAt: latenessOf(next, now).lateMs > pace.answerMs ? NEVER : beatAt })
 }
 
-function opened (state: ControlState, link: LinkId, now: Instant): ControlStep {
-  const next = { ...state, links: state.links.opened(link, now) }
+function opened (state: ControlState, link: LinkId, now: Instant, age: Instant): ControlStep {
+  const next = { ...state, links: state.links.opened(link, now).said(link, age) }
   return { state: next, actions: [introduction(next, link)] }
 }
 
@@ -170,14 +178,21 @@
   const { links } = state
   if (!links.has(link)) return only(state)
   switch (word.kind) {
-    case 'welcome': return only({ ...state, links: links.welcomed(link, word.hasTables, now) })
+    case 'welcome': return welcomed(state, link, word, now)
     case 'rows': return learnt({ ...state, links: links.heard(link, now) }, word, now)
     case 'beat': return beat(state, link, word, now)
   }
 }
 
+function welcomed (state: ControlState, link: LinkId, { hasTables, storeMs }: Extract<Word, { kind: 'welcome' }>, now: Instant): ControlStep {
+  const { links, soundness } = state
+  const saidAt = links.saidAt(link)
+  const sampled = saidAt === undefined || storeMs === undefined ? soundness : soundness.sampled(saidAt, storeMs)
+  return only({ ...state, soundness: sampled, links: links.welcomed(link, hasTables, now) })
+}
+
 /** All rows up to the versions were told before it over the same link, so this host is as new as that. */
-function beat (state: ControlState, link: LinkId, { lateMs, ownLateMs, versions }: Extract<Word, { kind: 'beat' }>, now: Instant): ControlStep {
+function beat (state: ControlState, link: LinkId, { lateMs, ownLateMs, versions, asOf }: Extract<Word, { kind: 'beat' }>, now: Instant): ControlStep {
   const { tables, links, pace, ranking, coveredAt, nearAt } = state
   const isBehind = (name: TableName) => tables[name].version !== undefined && tables[name].version < (versions[name] ?? 0)
   const behind = tableNames.filter(isBehind).map(name => [name, tables[name].changed([], versions[name]!).next])
@@ -187,16 +202,17 @@
   return only({
     ...state,
     links: heard,
+    soundness: state.soundness.known(asOf),
     tables: behind.length === 0 ? tables : { ...tables, ...Object.fromEntries(behind) },
     coveredAt: isCovered ? now : coveredAt,
     nearAt: isNear ? now : nearAt
   })
 }
 
-function spoke (state: ControlState, { link, word }: Event<'spoke'>, now: Instant): ControlStep {
-  const { followers, tables } = state
-  if (word.kind === 'alive') return only({ ...state, followers: followers.spoke(link, now) })
-  const welcome: ControlAction = { kind: 'tell', link, word: { kind: 'welcome', hasTables: isKnown(state) } }
+function spoke (state: ControlState, { link, word }: Event<'spoke'>, now: Instant, age: Instant): ControlStep {
+  const { followers, tables, soundness } = state
+  const welcome: ControlAction = { kind: 'tell', link, word: { kind: 'welcome', hasTables: isKnown(state), storeMs: soundness.storeMs(age) } }
+  if (word.kind === 'alive') return { state: { ...state, followers: followers.spoke(link, now) }, actions: [welcome] }
   const rows = tableNames.flatMap((table): ControlAction[] => {
     const { version } = tables[table]
     if (version === undefined) return []
--- a/src/core/pool/membership/controlevent.ts
+++ b/src/core/pool/membership/controlevent.ts
@@ -1,5 +1,6 @@
 /** What can happen to the control of a host. */
 
+import type { Instant } from '../../id/instant.ts'
 import type { LinkId } from './linkid.ts'
 import type { Row } from './row.ts'
 import type { TableName } from './tablename.ts'
@@ -9,8 +10,11 @@
 
 export type ControlEvent =
   | { readonly kind: 'tick' }
-  /** The store answered: all rows, or what changed since the version that was asked for. */
-  | { readonly kind: 'answered', readonly table: TableName, readonly isWhole: boolean, readonly rows: readonly Row[], readonly version: number }
+  /**
+   * The store answered: all rows, or what changed since the version that was asked for. `askedAt`: when it was asked, on the clock that counts
+   * suspension; `storeMs`: what the store's own clock showed when it answered.
+   */
+  | { readonly kind: 'answered', readonly table: TableName, readonly isWhole: boolean, readonly rows: readonly Row[], readonly version: number, readonly askedAt: Instant, readonly storeMs: number }
   /** The store doesn't know any more what changed. */
   | { readonly kind: 'forgotten', readonly table: TableName }
   | { readonly kind: 'failed', readonly table: TableName }
--- a/src/core/pool/membership/controlstate.ts
+++ b/src/core/pool/membership/controlstate.ts
@@ -9,6 +9,7 @@
 import type { Question } from './question.ts'
 import type { Ranking } from './ranking.ts'
 import type { Roll } from './roll.ts'
+import type { Soundness } from './soundness.ts'
 import type { Table } from './table.ts'
 import type { TableName } from './tablename.ts'
 
@@ -25,6 +26,8 @@
   readonly tickedAt: Instant
   readonly tables: Readonly<Record<TableName, Table>>
   readonly questions: Readonly<Record<TableName, Question>>
+  /** How old what is known of the tables may be. */
+  readonly soundness: Soundness
   readonly links: Links
   readonly followers: Followers
   readonly roll: Roll
--- a/src/core/pool/membership/links.ts
+++ b/src/core/pool/membership/links.ts
@@ -15,6 +15,8 @@
   readonly lateMs: number
   /** What it owes that host alone. */
   readonly ownLateMs: number
+  /** When the oldest word was said over it that no welcome answered; on the clock that counts suspension. */
+  readonly saidAt: Instant | undefined
 }
 
 type Fault = 'unreachable' | 'silent' | 'late'
@@ -43,7 +45,7 @@
   }
 
   begun (id: LinkId, now: Instant): Links {
-    return this.with(id, { since: now, isOpen: false, heardAt: undefined, hasTables: undefined, lateMs: Infinity, ownLateMs: Infinity })
+    return this.with(id, { since: now, isOpen: false, heardAt: undefined, hasTables: undefined, lateMs: Infinity, ownLateMs: Infinity, saidAt: undefined })
   }
 
   opened (id: LinkId, now: Instant): Links {
@@ -51,7 +53,16 @@
   }
 
   welcomed (id: LinkId, hasTables: boolean, now: Instant): Links {
-    return this.change(id, { heardAt: now, hasTables })
+    return this.change(id, { heardAt: now, hasTables, saidAt: undefined })
+  }
+
+  /** Something was said that a welcome answers. */
+  said (id: LinkId, age: Instant): Links {
+    return this.change(id, { saidAt: this.saidAt(id) ?? age })
+  }
+
+  saidAt (id: LinkId): Instant | undefined {
+    return this.links.get(id)?.saidAt
   }
 
   heard (id: LinkId, now: Instant): Links {
--- a/src/core/pool/membership/pace.ts
+++ b/src/core/pool/membership/pace.ts
@@ -9,6 +9,10 @@
   readonly drainMs: number
   /** Milliseconds for which the store knows what changed. */
   readonly historyMs: number
+  /** Milliseconds after which a key that was taken away is served by no host any more, in touch or not; undefined where that isn't asked. */
+  readonly revokeMs?: number | undefined
+  /** Whether teams have allowances, whose issuers stand in the shared table. */
+  readonly hasAllowances?: boolean
 }
 
 /** A question to the store is held open for this part of the bound: a connection that went silent is found, and replaced, within it. */
@@ -17,6 +21,10 @@
 const DRAIN_SHARE = 0.4
 /** Leases and the roll of hosts have no bound, and none of them is needed to serve, so a silent connection may be found late. */
 const UNBOUND_WAIT_MS = 8000
+/** Where the shared table says who issues allowances, a host that takes the place of another waits for as long as this table may be known late. */
+const SHARED_SHARE = 0.8
+/** Of the bound for keys that were taken away a part is left for the way of a statement from its check to its endpoint, and for clocks that run apart. */
+const TRUST_SHARE = 0.95
 /** The parts of the bound that are for an answer that doesn't come, and for a reader that goes silent; with the wait they leave three tenths for the rest. */
 const ANSWER_SHARE = 1 / 6
 const SILENT_SHARE = 1 / 6
@@ -39,7 +47,13 @@
     /** How often a reader speaks to those that follow it. */
     readonly beatMs: number,
     /** How often the copy of the configuration is said to be as new as it is. */
-    readonly copyMs: number
+    readonly copyMs: number,
+    /** A host that hears from the store as a rule knows the configuration so late at most. */
+    readonly freshMs: number,
+    /** Nothing that needs a key is sent on an older configuration; infinite where keys that were taken away may be served for longer. */
+    readonly trustMs: number,
+    /** Nothing is issued on older knowledge of the shared table. */
+    readonly sharedTrustMs: number
   ) {}
 
   /**
@@ -47,14 +61,17 @@
    * an answer's time pass), then those that take its place are silent too (a reader's silence passes), and the store is asked directly:
    * 1/2 + 1/6 + 1/6 of the bound, and one call.
    */
-  static of ({ applyMs, drainMs, historyMs }: Bounds): Pace {
-    const silentMs = Math.round(applyMs * SILENT_SHARE)
-    return new Pace(
-      { config: Math.round(applyMs * WAIT_SHARE), endpoints: Math.round(drainMs * DRAIN_SHARE), shared: UNBOUND_WAIT_MS, roll: UNBOUND_WAIT_MS },
-      Math.min(MOST_ANSWER_MS, Math.round(applyMs * ANSWER_SHARE)),
-      silentMs,
-      Math.round(silentMs / BEATS),
-      Math.round(historyMs * COPY_SHARE)
-    )
+  static of ({ applyMs, drainMs, historyMs, revokeMs = Infinity, hasAllowances = false }: Bounds): Pace {
+    const boundMs = Math.min(applyMs, revokeMs)
+    const silentMs = Math.round(boundMs * SILENT_SHARE)
+    const answerMs = Math.min(MOST_ANSWER_MS, Math.round(boundMs * ANSWER_SHARE))
+    const beatMs = Math.round(silentMs / BEATS)
+    const waitMs = {
+      config: Math.round(boundMs * WAIT_SHARE),
+      endpoints: Math.round(drainMs * DRAIN_SHARE),
+      shared: hasAllowances ? Math.min(UNBOUND_WAIT_MS, Math.round(boundMs * SHARED_SHARE)) : UNBOUND_WAIT_MS,
+      roll: UNBOUND_WAIT_MS
+    }
+    return new Pace(waitMs, answerMs, silentMs, beatMs, Math.round(historyMs * COPY_SHARE), waitMs.config + answerMs + 2 * beatMs, revokeMs * TRUST_SHARE, waitMs.shared + answerMs + silentMs)
   }
 }
--- a/src/core/pool/membership/plan.ts
+++ b/src/core/pool/membership/plan.ts
@@ -13,7 +13,7 @@
 import { wanted } from './wanted.ts'
 import type { Word } from './word.ts'
 
-type Part = (state: ControlState, now: Instant) => ControlStep
+type Part = (state: ControlState, now: Instant, age: Instant) => ControlStep
 
 /** A row of the roll isn't written sooner after the one before: hosts that start or end together are told of together, since each writing wakes all who follow the store. */
 const ROW_GAP_MS = 3000
@@ -23,9 +23,9 @@
 const PARTS: readonly Part[] = [giveUp, relink, ask, write, copy, speak]
 
 /** Does nothing that was done already, so it may follow any event. */
-export function plan (state: ControlState, now: Instant): ControlStep {
+export function plan (state: ControlState, now: Instant, age: Instant): ControlStep {
   return PARTS.reduce<ControlStep>((sum, part) => {
-    const next = part(sum.state, now)
+    const next = part(sum.state, now, age)
     return { state: next.state, actions: [...sum.actions, ...next.actions] }
   }, { state, actions: [] })
 }
@@ -87,14 +87,17 @@
   return { state: { ...state, copy: next }, actions: due === undefined ? [] : [due] }
 }
 
-function speak (state: ControlState, now: Instant): ControlStep {
-  const { followers, links, pace, beatAt, spokeAt } = state
+function speak (state: ControlState, now: Instant, age: Instant): ControlStep {
+  const { followers, links, pace, soundness, beatAt, spokeAt } = state
   const isBeat = followers.links.length > 0 && now - beatAt >= pace.beatMs
-  const isAlive = now - spokeAt >= Followers.speakMs
+  // What this host knows looks too old after a suspension, until it's told anew what the store's clock shows.
+  const isDoubtful = soundness.ageMs('config', age) > pace.freshMs && now - spokeAt >= pace.beatMs
+  const isAlive = isDoubtful || now - spokeAt >= Followers.speakMs
   if (!isBeat && !isAlive) return { state, actions: [] }
-  const beat: Word = { kind: 'beat', ...latenessOf(state, now), versions: versionsOf(state) }
+  const beat: Word = { kind: 'beat', ...latenessOf(state, now), versions: versionsOf(state), asOf: soundness.asOf }
+  const said = isAlive ? links.open.reduce((sum, link) => sum.said(link, age), links) : links
   return {
-    state: { ...state, beatAt: isBeat ? now : beatAt, spokeAt: isAlive ? now : spokeAt },
+    state: { ...state, links: said, beatAt: isBeat ? now : beatAt, spokeAt: isAlive ? now : spokeAt },
     actions: [
       ...(isBeat ? followers.links.map(link => ({ kind: 'tell', link, word: beat } as const)) : []),
       ...(isAlive ? links.open.map(link => ({ kind: 'say', link, word: { kind: 'alive' } } as const)) : [])
--- a/src/core/pool/placing/ownership.ts
+++ b/src/core/pool/placing/ownership.ts
@@ -2,11 +2,20 @@
 
 import type { GroupId } from '../../id/group.ts'
 import type { HostId } from '../../id/host.ts'
+import type { TeamId } from '../../id/team.ts'
 import { inTurn } from '../../inturn.ts'
 import { weightOf } from '../../weight.ts'
 import type { PoolHost } from './host.ts'
 import { shareOf } from './share.ts'
 
+interface TeamPart {
+  readonly id: TeamId
+  /** The part of all that teams may ask; from 0 to 1. */
+  readonly share: number
+}
+
+/** A team's sessions lie on so many times the owners that its part would fill: hosts differ, and sessions don't spread evenly. */
+const SPREAD = 2
 /** With one connection each, a transaction at one owner would keep its other sessions waiting while another owner's connection is unused. */
 const LEAST_PER_OWNER = 2
 
@@ -51,8 +60,26 @@
     return this.owners.some(({ id }) => id === host)
   }
 
+  /**
+   * Where a host passes a team's session on, the best first; empty when it serves the session itself. A connection serves one team, and
+   * an owner has a few to each endpoint: so each team has owners of its own in each data centre, one for a small team, and more by the part that it may ask.
+   */
+  private placesForTeam (host: PoolHost, { id, share }: TeamPart): readonly PoolHost[] {
+    if (!this.hasRoom) return []
+    const weight = (owner: PoolHost) => weightOf(`${id}/${owner.id}`)
+    const ranked = [...this.owners].sort((a, b) => weight(b) - weight(a))
+    const near = ranked.filter(({ dataCentre }) => dataCentre === host.dataCentre)
+    const count = Math.ceil(share * near.length * SPREAD)
+    const own = near.slice(0, Math.max(1, count))
+    if (own.some(owner => owner.id === host.id)) return []
+    const fromHost = (owner: PoolHost) => weightOf(`${host.id}/${owner.id}`)
+    const places = [...[...own].sort((a, b) => fromHost(b) - fromHost(a)), ...near.slice(own.length), ...ranked.filter(({ dataCentre }) => dataCentre !== host.dataCentre)]
+    return places.filter(owner => owner.id !== host.id)
+  }
+
   /** Where a host that isn't an owner passes a session on, the best first: its own data centre, then by a weight that spreads the hosts over the owners. */
-  placesFor (host: PoolHost): readonly PoolHost[] {
+  placesFor (host: PoolHost, team?: TeamPart): readonly PoolHost[] {
+    if (team !== undefined) return this.placesForTeam(host, team)
     if (this.isOwner(host.id)) return []
     const weight = (owner: PoolHost) => weightOf(`${host.id}/${owner.id}`)
     const isFar = (owner: PoolHost) => owner.dataCentre === host.dataCentre ? 0 : 1
--- a/src/core/pool/route.ts
+++ b/src/core/pool/route.ts
@@ -13,4 +13,6 @@
   readonly aimMs: number
   /** Index in the admission's classes: 0 for the most urgent. */
   readonly rank: number
+  /** Whether callers need no key, where others do. */
+  readonly isOpen?: boolean
 }
--- a/src/core/pool/statements/audited.ts
+++ b/src/core/pool/statements/audited.ts
@@ -46,7 +46,9 @@
   unknownDatabase: 'failed',
   malformed: 'failed',
   tooLarge: 'failed',
-  unauthorised: 'failed'
+  unauthorised: 'failed',
+  outOfTouch: 'notRun',
+  overAllowance: 'notRun'
 }
 
 /** What proves "not run" of a try that ended so. */
@@ -57,11 +59,13 @@
   ['notPrimary', 'replaced'],
   ['wrongEndpoint', 'unreachable'],
   ['tooManyConnections', 'unreachable'],
-  ['unknownStatement', 'notSent']
+  ['unknownStatement', 'notSent'],
+  ['outOfTouch', 'outOfTouch'],
+  ['overAllowance', 'overAllowance']
 ])
 
 /** What a record says of a statement that was refused before any endpoint was asked. */
-const UNTRIED: ReadonlyMap<Fault, ReasonName> = new Map<Fault, ReasonName>([['busy', 'noPrimary'], ['aborted', 'lostTransaction']])
+const UNTRIED: ReadonlyMap<Fault, ReasonName> = new Map<Fault, ReasonName>([['busy', 'noPrimary'], ['aborted', 'lostTransaction'], ['outOfTouch', 'outOfTouch'], ['overAllowance', 'overAllowance']])
 /** The successor of a leaving primary has a commit: the try before stands for it. */
 const RECEIPT = 'received'
 
--- a/src/core/pool/statements/remedy.ts
+++ b/src/core/pool/statements/remedy.ts
@@ -16,11 +16,13 @@
   unknownDatabase: 'no such database; check its name',
   malformed: 'the statement is not valid here; end the transaction or correct it',
   tooLarge: 'the message is too large; send at most 1 MiB',
-  unauthorised: 'not allowed to use this database'
+  unauthorised: 'not allowed: no team holds this key; ask for a new one',
+  outOfTouch: 'not run; this host has lost touch with the store and can\'t check the key',
+  overAllowance: 'not run; the team has used its allowance'
 }
 
 /** Faults after which the same operation may be sent again, so a time to come back helps. */
-const COME_BACK: ReadonlySet<Fault> = new Set<Fault>(['busy', 'aborted', 'behind', 'notPrimary', 'wrongEndpoint', 'tooManyConnections'])
+const COME_BACK: ReadonlySet<Fault> = new Set<Fault>(['busy', 'aborted', 'behind', 'notPrimary', 'wrongEndpoint', 'tooManyConnections', 'outOfTouch', 'overAllowance'])
 
 /** `retryAfterMs`: when a new try may do better, in milliseconds. */
 export function remedyOf (fault: Fault, retryAfterMs: number): string {
--- a/src/core/reason.ts
+++ b/src/core/reason.ts
@@ -33,5 +33,7 @@
   voided: { code: 1586, message: 'the idempotency key was settled as not run and never will run; use a new key', provesNotRun: true },
   lostWrite: { code: 1776, message: 'a write of this session was lost at a failover; its token is forgotten', provesNotRun: true },
   behind: { code: 1290, message: 'the endpoint does not hold the needed commits yet; try another', provesNotRun: true },
+  overAllowance: { code: 1226, message: 'the team has used its allowance; come back after the time given', provesNotRun: true },
+  outOfTouch: { code: 2013, message: 'this host has lost touch with the store and can not check the key; come back after the time given', provesNotRun: true },
   unproved: { code: 1290, message: 'no second server could prove that the primary is current; try again', provesNotRun: true }
 } as const satisfies Record<string, Reason>
--- a/src/core/statement/fault.ts
+++ b/src/core/statement/fault.ts
@@ -2,10 +2,13 @@
 
 /**
  * Nothing of the caller's attempt is kept after `busy`, `aborted`, `behind`,
- * `notPrimary`, `wrongEndpoint` and `tooManyConnections`.
+ * `notPrimary`, `wrongEndpoint`, `tooManyConnections`, `outOfTouch` and `overAllowance`.
  * - `failed`: it ran, and failed.
  * - `timeout`: its time is used up.
  * - `unknown`: it may have run, and it may be kept.
+ * - `unauthorised`: nobody holds the caller's key.
+ * - `outOfTouch`: this host can't know whether the caller's key still holds.
+ * - `overAllowance`: the caller's team has used what it may for now.
  */
 export type Fault =
   | 'busy'
@@ -22,3 +25,5 @@
   | 'malformed'
   | 'tooLarge'
   | 'unauthorised'
+  | 'outOfTouch'
+  | 'overAllowance'
--- a/src/shell/log/events.ts
+++ b/src/shell/log/events.ts
@@ -52,8 +52,10 @@
   configUnreadable: { id: 5004, level: 'error', message: 'a configuration cannot be read by this program' },
 
   ownerLost: { id: 4008, level: 'warn', message: 'the host that served a session passed on to it is gone; its open statements are answered' },
+  tokenPortFailed: { id: 4010, level: 'error', message: 'questions for tokens of teams cannot be sent or received' },
   sourceLost: { id: 4009, level: 'info', message: 'lost a host that tells this one what the store holds' },
   storeAsked: { id: 5007, level: 'info', message: 'this host asks the store itself' },
+  issuersNamed: { id: 5008, level: 'info', message: 'named the hosts that issue the tokens of teams' },
   storeBack: { id: 5005, level: 'info', message: 'the store answers again' },
 
   callerRefused: { id: 6001, level: 'info', message: 'refused a caller' },
--- a/src/shell/log/log.ts
+++ b/src/shell/log/log.ts
@@ -28,6 +28,11 @@
     return new Log(pino({ base: { host }, timestamp: pino.stdTimeFunctions.isoTime }, out), async () => await new Promise(resolve => out.flush(() => resolve())))
   }
 
+  /** Each line goes to the function, as it's written. */
+  static to (write: (line: string) => void): Log {
+    return new Log(pino({}, { write }))
+  }
+
   static readonly silent = new Log(pino({ enabled: false }))
 
   write (name: Name, fields: Readonly<Record<string, string | number | boolean>> = {}): void {
--- /dev/null
+++ b/src/shell/pool/allowance/allowances.ts
@@ -0,0 +1,173 @@
+/** The allowances of teams, as this host uses and issues them. */
+
+import { err, ok, type Result } from 'neverthrow'
+import type { AllowanceBounds } from '../../../core/allowance/bounds.ts'
+import { Issuer } from '../../../core/allowance/issuer.ts'
+import { Issuers } from '../../../core/allowance/issuers.ts'
+import { Mandate } from '../../../core/allowance/mandate.ts'
+import type { Rate } from '../../../core/allowance/rate.ts'
+import { Shard } from '../../../core/allowance/shard.ts'
+import { Tokens } from '../../../core/allowance/tokens.ts'
+import type { HostId } from '../../../core/id/host.ts'
+import type { Instant } from '../../../core/id/instant.ts'
+import type { TeamId } from '../../../core/id/team.ts'
+import type { Team } from '../../../core/pool/access/team.ts'
+import type { PoolHost } from '../../../core/pool/placing/host.ts'
+import type { PoolMetrics } from '../metrics.ts'
+import type { TokenWay } from './tokenway.ts'
+
+interface Options {
+  readonly self: HostId
+  readonly bounds: AllowanceBounds
+  /** Nothing is issued on older knowledge of who issues; milliseconds. */
+  readonly trustMs: number
+  readonly isFirstStart: boolean
+  /** How old the knowledge of the shared table may be, in milliseconds. */
+  readonly ageMs: () => number
+  readonly team: (id: TeamId) => Team | undefined
+  readonly hosts: () => readonly PoolHost[]
+  readonly port: TokenWay
+  readonly metrics: PoolMetrics
+  readonly chance: () => number
+  /** The time on the clock that counts suspension. */
+  readonly now: () => Instant
+  /** The host that should issue at the place answered, or didn't in time. */
+  readonly onAsked: (place: number, isAnswered: boolean) => void
+}
+
+interface Account {
+  readonly tokens: Tokens
+  readonly waiting: Array<(taken: Result<Instant, number>) => void>
+  isAsking: boolean
+}
+
+/** An issuer answers within milliseconds; one that is busy with a start within this. Then another place is asked. Milliseconds. */
+const ANSWER_MS = 100
+/** The least time to come back that a caller is told: a round trip. Milliseconds. */
+const LEAST_BACK_MS = 5
+/** What callers are told where it isn't known who issues. Milliseconds. */
+const UNKNOWN_BACK_MS = 500
+
+export class Allowances {
+  private issuers: Issuers | undefined
+  private mandate: Mandate
+  private readonly issuer = Issuer.create()
+  private readonly accounts = new Map<TeamId, Account>()
+  private readonly shards = new WeakMap<Rate, Shard>()
+
+  private constructor (private readonly options: Options) {
+    const { self, trustMs, isFirstStart, port } = options
+    this.mandate = Mandate.none({ self, trustMs, isFirstStart })
+    port.onAsked((team, place, count) => this.issue(team, place, count))
+  }
+
+  static create (options: Options): Allowances {
+    return new Allowances(options)
+  }
+
+  /** The shared row says who issues. */
+  learnt (text: string): void {
+    const issuers = Issuers.decode(text)
+    if (issuers === undefined) return
+    this.issuers = issuers
+    this.mandate = this.mandate.learnt(issuers, this.options.now())
+    for (const [team, { tokens }] of this.accounts) tokens.move(Shard.placesOf(team, issuers.places.length))
+  }
+
+  /** A token for one operation of the team, and until when it counts; or the milliseconds after which there is one. */
+  async take (team: Team): Promise<Result<Instant, number>> {
+    const account = this.accountOf(team)
+    const taken = account.waiting.length === 0 ? account.tokens.take(this.options.now()) : undefined
+    if (taken !== undefined) {
+      this.askAhead(team, account)
+      return ok(taken)
+    }
+    return await new Promise(resolve => {
+      account.waiting.push(resolve)
+      if (!account.isAsking) this.ask(team, account)
+    })
+  }
+
+  /** One that is in hand; undefined when there is none. */
+  takeNow (team: Team): Instant | undefined {
+    return this.accountOf(team).tokens.take(this.options.now())
+  }
+
+  putBack ({ id }: Team, token: Instant): void {
+    this.accounts.get(id)?.tokens.putBack(token)
+  }
+
+  private accountOf ({ id }: Team): Account {
+    const known = this.accounts.get(id)
+    if (known !== undefined) return known
+    const places = this.issuers === undefined ? [] : Shard.placesOf(id, this.issuers.places.length)
+    const account: Account = { tokens: Tokens.of(places, this.options.chance(), this.options.now()), waiting: [], isAsking: false }
+    this.accounts.set(id, account)
+    return account
+  }
+
+  private shardOf (rate: Rate): Shard {
+    const known = this.shards.get(rate) ?? Shard.of(rate, this.options.bounds)
+    this.shards.set(rate, known)
+    return known
+  }
+
+  private askAhead (team: Team, account: Account): void {
+    const { tokens, isAsking } = account
+    const now = this.options.now()
+    const { lifetimeMs } = this.shardOf(team.rate!)
+    if (!isAsking && tokens.left(now) * 2 < tokens.ahead(lifetimeMs, now)) this.ask(team, account)
+  }
+
+  /** Asks one place after the other until those that wait have what they need, or there is nothing to be had. */
+  private async ask (team: Team, account: Account): Promise<void> {
+    const { tokens, waiting } = account
+    const { lifetimeMs } = this.shardOf(team.rate!)
+    account.isAsking = true
+    do {
+      const now = this.options.now()
+      const next = tokens.next(waiting.length, lifetimeMs, now)
+      if (next.kind === 'none') {
+        this.refuseAll(account, next.ms)
+        break
+      }
+      await this.askAt(next.place, next.count, team, account, lifetimeMs)
+      this.serve(account)
+    } while (waiting.length > 0)
+    account.isAsking = false
+  }
+
+  private async askAt (place: number, count: number, team: Team, { tokens }: Account, lifetimeMs: number): Promise<void> {
+    const { hosts, port, metrics, onAsked } = this.options
+    const askedAt = this.options.now()
+    const host = hosts().find(({ id }) => id === this.issuers?.hostAt(place))
+    const answer = host === undefined ? undefined : await port.ask(host, { team: team.id, place, count }, ANSWER_MS)
+    metrics.tokenAsks.inc({ outcome: answer === undefined ? 'silent' : answer.count > 0 ? 'issued' : 'none' })
+    onAsked(place, answer !== undefined)
+    if (answer !== undefined) return tokens.answered(place, { ...answer, askedAt, lifetimeMs }, this.options.now())
+    tokens.silent(place, this.options.now())
+  }
+
+  private serve ({ tokens, waiting }: Account): void {
+    const now = this.options.now()
+    while (waiting.length > 0) {
+      const token = tokens.take(now)
+      if (token === undefined) return
+      waiting.shift()!(ok(token))
+    }
+  }
+
+  private refuseAll ({ waiting }: Account, ms: number): void {
+    const backMs = this.issuers === undefined ? UNKNOWN_BACK_MS : Math.max(LEAST_BACK_MS, ms)
+    for (const answer of waiting.splice(0)) answer(err(backMs))
+  }
+
+  /** What another host asked of this one; undefined when this one may not issue there. */
+  private issue (id: TeamId, place: number, count: number): { readonly count: number, readonly nextMs: number } | undefined {
+    const now = this.options.now()
+    const since = this.mandate.issuesSince(place, this.options.ageMs(), now)
+    const team = this.options.team(id)
+    if (since === undefined || team?.rate === undefined) return undefined
+    return this.issuer.issue({ place, team: id, count, shard: this.shardOf(team.rate), since }, now)
+  }
+}
--- /dev/null
+++ b/src/shell/pool/allowance/tokenport.ts
@@ -0,0 +1,72 @@
+/** Questions for tokens between hosts, as datagrams. */
+
+import { createSocket, type Socket } from 'node:dgram'
+import * as z from 'zod'
+import type { TeamId } from '../../../core/id/team.ts'
+import type { PoolHost } from '../../../core/pool/placing/host.ts'
+import { readJson } from '../../../core/readjson.ts'
+import type { Log } from '../../log/log.ts'
+import type { TokenWay } from './tokenway.ts'
+
+type Issued = NonNullable<Awaited<ReturnType<TokenWay['ask']>>>
+type Answerer = Parameters<TokenWay['onAsked']>[0]
+
+const questionShape = z.object({ ask: z.int(), team: z.string(), place: z.int().nonnegative(), count: z.int().positive() })
+const answerShape = z.object({ answer: z.int(), count: z.int().nonnegative(), nextMs: z.number() })
+/** JSON has no infinity. */
+const NEVER_MS = 1e9
+
+/**
+ * Datagrams, in place of a stream for each pair of hosts: a question and its answer are a few dozen bytes, one that is lost is asked
+ * elsewhere, and one that comes late is known by its number and does no harm.
+ */
+export class TokenPort implements TokenWay {
+  private readonly open = new Map<number, (answer: Issued | undefined) => void>()
+  private answerer: Answerer = () => undefined
+  private number = 0
+
+  private constructor (private readonly socket: Socket, log: Log) {
+    socket.on('message', (message, from) => this.received(message, from))
+    socket.on('error', error => log.write('tokenPortFailed', { problem: error.message }))
+  }
+
+  /** Listens until the signal. */
+  static listen ({ ip, port }: PoolHost['address'], log: Log, signal: AbortSignal): TokenPort {
+    const socket = createSocket({ type: 'udp4', signal })
+    socket.bind(port, ip)
+    return new TokenPort(socket, log)
+  }
+
+  onAsked (answerer: Answerer): void {
+    this.answerer = answerer
+  }
+
+  async ask ({ address }: PoolHost, { team, place, count }: Parameters<TokenWay['ask']>[1], timeoutMs: number): Promise<Issued | undefined> {
+    const ask = ++this.number
+    return await new Promise(resolve => {
+      const end = (answer: Issued | undefined) => {
+        clearTimeout(timer)
+        this.open.delete(ask)
+        resolve(answer)
+      }
+      const timer = setTimeout(() => end(undefined), timeoutMs)
+      this.open.set(ask, end)
+      this.send({ ask, team, place, count }, address)
+    })
+  }
+
+  private received (message: Buffer, from: { readonly address: string, readonly port: number }): void {
+    const json = readJson(message.toString('utf8'))
+    const answer = answerShape.safeParse(json)
+    if (answer.success) return this.open.get(answer.data.answer)?.(answer.data)
+    const question = questionShape.safeParse(json)
+    if (!question.success) return
+    const { ask, team, place, count } = question.data
+    const issued = this.answerer(team as TeamId, place, count)
+    if (issued !== undefined) this.send({ answer: ask, count: issued.count, nextMs: Math.min(NEVER_MS, issued.nextMs) }, { ip: from.address, port: from.port })
+  }
+
+  private send (message: object, { ip, port }: PoolHost['address']): void {
+    this.socket.send(JSON.stringify(message), port, ip)
+  }
+}
--- a/src/shell/pool/context.ts
+++ b/src/shell/pool/context.ts
@@ -1,6 +1,9 @@
 /** What all sessions of a process share. */
 
 import type { PoolConfig } from '../../core/pool/config.ts'
+import type { permissionOf } from '../../core/pool/access/permission.ts'
+import type { KeyDigest } from '../../core/pool/access/keydigest.ts'
+import type { Route } from '../../core/pool/route.ts'
 import type { HostId } from '../../core/id/host.ts'
 import type { GroupId } from '../../core/id/group.ts'
 import type { SharedBudget } from '../../core/retry/budget.ts'
@@ -8,6 +11,7 @@
 import type { LineBudget } from '../../core/pool/statements/linebudget.ts'
 import type { Log } from '../log/log.ts'
 import type { Auditor } from './statements/auditor.ts'
+import type { Allowances } from './allowance/allowances.ts'
 import type { Dialer } from './lending/dialer.ts'
 import type { PoolGroup } from './group.ts'
 import type { PoolMetrics } from './metrics.ts'
@@ -20,12 +24,16 @@
   /** Resolves once this host has at least the version, or can't get it from the host that has. */
   readonly catchUp: (version: number, host: string) => Promise<void>
   readonly self: HostId
-  /** Hosts that have connections for the database, the best first; empty when this host serves it itself. */
-  readonly placesFor: (database: string) => readonly PoolHost[]
+  /** Whether statements on the route may go out for the holder of the key, by what this host knows now. */
+  readonly permission: (route: Route, key: KeyDigest | undefined) => ReturnType<typeof permissionOf>
+  /** Undefined where teams have none. */
+  readonly allowances: Allowances | undefined
+  /** Hosts that have connections for the database and the holder of the key, the best first; empty when this host serves it itself. */
+  readonly placesFor: (database: string, key?: KeyDigest) => readonly PoolHost[]
   /** The host couldn't be reached, or ended with statements open. */
   readonly missedHost: (id: HostId) => void
   /** Opens a connection to a host that reaches an endpoint of the database. */
-  readonly dialHost: (host: PoolHost, database: string, timeoutMs: number) => ReturnType<Dialer['dialHost']>
+  readonly dialHost: (host: PoolHost, database: string, key: KeyDigest | undefined, timeoutMs: number) => ReturnType<Dialer['dialHost']>
   readonly group: (id: GroupId) => PoolGroup | undefined
   readonly budget: SharedBudget
   readonly log: Log
--- a/src/shell/pool/lending/attempt.ts
+++ b/src/shell/pool/lending/attempt.ts
@@ -4,16 +4,18 @@
 import type { Ending } from '../../../core/pool/statements/ending.ts'
 import type { Answer } from '../../../core/statement/answer.ts'
 import type { Command } from '../../../core/statement/command.ts'
+import type { Gate } from '../access/gate.ts'
 import type { PoolGroup } from '../group.ts'
 import type { EndpointLink } from './link.ts'
 import type { Loans } from './loans.ts'
 
 /** A connection on loan, with what it belongs to. */
 export class Attempt {
-  private constructor (readonly group: PoolGroup, readonly loans: Loans, readonly link: EndpointLink) {}
+  private constructor (readonly group: PoolGroup, readonly loans: Loans, readonly link: EndpointLink, private readonly gate: Gate | undefined) {}
 
-  static on (group: PoolGroup, loans: Loans, link: EndpointLink): Attempt {
-    return new Attempt(group, loans, link)
+  /** `gate`: what callers' statements go through; undefined where another host looks after that, and for this process's own. */
+  static on (group: PoolGroup, loans: Loans, link: EndpointLink, gate?: Gate): Attempt {
+    return new Attempt(group, loans, link, gate)
   }
 
   get endpoint (): EndpointId {
@@ -26,6 +28,8 @@
    * endpoint leads.
    */
   async ask (commands: readonly Command[], index: number, timeoutMs: number, isLead: boolean): Promise<Answer | Ending> {
+    const refused = commands.some(isCallers) ? this.gate?.check() : undefined
+    if (refused !== undefined) return refused
     this.group.asked(this.endpoint)
     const { answers, lost } = await this.link.ask(commands, timeoutMs)
     const answer = answers[index]
@@ -61,5 +65,9 @@
   }
 }
 
+function isCallers (command: Command): boolean {
+  return 'id' in command
+}
+
 /** A rollback takes no place in the endpoint's queue: without an answer after this the connection is silent. */
 const ROLLBACK_MS = 1000
--- a/src/shell/pool/lending/lender.ts
+++ b/src/shell/pool/lending/lender.ts
@@ -7,18 +7,23 @@
 import { Limits } from '../../../core/admission/limits.ts'
 import type { Endpoint } from '../../../core/directory/endpoint.ts'
 import type { CallerId } from '../../../core/id/caller.ts'
+import type { TeamId } from '../../../core/id/team.ts'
 import type { Instant } from '../../../core/id/instant.ts'
 import { Thrift } from '../../../core/pool/placing/thrift.ts'
 import type { Values } from '../../../core/session/values.ts'
 import { clock } from '../clock.ts'
 import type { Dialer } from './dialer.ts'
 import type { DialFault } from './dialfault.ts'
+import { IdleLinks } from './idlelinks.ts'
 import type { EndpointLink } from './link.ts'
 import type { Loans } from './loans.ts'
 
 interface Wish {
   readonly rank: number
+  /** Who shares fairly with others. */
   readonly caller: string
+  /** Whose connections serve it; undefined where they serve anybody. */
+  readonly team: TeamId | undefined
   /** Milliseconds in which the operation is to be done. */
   readonly leftMs: number
   readonly isTransaction: boolean
@@ -32,7 +37,8 @@
 }
 
 interface Waiter {
-  readonly values: Values
+  readonly wish: Wish
+  readonly deadline: Instant
   readonly answer: (result: Result<EndpointLink, Refusal>) => void
 }
 
@@ -56,7 +62,7 @@
 
 export class Lender implements Loans {
   private readonly admission: Admission
-  private readonly idle: EndpointLink[] = []
+  private readonly idle = IdleLinks.create()
   private readonly loans = new Map<EndpointLink, number>()
   private readonly waiting = new Map<number, Waiter>()
   private nextId = 1
@@ -92,18 +98,13 @@
     if (connections === this.limit) return
     this.limit = connections
     this.admission.resize(limitsOf(connections))
-    while (this.admission.open > connections && this.idle.length > 0) this.drop(this.idle[0]!)
+    while (this.admission.open > connections && this.idle.size > 0) this.drop(this.idle.all[0]!)
   }
 
   /** Resolves always: a connection that nobody else uses until it's given back, or why there is none. */
-  async borrow ({ rank, caller, leftMs, isTransaction, values }: Wish): Promise<Result<EndpointLink, Refusal>> {
+  async borrow (wish: Wish): Promise<Result<EndpointLink, Refusal>> {
     if (this.isClosed) return err({ reason: 'unreachable', retryAfterMs: 0 })
-    const id = this.nextId++
-    return await new Promise(resolve => {
-      this.waiting.set(id, { values, answer: resolve })
-      const deadline = clock.now() + leftMs as Instant
-      this.step({ kind: 'arrived', request: { id, rank, caller: caller as CallerId, deadline, isTransaction } })
-    })
+    return await new Promise(resolve => this.enqueue({ wish, deadline: clock.now() + wish.leftMs as Instant, answer: resolve }))
   }
 
   giveBack (link: EndpointLink): void {
@@ -111,7 +112,7 @@
     if (id === undefined) return
     this.loans.delete(link)
     const isUsable = link.isOpen && !link.isInTransaction && !this.isClosed && this.admission.open <= this.limit
-    if (isUsable) this.idle.push(link)
+    if (isUsable) this.idle.add(link)
     else link.close()
     this.step({ kind: 'finished', id, isUsable })
     if (isUsable) this.letRest(link)
@@ -123,7 +124,7 @@
    * others would each cost an operation its time.
    */
   distrust (): void {
-    for (const link of [...this.idle]) this.drop(link)
+    for (const link of this.idle.all) this.drop(link)
   }
 
   /** Tells all that wait that the endpoint is out of reach, as soon as that is known. */
@@ -145,6 +146,13 @@
     }
   }
 
+  private enqueue (waiter: Waiter): void {
+    const id = this.nextId++
+    const { wish: { rank, caller, isTransaction }, deadline } = waiter
+    this.waiting.set(id, waiter)
+    this.step({ kind: 'arrived', request: { id, rank, caller: caller as CallerId, deadline, isTransaction } })
+  }
+
   private step (event: AdmissionEvent): void {
     const actions = this.admission.step(event, clock.now(), this.options.chance())
     for (const action of actions) this.act(action)
@@ -152,51 +160,87 @@
   }
 
   private act (action: AdmissionAction): void {
-    if (action.kind === 'open') {
-      this.open()
-      return
-    }
+    if (action.kind === 'open') return this.open()
     const waiter = this.waiting.get(action.id)
     this.waiting.delete(action.id)
     if (action.kind === 'refuse') {
       waiter?.answer(err({ reason: action.reason, retryAfterMs: action.retryAfterMs }))
       return
     }
-    const link = this.nearest(waiter?.values)
-    this.loans.set(link, action.id)
+    // Given up while it had its turn.
+    if (waiter === undefined) return this.step({ kind: 'finished', id: action.id, isUsable: true })
+    const { team, values } = waiter.wish
+    const link = this.idle.take(team, values)
+    if (link === undefined) this.openFor(action.id, waiter)
+    else this.lend(link, action.id, waiter)
+  }
+
+  private lend (link: EndpointLink, id: number, { answer }: Waiter): void {
+    this.loans.set(link, id)
     clearTimeout(this.resting.get(link))
     this.resting.delete(link)
-    if (waiter === undefined) this.giveBack(link)
-    else waiter.answer(ok(link))
-  }
-
-  /** The idle connection that takes the fewest commands to bring to the values; the last used among equals, so that the others may rest. */
-  private nearest (values: Values | undefined): EndpointLink {
-    let best = this.idle.length - 1
-    let least = Infinity
-    for (let i = this.idle.length - 1; i >= 0 && least > 0; i--) {
-      const distance = values === undefined ? 0 : this.idle[i]!.values.distanceTo(values)
-      if (distance >= least) continue
-      best = i
-      least = distance
+    answer(ok(link))
+  }
+
+  /** A connection that serves one team is opened once it's known for which: whose turn it is, admission decides as soon as there is room. */
+  private open (): void {
+    const [first] = this.waiting.values()
+    if (first?.wish.team !== undefined) return this.step({ kind: 'opened', isVacant: true })
+    this.dial(undefined).then(dialled => {
+      if (dialled.isErr()) return this.notOpened(dialled.error)
+      this.idle.add(dialled.value)
+      this.step({ kind: 'opened' })
+    })
+  }
+
+  /**
+   * Opens a connection for a request that was started without one of its team. Where no room is left, that of the connection that was
+   * unused for the longest time is taken: closing it costs nothing, while its team may not come back for long.
+   */
+  private async openFor (id: number, waiter: Waiter): Promise<void> {
+    if (this.idle.size > this.admission.counts.idle) this.makeRoom()
+    const dialled = await this.dial(waiter.wish.team)
+    if (dialled.isOk()) {
+      this.lend(dialled.value, id, waiter)
+      return this.step({ kind: 'dialled' })
     }
-    return this.idle.splice(best, 1)[0]!
+    this.step({ kind: 'finished', id, isUsable: false })
+    // Room that is left is none any more, so that what comes isn't sent the same way at once.
+    const vacant = this.admission.counts.idle - this.idle.size
+    if (vacant > 0) this.step({ kind: 'lost', count: vacant })
+    if (!isFull(dialled.error)) {
+      waiter.answer(err({ reason: 'unreachable', retryAfterMs: OUT_MS }))
+      return this.step({ kind: 'dialFailed' })
+    }
+    this.thrift = this.thrift.refused(clock.now())
+    this.step({ kind: 'dialRefused' })
+    if (this.isClosed) return waiter.answer(err({ reason: 'unreachable', retryAfterMs: 0 }))
+    this.enqueue(waiter)
   }
 
-  private async open (): Promise<void> {
-    const dialled = await this.options.dialer.dial(this.options.endpoint, DIAL_MS)
-    this.options.onDialled(dialled.isOk() ? 'opened' : dialled.error)
-    if (dialled.isErr()) return this.notOpened(dialled.error)
+  private makeRoom (): void {
+    const { open, counts } = this.admission
+    if (open + counts.pending < this.limit) this.step({ kind: 'added' })
+    else this.idle.takeOldest()?.close()
+  }
+
+  private async dial (team: TeamId | undefined): Promise<Result<EndpointLink, DialFault>> {
+    const { dialer, endpoint, onDialled } = this.options
+    const dialled = await dialer.dial(endpoint, team, DIAL_MS)
+    onDialled(dialled.isOk() ? 'opened' : dialled.error)
+    if (dialled.isErr()) return dialled
     const link = dialled.value
-    if (this.isClosed) return link.close()
+    if (this.isClosed) {
+      link.close()
+      return err('unreachable')
+    }
+    this.idle.assign(link, team)
     link.onEnd(() => this.ended(link))
-    this.idle.push(link)
-    this.step({ kind: 'opened' })
+    return dialled
   }
 
   private notOpened (fault: DialFault): void {
-    const isFull = fault === 'tooManyConnections' || fault === 'turnedAway'
-    if (!isFull) return this.step({ kind: 'openFailed' })
+    if (!isFull(fault)) return this.step({ kind: 'openFailed' })
     this.thrift = this.thrift.refused(clock.now())
     this.step({ kind: 'openRefused' })
   }
@@ -204,23 +248,18 @@
   /** While connections are scarce an unused one is given up soon. */
   private letRest (link: EndpointLink): void {
     const restMs = this.thrift.restMs(clock.now())
-    if (restMs === undefined || !this.idle.includes(link)) return
+    if (restMs === undefined || !this.idle.has(link)) return
     const timer = setTimeout(() => this.drop(link), restMs)
     this.resting.set(link, timer)
   }
 
   private ended (link: EndpointLink): void {
-    const at = this.idle.indexOf(link)
-    if (at < 0) return
-    this.idle.splice(at, 1)
-    this.step({ kind: 'lost', count: 1 })
+    if (this.idle.remove(link)) this.step({ kind: 'lost', count: 1 })
   }
 
   private drop (link: EndpointLink): void {
-    const at = this.idle.indexOf(link)
     this.resting.delete(link)
-    if (at < 0) return
-    this.idle.splice(at, 1)
+    if (!this.idle.remove(link)) return
     link.close()
     this.step({ kind: 'lost', count: 1 })
   }
@@ -235,6 +274,11 @@
   }
 }
 
+/** An endpoint that takes no more connections lives, and has the next one free as soon as some host gives one back. */
+function isFull (fault: DialFault): boolean {
+  return fault === 'tooManyConnections' || fault === 'turnedAway'
+}
+
 /**
  * A host's share may be two connections, so the reserves that a slot of many
  * keeps for the urgent don't fit: a transaction may take any of them, but the
--- a/src/shell/pool/membership/rows.ts
+++ b/src/shell/pool/membership/rows.ts
@@ -16,6 +16,8 @@
   readonly rows: readonly Row[]
   /** The newest version that the answer takes into account. */
   readonly version: number
+  /** What the store's own clock showed as it answered, in milliseconds; it never goes back. */
+  readonly storeMs: number
 }
 
 /** `unavailable`: no answer, or none that can be used; a change may have been made, or be made later. */
--- a/src/shell/pool/membership/tables.ts
+++ b/src/shell/pool/membership/tables.ts
@@ -104,6 +104,16 @@
     return this.wasEnough
   }
 
+  /** Whether every table is known. */
+  get isKnown (): boolean {
+    return this.control.isKnown
+  }
+
+  /** Milliseconds for which the table may have been another one in the store. */
+  ageMs (table: TableName): number {
+    return this.control.ageMs(table, clock.age())
+  }
+
   /** Resolves once a host that has something newer has told of it, or after the time. */
   async consult (host: PoolHost, ms: number): Promise<void> {
     this.step({ kind: 'consult', link: linkOf(host) })
@@ -124,7 +134,7 @@
     if (this.isStepping) return
     this.isStepping = true
     for (let next = this.events.shift(); next !== undefined; next = this.events.shift()) {
-      const stepped = this.control.step(next, this.options.chance(), clock.now())
+      const stepped = this.control.step(next, this.options.chance(), clock.now(), clock.age())
       this.control = stepped.next
       for (const action of stepped.actions) this.act(action)
     }
@@ -174,12 +184,13 @@
     const { store, names, metrics, log } = this.options
     if (why !== this.why) log.write('storeAsked', { why, before: this.why })
     this.why = why
+    const askedAt = clock.age()
     const copied = table === 'config' && after === undefined ? await this.copied() : undefined
-    if (copied !== undefined) return this.step({ kind: 'answered', table, isWhole: true, ...copied })
+    if (copied !== undefined) return this.step({ kind: 'answered', table, isWhole: true, askedAt, ...copied })
     metrics.storeCalls.inc({ call: after === undefined ? 'read' : 'changes', table, why })
     const answer = after === undefined ? await store.read(names[table], this.signal) : await store.changes(names[table], after, waitMs, this.signal)
     this.notice(table, answer.isErr() && answer.error !== 'forgotten')
-    if (answer.isOk()) return this.step({ kind: 'answered', table, isWhole: after === undefined, ...answer.value })
+    if (answer.isOk()) return this.step({ kind: 'answered', table, isWhole: after === undefined, askedAt, ...answer.value })
     this.step({ kind: answer.error === 'forgotten' ? 'forgotten' : 'failed', table })
   }
 
@@ -189,7 +200,7 @@
    * Guard against a start that waits for the copy in an outage of this system's own tables: the operator's row is there meanwhile. It showed as
    * 0.75 s, the limit of a call, without service at each of seven hosts.
    */
-  private async copied (): Promise<{ readonly rows: readonly Row[], readonly version: number } | undefined> {
+  private async copied (): Promise<{ readonly rows: readonly Row[], readonly version: number, readonly storeMs: number } | undefined> {
     const { store, names, metrics } = this.options
     const copy = await Promise.race([this.copies.read(), pause(COPY_MS, undefined)])
     if (copy === undefined) return undefined
@@ -197,7 +208,7 @@
     const changed = await store.changes(names.config, copy.version, 0, this.signal)
     if (changed.isErr()) return undefined
     const { next } = Table.empty.whole(copy.rows, copy.version).next.changed(changed.value.rows, changed.value.version)
-    return { rows: next.rows, version: changed.value.version }
+    return { rows: next.rows, version: changed.value.version, storeMs: changed.value.storeMs }
   }
 
   private notice (table: TableName, isFailed: boolean): void {
--- a/src/shell/pool/membership/wordline.ts
+++ b/src/shell/pool/membership/wordline.ts
@@ -25,8 +25,8 @@
   z.object({ kind: z.literal('follow'), self: entry, versions }),
   z.object({ kind: z.literal('alive') }),
   z.object({ kind: z.literal('rows'), table: z.enum(tableNames), isWhole: z.boolean(), rows: z.array(row), version: z.number() }),
-  z.object({ kind: z.literal('beat'), lateMs: z.number(), ownLateMs: z.number(), versions }),
-  z.object({ kind: z.literal('welcome'), hasTables: z.boolean() })
+  z.object({ kind: z.literal('beat'), lateMs: z.number(), ownLateMs: z.number(), versions, asOf: versions }),
+  z.object({ kind: z.literal('welcome'), hasTables: z.boolean(), storeMs: z.number().optional() })
 ])
 const packed = z.object({ packed: z.string() })
 
--- a/src/shell/pool/metrics.ts
+++ b/src/shell/pool/metrics.ts
@@ -33,6 +33,7 @@
     name: 'agatepond_store_calls_total', help: 'Calls to the store, by what was asked, of which table and for which reason', labelNames: ['call', 'table', 'why'] as const, registers: [this.registry]
   })
 
+  readonly tokenAsks = new Counter({ name: 'agatepond_token_asks_total', help: 'Questions for tokens of teams, by outcome', labelNames: ['outcome'] as const, registers: [this.registry] })
   readonly sessions = new Gauge({ name: 'agatepond_sessions', help: 'Open sessions of callers', registers: [this.registry] })
   readonly passedOn = new Counter({ name: 'agatepond_sessions_passed_on_total', help: 'Sessions handed to a host that has connections for them', registers: [this.registry] })
   readonly configVersion = new Gauge({ name: 'agatepond_config_version', help: 'Version of the configuration in force', registers: [this.registry] })
--- a/src/shell/pool/node.ts
+++ b/src/shell/pool/node.ts
@@ -1,6 +1,9 @@
 /** One process: follows the store, keeps its groups, and serves sessions. */
 
+import type { AllowanceBounds } from '../../core/allowance/bounds.ts'
 import type { GroupId } from '../../core/id/group.ts'
+import type { KeyDigest } from '../../core/pool/access/keydigest.ts'
+import { permissionOf } from '../../core/pool/access/permission.ts'
 import type { PoolConfig } from '../../core/pool/config.ts'
 import type { LinkId } from '../../core/pool/membership/linkid.ts'
 import { Pace } from '../../core/pool/membership/pace.ts'
@@ -12,6 +15,9 @@
 import { Ownership } from '../../core/pool/placing/ownership.ts'
 import { SharedBudget } from '../../core/retry/budget.ts'
 import type { Log } from '../log/log.ts'
+import { Allowances } from './allowance/allowances.ts'
+import { Appointments } from './allowance/appointments.ts'
+import type { TokenWay } from './allowance/tokenway.ts'
 import type { Auditor } from './statements/auditor.ts'
 import { clock } from './clock.ts'
 import type { PoolContext } from './context.ts'
@@ -36,6 +42,10 @@
   readonly drainMs: number
   /** Milliseconds for which the store knows what changed. */
   readonly historyMs: number
+  /** Milliseconds after which no host serves a key that was taken away, in touch or not; undefined where that isn't asked. */
+  readonly revokeMs?: number | undefined
+  /** How exactly allowances of teams are kept, and the way to those who issue them; undefined where teams have none. */
+  readonly allowances?: { readonly bounds: AllowanceBounds, readonly port: TokenWay } | undefined
   readonly platform: Platform
   readonly log: Log
   readonly metrics: PoolMetrics
@@ -54,6 +64,8 @@
 const CONSULT_MS = 300
 /** How often each group's primary is looked at. */
 const TICK_MS = 100
+/** How often it's looked whether the hosts that issue tokens are there. */
+const APPOINT_MS = 500
 
 export class PoolNode {
   /** Where what hosts tell each other through the store lies. */
@@ -74,16 +86,26 @@
   private readonly starting = Waiters.create()
   private readonly startedAt = clock.now()
 
+  private readonly pace: Pace
+  private readonly appointments: Appointments | undefined
+
   private constructor (private readonly options: Options, private readonly signal: AbortSignal) {
     const { log, metrics } = options
+    this.pace = Pace.of({ ...options, hasAllowances: options.allowances !== undefined })
+    this.appointments = options.allowances === undefined ? undefined : this.createAppointments()
     this.context = {
       config: () => this.config,
       whenReady: async ms => await this.whenReady(ms),
       self: options.self.id,
       catchUp: async (version, host) => await this.catchUp(version, host),
-      placesFor: database => this.placesFor(database),
+      permission: (route, key) => {
+        const { config } = this
+        return permissionOf({ isOpen: config.isOpen(route), holder: config.holderOf(key), ageMs: this.tables.ageMs('config') }, this.pace)
+      },
+      allowances: options.allowances === undefined ? undefined : this.createAllowances(options.allowances),
+      placesFor: (database, key) => this.placesFor(database, key),
       missedHost: id => { this.missed = this.missed.with(id, clock.now()) },
-      dialHost: async (host, database, ms) => await options.platform.dialer.dialHost(host, database, this.config.version, ms),
+      dialHost: async (host, database, key, ms) => await options.platform.dialer.dialHost(host, database, this.config.version, key, ms),
       group: id => this.groups.get(id),
       budget: SharedBudget.create(clock.now()),
       lines: LineBudget.create(clock.now()),
@@ -95,7 +117,7 @@
     this.listing = Listing.create({ log, parse: options.platform.endpoints.parse, onChange: () => this.spread() })
     this.tables = Tables.start({
       self: options.self,
-      pace: Pace.of(options),
+      pace: this.pace,
       seeds: options.seeds,
       isFirstStart: options.isFirstStart,
       store: options.platform.store,
@@ -171,7 +193,36 @@
       this.listing.forgetLapsed()
       for (const successor of this.successors.values()) successor.tick()
     }, TICK_MS)
-    this.signal.addEventListener('abort', () => clearInterval(timer))
+    const appointing = setInterval(() => {
+      if (this.isReady && this.tables.isKnown && this.config.teams?.some(({ rate }) => rate !== undefined) === true) this.appointments?.look()
+    }, APPOINT_MS)
+    this.signal.addEventListener('abort', () => {
+      clearInterval(timer)
+      clearInterval(appointing)
+    })
+  }
+
+  private createAllowances ({ bounds, port }: NonNullable<Options['allowances']>): Allowances {
+    const { self, isFirstStart, metrics, chance } = this.options
+    return Allowances.create({
+      self: self.id,
+      bounds,
+      trustMs: this.pace.sharedTrustMs,
+      isFirstStart,
+      ageMs: () => this.tables.ageMs('shared'),
+      team: id => this.config.team(id),
+      hosts: () => this.hosts,
+      port,
+      metrics,
+      chance,
+      now: clock.age,
+      onAsked: (place, isAnswered) => isAnswered ? this.appointments?.answered(place) : this.appointments?.silent(place)
+    })
+  }
+
+  private createAppointments (): Appointments {
+    const { self, platform: { store }, log, metrics } = this.options
+    return Appointments.create({ self: self.id, store, table: TABLE, hosts: () => this.hosts, trustMs: this.pace.sharedTrustMs, log, metrics, signal: this.signal })
   }
 
   private heard (table: TableName, rows: readonly Row[]): void {
@@ -196,6 +247,7 @@
 
   private shared (rows: readonly Row[]): void {
     for (const row of rows) {
+      if (row.key === Appointments.key) this.appointed(row)
       const [kind, name] = row.key.split('/')
       if (kind === 'lease' || kind === 'handover') this.sharedRows.set(row.key, row)
       const successor = this.successors.get(name as GroupId)
@@ -205,6 +257,11 @@
     }
   }
 
+  private appointed (row: Row): void {
+    this.appointments?.learnt(row)
+    if (row.value !== undefined) this.context.allowances?.learnt(row.value)
+  }
+
   private regroup (): void {
     const wanted = new Set(this.config.groups.map(({ id }) => id))
     for (const [id, group] of this.groups) {
@@ -246,9 +303,12 @@
     return successor
   }
 
-  private placesFor (database: string): readonly PoolHost[] {
-    const route = this.config.route(database)
-    const places = route === undefined ? [] : this.ownerships.get(route.group)?.placesFor(this.options.self) ?? []
+  private placesFor (database: string, key: KeyDigest | undefined): readonly PoolHost[] {
+    const { config } = this
+    const route = config.route(database)
+    const team = config.holderOf(key)
+    const part = team === undefined ? undefined : { id: team.id, share: config.shareOf(team) }
+    const places = route === undefined ? [] : this.ownerships.get(route.group)?.placesFor(this.options.self, part) ?? []
     return this.missed.last(places, clock.now())
   }
 
--- a/src/shell/pool/statements/receipt.ts
+++ b/src/shell/pool/statements/receipt.ts
@@ -3,6 +3,7 @@
 import { setTimeout as pause } from 'node:timers/promises'
 import type { EndpointId } from '../../../core/id/endpoint.ts'
 import type { Instant } from '../../../core/id/instant.ts'
+import type { TeamId } from '../../../core/id/team.ts'
 import { Handover } from '../../../core/pool/succession/handover.ts'
 import { Values } from '../../../core/session/values.ts'
 import type { Token } from '../../../core/token.ts'
@@ -15,6 +16,7 @@
   readonly successor: EndpointId
   readonly commit: Token
   readonly database: string
+  readonly team: TeamId | undefined
   readonly deadline: Instant
 }
 
@@ -35,9 +37,9 @@
   return false
 }
 
-async function statusOf ({ group, successor, database, deadline }: Options) {
+async function statusOf ({ group, successor, database, team, deadline }: Options) {
   const lender = group.lender(successor)
-  const borrowed = await lender?.borrow({ rank: FIRST, caller: database, leftMs: left(deadline), isTransaction: false, values: Values.empty() })
+  const borrowed = await lender?.borrow({ rank: FIRST, caller: team ?? database, team, leftMs: left(deadline), isTransaction: false, values: Values.empty() })
   if (lender === undefined || borrowed?.isOk() !== true) return undefined
   const attempt = Attempt.on(group, lender, borrowed.value)
   const answer = await attempt.ask([{ kind: 'status' }], 0, left(deadline), false)
--- a/src/shell/pool/statements/runner.ts
+++ b/src/shell/pool/statements/runner.ts
@@ -2,6 +2,7 @@
 
 import type { Instant } from '../../../core/id/instant.ts'
 import type { Ending } from '../../../core/pool/statements/ending.ts'
+import type { KeyDigest } from '../../../core/pool/access/keydigest.ts'
 import type { Route } from '../../../core/pool/route.ts'
 import type { Target } from '../../../core/pool/statements/target.ts'
 import type { Trail } from '../../../core/pool/statements/trail.ts'
@@ -25,11 +26,11 @@
   private newest = Token.zero
   private isOwnUnknown = false
 
-  private constructor (private readonly ctx: PoolContext, private readonly database: string, private readonly values: Values, private readonly mayDetour: boolean) {}
+  private constructor (private readonly ctx: PoolContext, private readonly database: string, private readonly values: Values, private readonly key: KeyDigest | undefined, private readonly mayDetour: boolean) {}
 
-  /** `values`: what the session has set and prepared, now and later. `mayDetour`: whether other hosts may run its statements. */
-  static create (ctx: PoolContext, database: string, values: Values, mayDetour: boolean): Runner {
-    return new Runner(ctx, database, values, mayDetour)
+  /** `values`: what the session has set and prepared, now and later. `key`: the caller's. `mayDetour`: whether other hosts may run its statements. */
+  static create (ctx: PoolContext, database: string, values: Values, key: KeyDigest | undefined, mayDetour: boolean): Runner {
+    return new Runner(ctx, database, values, key, mayDetour)
   }
 
   /** The session's newest commit. */
@@ -49,9 +50,9 @@
     return await tryAll(this.ctx, { ...this.common(route, work, deadline, trail), mustLead, isInside: false, run })
   }
 
-  private common (route: Route, work: Work, deadline: Instant, trail: Trail): Pick<Tries, 'route' | 'database' | 'what' | 'deadline' | 'own' | 'values' | 'mayDetour' | 'trail'> {
-    const { database, own, values, mayDetour } = this
-    return { route, database, what: work.what, deadline, own, values, mayDetour, trail }
+  private common (route: Route, work: Work, deadline: Instant, trail: Trail): Pick<Tries, 'route' | 'database' | 'what' | 'deadline' | 'own' | 'values' | 'key' | 'mayDetour' | 'trail'> {
+    const { database, own, values, key, mayDetour } = this
+    return { route, database, what: work.what, deadline, own, values, key, mayDetour, trail }
   }
 
   private readsAtPrimary ({ freshness }: Route): boolean {
@@ -135,9 +136,10 @@
     const successor = attempt.group.successorOf(attempt.endpoint)
     if (typeof answer === 'string' || successor === undefined) return answer
     if (answer.position === undefined) return 'outOfTime'
-    const { ctx, database } = this
+    const { ctx, database, key } = this
     const began = clock.now()
-    const isKept = await isReceived({ group: attempt.group, successor, commit: answer.position, database, deadline })
+    const team = ctx.config().holderOf(key)?.id
+    const isKept = await isReceived({ group: attempt.group, successor, commit: answer.position, database, team, deadline })
     noteTry(ctx, trail, {
       endpoint: successor,
       what: work.what,
--- a/src/shell/pool/statements/session.ts
+++ b/src/shell/pool/statements/session.ts
@@ -4,6 +4,7 @@
 import { remedyOf } from '../../../core/pool/statements/remedy.ts'
 import { Trail } from '../../../core/pool/statements/trail.ts'
 import { Work } from '../../../core/pool/statements/work.ts'
+import type { KeyDigest } from '../../../core/pool/access/keydigest.ts'
 import { Values } from '../../../core/session/values.ts'
 import type { Answer } from '../../../core/statement/answer.ts'
 import type { Reply } from '../../../core/statement/reply.ts'
@@ -15,6 +16,16 @@
 import { Runner } from './runner.ts'
 import { Transaction } from './transaction.ts'
 
+interface Options {
+  readonly database: string
+  /** Who signed in, as lines and records name it: never by its key. */
+  readonly caller: string
+  /** Undefined for a caller without one. */
+  readonly key: KeyDigest | undefined
+  /** Whether other hosts may run its statements. */
+  readonly mayDetour: boolean
+}
+
 /** Sessions of a day on all hosts share no id but once in some thousand years. */
 const ID_BYTES = 8
 
@@ -30,13 +41,18 @@
   private trail = Trail.begin(clock.now())
   private retryAfterMs = 0
 
-  private constructor (private readonly ctx: PoolContext, private readonly database: string, private readonly caller: string, mayDetour: boolean) {
-    this.runner = Runner.create(ctx, database, this.values, mayDetour)
+  private constructor (private readonly ctx: PoolContext, private readonly options: Options) {
+    const { database, key, mayDetour } = options
+    this.runner = Runner.create(ctx, database, this.values, key, mayDetour)
+  }
+
+  /** Undefined when there is no such database. */
+  static create (ctx: PoolContext, options: Options): Session | undefined {
+    return ctx.config().route(options.database) === undefined ? undefined : new Session(ctx, options)
   }
 
-  /** Undefined when there is no such database. `caller`: who signs in, as it calls itself. `mayDetour`: other hosts may run its statements. */
-  static create (ctx: PoolContext, database: string, caller: string, mayDetour: boolean): Session | undefined {
-    return ctx.config().route(database) === undefined ? undefined : new Session(ctx, database, caller, mayDetour)
+  private get database (): string {
+    return this.options.database
   }
 
   /** As the caller sees it. */
@@ -180,12 +196,13 @@
 
   private refuse ({ fault, retryAfterMs }: Refused): Reply {
     this.retryAfterMs = retryAfterMs
-    return { kind: 'refused', fault, message: remedyOf(fault, retryAfterMs) }
+    // A session whose key was taken away has nothing more to do here.
+    return { kind: 'refused', fault, message: remedyOf(fault, retryAfterMs), isFinal: fault === 'unauthorised' }
   }
 
   /** The reply as the caller gets it: one that isn't "done" names its record. `transaction`: the one that was open before, which a commit has ended. */
   private explain (id: string, kind: Statement['kind'] | 'none', reply: Reply, transaction = this.transaction): Reply {
-    const { ctx, id: session, caller, database, trail, retryAfterMs } = this
+    const { ctx, id: session, database, options: { caller }, trail, retryAfterMs } = this
     const { own } = this.runner
     const record = explain(ctx, { id, session, caller, kind, database, reply, trail, transaction, own, retryAfterMs })
     if (reply.kind === 'done' || record === undefined) return reply
--- a/src/shell/pool/statements/tries.ts
+++ b/src/shell/pool/statements/tries.ts
@@ -2,6 +2,7 @@
 
 import type { Instant } from '../../../core/id/instant.ts'
 import type { Ending } from '../../../core/pool/statements/ending.ts'
+import type { KeyDigest } from '../../../core/pool/access/keydigest.ts'
 import type { Route } from '../../../core/pool/route.ts'
 import type { Target } from '../../../core/pool/statements/target.ts'
 import type { Trail } from '../../../core/pool/statements/trail.ts'
@@ -25,6 +26,8 @@
   /** The session's newest commit, and what it has set and prepared. */
   readonly own: Token
   readonly values: Values
+  /** The session's; undefined without one. */
+  readonly key: KeyDigest | undefined
   /** Where each try is noted. */
   readonly trail: Trail
   readonly run: (attempt: Attempt, target: Target) => Promise<Answer | Ending>
--- a/src/shell/pool/statements/tryall.ts
+++ b/src/shell/pool/statements/tryall.ts
@@ -7,6 +7,7 @@
 import { verdictOf } from '../../../core/pool/statements/verdict.ts'
 import type { Fault } from '../../../core/statement/fault.ts'
 import type { Token } from '../../../core/token.ts'
+import { Gate } from '../access/gate.ts'
 import { Attempt } from '../lending/attempt.ts'
 import { clock } from '../clock.ts'
 import type { PoolContext } from '../context.ts'
@@ -28,6 +29,14 @@
 
 /** Resolves always, within the operation's time. */
 export async function tryAll (ctx: PoolContext, tries: Tries): Promise<Run> {
+  const gate = Gate.open(ctx, tries.route, tries.key)
+  if (!(gate instanceof Gate)) return gate
+  const run = await tryEach(ctx, tries, gate)
+  gate.close()
+  return run
+}
+
+async function tryEach (ctx: PoolContext, tries: Tries, gate: Gate): Promise<Run> {
   const { route, mustLead, deadline, own, mayDetour } = tries
   const group = ctx.group(route.group)
   let last: Refused = { fault: 'busy', retryAfterMs: LEADERLESS_MS }
@@ -37,7 +46,7 @@
     const target = await nextTarget(group, { mustLead, freshness: route.freshness, own, mayDetour, tried })
     if (target === undefined) return last
     tried.add(target.endpoint)
-    const run = await tryOnce(ctx, group, target, tries)
+    const run = await tryOnce(ctx, group, target, tries, gate)
     if (run.kind === 'done') return run.run
     last = run.refused
     if (run.kind === 'refused') return last
@@ -55,14 +64,16 @@
  * connection is given up, and the read goes elsewhere. A write waits on, since
  * only its answer can tell what became of it.
  */
-async function tryOnce (ctx: PoolContext, group: PoolGroup, target: Target, tries: Tries): Promise<Once> {
+async function tryOnce (ctx: PoolContext, group: PoolGroup, target: Target, tries: Tries, gate: Gate): Promise<Once> {
   const began = clock.now()
   const { after, mustLead } = target
   const endpoint = target.via === undefined ? target.endpoint : Detour.by(target.via).endpoint.id
   const note = (ending: string, position?: Token) => noteTry(ctx, tries.trail, {
     endpoint, after, mustLead, what: tries.what, isInside: tries.isInside, hasWritten: false, ending, position, ms: clock.now() - began
   })
-  const attempt = target.via === undefined ? await borrow(group, target, tries) : await detour(ctx, group, target.via, tries)
+  const refused = target.via === undefined ? await gate.fetch() : undefined
+  if (refused !== undefined) return { kind: 'refused', refused }
+  const attempt = target.via === undefined ? await borrow(group, target, tries, gate) : await detour(ctx, group, target.via, tries)
   if (!(attempt instanceof Attempt)) {
     note('no connection')
     return { kind: target.mustLead ? 'refused' : 'elsewhere', refused: attempt }
@@ -72,7 +83,10 @@
   unwatch?.()
   if (typeof answer === 'string') note(answer)
   else note('done', answer.position)
-  if (typeof answer === 'string') return ended(ctx, answer, tries)
+  if (typeof answer === 'string') {
+    gate.again(MAY_HAVE_RUN.has(answer))
+    return ended(ctx, answer, tries)
+  }
   ctx.budget.succeeded()
   return { kind: 'done', run: { answer, attempt } }
 }
@@ -86,16 +100,20 @@
   return { kind: isFree || ctx.budget.mayRetry(clock.now()) ? 'elsewhere' : 'refused', refused }
 }
 
-async function borrow (group: PoolGroup, target: Target, { route, database, deadline, isInside, values }: Tries): Promise<Attempt | Refused> {
+/** Endings that don't prove that the endpoint did nothing. */
+const MAY_HAVE_RUN: ReadonlySet<Ending> = new Set<Ending>(['broken', 'outOfTime', 'failed', 'timeout', 'unknown'])
+
+async function borrow (group: PoolGroup, target: Target, { route, database, deadline, isInside, values }: Tries, gate: Gate): Promise<Attempt | Refused> {
+  const team = gate.team?.id
   const lender = group.lender(target.endpoint)
   if (lender === undefined) return { fault: 'busy', retryAfterMs: LEADERLESS_MS }
-  const borrowed = await lender.borrow({ rank: route.rank, caller: database, leftMs: left(deadline), isTransaction: isInside, values })
-  if (borrowed.isOk()) return Attempt.on(group, lender, borrowed.value)
+  const borrowed = await lender.borrow({ rank: route.rank, caller: team ?? database, team, leftMs: left(deadline), isTransaction: isInside, values })
+  if (borrowed.isOk()) return Attempt.on(group, lender, borrowed.value, gate)
   return { fault: 'busy', retryAfterMs: borrowed.error.retryAfterMs }
 }
 
-async function detour (ctx: PoolContext, group: PoolGroup, host: PoolHost, { database, deadline }: Tries): Promise<Attempt | Refused> {
-  const dialled = await ctx.dialHost(host, database, Math.min(DETOUR_MS, left(deadline)))
+async function detour (ctx: PoolContext, group: PoolGroup, host: PoolHost, { database, deadline, key }: Tries): Promise<Attempt | Refused> {
+  const dialled = await ctx.dialHost(host, database, key, Math.min(DETOUR_MS, left(deadline)))
   return dialled.isOk() ? Attempt.on(group, Detour.by(host), dialled.value) : { fault: 'busy', retryAfterMs: LEADERLESS_MS }
 }
 
--- a/src/shell/pool/succession/probes.ts
+++ b/src/shell/pool/succession/probes.ts
@@ -24,7 +24,7 @@
   async leads (id: EndpointId): Promise<boolean> {
     const { group, dialer } = this
     const endpoint = group.endpoint(id) ?? group.lender(id)?.endpoint
-    const dialled = endpoint === undefined ? undefined : await dialer.dial(endpoint, PROBE_MS)
+    const dialled = endpoint === undefined ? undefined : await dialer.dial(endpoint, undefined, PROBE_MS)
     if (dialled === undefined || dialled.isErr()) {
       return this.noConnection(id, dialled?.isErr() === true ? dialled.error : 'unreachable')
     }
@@ -58,7 +58,7 @@
     const { group, dialer } = this
     const endpoint = group.endpoint(id)
     if (endpoint === undefined) return undefined
-    const dialled = await dialer.dial(endpoint, PROBE_MS)
+    const dialled = await dialer.dial(endpoint, undefined, PROBE_MS)
     if (dialled.isErr()) return undefined
     const { answers } = await dialled.value.ask([command], PROBE_MS)
     dialled.value.close()
--- a/standin/lines/caller.ts
+++ b/standin/lines/caller.ts
@@ -25,9 +25,9 @@
   }
 
   /** The answer to the sign-in is the first that `answer` yields. */
-  static open (port: number, database: string): LineCaller {
+  static open (port: number, database: string, who = 'u1'): LineCaller {
     const caller = new LineCaller(connect(port, '127.0.0.1'))
-    caller.send(`START ${database} u1\r\n`)
+    caller.send(`START ${database} ${who}\r\n`)
     return caller
   }
 
--- a/standin/lines/endpoint.ts
+++ b/standin/lines/endpoint.ts
@@ -21,6 +21,8 @@
 interface Connection {
   readonly socket: Socket
   readonly number: number
+  /** Who its sign-in named. */
+  who: string
   state: 'I' | 'T' | 'E'
   isPlain: boolean
   readonly values: Map<string, string>
@@ -29,6 +31,9 @@
   pending: string[]
 }
 
+/** The id of statements that a host sends for itself. */
+const OWN = '-'
+
 interface Options {
   readonly id: string
   readonly service: string
@@ -42,6 +47,8 @@
   readonly heard: string[] = []
   /** Statements that ran, as `text {values}`. */
   readonly ran: string[] = []
+  /** Who was named on the connection of each caller's statement, as `who|text`. */
+  readonly told: string[] = []
   /** Writes that took effect: single ones, and those of transactions that were committed. */
   readonly kept: string[] = []
   readonly faults: Faults = {}
@@ -88,7 +95,7 @@
       return
     }
     this.sockets.add(socket)
-    const connection: Connection = { socket, number: ++this.opened, state: 'I', isPlain: false, values: new Map(), prepared: new Map(), pending: [] }
+    const connection: Connection = { socket, number: ++this.opened, who: '', state: 'I', isPlain: false, values: new Map(), prepared: new Map(), pending: [] }
     let rest = ''
     socket.on('close', () => this.sockets.delete(socket))
     socket.on('error', () => socket.destroy())
@@ -103,9 +110,13 @@
     if (this.faults.isSilent === true) return
     const [word, first = '', ...rest] = line.split(' ')
     if (word === 'TERMINATE') return connection.socket.end() as unknown as void
-    if (word === 'START') return this.start(connection, first, rest[1])
+    if (word === 'START') {
+      connection.who = rest[0] ?? ''
+      return this.start(connection, first, rest[1])
+    }
     const text = rest.join(' ')
     this.heard.push(`${connection.number}|${first}|${text}`)
+    if (first !== OWN) this.told.push(`${connection.who}|${text}`)
     const body = this.bodyOf(connection, text)
     if (this.faults.breakOn !== undefined && text.startsWith(this.faults.breakOn)) {
       this.faults.breakOn = undefined
--- a/standin/lines/stage.ts
+++ b/standin/lines/stage.ts
@@ -8,6 +8,14 @@
 import { LineHost } from './host.ts'
 import { RowServer } from './store.ts'
 
+interface StageTeam {
+  readonly name: string
+  readonly keys: readonly string[]
+  /** Operations a second, and at once; no limit without it. */
+  readonly rate?: number
+  readonly burst?: number
+}
+
 interface Options {
   /** Connections that an endpoint takes from all hosts. */
   readonly connections?: number
@@ -18,6 +26,11 @@
   readonly hosts?: number
   /** Starts before the store answers. */
   readonly isStoreDown?: boolean
+  /** Whoever may call; nobody needs a key without it. */
+  readonly teams?: readonly StageTeam[]
+  /** Databases whose callers need no key. */
+  readonly open?: readonly string[]
+  readonly bounds?: Parameters<typeof LineHost.start>[4]
   /** Nothing is written without one. */
   readonly log?: Log
 }
@@ -43,22 +56,23 @@
     store.put('op', 'config', LineStage.config(1, options))
     store.faults.isDown = isStoreDown
     const hosts: LineHost[] = []
-    for (let i = 1; i <= count; i++) hosts.push(await LineHost.start(`h${i}`, storePort, options.log ?? Log.silent, hosts.map(({ link }) => link)))
+    for (let i = 1; i <= count; i++) hosts.push(await LineHost.start(`h${i}`, storePort, options.log ?? Log.silent, hosts.map(({ link }) => link), options.bounds))
     const stage = new LineStage(store, endpoints, hosts, storePort)
     if (!isStoreDown) await stage.until(() => hosts.every(({ node }) => node.isReady && node.hosts.length === count))
     return stage
   }
 
   /** The operator's document in a version. */
-  static config (version: number, { connections = 16, statementMs = 5000, idleTransactionMs = 60_000 }: Options = {}): string {
+  static config (version: number, { connections = 16, statementMs = 5000, idleTransactionMs = 60_000, teams, open = [] }: Options = {}): string {
     const route = { prefix: '/', timeoutMs: statementMs, targetLatencyMs: 100, priority: 1, service: SERVICE, attempts: 2 }
     return JSON.stringify({
       version,
       routes: [
-        { ...route, name: 'r1', host: 'strict', routeType: 'primary' },
-        { ...route, name: 'r2', host: 'aged', routeType: 'read_your_writes', maxStalenessMs: 60_000 }
+        { ...route, name: 'r1', host: 'strict', routeType: 'primary', public: open.includes('strict') },
+        { ...route, name: 'r2', host: 'aged', routeType: 'read_your_writes', maxStalenessMs: 60_000, public: open.includes('aged') }
       ],
       services: [{ name: SERVICE, healthPath: '/health', maxConns: connections, protocol: 'h1', tls: false, syncReplicas: 0 }],
+      ...(teams === undefined ? {} : { tenants: teams.map(({ name, keys, rate, burst }) => ({ name, apiKeys: keys, ratePerS: rate, burst })) }),
       limits: { txIdleMs: idleTransactionMs }
     })
   }
@@ -72,15 +86,15 @@
   }
 
   /** A caller that is signed in at a host, the first when none is given. */
-  async caller (database: string, host = 0): Promise<LineCaller> {
-    const caller = LineCaller.open(this.hosts[host]!.port, database)
+  async caller (database: string, host = 0, who?: string): Promise<LineCaller> {
+    const caller = LineCaller.open(this.hosts[host]!.port, database, who)
     await caller.answer()
     return caller
   }
 
   /** A caller whose sign-in is not answered yet. */
-  knock (database: string): LineCaller {
-    return LineCaller.open(this.hosts[0]!.port, database)
+  knock (database: string, who?: string): LineCaller {
+    return LineCaller.open(this.hosts[0]!.port, database, who)
   }
 
   /** Starts one more host; `seeds`: hosts that its settings name, all others when none are given. */
--- a/standin/lines/store.ts
+++ b/standin/lines/store.ts
@@ -34,6 +34,7 @@
   readonly objects = ObjectServer.create()
   private readonly rows = new Map<string, Row>()
   private version = 0
+  private readonly startedAt = performance.now()
   private readonly waiting = new Set<() => void>()
 
   private constructor (private readonly server: Server) {}
@@ -73,12 +74,17 @@
     if (await this.objects.handle(url, req, res)) return
     const body = (await bodyOf(req)).toString()
     if (url.pathname === '/promote') return this.promote(req, res, body)
-    if (url.pathname === '/rows-get') return answer(res, 200, { rows: this.of(url, 0).filter(({ value }) => value !== undefined), hasMore: false, ver: this.version, nowMs: 0 })
+    if (url.pathname === '/rows-get') return answer(res, 200, { rows: this.of(url, 0).filter(({ value }) => value !== undefined), hasMore: false, ver: this.version, nowMs: this.clock() })
     if (url.pathname === '/rows-feed') return await this.feed(url, res)
     if (url.pathname === '/rows-tx') return this.transact(res, JSON.parse(body) as Transaction)
     answer(res, 404, {})
   }
 
+  /** A clock of its own that never goes back. */
+  private clock (): number {
+    return Math.round(performance.now() - this.startedAt)
+  }
+
   private of (url: URL, after: number): readonly Row[] {
     const from = url.searchParams.get('from') ?? ''
     const target = url.searchParams.get('target')
@@ -97,7 +103,7 @@
     const until = Date.now() + Number(url.searchParams.get('waitMs'))
     while (this.of(url, after).length === 0 && Date.now() < until) await this.change(until - Date.now())
     const rows = this.of(url, after).map(row => row.value === undefined ? { ...row, deleted: true } : row)
-    answer(res, 200, { rows, ver: this.version, nowMs: 0 })
+    answer(res, 200, { rows, ver: this.version, nowMs: this.clock() })
   }
 
   private async change (ms: number): Promise<void> {
--- a/test/control/host.ts
+++ b/test/control/host.ts
@@ -99,9 +99,10 @@
     // An answer that never comes: cut off before the question, or while it's held open.
     world.agenda.add(waitMs + CUT_MS, () => end({ kind: 'failed', table }))
     const wasCut = this.isCutFromStore
+    const askedAt = world.now as Instant
     world.store.ask(table, after, waitMs, answer => {
       if (wasCut || this.isCutFromStore) return
-      end(answer.kind === 'rows' ? { kind: 'answered', table, isWhole: after === undefined, rows: answer.rows, version: answer.version } : { kind: answer.kind, table })
+      end(answer.kind === 'rows' ? { kind: 'answered', table, isWhole: after === undefined, rows: answer.rows, version: answer.version, askedAt, storeMs: answer.storeMs } : { kind: answer.kind, table })
     })
   }
 
--- a/test/control/store.ts
+++ b/test/control/store.ts
@@ -4,7 +4,7 @@
 import type { Row } from '../../src/core/pool/membership/row.ts'
 import type { TableName } from '../../src/core/pool/membership/tablename.ts'
 
-type Answer = { readonly kind: 'rows', readonly rows: readonly Row[], readonly version: number } | { readonly kind: 'failed' | 'forgotten' }
+type Answer = { readonly kind: 'rows', readonly rows: readonly Row[], readonly version: number, readonly storeMs: number } | { readonly kind: 'failed' | 'forgotten' }
 
 interface Held {
   readonly table: TableName
@@ -13,6 +13,8 @@
 }
 
 const CALL_MS = 4
+/** Its clock shows another time than the world's. */
+const CLOCK_MS = 123_456
 /** After so long without an answer the caller gives up, on top of what it let the store wait. */
 const LOST_MS = 750
 
@@ -86,6 +88,7 @@
 
   private reply (rows: readonly Row[], answer: (answer: Answer) => void): void {
     const { version } = this
-    this.agenda.add(CALL_MS * this.slow / 2, () => answer(this.isDown ? { kind: 'failed' } : { kind: 'rows', rows, version }))
+    const storeMs = this.agenda.now + CLOCK_MS
+    this.agenda.add(CALL_MS * this.slow / 2, () => answer(this.isDown ? { kind: 'failed' } : { kind: 'rows', rows, version, storeMs }))
   }
 }
