--- a/bench/group/model.ts
+++ b/bench/group/model.ts
@@ -174,6 +174,7 @@
       primary: this.listed[PRIMARY]!.id,
       dataCentre: `z${hostAt % DATA_CENTRES}` as DataCentreId,
       standing: id => host.standings[indexOf(id)]!,
+      mustOpen: () => false,
       queued: id => host.queued(indexOf(id)),
       isReachable: id => indexOf(id) === PRIMARY || Number.isFinite(this.load.lagMs(this.agenda.now))
     }, bound, this.agenda.now as Instant)
--- a/src/core/allowance/mandate.ts
+++ b/src/core/allowance/mandate.ts
@@ -15,6 +15,8 @@
   readonly trustMs: number
   /** Whether the whole system starts for the first time, so that nobody issued before. */
   readonly isFirstStart: boolean
+  /** When this process began, and so whatever this host did before was over. */
+  readonly bornAt: Instant
 }
 
 /** The clocks of two hosts part by far less than this share in such a time. */
@@ -25,7 +27,8 @@
  * of the row that may be older than `trustMs`. So whoever is named in place of another waits for that long from the moment at
  * which it learnt of it: by then the other one has heard of it too, or has stopped. No clocks are compared, and the store isn't asked.
  *
- * A process that starts anew in its own place needs no wait, since its life before is over; its buckets are empty.
+ * A process that starts anew in its own place needs no wait, since its life before is over; its buckets are empty at its birth. Counting
+ * from there and not from the row is worth about half a second's tokens in the second after a power loss, when callers need them most.
  * Immutable; `now` is of the clock that counts suspension.
  */
 export class Mandate {
@@ -37,13 +40,13 @@
 
   /** By the row as it's known now. */
   learnt (issuers: Issuers, now: Instant): Mandate {
-    const { self, trustMs, isFirstStart } = this.options
+    const { self, trustMs, isFirstStart, bornAt } = this.options
     const own = issuers.places.flatMap(({ host, term }, place): Array<[number, Held]> => {
       if (host !== self) return []
       const held = this.held.get(place)
       // In another term somebody else may have issued since, also when this host heard of that only now.
       if (held?.term === term) return [[place, held]]
-      const first = isFirstStart ? -Infinity : now
+      const first = isFirstStart ? -Infinity : bornAt
       return [[place, { term, since: (term > 0 ? now + trustMs * (1 + DRIFT) : first) as Instant }]]
     })
     return new Mandate(this.options, new Map(own))
--- a/src/core/pool/placing/ownership.ts
+++ b/src/core/pool/placing/ownership.ts
@@ -18,6 +18,8 @@
 const SPREAD = 2
 /** With one connection each, a transaction at one owner would keep its other sessions waiting while another owner's connection is unused. */
 const LEAST_PER_OWNER = 2
+/** Where connections serve one team each, an owner with more of them has one of the team's more often, and opens and closes fewer. */
+const LEAST_BY_TEAM = 4
 
 /**
  * The owners of one group among the hosts that are alive. Immutable.
@@ -46,11 +48,11 @@
     readonly turns: readonly HostId[]
   ) {}
 
-  static of (group: GroupId, hosts: readonly PoolHost[], connections: number): Ownership {
+  static of (group: GroupId, hosts: readonly PoolHost[], connections: number, isByTeam = false): Ownership {
     const half = Math.max(1, Math.floor(connections / 2))
     const byWeight = [...hosts].map(({ id }) => ({ id, weight: weightOf(`${group}/${id}`) })).sort((a, b) => b.weight - a.weight).map(({ id }) => id)
     if (half >= hosts.length) return new Ownership(hosts, shareOf(connections, hosts.length), false, byWeight)
-    const most = Math.max(1, Math.floor(half / LEAST_PER_OWNER))
+    const most = Math.max(1, Math.floor(half / (isByTeam ? LEAST_BY_TEAM : LEAST_PER_OWNER)))
     const owners = inTurn(byDataCentre(hosts, group)).slice(0, most)
     const owning = new Set(owners.map(({ id }) => id))
     return new Ownership(owners, Math.max(1, Math.floor(half / owners.length)), true, [...byWeight.filter(id => owning.has(id)), ...byWeight.filter(id => !owning.has(id))])
--- a/src/core/pool/reads/candidates.ts
+++ b/src/core/pool/reads/candidates.ts
@@ -14,11 +14,15 @@
   readonly standing: (id: EndpointId) => Standing
   /** Operations that wait for a connection of the endpoint, and whether none of its connections is free. */
   readonly queued: (id: EndpointId) => number
+  /** Whether a connection would have to be opened for it, since those that are unused serve other teams. */
+  readonly mustOpen: (id: EndpointId) => boolean
   readonly isReachable: (id: EndpointId) => boolean
 }
 
 /** An operation that would wait at one data centre's endpoint goes to another's: a hop costs about a millisecond, a queue's place a whole statement. */
 const ANOTHER_CENTRE = 0.5
+/** Opening a connection takes a place of the endpoint for about half as long as a statement does, and costs both sides more work than the way to another data centre. */
+const OPENING = 0.6
 /**
  * The primary alone takes writes, so among endpoints as near a replica goes
  * first; but a replica in another data centre costs each read the way there and
@@ -41,5 +45,6 @@
 
 function costOf (view: View, { id, dataCentre }: Endpoint): number {
   const far = dataCentre === view.dataCentre ? 0 : ANOTHER_CENTRE
-  return view.queued(id) + far + (id === view.primary ? PRIMARY : 0)
+  const opening = view.mustOpen(id) ? OPENING : 0
+  return view.queued(id) + opening + far + (id === view.primary ? PRIMARY : 0)
 }
--- a/src/shell/pool/allowance/allowances.ts
+++ b/src/shell/pool/allowance/allowances.ts
@@ -22,6 +22,8 @@
   /** Nothing is issued on older knowledge of who issues; milliseconds. */
   readonly trustMs: number
   readonly isFirstStart: boolean
+  /** When this process began, on the clock that counts suspension. */
+  readonly bornAt: Instant
   /** How old the knowledge of the shared table may be, in milliseconds. */
   readonly ageMs: () => number
   readonly team: (id: TeamId) => Team | undefined
@@ -31,20 +33,31 @@
   readonly chance: () => number
   /** The time on the clock that counts suspension. */
   readonly now: () => Instant
+  readonly pause: (ms: number) => Promise<void>
   /** The host that should issue at the place answered, or didn't in time. */
   readonly onAsked: (place: number, isAnswered: boolean) => void
 }
 
+interface Waiter {
+  readonly until: Instant
+  readonly answer: (taken: Result<Instant, number>) => void
+}
+
 interface Account {
   readonly tokens: Tokens
-  readonly waiting: Array<(taken: Result<Instant, number>) => void>
+  /** The first that came first. */
+  readonly waiting: Waiter[]
   isAsking: boolean
+  /** When the next token comes, as far as that is known; past while some may be had. */
+  freeAt: Instant
 }
 
 /** An issuer answers within milliseconds; one that is busy with a start within this. Then another place is asked. Milliseconds. */
 const ANSWER_MS = 100
 /** The least time to come back that a caller is told: a round trip. Milliseconds. */
 const LEAST_BACK_MS = 5
+/** Operations a second; what a team without any is taken to get, for the time to come back. */
+const LEAST_RATE = 0.01
 /** What callers are told where it isn't known who issues. Milliseconds. */
 const UNKNOWN_BACK_MS = 500
 
@@ -56,8 +69,8 @@
   private readonly shards = new WeakMap<Rate, Shard>()
 
   private constructor (private readonly options: Options) {
-    const { self, trustMs, isFirstStart, port } = options
-    this.mandate = Mandate.none({ self, trustMs, isFirstStart })
+    const { self, trustMs, isFirstStart, bornAt, port } = options
+    this.mandate = Mandate.none({ self, trustMs, isFirstStart, bornAt })
     port.onAsked((team, place, count) => this.issue(team, place, count))
   }
 
@@ -74,8 +87,11 @@
     for (const [team, { tokens }] of this.accounts) tokens.move(Shard.placesOf(team, issuers.places.length))
   }
 
-  /** A token for one operation of the team, and until when it counts; or the milliseconds after which there is one. */
-  async take (team: Team): Promise<Result<Instant, number>> {
+  /**
+   * A token for one operation of the team, and until when it counts; or the milliseconds after which there is one. `patienceMs`: what comes within
+   * that is waited for; what is known not to is refused at once.
+   */
+  async take (team: Team, patienceMs: number): Promise<Result<Instant, number>> {
     const account = this.accountOf(team)
     const taken = account.waiting.length === 0 ? account.tokens.take(this.options.now()) : undefined
     if (taken !== undefined) {
@@ -83,8 +99,9 @@
       return ok(taken)
     }
     return await new Promise(resolve => {
-      account.waiting.push(resolve)
+      account.waiting.push({ until: this.options.now() + patienceMs as Instant, answer: resolve })
       if (!account.isAsking) this.ask(team, account)
+      else if (account.freeAt > this.options.now()) this.refuseLate(team, account)
     })
   }
 
@@ -101,7 +118,7 @@
     const known = this.accounts.get(id)
     if (known !== undefined) return known
     const places = this.issuers === undefined ? [] : Shard.placesOf(id, this.issuers.places.length)
-    const account: Account = { tokens: Tokens.of(places, this.options.chance(), this.options.now()), waiting: [], isAsking: false }
+    const account: Account = { tokens: Tokens.of(places, this.options.chance(), this.options.now()), waiting: [], isAsking: false, freeAt: -Infinity as Instant }
     this.accounts.set(id, account)
     return account
   }
@@ -128,11 +145,13 @@
       const now = this.options.now()
       const next = tokens.next(waiting.length, lifetimeMs, now)
       if (next.kind === 'none') {
-        this.refuseAll(account, next.ms)
-        break
+        account.freeAt = now + next.ms as Instant
+        this.refuseLate(team, account)
+        if (waiting.length > 0) await this.options.pause(Math.max(LEAST_BACK_MS, next.ms))
+      } else {
+        await this.askAt(next.place, next.count, team, account, lifetimeMs)
+        this.serve(account)
       }
-      await this.askAt(next.place, next.count, team, account, lifetimeMs)
-      this.serve(account)
     } while (waiting.length > 0)
     account.isAsking = false
   }
@@ -153,13 +172,19 @@
     while (waiting.length > 0) {
       const token = tokens.take(now)
       if (token === undefined) return
-      waiting.shift()!(ok(token))
+      waiting.shift()!.answer(ok(token))
     }
   }
 
-  private refuseAll ({ waiting }: Account, ms: number): void {
-    const backMs = this.issuers === undefined ? UNKNOWN_BACK_MS : Math.max(LEAST_BACK_MS, ms)
-    for (const answer of waiting.splice(0)) answer(err(backMs))
+  /** Refuses those whose turn is known to come too late: the one behind so many others waits for as many tokens. */
+  private refuseLate ({ rate }: Team, account: Account): void {
+    const { waiting, freeAt } = account
+    const now = this.options.now()
+    const perTokenMs = 1000 / Math.max(rate!.perSecond, LEAST_RATE)
+    const freeMs = Math.max(this.issuers === undefined ? UNKNOWN_BACK_MS : 0, freeAt - now)
+    const late = waiting.filter(({ until }, i) => now + freeMs + i * perTokenMs > until)
+    account.waiting.splice(0, waiting.length, ...waiting.filter(one => !late.includes(one)))
+    for (const [i, { answer }] of late.entries()) answer(err(Math.max(LEAST_BACK_MS, Math.ceil(freeMs + (account.waiting.length + i) * perTokenMs))))
   }
 
   /** What another host asked of this one; undefined when this one may not issue there. */
--- a/src/shell/pool/group.ts
+++ b/src/shell/pool/group.ts
@@ -4,6 +4,7 @@
 import type { Endpoint } from '../../core/directory/endpoint.ts'
 import type { DataCentreId } from '../../core/id/datacentre.ts'
 import type { EndpointId } from '../../core/id/endpoint.ts'
+import type { TeamId } from '../../core/id/team.ts'
 import type { GroupId } from '../../core/id/group.ts'
 import type { Instant } from '../../core/id/instant.ts'
 import { Directory as Endpoints } from '../../core/directory/directory.ts'
@@ -162,8 +163,8 @@
     return lender
   }
 
-  /** Where a read may go whose log must hold the position, the best first. */
-  readers (position: Token): readonly EndpointId[] {
+  /** Where a read may go whose log must hold the position, the best first. `team`: whose connections serve it. */
+  readers (position: Token, team: TeamId | undefined): readonly EndpointId[] {
     const now = clock.now()
     return readCandidates({
       endpoints: this.endpoints,
@@ -171,6 +172,7 @@
       dataCentre: this.options.dataCentre,
       standing: id => this.standing(id),
       queued: id => this.lenders.get(id)?.queued ?? 0,
+      mustOpen: id => team !== undefined && this.lenders.get(id)?.hasUnused(team) !== true,
       isReachable: id => !this.contact(id).isOut(now)
     }, position, now)
   }
--- a/src/shell/pool/lending/idlelinks.ts
+++ b/src/shell/pool/lending/idlelinks.ts
@@ -38,6 +38,10 @@
     return this.links.includes(link)
   }
 
+  hasFor (team: TeamId): boolean {
+    return this.links.some(link => this.teams.get(link) === team)
+  }
+
   /** Whether it was there. */
   remove (link: EndpointLink): boolean {
     const at = this.links.indexOf(link)
--- a/src/shell/pool/lending/lender.ts
+++ b/src/shell/pool/lending/lender.ts
@@ -89,6 +89,11 @@
     return this.admission.queued + (idle === 0 && running + pending >= this.limit ? 1 : 0)
   }
 
+  /** Whether a connection of the team is unused. */
+  hasUnused (team: TeamId): boolean {
+    return this.idle.hasFor(team)
+  }
+
   get endpoint (): Endpoint {
     return this.options.endpoint
   }
--- a/src/shell/pool/node.ts
+++ b/src/shell/pool/node.ts
@@ -1,10 +1,12 @@
 /** One process: follows the store, keeps its groups, and serves sessions. */
 
+import { setTimeout as pause } from 'node:timers/promises'
 import type { AllowanceBounds } from '../../core/allowance/bounds.ts'
 import type { GroupId } from '../../core/id/group.ts'
 import type { KeyDigest } from '../../core/pool/access/keydigest.ts'
 import { permissionOf } from '../../core/pool/access/permission.ts'
 import type { PoolConfig } from '../../core/pool/config.ts'
+import type { Instant } from '../../core/id/instant.ts'
 import type { LinkId } from '../../core/pool/membership/linkid.ts'
 import { Pace } from '../../core/pool/membership/pace.ts'
 import type { Row } from '../../core/pool/membership/row.ts'
@@ -209,6 +211,8 @@
       bounds,
       trustMs: this.pace.sharedTrustMs,
       isFirstStart,
+      // The monotonic clock begins with the process.
+      bornAt: 0 as Instant,
       ageMs: () => this.tables.ageMs('shared'),
       team: id => this.config.team(id),
       hosts: () => this.hosts,
@@ -216,6 +220,7 @@
       metrics,
       chance,
       now: clock.age,
+      pause,
       onAsked: (place, isAnswered) => isAnswered ? this.appointments?.answered(place) : this.appointments?.silent(place)
     })
   }
@@ -322,7 +327,7 @@
     const { self } = this.options
     this.ownerships.clear()
     for (const { id, connections } of this.config.groups) {
-      const ownership = Ownership.of(id, hosts, connections)
+      const ownership = Ownership.of(id, hosts, connections, this.config.teams !== undefined)
       this.ownerships.set(id, ownership)
       const isOwner = ownership.isOwner(self.id)
       this.groups.get(id)?.resize({ connections: isOwner ? ownership.share : 1, isOwner, hasRoom: isOwner && ownership.hasRoom })
--- a/src/shell/pool/statements/target.ts
+++ b/src/shell/pool/statements/target.ts
@@ -1,6 +1,7 @@
 /** Picks the endpoint for the next try of an operation. */
 
 import type { EndpointId } from '../../../core/id/endpoint.ts'
+import type { TeamId } from '../../../core/id/team.ts'
 import type { Target } from '../../../core/pool/statements/target.ts'
 import type { Freshness } from '../../../core/routing/freshness.ts'
 import type { Token } from '../../../core/token.ts'
@@ -12,6 +13,8 @@
   readonly freshness: Freshness
   /** The session's newest commit. */
   readonly own: Token
+  /** Whose connections serve it; undefined where they serve anybody. */
+  readonly team: TeamId | undefined
   /** Whether another host may run it; not for one that came as a detour itself, so that none goes round in circles. */
   readonly mayDetour: boolean
   /** Endpoints that refused this operation as replicas or were out of reach. */
@@ -26,10 +29,10 @@
 const NEWS_MS = 100
 
 /** Resolves with undefined when nothing can serve it now. */
-export async function nextTarget (group: PoolGroup, { mustLead, freshness, own, mayDetour, tried }: Wanted): Promise<Target | undefined> {
+export async function nextTarget (group: PoolGroup, { mustLead, freshness, own, team, mayDetour, tried }: Wanted): Promise<Target | undefined> {
   if (!mustLead && freshness.kind === 'age') {
     const after = group.required(own, freshness.ms)
-    const endpoint = after === undefined ? undefined : group.readers(after).find(id => !tried.has(id))
+    const endpoint = after === undefined ? undefined : group.readers(after, team).find(id => !tried.has(id))
     if (endpoint !== undefined) return { endpoint, after, mustLead: false }
   }
   // Against requests that are held for their whole time before they are refused: what would go to a primary that
--- a/src/shell/pool/statements/tryall.ts
+++ b/src/shell/pool/statements/tryall.ts
@@ -24,6 +24,8 @@
 const MOST_TRIES = 4
 /** A host in reach takes a session within milliseconds; against callers who wait for their whole time on one that died since. */
 const DETOUR_MS = 300
+/** An operation waits for a token of its team for this part of its aim: the rest is for its way and its place at the endpoint. */
+const TOKEN_SHARE = 0.3
 /** The time to come back while nobody leads: about a round of finding the new primary. */
 const LEADERLESS_MS = 500
 
@@ -43,7 +45,7 @@
   if (group === undefined) return last
   const tried = new Set<EndpointId>()
   for (let i = 0; i < MOST_TRIES && left(deadline) > 0; i++) {
-    const target = await nextTarget(group, { mustLead, freshness: route.freshness, own, mayDetour, tried })
+    const target = await nextTarget(group, { mustLead, freshness: route.freshness, own, team: gate.team?.id, mayDetour, tried })
     if (target === undefined) return last
     tried.add(target.endpoint)
     const run = await tryOnce(ctx, group, target, tries, gate)
@@ -71,7 +73,7 @@
   const note = (ending: string, position?: Token) => noteTry(ctx, tries.trail, {
     endpoint, after, mustLead, what: tries.what, isInside: tries.isInside, hasWritten: false, ending, position, ms: clock.now() - began
   })
-  const refused = target.via === undefined ? await gate.fetch() : undefined
+  const refused = target.via === undefined ? await gate.fetch(Math.min(tries.route.aimMs * TOKEN_SHARE, left(tries.deadline))) : undefined
   if (refused !== undefined) return { kind: 'refused', refused }
   const attempt = target.via === undefined ? await borrow(group, target, tries, gate) : await detour(ctx, group, target.via, tries)
   if (!(attempt instanceof Attempt)) {
