--- a/src/core/admission/admission.test.ts
+++ b/src/core/admission/admission.test.ts
@@ -230,6 +230,40 @@
     expect(slot.started).toEqual([id])
   })
 
+  it('opens the connection for a request that was started without one, and backs off when that fails', () => {
+    // A team's statements are sent to a database that is down, one after the other, each of them waiting for the whole time of an opening.
+    // Room for a connection counted as an open one, so nothing was refused early.
+    const slot = new Drive(Limits.of(2))
+    const id = slot.arrive()
+    slot.step({ kind: 'opened', isVacant: true })
+    expect(slot.started).toEqual([id])
+    slot.finish(id, false)
+    slot.step({ kind: 'dialFailed' })
+    slot.arrive()
+    expect(slot.refused).toMatchObject([{ reason: 'unreachable', retryAfterMs: 25 }])
+  })
+
+  it('leaves what waits waiting when the connection for a started request is turned away', () => {
+    const slot = new Drive(Limits.of(2))
+    const id = slot.arrive({ ms: 800 })
+    slot.step({ kind: 'opened', isVacant: true })
+    slot.finish(id, false)
+    slot.step({ kind: 'dialRefused' })
+    const again = slot.arrive({ ms: 800 })
+    slot.now += 50
+    slot.step({ kind: 'tick' })
+    slot.step({ kind: 'opened', isVacant: true })
+    expect([slot.refused, slot.started]).toEqual([[], [id, again]])
+  })
+
+  it('starts another on the connection that a started request left alone', () => {
+    const slot = Drive.warm(1, Limits.of(2))
+    slot.arrive()
+    const second = slot.arrive()
+    slot.step({ kind: 'added' })
+    expect(slot.started.at(-1)).toBe(second)
+  })
+
   it('refuses at once while no connection can be had, backs off, and tries again', () => {
     const slot = new Drive(Limits.of(14))
     slot.arrive()
--- a/src/core/pool/placing/ownership.test.ts
+++ b/src/core/pool/placing/ownership.test.ts
@@ -4,6 +4,7 @@
 import type { DataCentreId } from '../../id/datacentre.ts'
 import type { GroupId } from '../../id/group.ts'
 import type { HostId } from '../../id/host.ts'
+import type { TeamId } from '../../id/team.ts'
 import type { PoolHost } from './host.ts'
 import { Ownership } from './ownership.ts'
 
@@ -63,3 +64,31 @@
 
   it('is none where everybody owns the group', () => expect(hosts(7).flatMap(host => owners(7, 16).placesFor(host))).toEqual([]))
 })
+
+describe('a team\'s sessions', () => {
+  const made = Ownership.of('g' as GroupId, hosts(84), 64, true)
+  const part = (i: number, share: number) => ({ id: `t${i}` as TeamId, share })
+  /** The owner that a host of the data centre uses, this host itself or the first of its places. */
+  const ownersOf = (team: ReturnType<typeof part>) => new Set(hosts(84).map(host => made.placesFor(host, team)[0]?.id ?? host.id))
+
+  it('of a small team meet at one owner in each data centre', () => {
+    for (let i = 0; i < 20; i++) expect(ownersOf(part(i, 0.01)).size).toBe(3)
+  })
+
+  it('of a large team are spread over several', () => expect(ownersOf(part(1, 0.5)).size).toBeGreaterThan(6))
+
+  it('of many teams are spread over all owners', () => {
+    const used = new Set(Array.from({ length: 84 }, (_, i) => [...ownersOf(part(i, 0.01))]).flat())
+    expect(used.size).toBe(made.owners.length)
+  })
+
+  it('have other owners behind the first, and never the host itself', () => {
+    for (const host of hosts(84)) {
+      const places = made.placesFor(host, part(3, 0.01))
+      expect(places.some(({ id }) => id === host.id)).toBe(false)
+      expect(places.length === 0 || places.length >= made.owners.length - 1).toBe(true)
+    }
+  })
+
+  it('stay where everybody owns the group', () => expect(hosts(7).flatMap(host => owners(7, 64).placesFor(host, part(1, 0.1)))).toEqual([]))
+})
--- a/test/control.test.ts
+++ b/test/control.test.ts
@@ -5,6 +5,8 @@
  */
 
 import { describe, expect, it } from 'vitest'
+import type { Instant } from '../src/core/id/instant.ts'
+import { Pace } from '../src/core/pool/membership/pace.ts'
 import { ControlWorld } from './control/world.ts'
 import type { ModelHost } from './control/host.ts'
 
@@ -39,6 +41,8 @@
 
 function expectSound (world: ControlWorld): void {
   expect(world.hosts.filter(({ wentBack }) => wentBack).length).toBe(0)
+  // A key that was taken away is served for as long as its host takes its configuration for young.
+  expect(world.hosts.filter(({ wasWrong }) => wasWrong).map(({ id }) => id)).toEqual([])
 }
 
 describe.each(SIZES)('%i hosts', size => {
@@ -59,6 +63,38 @@
     expect((world.said.words - words) / size / 60).toBeLessThan(8)
   })
 
+  it('knows in a calm minute that its configuration is young enough to serve keys by', () => {
+    const world = worldOf(size)
+    for (const host of world.hosts) host.oldestMs = 0
+    world.run(60_000)
+    const { trustMs, freshMs } = Pace.of({ applyMs: APPLY_MS, drainMs: 10_000, historyMs: 20_000, revokeMs: APPLY_MS })
+    expect(Math.max(...world.hosts.map(({ oldestMs }) => oldestMs))).toBeLessThan(freshMs)
+    expect(freshMs).toBeLessThan(trustMs)
+  })
+
+  it('knows that it may be too old, frozen and cut off, and soon after that it is not', () => {
+    // A host wakes with the configuration that it had, and serves keys that were taken away meanwhile.
+    const world = worldOf(size)
+    const [frozen, alone] = world.hosts.slice(-2) as [ModelHost, ModelHost]
+    frozen.freeze()
+    alone.isCutFromStore = true
+    for (const other of world.hosts) world.cuts.add(`${other.id}>${alone.id}`)
+    world.store.put('config', 'config', String(world.store.version + 1))
+    world.run(8000)
+    const { trustMs } = Pace.of({ applyMs: APPLY_MS, drainMs: 10_000, historyMs: 20_000, revokeMs: APPLY_MS })
+    frozen.oldestMs = 0
+    frozen.thaw()
+    world.run(1)
+    expect(frozen.oldestMs).toBeGreaterThan(trustMs)
+    expect(alone.control.ageMs('config', world.now as Instant)).toBeGreaterThan(trustMs)
+    world.cuts.clear()
+    world.run(3000)
+    frozen.oldestMs = 0
+    world.run(1000)
+    expect(frozen.oldestMs).toBeLessThan(trustMs)
+    expectSound(world)
+  })
+
   it('a change is known everywhere at once, and nobody reads everything for it', () => {
     const world = worldOf(size)
     const { read } = world.store.calls
@@ -70,7 +106,7 @@
   it.each<[string, (world: ControlWorld, host: ModelHost) => void]>([
     ['killed', (world, host) => world.kill(host)],
     ['without power', (world, host) => world.kill(host, true)],
-    ['frozen', (_, host) => { host.isFrozen = true }],
+    ['frozen', (_, host) => host.freeze()],
     ['cut off from the store', (_, host) => { host.isCutFromStore = true }],
     ['cut off from those who hear them', (world, host) => { for (const other of world.hosts) world.cuts.add(`${host.id}>${other.id}`) }]
   ])('all readers are %s, then those that took their place, and again', (_, fault) => {
@@ -91,7 +127,7 @@
   it('a reader whose place another took comes back', () => {
     const world = worldOf(size)
     const before = readersOf(world)
-    for (const host of before) host.isFrozen = true
+    for (const host of before) host.freeze()
     world.run(5000)
     for (const host of before) host.thaw()
     world.run(10_000)
--- a/test/control/host.ts
+++ b/test/control/host.ts
@@ -30,9 +30,16 @@
   /** The newest configuration that it knows, and whether it ever went back. */
   config = 0
   wentBack = false
+  /** Whether it ever took its configuration for younger than it was. */
+  wasWrong = false
+  /** The highest age of its configuration by its own word, since it was last set to 0. */
+  oldestMs = 0
   /** When it became able to serve. */
   knownAt: number | undefined
   private waiting: ControlEvent[] = []
+  private frozenAt = 0
+  private hiddenMs = 0
+  private leaps = 0
 
   constructor (private readonly world: ControlWorld, readonly options: Options) {
     this.control = Control.create(options, world.now as Instant)
@@ -49,14 +56,31 @@
       this.waiting.push(event)
       return
     }
-    const { next, actions } = this.control.step(event, this.world.chance(), this.world.now as Instant)
+    const { next, actions } = this.control.step(event, this.world.chance(), this.now, this.age)
     this.control = next
     if (next.isKnown) this.knownAt ??= this.world.now
     for (const action of actions) this.act(action)
+    this.judgeAge()
+  }
+
+  /** The monotonic clock stands still while the host is frozen; the one that counts suspension leaps by a day then. */
+  private get now (): Instant {
+    return this.world.now - this.hiddenMs as Instant
+  }
+
+  private get age (): Instant {
+    return this.now + this.leaps * LEAP_MS as Instant
+  }
+
+  freeze (): void {
+    this.isFrozen = true
+    this.frozenAt = this.world.now
   }
 
   thaw (): void {
     this.isFrozen = false
+    this.hiddenMs += this.world.now - this.frozenAt
+    this.leaps++
     for (const event of this.waiting.splice(0)) this.step(event)
   }
 
@@ -99,18 +123,27 @@
     // An answer that never comes: cut off before the question, or while it's held open.
     world.agenda.add(waitMs + CUT_MS, () => end({ kind: 'failed', table }))
     const wasCut = this.isCutFromStore
-    const askedAt = world.now as Instant
+    const askedAt = this.age
     world.store.ask(table, after, waitMs, answer => {
       if (wasCut || this.isCutFromStore) return
       end(answer.kind === 'rows' ? { kind: 'answered', table, isWhole: after === undefined, rows: answer.rows, version: answer.version, askedAt, storeMs: answer.storeMs } : { kind: answer.kind, table })
     })
   }
 
+  /** What it lacks was written so long ago at least, so its configuration is as old. */
+  private judgeAge (): void {
+    const ageMs = this.control.ageMs('config', this.age)
+    this.oldestMs = Math.max(this.oldestMs, ageMs)
+    if (ageMs < this.world.missingMs(this.config)) this.wasWrong = true
+  }
+
   private took (version: number): void {
     this.wentBack ||= version < this.config
     this.config = version
   }
 }
 
+/** The clock that counts suspension leaps by so much. */
+const LEAP_MS = 86_400_000
 /** The limit of a call. */
 const CUT_MS = 750
--- a/test/control/store.ts
+++ b/test/control/store.ts
@@ -36,8 +36,12 @@
     return this.calls.read + this.calls.changes + this.calls.write
   }
 
+  /** What was written, and when. */
+  readonly puts: Array<{ readonly table: TableName, readonly value: string | undefined, readonly at: number }> = []
+
   put (table: TableName, key: string, value: string | undefined): number {
     this.version++
+    this.puts.push({ table, value, at: this.agenda.now })
     this.rows.set(`${table}/${key}`, { table, key, value, version: this.version })
     const due = this.held.filter(one => one.table === table)
     this.held = this.held.filter(one => one.table !== table)
--- a/test/control/world.ts
+++ b/test/control/world.ts
@@ -75,6 +75,12 @@
     this.hosts[i] = new ModelHost(this, { self: entry, seeds: named.filter(seed => seed !== own), isSeed: named.includes(own), isFirstStart: incarnation === 1, pace: Pace.of({ applyMs, drainMs: 10_000, historyMs: 20_000 }) })
   }
 
+  /** For how long the store has had a newer configuration than the version, in milliseconds; 0 when it has none. */
+  missingMs (version: number): number {
+    const first = this.store.puts.find(one => one.table === 'config' && Number(one.value) > version)
+    return first === undefined ? 0 : this.now - first.at
+  }
+
   /** Ends a process; `isSilent`: without power, so that nobody hears of it. */
   kill (host: ModelHost, isSilent = false): void {
     host.isUp = false
