An issuer that starts anew has a credit, once in a window

Cause: an issuer that starts anew doesn't know what its life before issued, so its buckets begin empty, and all teams are refused in the second after a power loss. Also found by reading: buckets and waits ran on the clock that counts suspension by a leap, so that a host that wakes had full buckets, and a successor's wait was cut short. They run on the monotonic clock now; what lapses stays on the other.

Change: half of the tolerance is for what an issuer begins with; that it had none in the window before is shown by a row of the store, which it reads and writes at its start (two calls an issuer). Issuers that don't answer are waited for up to half of a statement's time, and asked every 0.1 s, since they start as well. A team's allowance has fewer shards where its burst is too small for a whole token in each.

--- a/src/core/allowance/bucket.ts
+++ b/src/core/allowance/bucket.ts
@@ -3,7 +3,7 @@
 import type { Instant } from '../id/instant.ts'
 import type { Shard } from './shard.ts'
 
-/** Immutable. A token stands for one operation. */
+/** Immutable. A token stands for one operation. Instants are of the monotonic clock: one that leaps over a suspension would fill the bucket at once. */
 export class Bucket {
   private constructor (private readonly shard: Shard, private readonly level: number, private readonly at: Instant) {}
 
@@ -12,6 +12,11 @@
     return new Bucket(shard, 0, at)
   }
 
+  /** With so many tokens more, as far as there is room. */
+  plus (tokens: number, now: Instant): Bucket {
+    return new Bucket(this.shard, Math.min(this.shard.depth, this.levelAt(now) + tokens), now)
+  }
+
   /** Under other limits from now on. What gathered stays, as far as it may. */
   under (shard: Shard, now: Instant): Bucket {
     return new Bucket(shard, Math.min(this.levelAt(now), shard.depth), now)
--- a/src/core/allowance/issuer.ts
+++ b/src/core/allowance/issuer.ts
@@ -29,6 +29,8 @@
 /** Changes in place: it's touched by every question, and holds a bucket for each team that asked. */
 export class Issuer {
   private readonly kept = new Map<string, Kept>()
+  /** Places at which buckets begin with their credit, and since when this host issues there. */
+  private readonly credited = new Map<number, Instant>()
 
   private constructor () {}
 
@@ -36,17 +38,28 @@
     return new Issuer()
   }
 
+  /** Buckets of the place began with their credit. */
+  credit (place: number, since: Instant, now: Instant): void {
+    this.credited.set(place, since)
+    for (const [key, kept] of this.kept) {
+      if (key.startsWith(`${place}/`) && kept.since === since) this.kept.set(key, { ...kept, bucket: kept.bucket.plus(kept.shard.credit, now) })
+    }
+  }
+
   issue ({ place, team, count, shard, since }: Wanted, now: Instant): Issued {
     const key = `${place}/${team}`
-    const { next, taken } = this.bucketOf(key, shard, since, now).take(count, now)
+    const { next, taken } = this.bucketOf(key, place, shard, since, now).take(count, now)
     this.kept.set(key, { bucket: next, shard, since })
     return { count: taken, nextMs: next.nextMs(now) }
   }
 
   /** A team that didn't ask yet got nothing since this host issues, so its bucket has been filling since. */
-  private bucketOf (key: string, shard: Shard, since: Instant, now: Instant): Bucket {
+  private bucketOf (key: string, place: number, shard: Shard, since: Instant, now: Instant): Bucket {
     const kept = this.kept.get(key)
-    if (kept === undefined || kept.since !== since) return Bucket.since(since, shard)
+    if (kept === undefined || kept.since !== since) {
+      const empty = Bucket.since(since, shard)
+      return this.credited.get(place) === since ? empty.plus(shard.credit, now) : empty
+    }
     return kept.shard === shard ? kept.bucket : kept.bucket.under(shard, now)
   }
 }
--- a/src/core/allowance/issuers.ts
+++ b/src/core/allowance/issuers.ts
@@ -4,7 +4,6 @@
 import type { HostId } from '../id/host.ts'
 import { readJson } from '../readjson.ts'
 import { weightOf } from '../weight.ts'
-import { Shard } from './shard.ts'
 
 interface Place {
   readonly host: HostId
@@ -14,6 +13,8 @@
 
 const shape = z.array(z.object({ host: z.string().transform(id => id as HostId), term: z.int().nonnegative() }))
 
+/** Fewer places than a team has shards would hold two of them. */
+const LEAST_PLACES = 3
 /** One place for so many hosts, so that what an issuer has to do doesn't grow with the hosts. */
 const HOSTS_PER_PLACE = 16
 
@@ -23,7 +24,7 @@
 
   /** Where nobody issued before. */
   static first (hosts: readonly HostId[]): Issuers {
-    const count = Math.max(Shard.count, Math.ceil(hosts.length / HOSTS_PER_PLACE))
+    const count = Math.max(LEAST_PLACES, Math.ceil(hosts.length / HOSTS_PER_PLACE))
     const ranked = byWeight(hosts)
     return new Issuers(Array.from({ length: count }, (_, i) => ({ host: ranked[i % ranked.length]!, term: 0 })))
   }
@@ -31,7 +32,7 @@
   /** Undefined for a row that can't be read. */
   static decode (text: string): Issuers | undefined {
     const parsed = shape.safeParse(readJson(text))
-    return parsed.success && parsed.data.length >= Shard.count ? new Issuers(parsed.data) : undefined
+    return parsed.success && parsed.data.length >= LEAST_PLACES ? new Issuers(parsed.data) : undefined
   }
 
   encode (): string {
--- a/src/core/allowance/mandate.ts
+++ b/src/core/allowance/mandate.ts
@@ -29,7 +29,7 @@
  *
  * A process that starts anew in its own place needs no wait, since its life before is over; its buckets are empty at its birth. Counting
  * from there and not from the row is worth about half a second's tokens in the second after a power loss, when callers need them most.
- * Immutable; `now` is of the clock that counts suspension.
+ * Immutable; `now` is of the monotonic clock, which stands still while the host is suspended, so that no wait is cut short.
  */
 export class Mandate {
   private constructor (private readonly options: Options, private readonly held: ReadonlyMap<number, Held>) {}
@@ -52,6 +52,11 @@
     return new Mandate(this.options, new Map(own))
   }
 
+  /** The places at which this process starts anew, and so with empty buckets. */
+  begun (): readonly number[] {
+    return [...this.held].filter(([, { since }]) => since === this.options.bornAt).map(([place]) => place)
+  }
+
   /** Since when this host issues at the place; undefined when it may not now. `ageMs`: how old its knowledge of the row may be. */
   issuesSince (place: number, ageMs: number, now: Instant): Instant | undefined {
     const since = this.held.get(place)?.since
--- a/src/core/allowance/shard.ts
+++ b/src/core/allowance/shard.ts
@@ -4,44 +4,48 @@
 import type { AllowanceBounds } from './bounds.ts'
 import type { Rate } from './rate.ts'
 
-/** Each shard is issued by a host of its own. With one of three out of reach the others still give two thirds, about what a team uses that has half as much again as it needs. */
-const SHARDS = 3
-/** The part of the tolerance by which buckets are deeper, so that the shards of a small burst hold whole tokens; the rest of it is for tokens that are used later than they were issued. */
-const DEPTH_SHARE = 0.5
+/** Each shard is issued by a host of its own. With one of three out of reach the others still give two thirds, about what a team uses that may ask half as much again. */
+const MOST_SHARDS = 3
+/** What the tolerance is used for: deeper buckets, so that the shards of a small burst hold whole tokens; */
+const DEPTH_SHARE = 0.2
+/** tokens that an issuer has in hand when it starts anew and doesn't know what its life before issued; */
+const CREDIT_SHARE = 0.5
+/** and tokens that are used later than they were issued. */
+const LATE_SHARE = 1 - DEPTH_SHARE - CREDIT_SHARE
 
 /** Immutable. */
 export class Shard {
-  static readonly count = SHARDS
-
   private constructor (
+    /** Shards that the allowance is divided into. */
+    readonly count: number,
     /** Tokens that come in a millisecond. */
     readonly perMs: number,
     /** The most that gather. */
     readonly depth: number,
+    /** Tokens that an issuer may begin with, once in a window. */
+    readonly credit: number,
     /** A token counts for so long from the question for it; milliseconds. */
     readonly lifetimeMs: number
   ) {}
 
   /**
-   * In any span tokens are issued at most for depth + rate x span, and used at most a lifetime later: in a window no more than
+   * In any span tokens are issued at most for depth + credit + rate x span, and used at most a lifetime later: in a window no more than
    * rate x window + burst + tolerance run, whatever part of them is used late.
    */
   static of ({ perSecond, burst }: Rate, { windowMs, overage, slack }: AllowanceBounds): Shard {
     const tolerance = overage * (perSecond * windowMs / 1000 + burst) + slack
-    const left = tolerance * (1 - DEPTH_SHARE)
-    return new Shard(
-      perSecond / 1000 / SHARDS,
-      (burst + tolerance * DEPTH_SHARE) / SHARDS,
-      Math.min(windowMs, perSecond > 0 ? left * 1000 / perSecond : windowMs)
-    )
+    const depth = burst + tolerance * DEPTH_SHARE
+    const count = Math.max(1, Math.min(MOST_SHARDS, Math.floor(depth)))
+    const lifetimeMs = perSecond > 0 ? Math.min(windowMs, tolerance * LATE_SHARE * 1000 / perSecond) : windowMs
+    return new Shard(count, perSecond / 1000 / count, depth / count, tolerance * CREDIT_SHARE / count, lifetimeMs)
   }
 
   /** Which of the places issue the team's shards. */
-  static placesOf (team: string, places: number): readonly number[] {
+  placesOf (team: string, places: number): readonly number[] {
     return Array.from({ length: places }, (_, place) => place)
       .map(place => ({ place, weight: weightOf(`${team}/${place}`) }))
       .sort((a, b) => b.weight - a.weight)
-      .slice(0, SHARDS)
+      .slice(0, this.count)
       .map(({ place }) => place)
   }
 }
--- a/src/core/allowance/tokens.ts
+++ b/src/core/allowance/tokens.ts
@@ -18,11 +18,11 @@
 
 type Next =
   | { readonly kind: 'ask', readonly place: number, readonly count: number }
-  /** Nothing can be had now: every place said so, or didn't answer. `ms`: until the first has a token, or is tried again. */
-  | { readonly kind: 'none', readonly ms: number }
+  /** Nothing can be had now: every place said so, or didn't answer. `ms`: until the first has a token, or is tried again; `isSilent`: that one didn't answer. */
+  | { readonly kind: 'none', readonly ms: number, readonly isSilent: boolean }
 
-/** A place that didn't answer is left alone for so long, as long as a process needs to start again. */
-const SILENT_MS = 500
+/** A place that didn't answer is asked again after so long: a question is a datagram, and a process that starts is there within a few hundred milliseconds. */
+const SILENT_MS = 100
 /** The most that is asked for at once: a burst of a large team on one host. */
 const MOST = 64
 /** What a team used lately is forgotten with this time; about what a wave of callers lasts. */
@@ -34,6 +34,7 @@
 export class Tokens {
   private lots: Lot[] = []
   private readonly emptyUntil = new Map<number, Instant>()
+  private readonly silentAt = new Set<number>()
   private turn = 0
   private recent = 0
   private recentAt: Instant
@@ -86,15 +87,18 @@
       return { kind: 'ask', place, count: Math.max(1, count) }
     }
     const soonest = Math.min(...this.places.map(place => this.emptyUntil.get(place) ?? now))
-    return { kind: 'none', ms: this.places.length === 0 ? SILENT_MS : Math.max(0, soonest - now) }
+    const isSilent = this.places.length === 0 || this.places.some(place => this.silentAt.has(place))
+    return { kind: 'none', ms: this.places.length === 0 ? SILENT_MS : Math.max(0, soonest - now), isSilent }
   }
 
   answered (place: number, { count, nextMs, askedAt, lifetimeMs }: Answer, now: Instant): void {
+    this.silentAt.delete(place)
     if (count > 0) this.lots.push({ until: askedAt + lifetimeMs as Instant, left: count })
     if (nextMs > 0) this.emptyUntil.set(place, now + Math.min(nextMs, 1e9) as Instant)
   }
 
   silent (place: number, now: Instant): void {
+    this.silentAt.add(place)
     this.emptyUntil.set(place, now + SILENT_MS as Instant)
   }
 
--- a/src/core/pool/membership/pace.ts
+++ b/src/core/pool/membership/pace.ts
@@ -11,18 +11,14 @@
   readonly historyMs: number
   /** Milliseconds after which a key that was taken away is served by no host any more, in touch or not; undefined where that isn't asked. */
   readonly revokeMs?: number | undefined
-  /** Whether teams have allowances, whose issuers stand in the shared table. */
-  readonly hasAllowances?: boolean
 }
 
 /** A question to the store is held open for this part of the bound: a connection that went silent is found, and replaced, within it. */
 const WAIT_SHARE = 0.5
 /** The same for the list of endpoints, whose bound is longer; the rest of it is for a replacement of the primary. */
 const DRAIN_SHARE = 0.4
-/** Leases and the roll of hosts have no bound, and none of them is needed to serve, so a silent connection may be found late. */
+/** Leases, the hosts that issue tokens and the roll of hosts have no bound, and a change of any isn't needed to serve, so a silent connection may be found late. */
 const UNBOUND_WAIT_MS = 8000
-/** Where the shared table says who issues allowances, a host that takes the place of another waits for as long as this table may be known late. */
-const SHARED_SHARE = 0.8
 /** Of the bound for keys that were taken away a part is left for the way of a statement from its check to its endpoint, and for clocks that run apart. */
 const TRUST_SHARE = 0.95
 /** The parts of the bound that are for an answer that doesn't come, and for a reader that goes silent; with the wait they leave three tenths for the rest. */
@@ -61,7 +57,7 @@
    * an answer's time pass), then those that take its place are silent too (a reader's silence passes), and the store is asked directly:
    * 1/2 + 1/6 + 1/6 of the bound, and one call.
    */
-  static of ({ applyMs, drainMs, historyMs, revokeMs = Infinity, hasAllowances = false }: Bounds): Pace {
+  static of ({ applyMs, drainMs, historyMs, revokeMs = Infinity }: Bounds): Pace {
     const boundMs = Math.min(applyMs, revokeMs)
     const silentMs = Math.round(boundMs * SILENT_SHARE)
     const answerMs = Math.min(MOST_ANSWER_MS, Math.round(boundMs * ANSWER_SHARE))
@@ -69,7 +65,7 @@
     const waitMs = {
       config: Math.round(boundMs * WAIT_SHARE),
       endpoints: Math.round(drainMs * DRAIN_SHARE),
-      shared: hasAllowances ? Math.min(UNBOUND_WAIT_MS, Math.round(boundMs * SHARED_SHARE)) : UNBOUND_WAIT_MS,
+      shared: UNBOUND_WAIT_MS,
       roll: UNBOUND_WAIT_MS
     }
     return new Pace(waitMs, answerMs, silentMs, beatMs, Math.round(historyMs * COPY_SHARE), waitMs.config + answerMs + 2 * beatMs, revokeMs * TRUST_SHARE, waitMs.shared + answerMs + silentMs)
--- a/src/shell/pool/access/gate.ts
+++ b/src/shell/pool/access/gate.ts
@@ -29,11 +29,11 @@
     return { fault: permission.fault, retryAfterMs: permission.fault === 'outOfTouch' ? TOUCH_MS : 0 }
   }
 
-  /** Resolves once the operation has its token, where its team needs one, or with the reason why not. `patienceMs`: it may wait so long for one. */
-  async fetch (patienceMs: number): Promise<Refused | undefined> {
+  /** Resolves once the operation has its token, where its team needs one, or with the reason why not. `patienceMs`: it may wait so long for one; `mostMs`: so long where nobody says when there is one. */
+  async fetch (patienceMs: number, mostMs: number): Promise<Refused | undefined> {
     const { ctx: { allowances }, team } = this
     if (team?.rate === undefined || allowances === undefined || this.isSpent || this.token !== undefined) return undefined
-    const taken = await allowances.take(team, patienceMs)
+    const taken = await allowances.take(team, patienceMs, mostMs)
     if (taken.isErr()) return { fault: 'overAllowance', retryAfterMs: taken.error }
     this.token = taken.value
     return undefined
--- a/src/shell/pool/allowance/allowances.ts
+++ b/src/shell/pool/allowance/allowances.ts
@@ -22,7 +22,7 @@
   /** Nothing is issued on older knowledge of who issues; milliseconds. */
   readonly trustMs: number
   readonly isFirstStart: boolean
-  /** When this process began, on the clock that counts suspension. */
+  /** When this process began, on the monotonic clock. */
   readonly bornAt: Instant
   /** How old the knowledge of the shared table may be, in milliseconds. */
   readonly ageMs: () => number
@@ -31,15 +31,24 @@
   readonly port: TokenWay
   readonly metrics: PoolMetrics
   readonly chance: () => number
-  /** The time on the clock that counts suspension. */
+  /**
+   * The monotonic clock, for waits and for what gathers: it stands still while the host is suspended, and so never runs ahead. The other counts suspension, by a leap, and
+   * is for what lapses.
+   */
   readonly now: () => Instant
+  readonly age: () => Instant
   readonly pause: (ms: number) => Promise<void>
+  /** Once: this process starts anew at places that were this host's before. */
+  readonly onBegun: (places: readonly number[]) => void
   /** The host that should issue at the place answered, or didn't in time. */
   readonly onAsked: (place: number, isAnswered: boolean) => void
 }
 
 interface Waiter {
+  /** Until when it waits for a token that is known to come, */
   readonly until: Instant
+  /** and for issuers that don't answer. */
+  readonly last: Instant
   readonly answer: (taken: Result<Instant, number>) => void
 }
 
@@ -50,6 +59,8 @@
   isAsking: boolean
   /** When the next token comes, as far as that is known; past while some may be had. */
   freeAt: Instant
+  /** Whether that is because an issuer didn't answer. */
+  isSilent: boolean
 }
 
 /** An issuer answers within milliseconds; one that is busy with a start within this. Then another place is asked. Milliseconds. */
@@ -58,12 +69,12 @@
 const LEAST_BACK_MS = 5
 /** Operations a second; what a team without any is taken to get, for the time to come back. */
 const LEAST_RATE = 0.01
-/** What callers are told where it isn't known who issues. Milliseconds. */
-const UNKNOWN_BACK_MS = 500
 
 export class Allowances {
   private issuers: Issuers | undefined
   private mandate: Mandate
+  /** Whether it was told that this process starts anew at places. */
+  private hasBegun = false
   private readonly issuer = Issuer.create()
   private readonly accounts = new Map<TeamId, Account>()
   private readonly shards = new WeakMap<Rate, Shard>()
@@ -84,45 +95,61 @@
     if (issuers === undefined) return
     this.issuers = issuers
     this.mandate = this.mandate.learnt(issuers, this.options.now())
-    for (const [team, { tokens }] of this.accounts) tokens.move(Shard.placesOf(team, issuers.places.length))
+    for (const [id, { tokens }] of this.accounts) tokens.move(this.placesOf(this.options.team(id)))
+    const begun = this.hasBegun ? [] : this.mandate.begun()
+    if (begun.length === 0) return
+    this.hasBegun = true
+    this.options.onBegun(begun)
+  }
+
+  /** The place was started anew for the first time in a window: its buckets began with their credit. */
+  credit (place: number): void {
+    const now = this.options.now()
+    const since = this.mandate.issuesSince(place, 0, now)
+    if (since !== undefined) this.issuer.credit(place, since, now)
   }
 
   /**
-   * A token for one operation of the team, and until when it counts; or the milliseconds after which there is one. `patienceMs`: what comes within
-   * that is waited for; what is known not to is refused at once.
+   * A token for one operation of the team, and until when it counts; or the milliseconds after which there is one. `patienceMs`: a token that comes within
+   * that is waited for, and one that is known not to isn't. `mostMs`: for so long issuers that don't answer are waited for, as after a power loss, when they start too.
    */
-  async take (team: Team, patienceMs: number): Promise<Result<Instant, number>> {
+  async take (team: Team, patienceMs: number, mostMs: number): Promise<Result<Instant, number>> {
     const account = this.accountOf(team)
-    const taken = account.waiting.length === 0 ? account.tokens.take(this.options.now()) : undefined
+    const taken = account.waiting.length === 0 ? account.tokens.take(this.options.age()) : undefined
     if (taken !== undefined) {
       this.askAhead(team, account)
       return ok(taken)
     }
     return await new Promise(resolve => {
-      account.waiting.push({ until: this.options.now() + patienceMs as Instant, answer: resolve })
+      const now = this.options.age()
+      account.waiting.push({ until: now + patienceMs as Instant, last: now + mostMs as Instant, answer: resolve })
       if (!account.isAsking) this.ask(team, account)
-      else if (account.freeAt > this.options.now()) this.refuseLate(team, account)
+      else if (account.freeAt > now) this.refuseLate(team, account)
     })
   }
 
   /** One that is in hand; undefined when there is none. */
   takeNow (team: Team): Instant | undefined {
-    return this.accountOf(team).tokens.take(this.options.now())
+    return this.accountOf(team).tokens.take(this.options.age())
   }
 
   putBack ({ id }: Team, token: Instant): void {
     this.accounts.get(id)?.tokens.putBack(token)
   }
 
-  private accountOf ({ id }: Team): Account {
+  private accountOf (team: Team): Account {
+    const { id } = team
     const known = this.accounts.get(id)
     if (known !== undefined) return known
-    const places = this.issuers === undefined ? [] : Shard.placesOf(id, this.issuers.places.length)
-    const account: Account = { tokens: Tokens.of(places, this.options.chance(), this.options.now()), waiting: [], isAsking: false, freeAt: -Infinity as Instant }
+    const account: Account = { tokens: Tokens.of(this.placesOf(team), this.options.chance(), this.options.age()), waiting: [], isAsking: false, freeAt: -Infinity as Instant, isSilent: false }
     this.accounts.set(id, account)
     return account
   }
 
+  private placesOf (team: Team | undefined): readonly number[] {
+    return this.issuers === undefined || team?.rate === undefined ? [] : this.shardOf(team.rate).placesOf(team.id, this.issuers.places.length)
+  }
+
   private shardOf (rate: Rate): Shard {
     const known = this.shards.get(rate) ?? Shard.of(rate, this.options.bounds)
     this.shards.set(rate, known)
@@ -131,7 +158,7 @@
 
   private askAhead (team: Team, account: Account): void {
     const { tokens, isAsking } = account
-    const now = this.options.now()
+    const now = this.options.age()
     const { lifetimeMs } = this.shardOf(team.rate!)
     if (!isAsking && tokens.left(now) * 2 < tokens.ahead(lifetimeMs, now)) this.ask(team, account)
   }
@@ -142,10 +169,11 @@
     const { lifetimeMs } = this.shardOf(team.rate!)
     account.isAsking = true
     do {
-      const now = this.options.now()
+      const now = this.options.age()
       const next = tokens.next(waiting.length, lifetimeMs, now)
       if (next.kind === 'none') {
         account.freeAt = now + next.ms as Instant
+        account.isSilent = next.isSilent
         this.refuseLate(team, account)
         if (waiting.length > 0) await this.options.pause(Math.max(LEAST_BACK_MS, next.ms))
       } else {
@@ -158,17 +186,17 @@
 
   private async askAt (place: number, count: number, team: Team, { tokens }: Account, lifetimeMs: number): Promise<void> {
     const { hosts, port, metrics, onAsked } = this.options
-    const askedAt = this.options.now()
+    const askedAt = this.options.age()
     const host = hosts().find(({ id }) => id === this.issuers?.hostAt(place))
     const answer = host === undefined ? undefined : await port.ask(host, { team: team.id, place, count }, ANSWER_MS)
     metrics.tokenAsks.inc({ outcome: answer === undefined ? 'silent' : answer.count > 0 ? 'issued' : 'none' })
     onAsked(place, answer !== undefined)
-    if (answer !== undefined) return tokens.answered(place, { ...answer, askedAt, lifetimeMs }, this.options.now())
-    tokens.silent(place, this.options.now())
+    if (answer !== undefined) return tokens.answered(place, { ...answer, askedAt, lifetimeMs }, this.options.age())
+    tokens.silent(place, this.options.age())
   }
 
   private serve ({ tokens, waiting }: Account): void {
-    const now = this.options.now()
+    const now = this.options.age()
     while (waiting.length > 0) {
       const token = tokens.take(now)
       if (token === undefined) return
@@ -178,11 +206,11 @@
 
   /** Refuses those whose turn is known to come too late: the one behind so many others waits for as many tokens. */
   private refuseLate ({ rate }: Team, account: Account): void {
-    const { waiting, freeAt } = account
-    const now = this.options.now()
+    const { waiting, freeAt, isSilent } = account
+    const now = this.options.age()
     const perTokenMs = 1000 / Math.max(rate!.perSecond, LEAST_RATE)
-    const freeMs = Math.max(this.issuers === undefined ? UNKNOWN_BACK_MS : 0, freeAt - now)
-    const late = waiting.filter(({ until }, i) => now + freeMs + i * perTokenMs > until)
+    const freeMs = Math.max(0, freeAt - now)
+    const late = waiting.filter(({ until, last }, i) => now + freeMs + (isSilent ? 0 : i * perTokenMs) > (isSilent ? last : until))
     account.waiting.splice(0, waiting.length, ...waiting.filter(one => !late.includes(one)))
     for (const [i, { answer }] of late.entries()) answer(err(Math.max(LEAST_BACK_MS, Math.ceil(freeMs + (account.waiting.length + i) * perTokenMs))))
   }
@@ -192,7 +220,8 @@
     const now = this.options.now()
     const since = this.mandate.issuesSince(place, this.options.ageMs(), now)
     const team = this.options.team(id)
-    if (since === undefined || team?.rate === undefined) return undefined
+    // A host with another version of the configuration may take the place for one of the team's.
+    if (since === undefined || team?.rate === undefined || !this.placesOf(team).includes(place)) return undefined
     return this.issuer.issue({ place, team: id, count, shard: this.shardOf(team.rate), since }, now)
   }
 }
--- a/src/shell/pool/node.ts
+++ b/src/shell/pool/node.ts
@@ -19,6 +19,7 @@
 import type { Log } from '../log/log.ts'
 import { Allowances } from './allowance/allowances.ts'
 import { Appointments } from './allowance/appointments.ts'
+import { Starts } from './allowance/starts.ts'
 import type { TokenWay } from './allowance/tokenway.ts'
 import type { Auditor } from './statements/auditor.ts'
 import { clock } from './clock.ts'
@@ -62,6 +63,8 @@
 const ROLL_TABLE = 'agatepond-hosts'
 /** The copy of the configuration. */
 const COPIES_TABLE = 'agatepond-copies'
+/** When hosts began to issue tokens. */
+const STARTS_TABLE = 'agatepond-starts'
 /** A host that is asked for something newer answers in milliseconds; one that doesn't must not hold a sign-in up. */
 const CONSULT_MS = 300
 /** How often each group's primary is looked at. */
@@ -93,7 +96,7 @@
 
   private constructor (private readonly options: Options, private readonly signal: AbortSignal) {
     const { log, metrics } = options
-    this.pace = Pace.of({ ...options, hasAllowances: options.allowances !== undefined })
+    this.pace = Pace.of(options)
     this.appointments = options.allowances === undefined ? undefined : this.createAppointments()
     this.context = {
       config: () => this.config,
@@ -205,7 +208,8 @@
   }
 
   private createAllowances ({ bounds, port }: NonNullable<Options['allowances']>): Allowances {
-    const { self, isFirstStart, metrics, chance } = this.options
+    const { self, isFirstStart, platform: { store }, metrics, chance } = this.options
+    const starts = Starts.create({ store, table: STARTS_TABLE, windowMs: bounds.windowMs, metrics, signal: this.signal })
     return Allowances.create({
       self: self.id,
       bounds,
@@ -219,8 +223,12 @@
       port,
       metrics,
       chance,
-      now: clock.age,
+      now: clock.now,
+      age: clock.age,
       pause,
+      onBegun: places => {
+        starts.claim(places).then(free => free.forEach(place => this.context.allowances?.credit(place)))
+      },
       onAsked: (place, isAnswered) => isAnswered ? this.appointments?.answered(place) : this.appointments?.silent(place)
     })
   }
--- a/src/shell/pool/statements/tryall.ts
+++ b/src/shell/pool/statements/tryall.ts
@@ -26,6 +26,8 @@
 const DETOUR_MS = 300
 /** An operation waits for a token of its team for this part of its aim: the rest is for its way and its place at the endpoint. */
 const TOKEN_SHARE = 0.3
+/** It waits for this part of its time for issuers of tokens that don't answer, as they don't while all hosts start: late is better than never then. */
+const SILENT_SHARE = 0.5
 /** The time to come back while nobody leads: about a round of finding the new primary. */
 const LEADERLESS_MS = 500
 
@@ -73,7 +75,7 @@
   const note = (ending: string, position?: Token) => noteTry(ctx, tries.trail, {
     endpoint, after, mustLead, what: tries.what, isInside: tries.isInside, hasWritten: false, ending, position, ms: clock.now() - began
   })
-  const refused = target.via === undefined ? await gate.fetch(Math.min(tries.route.aimMs * TOKEN_SHARE, left(tries.deadline))) : undefined
+  const refused = target.via === undefined ? await fetch(gate, tries) : undefined
   if (refused !== undefined) return { kind: 'refused', refused }
   const attempt = target.via === undefined ? await borrow(group, target, tries, gate) : await detour(ctx, group, target.via, tries)
   if (!(attempt instanceof Attempt)) {
@@ -102,6 +104,11 @@
   return { kind: isFree || ctx.budget.mayRetry(clock.now()) ? 'elsewhere' : 'refused', refused }
 }
 
+async function fetch (gate: Gate, { route, deadline }: Tries): Promise<Refused | undefined> {
+  const leftMs = left(deadline)
+  return await gate.fetch(Math.min(route.aimMs * TOKEN_SHARE, leftMs), leftMs * SILENT_SHARE)
+}
+
 /** Endings that don't prove that the endpoint did nothing. */
 const MAY_HAVE_RUN: ReadonlySet<Ending> = new Set<Ending>(['broken', 'outOfTime', 'failed', 'timeout', 'unknown'])
 
