A team's allowance lies in up to twelve shards, and issuers that don't answer are known to the host

Change: up to twelve shards, at twelve places or one for each seven hosts, so that a part of the hosts that is cut off has about the same part of each allowance as of its callers; fewer where a shard would hold less than two whole tokens (with one, a team of 5 a second was refused 0.27% below its limit in the model). That an issuer doesn't answer is known to the host and not to each team, and it's asked again after 0.1 to 1.6 s.

Tests: the tables; the model with 24 hosts, a restart of all issuers nine times in a row among its faults; all five planted breaches are found.

--- a/bench/allowance/allowance.test.ts
+++ b/bench/allowance/allowance.test.ts
@@ -5,7 +5,7 @@
 import { AllowanceWorld } from './world.ts'
 
 const SEEDS = Array.from({ length: 12 }, (_, i) => i + 1)
-const HOSTS = 12
+const HOSTS = 24
 /** Teams that ask three times what they may, so that everything issued is used; one of them is small. */
 const GREEDY = [{ perSecond: 60, burst: 20, load: 3 }, { perSecond: 2, burst: 2, load: 6 }]
 const DAY_MS = 30_000
@@ -26,7 +26,7 @@
     () => world.freeze(pick(), forMs()),
     () => world.replace(pick()),
     () => world.turnAway(2 * forMs()),
-    () => { for (let i = 0; i < 4; i++) world.agenda.add(i * 400, () => world.issuers.forEach(host => world.kill(host, 100))) },
+    () => { for (let i = 0; i < 9; i++) world.agenda.add(i * 400, () => world.issuers.forEach(host => world.kill(host, 100))) },
     () => {
       const host = pick()
       host.isAlone = true
--- a/src/core/allowance/allowance.test.ts
+++ b/src/core/allowance/allowance.test.ts
@@ -9,6 +9,7 @@
 import { Issuers } from './issuers.ts'
 import { Mandate } from './mandate.ts'
 import { Shard } from './shard.ts'
+import { Silence } from './silence.ts'
 import { Tokens } from './tokens.ts'
 
 const BOUNDS = { windowMs: 5000, overage: 0.1, slack: 20 }
@@ -23,40 +24,40 @@
     expect(shard.depth).toBeGreaterThanOrEqual(1)
   })
 
-  it.each([[0, 0, 0, 1], [2, 1, 0, 1], [2, 2, 0, 2], [5, 5, 20, 3]])('%d a second, burst %d, slack %d: %d shards, so that each holds a whole token', (perSecond, burst, slack, count) => {
+  it.each([[0, 0, 0, 1], [2, 1, 0, 1], [2, 4, 0, 2], [5, 5, 20, 5], [134, 134, 20, 12]])('%d a second, burst %d, slack %d: %d shards, so that each holds two whole tokens', (perSecond, burst, slack, count) => {
     expect(Shard.of({ perSecond, burst }, { ...BOUNDS, slack }).count).toBe(count)
   })
 
-  it('lies at three different places, which differ from team to team', () => {
+  it('lies at a place of its own, which differ from team to team', () => {
     const shard = Shard.of({ perSecond: 5, burst: 5 }, BOUNDS)
-    const places = Array.from({ length: 50 }, (_, i) => shard.placesOf(`t${i}`, 6))
-    expect(places.every(of => new Set(of).size === 3)).toBe(true)
+    const places = Array.from({ length: 50 }, (_, i) => shard.placesOf(`t${i}`, 24))
+    expect(places.every(of => new Set(of).size === 5)).toBe(true)
     expect(new Set(places.map(of => of.join())).size).toBeGreaterThan(20)
   })
 })
 
 describe('a bucket', () => {
-  // 3 a second and a burst of 3 in three shards: one token a second, and depth (3 + 4.36) / 3.
-  const shard = Shard.of({ perSecond: 3, burst: 3 }, BOUNDS)
+  // One shard: one token a second, and a depth of 1.6.
+  const shard = Shard.of({ perSecond: 1, burst: 1 }, { ...BOUNDS, overage: 0, slack: 2 })
   const taken = (bucket: Bucket, wanted: number, ms: number) => bucket.take(wanted, at(ms)).taken
 
   it.each<[string, Bucket, number, number]>([
-    ['is full where nobody issued before', Bucket.since(at(-Infinity), shard), 100, 2],
+    ['is full where nobody issued before', Bucket.since(at(-Infinity), shard), 100, 1],
     ['is empty at its start', Bucket.since(at(0), shard), 0, 0],
     ['fills', Bucket.since(at(0), shard), 1500, 1],
-    ['fills up to its depth', Bucket.since(at(0), shard), 60_000, 2],
-    ['begins with its credit, as far as there is room', Bucket.since(at(0), shard).plus(shard.credit, at(0)), 0, 2]
+    ['fills up to its depth', Bucket.since(at(0), shard), 60_000, 1],
+    ['begins with its credit, which may be less than a token', Bucket.since(at(0), shard).plus(shard.credit, at(0)), 0, 0]
   ])('%s', (_name, bucket, ms, expected) => expect(taken(bucket, 10, ms)).toBe(expected))
 
   it('gives no more than is wanted, and tells when there is another', () => {
     const { next } = Bucket.since(at(-Infinity), shard).take(1, at(0))
-    expect(taken(next, 10, 0)).toBe(1)
-    expect(next.take(1, at(0)).next.nextMs(at(0))).toBeGreaterThan(0)
+    expect(taken(next, 10, 0)).toBe(0)
+    expect(next.nextMs(at(0))).toBe(400)
   })
 
   it('keeps what gathered under another limit, as far as that lets it', () => {
-    const full = Bucket.since(at(-Infinity), shard)
-    expect(taken(full.under(Shard.of({ perSecond: 1, burst: 0 }, { ...BOUNDS, slack: 6 }), at(0)), 10, 0)).toBe(1)
+    const full = Bucket.since(at(-Infinity), Shard.of({ perSecond: 300, burst: 300 }, BOUNDS))
+    expect(taken(full.under(shard, at(0)), 10, 0)).toBe(1)
     expect(taken(Bucket.since(at(0), shard).under(Shard.of({ perSecond: 300, burst: 300 }, BOUNDS), at(0)), 10, 0)).toBe(0)
   })
 
@@ -67,13 +68,11 @@
 })
 
 describe('the hosts that issue', () => {
-  it.each([[7, 3], [84, 6], [300, 19], [2000, 125]])('%d hosts have %d places', (count, expected) => {
+  it.each([[1, 1], [7, 7], [84, 12], [300, 43], [2000, 286]])('%d hosts have %d places', (count, expected) => {
     const { places } = Issuers.first(hosts(count))
     expect([places.length, new Set(places.map(({ host }) => host)).size]).toEqual([expected, expected])
   })
 
-  it('are fewer than places where there are fewer hosts', () => expect(Issuers.first(hosts(1)).places.length).toBe(3))
-
   it('are read as they were written', () => {
     const made = Issuers.first(hosts(84)).without(2, hosts(84))!
     expect(Issuers.decode(made.encode())!.places).toEqual(made.places)
@@ -84,7 +83,7 @@
     const before = Issuers.first(hosts(84))
     const after = before.without(2, hosts(84))!
     expect(after.places.filter(({ host }, i) => host !== before.places[i]!.host).length).toBe(1)
-    expect(after.places.map(({ term }) => term)).toEqual([0, 0, 1, 0, 0, 0])
+    expect(after.places.map(({ term }) => term)).toEqual([0, 0, 1, 0, 0, 0, 0, 0, 0, 0, 0, 0])
   })
 })
 
@@ -111,13 +110,14 @@
 })
 
 describe('an issuer', () => {
-  const shard = Shard.of({ perSecond: 3, burst: 3 }, BOUNDS)
+  // Twelve shards, with a depth of 2.7 and a credit of 1.3 tokens.
+  const shard = Shard.of({ perSecond: 0, burst: 20 }, { ...BOUNDS, overage: 0, slack: 40 })
   const wanted = (count: number, since: number, place = 0) => ({ place, team: 't' as TeamId, count, shard, since: at(since) })
 
   it('gives a bucket once, to whoever asks', () => {
     const issuer = Issuer.create()
-    const counts = [2, 10, 10].map(count => issuer.issue(wanted(count, -Infinity), at(0)).count)
-    expect(counts).toEqual([2, 0, 0])
+    const counts = [1, 10, 10].map(count => issuer.issue(wanted(count, -Infinity), at(0)).count)
+    expect(counts).toEqual([1, 1, 0])
     expect(issuer.issue(wanted(10, -Infinity, 1), at(0)).count).toBe(2)
   })
 
@@ -125,8 +125,8 @@
     const issuer = Issuer.create()
     expect(issuer.issue(wanted(10, 0), at(0)).count).toBe(0)
     issuer.credit(0, at(0), at(0))
-    expect(issuer.issue(wanted(10, 0), at(0)).count).toBe(2)
-    expect(issuer.issue({ ...wanted(10, 0), team: 'u' as TeamId }, at(0)).count).toBe(2)
+    expect(issuer.issue(wanted(10, 0), at(0)).count).toBe(1)
+    expect(issuer.issue({ ...wanted(10, 0), team: 'u' as TeamId }, at(0)).count).toBe(1)
     expect(issuer.issue(wanted(10, 0, 1), at(0)).count).toBe(0)
   })
 
@@ -138,7 +138,8 @@
 })
 
 describe('the tokens in hand', () => {
-  const made = () => Tokens.of([0, 1, 2], 0, at(0))
+  const silence = Silence.create()
+  const made = () => Tokens.of([0, 1, 2], silence, 0, at(0))
   const got = (count: number, nextMs = 0, askedAt = 0) => ({ count, nextMs, askedAt: at(askedAt), lifetimeMs: 400 })
 
   it('count from the question for them, and no longer', () => {
@@ -158,10 +159,13 @@
     const places = () => [0, 1, 2].map(() => tokens.next(1, 400, at(10))).map(next => next.kind === 'ask' ? next.place : -1)
     expect(places()).toEqual([0, 1, 2])
     tokens.answered(0, got(0, 300), at(10))
-    tokens.silent(1, at(10))
+    silence.missed(1, at(10))
     expect(places()).toEqual([2, 2, 2])
     tokens.answered(2, got(0, 700), at(10))
-    expect(tokens.next(1, 400, at(10))).toEqual({ kind: 'none', ms: 100, isSilent: true })
+    expect(tokens.next(1, 400, at(10))).toEqual({ kind: 'none', ms: 100, isSilent: false })
+    expect(tokens.next(1, 400, at(111))).toMatchObject({ kind: 'ask', place: 1 })
+    silence.missed(1, at(111))
+    expect(tokens.next(1, 400, at(111))).toEqual({ kind: 'none', ms: 199, isSilent: false })
   })
 
   it('are fetched ahead by what was used lately', () => {
--- a/src/core/allowance/issuers.ts
+++ b/src/core/allowance/issuers.ts
@@ -4,6 +4,7 @@
 import type { HostId } from '../id/host.ts'
 import { readJson } from '../readjson.ts'
 import { weightOf } from '../weight.ts'
+import { Shard } from './shard.ts'
 
 interface Place {
   readonly host: HostId
@@ -13,10 +14,8 @@
 
 const shape = z.array(z.object({ host: z.string().transform(id => id as HostId), term: z.int().nonnegative() }))
 
-/** Fewer places than a team has shards would hold two of them. */
-const LEAST_PLACES = 3
 /** One place for so many hosts, so that what an issuer has to do doesn't grow with the hosts. */
-const HOSTS_PER_PLACE = 16
+const HOSTS_PER_PLACE = 7
 
 /** Immutable. The number of places never changes: with it a team's shards would move to other hosts. */
 export class Issuers {
@@ -24,15 +23,15 @@
 
   /** Where nobody issued before. */
   static first (hosts: readonly HostId[]): Issuers {
-    const count = Math.max(LEAST_PLACES, Math.ceil(hosts.length / HOSTS_PER_PLACE))
+    const count = Math.max(Math.min(hosts.length, Shard.most), Math.ceil(hosts.length / HOSTS_PER_PLACE))
     const ranked = byWeight(hosts)
-    return new Issuers(Array.from({ length: count }, (_, i) => ({ host: ranked[i % ranked.length]!, term: 0 })))
+    return new Issuers(Array.from({ length: count }, (_, i) => ({ host: ranked[i]!, term: 0 })))
   }
 
   /** Undefined for a row that can't be read. */
   static decode (text: string): Issuers | undefined {
     const parsed = shape.safeParse(readJson(text))
-    return parsed.success && parsed.data.length >= LEAST_PLACES ? new Issuers(parsed.data) : undefined
+    return parsed.success && parsed.data.length > 0 ? new Issuers(parsed.data) : undefined
   }
 
   encode (): string {
--- a/src/core/allowance/tokens.ts
+++ b/src/core/allowance/tokens.ts
@@ -1,6 +1,7 @@
 /** The tokens that this host holds for one team, and where it asks for more. */
 
 import type { Instant } from '../id/instant.ts'
+import type { Silence } from './silence.ts'
 
 interface Lot {
   readonly until: Instant
@@ -21,8 +22,8 @@
   /** Nothing can be had now: every place said so, or didn't answer. `ms`: until the first has a token, or is tried again; `isSilent`: that one didn't answer. */
   | { readonly kind: 'none', readonly ms: number, readonly isSilent: boolean }
 
-/** A place that didn't answer is asked again after so long: a question is a datagram, and a process that starts is there within a few hundred milliseconds. */
-const SILENT_MS = 100
+/** Where it isn't known who issues, that is looked at again after so long. */
+const UNKNOWN_MS = 100
 /** The most that is asked for at once: a burst of a large team on one host. */
 const MOST = 64
 /** What a team used lately is forgotten with this time; about what a wave of callers lasts. */
@@ -34,19 +35,18 @@
 export class Tokens {
   private lots: Lot[] = []
   private readonly emptyUntil = new Map<number, Instant>()
-  private readonly silentAt = new Set<number>()
   private turn = 0
   private recent = 0
   private recentAt: Instant
 
-  private constructor (private places: readonly number[], chance: number, now: Instant) {
+  private constructor (private places: readonly number[], private readonly silence: Silence, chance: number, now: Instant) {
     this.turn = Math.floor(chance * places.length)
     this.recentAt = now
   }
 
   /** `places`: where the team's tokens are issued; `chance`, from 0 to 1, spreads hosts over them. */
-  static of (places: readonly number[], chance: number, now: Instant): Tokens {
-    return new Tokens(places, chance, now)
+  static of (places: readonly number[], silence: Silence, chance: number, now: Instant): Tokens {
+    return new Tokens(places, silence, chance, now)
   }
 
   move (places: readonly number[]): void {
@@ -82,24 +82,23 @@
     const count = Math.min(MOST, Math.max(waiting, this.ahead(lifetimeMs, now) - this.left(now)))
     for (let i = 0; i < this.places.length; i++) {
       const place = this.places[(this.turn + i) % this.places.length]!
-      if ((this.emptyUntil.get(place) ?? -Infinity) > now) continue
+      if (this.isEmpty(place, now) || this.silence.until(place, now) !== undefined) continue
       this.turn = (this.turn + i + 1) % this.places.length
       return { kind: 'ask', place, count: Math.max(1, count) }
     }
-    const soonest = Math.min(...this.places.map(place => this.emptyUntil.get(place) ?? now))
-    const isSilent = this.places.length === 0 || this.places.some(place => this.silentAt.has(place))
-    return { kind: 'none', ms: this.places.length === 0 ? SILENT_MS : Math.max(0, soonest - now), isSilent }
+    if (this.places.length === 0) return { kind: 'none', ms: UNKNOWN_MS, isSilent: true }
+    const soonest = Math.min(...this.places.map(place => Math.max(this.emptyUntil.get(place) ?? now, this.silence.until(place, now) ?? now)))
+    // With one that answered it's known when there is a token; with none, nothing is.
+    return { kind: 'none', ms: Math.max(0, soonest - now), isSilent: this.places.every(place => this.silence.until(place, now) !== undefined) }
   }
 
   answered (place: number, { count, nextMs, askedAt, lifetimeMs }: Answer, now: Instant): void {
-    this.silentAt.delete(place)
     if (count > 0) this.lots.push({ until: askedAt + lifetimeMs as Instant, left: count })
     if (nextMs > 0) this.emptyUntil.set(place, now + Math.min(nextMs, 1e9) as Instant)
   }
 
-  silent (place: number, now: Instant): void {
-    this.silentAt.add(place)
-    this.emptyUntil.set(place, now + SILENT_MS as Instant)
+  private isEmpty (place: number, now: Instant): boolean {
+    return (this.emptyUntil.get(place) ?? -Infinity) > now
   }
 
   private used (now: Instant): void {
--- a/src/shell/pool/allowance/allowances.ts
+++ b/src/shell/pool/allowance/allowances.ts
@@ -7,6 +7,7 @@
 import { Mandate } from '../../../core/allowance/mandate.ts'
 import type { Rate } from '../../../core/allowance/rate.ts'
 import { Shard } from '../../../core/allowance/shard.ts'
+import { Silence } from '../../../core/allowance/silence.ts'
 import { Tokens } from '../../../core/allowance/tokens.ts'
 import type { HostId } from '../../../core/id/host.ts'
 import type { Instant } from '../../../core/id/instant.ts'
@@ -76,6 +77,7 @@
   /** Whether it was told that this process starts anew at places. */
   private hasBegun = false
   private readonly issuer = Issuer.create()
+  private readonly silence = Silence.create()
   private readonly accounts = new Map<TeamId, Account>()
   private readonly shards = new WeakMap<Rate, Shard>()
 
@@ -141,7 +143,7 @@
     const { id } = team
     const known = this.accounts.get(id)
     if (known !== undefined) return known
-    const account: Account = { tokens: Tokens.of(this.placesOf(team), this.options.chance(), this.options.age()), waiting: [], isAsking: false, freeAt: -Infinity as Instant, isSilent: false }
+    const account: Account = { tokens: Tokens.of(this.placesOf(team), this.silence, this.options.chance(), this.options.age()), waiting: [], isAsking: false, freeAt: -Infinity as Instant, isSilent: false }
     this.accounts.set(id, account)
     return account
   }
@@ -191,8 +193,9 @@
     const answer = host === undefined ? undefined : await port.ask(host, { team: team.id, place, count }, ANSWER_MS)
     metrics.tokenAsks.inc({ outcome: answer === undefined ? 'silent' : answer.count > 0 ? 'issued' : 'none' })
     onAsked(place, answer !== undefined)
+    if (answer !== undefined) this.silence.answered(place)
     if (answer !== undefined) return tokens.answered(place, { ...answer, askedAt, lifetimeMs }, this.options.age())
-    tokens.silent(place, this.options.age())
+    this.silence.missed(place, this.options.age())
   }
 
   private serve ({ tokens, waiting }: Account): void {
