A team whose allowance is raised gets all of it

Cause, found by reading the change once more: the places at which a team's tokens are asked for were worked out once, by the allowance that it had then. One that was raised from 1 to 60 operations a second lay in twelve shards and was asked for at three places: 76 operations ran in five seconds in place of 300. One that was lowered was asked for at places that held none of it, whose issuers said nothing and so counted as silent for all teams of that host.

Ruled out: the issuers' buckets, which take a new limit with each version.

Change: places follow the allowance; an issuer answers that it has none where the place holds none of the team's.

--- a/bench/allowance/allowance.test.ts
+++ b/bench/allowance/allowance.test.ts
@@ -73,3 +73,21 @@
   await world.run(10_000)
   expect(refusedShare()).toBeLessThan(0.005)
 }, 60_000)
+
+it('a team whose allowance is raised gets all of it, and one whose allowance is lowered no more than that', async () => {
+  // A team that was held to one operation a second is given sixty, and still gets ten.
+  // Its tokens lay in one shard before and lie in twelve now, and the hosts that use them went on asking for the one.
+  const world = new AllowanceWorld({ hosts: 24, teams: [{ perSecond: 1, burst: 1, load: 100 }], seed: 3 })
+  const ranIn = async (ms: number) => {
+    const before = world.ran[0]!.length
+    await world.run(ms)
+    return world.ran[0]!.length - before
+  }
+  await world.run(5000)
+  world.limit(0, 60, 60)
+  await world.run(1000)
+  expect(await ranIn(5000)).toBeGreaterThan(60 * 5 * 0.9)
+  world.limit(0, 1, 1)
+  await world.run(5000)
+  expect(await ranIn(5000)).toBeLessThanOrEqual((1 * 5 + 1) * 1.1 + 20)
+}, 60_000)
--- a/bench/allowance/host.ts
+++ b/bench/allowance/host.ts
@@ -38,6 +38,7 @@
   answerer: Parameters<TokenWay['onAsked']>[0] = () => undefined
   allowances: Allowances
   private syncedAt = -Infinity
+  private row = ''
   private leaps = 0
   private frozenAt = 0
   private hiddenMs = 0
@@ -67,6 +68,8 @@
   /** It hears from the store: the row as it is now. */
   synced (row: string): void {
     this.syncedAt = this.age
+    if (row === this.row) return
+    this.row = row
     this.allowances.learnt(row)
   }
 
@@ -86,6 +89,7 @@
     this.isUp = true
     this.isFrozen = false
     this.syncedAt = -Infinity
+    this.row = ''
     this.allowances = this.start(this.around.isForgetful)
   }
 
--- a/bench/allowance/world.ts
+++ b/bench/allowance/world.ts
@@ -45,7 +45,7 @@
   datagrams = 0
   /** Milliseconds that operations waited for a token. */
   readonly waits: number[] = []
-  private readonly teams: readonly Team[]
+  private readonly teams: Team[]
   private row: Issuers
   private readonly credited = new Map<number, number>()
   private draws = 0
@@ -107,6 +107,11 @@
     for (const one of this.hosts) this.agenda.add(NEWS_MS * this.chance(), () => this.tell(one))
   }
 
+  /** The operator gives a team another allowance. */
+  limit (team: number, perSecond: number, burst: number): void {
+    this.teams[team] = { ...this.teams[team]!, rate: { perSecond, burst } }
+  }
+
   kill (host: ModelHost, forMs: number): void {
     host.isUp = false
     this.agenda.add(forMs, () => {
--- a/src/shell/pool/allowance/allowances.ts
+++ b/src/shell/pool/allowance/allowances.ts
@@ -55,6 +55,8 @@
 
 interface Account {
   readonly tokens: Tokens
+  /** By which the places were worked out at which its tokens are asked for. */
+  rate: Rate | undefined
   /** The first that came first. */
   readonly waiting: Waiter[]
   isAsking: boolean
@@ -68,6 +70,8 @@
 const ANSWER_MS = 100
 /** The least time to come back that a caller is told: a round trip. Milliseconds. */
 const LEAST_BACK_MS = 5
+/** A host that asks at a place that holds none of the team's shards asks there again after so long: by then it has the newer configuration, as a rule. Milliseconds. */
+const ELSEWHERE_MS = 500
 /** Operations a second; what a team without any is taken to get, for the time to come back. */
 const LEAST_RATE = 0.01
 
@@ -142,8 +146,10 @@
   private accountOf (team: Team): Account {
     const { id } = team
     const known = this.accounts.get(id)
-    if (known !== undefined) return known
-    const account: Account = { tokens: Tokens.of(this.placesOf(team), this.silence, this.options.chance(), this.options.age()), waiting: [], isAsking: false, freeAt: -Infinity as Instant, isSilent: false }
+    // Another allowance may lie in more shards, or in fewer.
+    if (known !== undefined && known.rate !== team.rate) known.tokens.move(this.placesOf(team))
+    if (known !== undefined) return Object.assign(known, { rate: team.rate })
+    const account: Account = { rate: team.rate, tokens: Tokens.of(this.placesOf(team), this.silence, this.options.chance(), this.options.age()), waiting: [], isAsking: false, freeAt: -Infinity as Instant, isSilent: false }
     this.accounts.set(id, account)
     return account
   }
@@ -223,8 +229,9 @@
     const now = this.options.now()
     const since = this.mandate.issuesSince(place, this.options.ageMs(), now)
     const team = this.options.team(id)
-    // A host with another version of the configuration may take the place for one of the team's.
-    if (since === undefined || team?.rate === undefined || !this.placesOf(team).includes(place)) return undefined
+    if (since === undefined || team?.rate === undefined) return undefined
+    // A host with another version of the configuration may take the place for one of the team's. It gets an answer, so that it doesn't take this host for silent.
+    if (!this.placesOf(team).includes(place)) return { count: 0, nextMs: ELSEWHERE_MS }
     return this.issuer.issue({ place, team: id, count, shard: this.shardOf(team.rate), since }, now)
   }
 }
