Few owners with many connections, and a team's sessions at one of them

Cause: a group's seven to thirteen owners of two to four connections each queue apart while places of the endpoints idle, strong and weak hosts own alike, and a team's sessions meet at another owner in each data centre, so that a connection of its own is opened there for one statement and closed for another team's.

Ruled out: an owner for each group on the strongest host (one death takes most of the groups), and an owner in each data centre for small teams too.

Change: where endpoints tell their places and hosts their capacity, a group has an owner in each data centre, and more only as its work needs more processors, each with connections for twice the places of an endpoint at least. Hosts are drawn with a weight of their capacity's square, and none owns more than twice the groups that its part of the capacity would be. A small team meets at one owner over all data centres. Hosts tell their capacity in the roll. Not wired yet.

--- a/src/core/pool/membership/ranking.ts
+++ b/src/core/pool/membership/ranking.ts
@@ -41,5 +41,5 @@
 }
 
 function isSame (a: HostEntry, b: HostEntry): boolean {
-  return a.id === b.id && a.dataCentre === b.dataCentre && a.address.ip === b.address.ip && a.address.port === b.address.port && a.linkPort === b.linkPort
+  return a.id === b.id && a.dataCentre === b.dataCentre && a.address.ip === b.address.ip && a.address.port === b.address.port && a.linkPort === b.linkPort && a.capacity === b.capacity
 }
--- a/src/core/pool/membership/roll.test.ts
+++ b/src/core/pool/membership/roll.test.ts
@@ -6,6 +6,7 @@
 import type { Instant } from '../../id/instant.ts'
 import type { HostEntry } from './hostentry.ts'
 import { Roll } from './roll.ts'
+import { rollRow } from './rollrow.ts'
 
 /** `a2` is the host a in its incarnation 2; `a2!` leaves. */
 function entry (text: string): HostEntry {
@@ -47,3 +48,11 @@
     expect(rollOf('x@0: a1').isNamed(entry(host), reader as HostId, now as Instant)).toBe(expected)
   })
 })
+
+describe('a row of the roll', () => {
+  const host: HostEntry = { id: 'a' as HostId, dataCentre: 'z' as DataCentreId, address: { ip: '10.0.0.1', port: 1 }, linkPort: 2, incarnation: 3, isLeaving: false }
+
+  it.each<[string, HostEntry]>([['with a capacity', { ...host, capacity: 0.3 }], ['without', host]])('reads as it was written, %s', (_, entry) => expect(rollRow.decode(rollRow.encode([entry]))).toEqual([entry]))
+
+  it('of an earlier program tells no capacity', () => expect(rollRow.decode('[["a","z","10.0.0.1",1,2,3,false]]')).toEqual([host]))
+})
--- a/src/core/pool/membership/rolldue.ts
+++ b/src/core/pool/membership/rolldue.ts
@@ -36,6 +36,6 @@
 
 /** Nothing new is said of a host that was started again and is as it was. */
 function asSaid (entry: HostEntry, said: HostEntry | undefined): HostEntry {
-  const isSame = said !== undefined && !said.isLeaving && !entry.isLeaving && linkOf(said) === linkOf(entry) && said.address.port === entry.address.port && said.dataCentre === entry.dataCentre
+  const isSame = said !== undefined && !said.isLeaving && !entry.isLeaving && linkOf(said) === linkOf(entry) && said.address.port === entry.address.port && said.dataCentre === entry.dataCentre && said.capacity === entry.capacity
   return isSame ? { ...entry, incarnation: said.incarnation } : entry
 }
--- a/src/core/pool/membership/rollrow.ts
+++ b/src/core/pool/membership/rollrow.ts
@@ -7,8 +7,8 @@
 import type { HostEntry } from './hostentry.ts'
 
 const PREFIX = 'hosts/'
-/** In a list, since a row has all hosts of a data centre: id, data centre, address, port for sessions, port for links, incarnation, whether it leaves. */
-const shape = z.array(z.tuple([z.string(), z.string(), z.string(), z.int(), z.int(), z.int(), z.boolean()]))
+/** In a list, since a row has all hosts of a data centre: id, data centre, address, port for sessions, port for links, incarnation, whether it leaves, and its capacity, which hosts that don't know theirs leave out. */
+const shape = z.array(z.tuple([z.string(), z.string(), z.string(), z.int(), z.int(), z.int(), z.boolean(), z.number().positive().optional()]))
 
 export const rollRow = {
   keyOf: (writer: HostId): string => `${PREFIX}${writer}`,
@@ -17,12 +17,12 @@
   writerOf: (key: string): HostId | undefined => key.startsWith(PREFIX) ? key.slice(PREFIX.length) as HostId : undefined,
 
   encode: (entries: readonly HostEntry[]): string =>
-    JSON.stringify(entries.map(({ id, dataCentre, address: { ip, port }, linkPort, incarnation, isLeaving }) => [id, dataCentre, ip, port, linkPort, incarnation, isLeaving])),
+    JSON.stringify(entries.map(({ id, dataCentre, address: { ip, port }, linkPort, incarnation, isLeaving, capacity }) => [id, dataCentre, ip, port, linkPort, incarnation, isLeaving, ...capacity === undefined ? [] : [capacity]])),
 
   /** No hosts for a text that can't be read, such as that of a later version of this program. */
   decode: (text: string): readonly HostEntry[] => {
     const parsed = shape.safeParse(readJson(text))
     if (!parsed.success) return []
-    return parsed.data.map(([id, dataCentre, ip, port, linkPort, incarnation, isLeaving]) => ({ id: id as HostId, dataCentre: dataCentre as DataCentreId, address: { ip, port }, linkPort, incarnation, isLeaving }))
+    return parsed.data.map(([id, dataCentre, ip, port, linkPort, incarnation, isLeaving, capacity]) => ({ id: id as HostId, dataCentre: dataCentre as DataCentreId, address: { ip, port }, linkPort, incarnation, isLeaving, capacity }))
   }
 }
--- /dev/null
+++ b/src/core/pool/placing/fewowners.ts
@@ -0,0 +1,92 @@
+/** Picks a few owners with many connections each for groups whose endpoints tell their places. */
+
+import type { GroupId } from '../../id/group.ts'
+import { inTurn } from '../../inturn.ts'
+import { weightOf } from '../../weight.ts'
+import { carrying } from './carrying.ts'
+import { drawn } from './drawn.ts'
+import type { PoolHost } from './host.ts'
+import { pickedPart } from './pickedpart.ts'
+
+interface Sized {
+  readonly id: GroupId
+  /** Connections that one endpoint takes from all hosts. */
+  readonly connections: number
+  /** Statements that one endpoint works on at a time, */
+  readonly places: number
+  /** and all endpoints of the group together. */
+  readonly allPlaces: number
+}
+
+/**
+ * An owner can use every place of an endpoint alone, since sessions don't spread evenly and other owners die, while as many connections again wait: for
+ * callers inside transactions, and for answers on their way.
+ */
+const CONNECTIONS_PER_PLACE = 2
+/** With one connection each, a transaction at one owner would keep its other sessions waiting while another owner's connection is unused. */
+const LEAST_PER_OWNER = 2
+/** A host owns at most so many times the groups that its part of all capacity would be: with less there are too few hosts to draw from, and groups move more often. */
+const MOST_OF_PART = 2
+
+/**
+ * Guard against queues that stand apart: with many owners of few connections each, statements wait at one owner while places that another one's
+ * connections would fill are idle, and each team finds its connections at an owner taken by others. So a group has an owner in each
+ * data centre, and more only as its work needs more processors, as long as each keeps enough connections.
+ *
+ * Strong hosts go first, but none owns far more groups than its part of the capacity; one that has its groups is passed over by the rest, which
+ * draw in the order of their ids. All hosts work this out from the same list alike. Those that see different lists differ in a group's owners by as many as the lists
+ * differ, and by those that were passed over for them: a host that takes itself for an owner then opens connections from the half that is left free, and sessions
+ * that are passed on to a host that doesn't are served there all the same, on its one connection.
+ */
+export function fewOwners (groups: readonly Sized[], hosts: readonly PoolHost[]): ReadonlyMap<GroupId, readonly PoolHost[]> {
+  const mostGroups = boundsOf(groups, hosts)
+  const owned = new Map<PoolHost, number>()
+  const picked = new Map<GroupId, readonly PoolHost[]>()
+  for (const group of [...groups].sort((a, b) => a.id < b.id ? -1 : 1)) {
+    const isOpen = (host: PoolHost) => (owned.get(host) ?? 0) < mostGroups.get(host)!
+    // Those that have their groups stand behind: without enough others, a host with too many groups goes before a group without owners.
+    const order = [...inOrder(group.id, hosts.filter(isOpen)), ...inOrder(group.id, hosts.filter(host => !isOpen(host)))]
+    const owners = pick(group, leastOf(group, hosts), order, host => carrying.capacityOf(host) / mostGroups.get(host)!)
+    for (const owner of owners) owned.set(owner, (owned.get(owner) ?? 0) + 1)
+    picked.set(group.id, owners)
+  }
+  return picked
+}
+
+/** How many groups each host may own. */
+function boundsOf (groups: readonly Sized[], hosts: readonly PoolHost[]): ReadonlyMap<PoolHost, number> {
+  const total = hosts.reduce((sum, host) => sum + carrying.capacityOf(host), 0)
+  const usual = total / Math.max(1, hosts.length)
+  const owners = groups.reduce((sum, group) => sum + Math.max(leastOf(group, hosts), Math.min(mostOf(group), Math.ceil(carrying.coresFor(group.allPlaces) / usual))), 0)
+  return new Map(hosts.map(host => [host, Math.max(1, Math.ceil(MOST_OF_PART * owners * carrying.capacityOf(host) / total))]))
+}
+
+/** One in each data centre, where the connections are enough. */
+function leastOf ({ connections }: Sized, hosts: readonly PoolHost[]): number {
+  const centres = new Set(hosts.map(({ dataCentre }) => dataCentre)).size
+  return Math.max(1, Math.min(centres, Math.floor(pickedPart(connections) / LEAST_PER_OWNER)))
+}
+
+function mostOf ({ connections, places }: Sized): number {
+  return Math.floor(pickedPart(connections) / (CONNECTIONS_PER_PLACE * places))
+}
+
+/** The data centres in turn, beginning with another one from group to group. */
+function inOrder (group: GroupId, hosts: readonly PoolHost[]): readonly PoolHost[] {
+  const order = drawn(group, hosts)
+  const centres = [...new Set(hosts.map(({ dataCentre }) => dataCentre))].sort((a, b) => weightOf(`${group}/${b}`) - weightOf(`${group}/${a}`))
+  return inTurn(centres.map(centre => order.filter(({ dataCentre }) => dataCentre === centre)))
+}
+
+function pick (group: Sized, least: number, order: readonly PoolHost[], coresOf: (host: PoolHost) => number): readonly PoolHost[] {
+  const most = Math.max(least, mostOf(group))
+  const needed = carrying.coresFor(group.allPlaces)
+  const owners: PoolHost[] = []
+  let cores = 0
+  for (const host of order) {
+    if (owners.length >= most || (owners.length >= least && cores >= needed)) break
+    owners.push(host)
+    cores += coresOf(host)
+  }
+  return owners
+}
--- a/src/core/pool/placing/host.ts
+++ b/src/core/pool/placing/host.ts
@@ -10,4 +10,6 @@
   readonly address: { readonly ip: string, readonly port: number }
   /** The port at which it takes links of other hosts. */
   readonly linkPort: number
+  /** What its processor is worth, in cores; undefined for a host that doesn't say, such as one of an earlier program, which counts as one core. */
+  readonly capacity?: number | undefined
 }
--- a/src/core/pool/placing/ownership.ts
+++ b/src/core/pool/placing/ownership.ts
@@ -2,20 +2,15 @@
 
 import type { GroupId } from '../../id/group.ts'
 import type { HostId } from '../../id/host.ts'
-import type { TeamId } from '../../id/team.ts'
 import { inTurn } from '../../inturn.ts'
 import { weightOf } from '../../weight.ts'
 import type { PoolHost } from './host.ts'
+import { eachCentre } from './eachcentre.ts'
+import { pickedPart } from './pickedpart.ts'
 import { shareOf } from './share.ts'
+import type { TeamMeeting } from './teammeeting.ts'
+import type { TeamPart } from './teampart.ts'
 
-interface TeamPart {
-  readonly id: TeamId
-  /** The part of all that teams may ask; from 0 to 1. */
-  readonly share: number
-}
-
-/** A team's sessions lie on so many times the owners that its part would fill: hosts differ, and sessions don't spread evenly. */
-const SPREAD = 2
 /** With one connection each, a transaction at one owner would keep its other sessions waiting while another owner's connection is unused. */
 const LEAST_PER_OWNER = 2
 /** Where connections serve one team each, an owner with more of them has one of the team's more often, and opens and closes fewer. */
@@ -45,37 +40,38 @@
      * All hosts in the order in which they act for the group: owners first. Against writes that are refused for a second longer than needed: only owners find out that a
      * primary is dead, and with 195 hosts the first of 14 owners had some fifteen others before it, each with its turn of 50 ms.
      */
-    readonly turns: readonly HostId[]
+    readonly turns: readonly HostId[],
+    private readonly meeting: TeamMeeting
   ) {}
 
   static of (group: GroupId, hosts: readonly PoolHost[], connections: number, isByTeam = false): Ownership {
-    const half = Math.max(1, Math.floor(connections / 2))
-    const byWeight = [...hosts].map(({ id }) => ({ id, weight: weightOf(`${group}/${id}`) })).sort((a, b) => b.weight - a.weight).map(({ id }) => id)
-    if (half >= hosts.length) return new Ownership(hosts, shareOf(connections, hosts.length), false, byWeight)
+    const half = pickedPart(connections)
+    if (half >= hosts.length) return new Ownership(hosts, shareOf(connections, hosts.length), false, byWeight(group, hosts), eachCentre)
     const most = Math.max(1, Math.floor(half / (isByTeam ? LEAST_BY_TEAM : LEAST_PER_OWNER)))
-    const owners = inTurn(byDataCentre(hosts, group)).slice(0, most)
+    return Ownership.picked(group, hosts, connections, inTurn(byDataCentre(hosts, group)).slice(0, most), eachCentre)
+  }
+
+  /** Of owners that are picked already, some of the hosts; they have half of the connections, in equal parts. */
+  static picked (group: GroupId, hosts: readonly PoolHost[], connections: number, owners: readonly PoolHost[], meeting: TeamMeeting): Ownership {
     const owning = new Set(owners.map(({ id }) => id))
-    return new Ownership(owners, Math.max(1, Math.floor(half / owners.length)), true, [...byWeight.filter(id => owning.has(id)), ...byWeight.filter(id => !owning.has(id))])
+    const all = byWeight(group, hosts)
+    const turns = [...all.filter(id => owning.has(id)), ...all.filter(id => !owning.has(id))]
+    return new Ownership(owners, Math.max(1, Math.floor(pickedPart(connections) / owners.length)), true, turns, meeting)
   }
 
   isOwner (host: HostId): boolean {
     return this.owners.some(({ id }) => id === host)
   }
 
-  /**
-   * Where a host passes a team's session on, the best first; empty when it serves the session itself. A connection serves one team, and
-   * an owner has a few to each endpoint: so each team has owners of its own in each data centre, one for a small team, and more by the part that it may ask.
-   */
-  private placesForTeam (host: PoolHost, { id, share }: TeamPart): readonly PoolHost[] {
+  /** Where a host passes a team's session on, the best first; empty when it serves the session itself. */
+  private placesForTeam (host: PoolHost, team: TeamPart): readonly PoolHost[] {
     if (!this.hasRoom) return []
-    const weight = (owner: PoolHost) => weightOf(`${id}/${owner.id}`)
+    const weight = (owner: PoolHost) => weightOf(`${team.id}/${owner.id}`)
     const ranked = [...this.owners].sort((a, b) => weight(b) - weight(a))
-    const near = ranked.filter(({ dataCentre }) => dataCentre === host.dataCentre)
-    const count = Math.ceil(share * near.length * SPREAD)
-    const own = near.slice(0, Math.max(1, count))
+    const { own, others } = this.meeting(host, team, ranked)
     if (own.some(owner => owner.id === host.id)) return []
     const fromHost = (owner: PoolHost) => weightOf(`${host.id}/${owner.id}`)
-    const places = [...[...own].sort((a, b) => fromHost(b) - fromHost(a)), ...near.slice(own.length), ...ranked.filter(({ dataCentre }) => dataCentre !== host.dataCentre)]
+    const places = [...[...own].sort((a, b) => fromHost(b) - fromHost(a)), ...others]
     return places.filter(owner => owner.id !== host.id)
   }
 
@@ -89,6 +85,10 @@
   }
 }
 
+function byWeight (group: GroupId, hosts: readonly PoolHost[]): readonly HostId[] {
+  return [...hosts].map(({ id }) => ({ id, weight: weightOf(`${group}/${id}`) })).sort((a, b) => b.weight - a.weight).map(({ id }) => id)
+}
+
 function byDataCentre (hosts: readonly PoolHost[], group: GroupId): readonly PoolHost[][] {
   const centres = new Map<string, PoolHost[]>()
   const weight = ({ id }: PoolHost) => weightOf(`${group}/${id}`)
--- /dev/null
+++ b/src/core/pool/placing/ownerships.test.ts
@@ -0,0 +1,124 @@
+/** Few owners for each group: how many, which, and that all hosts agree on them. */
+
+import { describe, expect, it } from 'vitest'
+import type { DataCentreId } from '../../id/datacentre.ts'
+import type { GroupId } from '../../id/group.ts'
+import type { HostId } from '../../id/host.ts'
+import type { TeamId } from '../../id/team.ts'
+import type { PoolHost } from './host.ts'
+import { Ownership } from './ownership.ts'
+import { Ownerships } from './ownerships.ts'
+
+const WEAK = 0.3
+const STRONG = 1.5
+
+/** So many hosts over three data centres, the first of them strong. */
+function hosts (count: number, strong = 0, capacity: number | undefined = WEAK): PoolHost[] {
+  return Array.from({ length: count }, (_, i) => ({ id: `h${i}` as HostId, dataCentre: `z${i % 3}` as DataCentreId, address: { ip: '10.0.0.1', port: i + 1 }, linkPort: 1, capacity: i < strong ? STRONG : capacity }))
+}
+
+const ids = Array.from({ length: 6 }, (_, i) => `g${i}` as GroupId)
+
+function groups (connections: number, places?: number) {
+  return ids.map(id => ({ id, connections, places: places === undefined ? undefined : { each: places, all: 3 * places } }))
+}
+
+function ownersOf (all: readonly PoolHost[], connections = 63, places = 5): string[] {
+  const made = Ownerships.of(groups(connections, places), all, true)
+  return ids.flatMap(id => made.get(id)!.owners.map(owner => `${id}/${owner.id}`))
+}
+
+const hostOf = (owner: string) => owner.split('/')[1]!
+
+describe('owners of a group whose places are known', () => {
+  it.each<[string, number, number, number, number, number, number]>([
+    ['one in each data centre', 82, 63, 5, WEAK, 3, 10],
+    ['few places', 64, 22, 2, WEAK, 3, 3],
+    ['more where hosts are weak', 195, 58, 2, 0.05, 7, 4],
+    ['no more than keep enough connections', 82, 63, 5, 0.01, 3, 10],
+    ['fewer than data centres where connections lack', 20, 8, 2, WEAK, 2, 2]
+  ])('%s', (_, count, connections, places, capacity, owners, share) => {
+    const made = Ownerships.of(groups(connections, places), hosts(count, 0, capacity), true).get(ids[0]!)!
+    expect([made.owners.length, made.share, made.hasRoom]).toEqual([owners, share, true])
+    expect(2 * owners * share).toBeLessThanOrEqual(connections)
+    expect(new Set(made.owners.map(({ dataCentre }) => dataCentre)).size).toBe(Math.min(3, owners))
+  })
+
+  it.each<[string, PoolHost[], number | undefined]>([
+    ['places aren\'t told', hosts(82), undefined],
+    ['no host tells its capacity', hosts(82).map(({ capacity, ...host }) => host), 5],
+    ['everybody owns the group', hosts(7), 5]
+  ])('are picked as ever where %s', (_, all, places) => {
+    const plain = Ownership.of(ids[0]!, all, 63, true)
+    const made = Ownerships.of(groups(63, places), all, true).get(ids[0]!)!
+    expect([made.owners, made.share, made.hasRoom, made.turns]).toEqual([plain.owners, plain.share, plain.hasRoom, plain.turns])
+  })
+
+  it('are strong first, but none owns far more groups than its part of the capacity', () => {
+    const all = hosts(82, 6)
+    const owned = ownersOf(all).map(hostOf)
+    const countOf = ({ id }: PoolHost) => owned.filter(owner => owner === id).length
+    // 18 owners are needed; a strong host has a thirtieth of the capacity, a weak one a hundred and sixtieth.
+    expect(Math.max(...all.slice(0, 6).map(countOf))).toBeLessThanOrEqual(2)
+    expect(Math.max(...all.slice(6).map(countOf))).toBe(1)
+    expect(all.slice(0, 6).reduce((sum, host) => sum + countOf(host), 0)).toBeGreaterThan(6)
+  })
+
+  it('are the same whatever the order in which a host learnt of them', () => {
+    const all = hosts(82, 6)
+    expect(ownersOf([...all].reverse())).toEqual(ownersOf(all))
+  })
+
+  it.each([82, 300])('hardly move when one of %d hosts comes or goes', count => {
+    const all = hosts(count, 6)
+    const before = new Set(ownersOf(all))
+    const moved = all.map(({ id }) => {
+      const after = new Set(ownersOf(all.filter(host => host.id !== id)))
+      return [...before].filter(owner => hostOf(owner) !== id && !after.has(owner)).length
+    })
+    expect(Math.max(...moved)).toBeLessThanOrEqual(4)
+    expect(moved.reduce((sum, one) => sum + one, 0) / count).toBeLessThan(0.25)
+  })
+
+  // Callers of one group wait for as long as a dead host stands in the list, though two owners have connections to spare.
+  // A strong host, which owns the most groups, is killed; every other host takes it out of its list.
+  it('when one is killed, its groups have the next owners alike at every host, and those that stay can fill all places', () => {
+    const all = hosts(82, 6)
+    const left = all.slice(1)
+    const made = Ownerships.of(groups(63, 5), left, true)
+    for (const id of ids) {
+      expect(made.get(id)!.owners.length).toBe(3)
+      expect(made.get(id)!.share).toBeGreaterThanOrEqual(2 * 5)
+      expect(new Set(left.map(host => made.get(id)!.placesFor(host, { id: 't' as TeamId, share: 0.01 })[0]?.id ?? host.id)).size).toBe(1)
+    }
+  })
+
+  // A group would have as many owners as hosts, each with all its connections, if each host that sees another list picked others.
+  // The list is cut in two halves that see one another no more; each half picks from its own.
+  it('of two halves of the hosts that don\'t see each other have room for their connections', () => {
+    const all = hosts(82, 6)
+    const halves = [all.filter((_, i) => i % 2 === 0), all.filter((_, i) => i % 2 === 1)].map(half => Ownerships.of(groups(63, 5), half, true).get(ids[0]!)!)
+    expect(halves.reduce((sum, { owners, share }) => sum + owners.length * share, 0)).toBeLessThanOrEqual(63)
+  })
+})
+
+describe('sessions of a team', () => {
+  const all = hosts(82, 6)
+  const made = Ownerships.of(groups(63, 5), all, true).get(ids[0]!)!
+  const metBy = (share: number) => new Set(all.map(host => made.placesFor(host, { id: 't1' as TeamId, share })[0]?.id ?? host.id))
+
+  it.each([[0.01, 1], [0.16, 1], [0.2, 3], [0.6, 3]])('with a part of %d meet at %d owners', (share, owners) => expect(metBy(share).size).toBe(owners))
+
+  it('of a large team stay in their data centre', () => {
+    for (const host of all) expect(made.placesFor(host, { id: 't1' as TeamId, share: 0.5 })[0]?.dataCentre ?? host.dataCentre).toBe(host.dataCentre)
+  })
+
+  it('of many teams are spread over all owners', () => {
+    const counts = new Map<string, number>()
+    for (let i = 0; i < 90; i++) {
+      const [owner] = made.placesFor(all[81]!, { id: `t${i}` as TeamId, share: 0.01 })
+      counts.set(owner!.id, (counts.get(owner!.id) ?? 0) + 1)
+    }
+    expect(Math.min(...counts.values())).toBeGreaterThan(15)
+  })
+})
--- a/src/shell/pool/membership/wordline.ts
+++ b/src/shell/pool/membership/wordline.ts
@@ -18,6 +18,7 @@
   dataCentre: z.string().transform(id => id as DataCentreId),
   address: z.object({ ip: z.string(), port: z.int() }),
   linkPort: z.int(),
+  capacity: z.number().positive().optional(),
   incarnation: z.int(),
   isLeaving: z.boolean()
 })
