Owners tell each other of their load, and few owners are wired in

Ruled out: reports over the links between hosts, which run from all to few and not between owners, and the store, which is asked for minutes at a time.

Change: owners that are picked send each other what they have at each endpoint, as datagrams, each 100 ms while there is load and once when there is none; a board keeps the newest of each for three periods.

--- /dev/null
+++ b/src/core/pool/load/board.ts
@@ -0,0 +1,86 @@
+/** The reports that the other owners of a group made, as far as they count. */
+
+import type { EndpointId } from '../../id/endpoint.ts'
+import type { HostId } from '../../id/host.ts'
+import type { Instant } from '../../id/instant.ts'
+import type { EndpointLoad } from './endpointload.ts'
+import type { OthersLoad } from './othersload.ts'
+import type { Report } from './report.ts'
+import { reportPeriod } from './reportperiod.ts'
+
+interface Heard {
+  readonly report: Report
+  /** On this host's clock; a report says nothing of times. */
+  readonly at: Instant
+}
+
+/**
+ * Immutable. Only owners are heard, and of each its newest report, for a few periods.
+ *
+ * Against load that is decided on by what was: a report that was overtaken on its way has a lower number, one of a host that ended or stands still gets too old,
+ * and one of a host that owns the group no more is dropped with it. A host that wakes may still send what it wrote before; that counts for one
+ * period, until its next report.
+ */
+export class LoadBoard implements OthersLoad {
+  private constructor (
+    private readonly others: ReadonlySet<HostId>,
+    private readonly heard: ReadonlyMap<HostId, Heard>
+  ) {}
+
+  /** Without other owners. */
+  static readonly empty = new LoadBoard(new Set(), new Map())
+
+  /** For these other owners from now on. */
+  among (others: readonly HostId[]): LoadBoard {
+    const ids = new Set(others)
+    return new LoadBoard(ids, new Map([...this.heard].filter(([id]) => ids.has(id))))
+  }
+
+  with (report: Report, now: Instant): LoadBoard {
+    const { host } = report.load
+    const known = this.heard.get(host)
+    if (!this.others.has(host) || (known !== undefined && !this.isNewer(report, known, now))) return this
+    return new LoadBoard(this.others, new Map([...this.heard, [host, { report, at: now }]]))
+  }
+
+  /** Owners that have gone silent with load: one that becomes idle says so. */
+  silent (now: Instant): readonly HostId[] {
+    const isAtWork = ({ report }: Heard) => report.load.endpoints.some(({ atWork, waiting }) => atWork + waiting > 0)
+    return [...this.heard].filter(([, heard]) => !this.isCounting(heard, now) && isAtWork(heard)).map(([id]) => id)
+  }
+
+  /** Without the loads that count no more; the numbers stay, so that older ones aren't taken for new. */
+  current (now: Instant): LoadBoard {
+    if (this.silent(now).length === 0) return this
+    const emptied = ({ report: { life, load }, at }: Heard): Heard => ({ at, report: { life, load: { ...load, endpoints: [] } } })
+    return new LoadBoard(this.others, new Map([...this.heard].map(([id, heard]) => [id, this.isCounting(heard, now) ? heard : emptied(heard)])))
+  }
+
+  at (endpoint: EndpointId, now: Instant): ReturnType<OthersLoad['at']> {
+    const counting = [...this.heard.values()].filter(heard => this.isCounting(heard, now))
+    const loads = counting.flatMap(({ report }) => report.load.endpoints.filter(load => load.endpoint === endpoint))
+    const timed = loads.flatMap(({ answerMs }) => answerMs === undefined ? [] : [answerMs])
+    return {
+      owners: counting.length,
+      atWork: sumOf(loads, ({ atWork }) => atWork),
+      waiting: sumOf(loads, ({ waiting }) => waiting),
+      answerMs: timed.length === 0 ? undefined : timed.reduce((sum, ms) => sum + ms, 0) / timed.length,
+      failing: loads.length === 0 ? 0 : sumOf(loads, ({ failing }) => failing) / loads.length
+    }
+  }
+
+  /** Of a life that may be an earlier one, since the time of day was set, a report is taken once the later one says no more. */
+  private isNewer ({ life, load }: Report, known: Heard, now: Instant): boolean {
+    const { report } = known
+    if (life === report.life) return load.number > report.load.number
+    return life > report.life || !this.isCounting(known, now)
+  }
+
+  private isCounting ({ at }: Heard, now: Instant): boolean {
+    return now - at < reportPeriod.countedMs(this.others.size)
+  }
+}
+
+function sumOf (loads: readonly EndpointLoad[], of: (load: EndpointLoad) => number): number {
+  return loads.reduce((sum, load) => sum + of(load), 0)
+}
--- /dev/null
+++ b/src/core/pool/load/report.ts
@@ -0,0 +1,9 @@
+/** A report of load, and the life of the host that made it. */
+
+import type { GroupLoad } from './groupload.ts'
+
+export interface Report {
+  /** Greater in each life of the host than in the one before, as far as its time of day wasn't set back. */
+  readonly life: number
+  readonly load: GroupLoad
+}
--- a/src/core/pool/placing/ownerships.test.ts
+++ b/src/core/pool/placing/ownerships.test.ts
@@ -19,8 +19,8 @@
 
 const ids = Array.from({ length: 6 }, (_, i) => `g${i}` as GroupId)
 
-function groups (connections: number, places?: number) {
-  return ids.map(id => ({ id, connections, places: places === undefined ? undefined : { each: places, all: 3 * places } }))
+function groups (connections: number, places: number) {
+  return ids.map(id => ({ id, connections, places: { each: places, all: 3 * places } }))
 }
 
 function ownersOf (all: readonly PoolHost[], connections = 63, places = 5): string[] {
@@ -44,8 +44,8 @@
     expect(new Set(made.owners.map(({ dataCentre }) => dataCentre)).size).toBe(Math.min(3, owners))
   })
 
-  it.each<[string, PoolHost[], number | undefined]>([
-    ['places aren\'t told', hosts(82), undefined],
+  it.each<[string, PoolHost[], number]>([
+    ['places aren\'t told', hosts(82), 0],
     ['no host tells its capacity', hosts(82).map(({ capacity, ...host }) => host), 5],
     ['everybody owns the group', hosts(7), 5]
   ])('are picked as ever where %s', (_, all, places) => {
--- a/src/core/pool/placing/ownerships.ts
+++ b/src/core/pool/placing/ownerships.ts
@@ -11,8 +11,8 @@
   readonly id: GroupId
   /** Connections that one endpoint takes from all hosts. */
   readonly connections: number
-  /** Statements that one endpoint, and all endpoints together, work on at a time; undefined where endpoints don't tell. */
-  readonly places: { readonly each: number, readonly all: number } | undefined
+  /** Statements that one endpoint, and all endpoints together, work on at a time; 0 where endpoints don't tell. */
+  readonly places: { readonly each: number, readonly all: number }
 }
 
 /** Immutable; worked out anew when hosts, the configuration or the places change. */
@@ -25,7 +25,7 @@
   static of (groups: readonly Group[], hosts: readonly PoolHost[], isByTeam: boolean): Ownerships {
     const isCapacityKnown = hosts.some(({ capacity }) => capacity !== undefined)
     const scarce = isCapacityKnown ? groups.filter(({ connections }) => pickedPart(connections) < hosts.length) : []
-    const few = fewOwners(scarce.flatMap(({ id, connections, places }) => places === undefined ? [] : [{ id, connections, places: places.each, allPlaces: places.all }]), hosts)
+    const few = fewOwners(scarce.flatMap(({ id, connections, places }) => places.each === 0 ? [] : [{ id, connections, places: places.each, allPlaces: places.all }]), hosts)
     return new Ownerships(new Map(groups.map(({ id, connections }) => {
       const owners = few.get(id)
       return [id, owners === undefined ? Ownership.of(id, hosts, connections, isByTeam) : Ownership.picked(id, hosts, connections, owners, oneOwner)]
--- a/src/shell/log/events.ts
+++ b/src/shell/log/events.ts
@@ -68,5 +68,9 @@
   batchFailed: { id: 7002, level: 'warn', message: 'a batch of audit records could not be stored' },
   recordsDropped: { id: 7003, level: 'warn', message: 'dropped audit records for want of room' },
   recordsLost: { id: 7004, level: 'error', message: 'ended without storing audit records' },
-  batchesRemoved: { id: 7005, level: 'warn', message: 'took the oldest batches of audit records from a full store' }
+  batchesRemoved: { id: 7005, level: 'warn', message: 'took the oldest batches of audit records from a full store' },
+
+  loadPortFailed: { id: 8010, level: 'error', message: 'reports of load cannot be sent or received' },
+  ownersPicked: { id: 8011, level: 'info', message: 'the owners of a group changed, of which this host is one or was' },
+  ownerSilent: { id: 8012, level: 'info', message: 'an owner of a group that had load reports no more' }
 } as const satisfies Record<string, Event>
--- a/src/shell/pool/group.ts
+++ b/src/shell/pool/group.ts
@@ -8,6 +8,7 @@
 import type { GroupId } from '../../core/id/group.ts'
 import type { Instant } from '../../core/id/instant.ts'
 import { Directory as Endpoints } from '../../core/directory/directory.ts'
+import type { EndpointLoad } from '../../core/pool/load/endpointload.ts'
 import { readCandidates } from '../../core/pool/reads/candidates.ts'
 import { Contact } from '../../core/pool/succession/contact.ts'
 import type { Handover } from '../../core/pool/succession/handover.ts'
@@ -24,6 +25,7 @@
 import type { Dealt } from './lending/dealt.ts'
 import type { DialFault } from './lending/dialfault.ts'
 import { Lender } from './lending/lender.ts'
+import { SharedLoad } from './load/sharedload.ts'
 import type { PoolMetrics } from './metrics.ts'
 import { Waiters } from './waiters.ts'
 import { Watchers } from './watchers.ts'
@@ -49,12 +51,14 @@
   private directory: Directory = Endpoints.empty
   private leadership: Leadership
   private progress = Progress.empty
-  private dealt: Dealt = { connections: 1, isOwner: false, hasRoom: false }
+  private dealt: Dealt = { connections: 1, isOwner: false, hasRoom: false, others: [] }
   /** The newest that was announced; an old one concerns an endpoint that doesn't lead any more. */
   private handover: Handover | undefined
   private reach = Reach.none
   /** For those who wait for a leader. */
   private readonly waiting = Waiters.create()
+  /** What the other owners have at the endpoints. */
+  readonly sharedLoad = SharedLoad.create()
   /** For those who wait for an answer of an endpoint. */
   readonly watchers = Watchers.create()
 
@@ -137,6 +141,7 @@
     const { connections, isOwner } = dealt
     if (connections !== this.dealt.connections) this.options.log.write('shareDealt', { group: this.id, connections, isOwner })
     this.dealt = dealt
+    this.sharedLoad.among(dealt.others)
     for (const lender of this.lenders.values()) lender.resize(connections)
   }
 
@@ -163,6 +168,11 @@
     return lender
   }
 
+  /** What this host has at each endpoint. */
+  get loads (): readonly EndpointLoad[] {
+    return [...this.lenders.values()].map(({ load }) => load)
+  }
+
   /** Where a read may go whose log must hold the position, the best first. `team`: whose connections serve it. */
   readers (position: Token, team: TeamId | undefined): readonly EndpointId[] {
     const now = clock.now()
--- /dev/null
+++ b/src/shell/pool/groups.ts
@@ -0,0 +1,164 @@
+/** The groups that the configuration names, who owns them, and who replaces their primaries. */
+
+import type { Directory } from '../../core/directory/directory.ts'
+import type { GroupId } from '../../core/id/group.ts'
+import type { Instant } from '../../core/id/instant.ts'
+import type { PoolConfig } from '../../core/pool/config.ts'
+import type { Row } from '../../core/pool/membership/row.ts'
+import { GroupPlaces } from '../../core/pool/placing/groupplaces.ts'
+import type { PoolHost } from '../../core/pool/placing/host.ts'
+import type { Ownership } from '../../core/pool/placing/ownership.ts'
+import { Ownerships } from '../../core/pool/placing/ownerships.ts'
+import type { Log } from '../log/log.ts'
+import { PoolGroup } from './group.ts'
+import type { PoolMetrics } from './metrics.ts'
+import type { Platform } from './platform.ts'
+import { Successor } from './succession/successor.ts'
+
+interface Options {
+  readonly self: PoolHost
+  /** Milliseconds for which an endpoint serves after it said that it leaves. */
+  readonly drainMs: number
+  /** Where what hosts tell each other through the store lies. */
+  readonly table: string
+  readonly platform: Platform
+  readonly log: Log
+  readonly metrics: PoolMetrics
+  readonly chance: () => number
+  /** When the process started. */
+  readonly startedAt: Instant
+  readonly config: () => PoolConfig
+  readonly directory: () => Directory
+  readonly hosts: () => readonly PoolHost[]
+  readonly signal: AbortSignal
+}
+
+export class PoolGroups {
+  private readonly groups = new Map<GroupId, PoolGroup>()
+  private readonly places = new Map<GroupId, GroupPlaces>()
+  private readonly successors = new Map<GroupId, Successor>()
+  /** Rows of the shared table that came before the configuration named their group. */
+  private readonly sharedRows = new Map<string, Row>()
+  private ownerships = Ownerships.none
+
+  private constructor (private readonly options: Options) {}
+
+  static create (options: Options): PoolGroups {
+    return new PoolGroups(options)
+  }
+
+  get all (): Iterable<PoolGroup> {
+    return this.groups.values()
+  }
+
+  get (id: GroupId): PoolGroup | undefined {
+    return this.groups.get(id)
+  }
+
+  ownership (id: GroupId): Ownership | undefined {
+    return this.ownerships.get(id)
+  }
+
+  /** The directory says something new. */
+  listed (): void {
+    const directory = this.options.directory()
+    for (const group of this.groups.values()) group.listed(directory)
+    if (this.learnPlaces()) this.resize()
+  }
+
+  /** The configuration changed. */
+  configured (): void {
+    const wanted = new Set(this.options.config().groups.map(({ id }) => id))
+    for (const [id, group] of this.groups) {
+      if (wanted.has(id)) continue
+      group.close()
+      this.groups.delete(id)
+      this.places.delete(id)
+      this.successors.delete(id)
+    }
+    for (const id of wanted) {
+      if (this.groups.has(id)) continue
+      const { self, platform, log, metrics, chance, startedAt, directory } = this.options
+      const group = PoolGroup.create({ id, dataCentre: self.dataCentre, dialer: platform.dialer, log, metrics, chance, startedAt })
+      group.listed(directory())
+      this.groups.set(id, group)
+      this.successors.set(id, this.successorOf(group))
+    }
+    this.learnPlaces()
+    this.resize()
+  }
+
+  /** A row that hosts write for each other; those of other kinds are passed over. */
+  told (row: Row): void {
+    const [kind, name] = row.key.split('/')
+    if (kind === 'lease' || kind === 'handover') this.sharedRows.set(row.key, row)
+    const successor = this.successors.get(name as GroupId)
+    if (kind === 'lease') successor?.leaseChanged(row)
+    if (kind === 'objection') successor?.objectionMade(row)
+    if (kind === 'handover') successor?.handoverAnnounced(row)
+  }
+
+  tick (): void {
+    for (const successor of this.successors.values()) successor.tick()
+  }
+
+  /** Works out anew who owns which group. */
+  resize (): void {
+    const { self, config, hosts } = this.options
+    const { groups, teams } = config()
+    const sized = groups.map(({ id, connections }) => ({ id, connections, places: this.places.get(id) ?? GroupPlaces.none }))
+    const before = this.ownerships
+    this.ownerships = Ownerships.of(sized, hosts(), teams !== undefined)
+    for (const { id } of groups) {
+      const ownership = this.ownerships.get(id)!
+      this.note(id, before.get(id), ownership)
+      const isOwner = ownership.isOwner(self.id)
+      const isPicked = isOwner && ownership.hasRoom
+      const others = isPicked ? ownership.owners.filter(owner => owner.id !== self.id) : []
+      this.groups.get(id)?.resize({ connections: isOwner ? ownership.share : 1, isOwner, hasRoom: isPicked, others })
+    }
+  }
+
+  /** Written by owners only: with hundreds of hosts that each write whenever one comes or goes, nobody could read it. */
+  private note (group: GroupId, before: Ownership | undefined, { owners, share, hasRoom }: Ownership): void {
+    const { self, log } = this.options
+    const namesOf = (hosts: readonly PoolHost[]) => hosts.map(({ id }) => id).sort().join(' ')
+    const isConcerned = [...owners, ...before?.owners ?? []].some(({ id }) => id === self.id)
+    if (!hasRoom || !isConcerned || namesOf(owners) === namesOf(before?.owners ?? [])) return
+    log.write('ownersPicked', { group, owners: namesOf(owners), connections: share })
+  }
+
+  /** Whether more places were seen of any group. */
+  private learnPlaces (): boolean {
+    let isNews = false
+    for (const [id, { endpoints }] of this.groups) {
+      const before = this.places.get(id) ?? GroupPlaces.none
+      const next = before.with(endpoints)
+      this.places.set(id, next)
+      isNews ||= next !== before
+    }
+    return isNews
+  }
+
+  private successorOf (group: PoolGroup): Successor {
+    const { self, platform, table, log, metrics, drainMs, hosts, config, signal } = this.options
+    const successor = Successor.create({
+      host: self.id,
+      drainMs,
+      group,
+      platform,
+      table,
+      log,
+      metrics,
+      hosts,
+      turns: () => this.ownerships.get(group.id)?.turns ?? [self.id],
+      isSynchronous: () => config().group(group.id)?.isSynchronous === true,
+      signal
+    })
+    const lease = this.sharedRows.get(`lease/${group.id}`)
+    const handover = this.sharedRows.get(`handover/${group.id}`)
+    if (lease !== undefined) successor.leaseChanged(lease)
+    if (handover !== undefined) successor.handoverAnnounced(handover)
+    return successor
+  }
+}
--- a/src/shell/pool/lending/lender.ts
+++ b/src/shell/pool/lending/lender.ts
@@ -9,6 +9,7 @@
 import type { CallerId } from '../../../core/id/caller.ts'
 import type { TeamId } from '../../../core/id/team.ts'
 import type { Instant } from '../../../core/id/instant.ts'
+import type { EndpointLoad } from '../../../core/pool/load/endpointload.ts'
 import { Thrift } from '../../../core/pool/placing/thrift.ts'
 import type { Values } from '../../../core/session/values.ts'
 import { clock } from '../clock.ts'
@@ -89,6 +90,12 @@
     return this.admission.queued + (idle === 0 && running + pending >= this.limit ? 1 : 0)
   }
 
+  /** What the group's other owners are told of it. Times to answers and failures aren't kept here yet. */
+  get load (): EndpointLoad {
+    const { running, pending } = this.admission.counts
+    return { endpoint: this.options.endpoint.id, atWork: running + pending, waiting: this.admission.queued, answerMs: undefined, failing: 0 }
+  }
+
   /** Whether a connection of the team is unused. */
   hasUnused (team: TeamId): boolean {
     return this.idle.hasFor(team)
--- /dev/null
+++ b/src/shell/pool/load/loadport.ts
@@ -0,0 +1,75 @@
+/** Reports of load between hosts, as datagrams. */
+
+import { createSocket, type Socket } from 'node:dgram'
+import type { Report } from '../../../core/pool/load/report.ts'
+import { reportLine } from '../../../core/pool/load/reportline.ts'
+import type { PoolHost } from '../../../core/pool/placing/host.ts'
+import type { Log } from '../../log/log.ts'
+import type { PoolMetrics } from '../metrics.ts'
+import type { LoadWay } from './loadway.ts'
+
+interface Options {
+  readonly ip: string
+  readonly port: number
+  readonly log: Log
+  readonly metrics: PoolMetrics
+  readonly signal: AbortSignal
+}
+
+/** Each host takes reports at the port behind the one at which it takes sessions. */
+const BEHIND = 1
+
+/** Datagrams: a report that is lost is followed by the next, and a stream would bring one that is late before those that are new. */
+export class LoadPort implements LoadWay {
+  private listener: (report: Report) => void = () => undefined
+  private isFailing = false
+
+  private constructor (private readonly socket: Socket, private readonly options: Options) {
+    socket.on('message', message => this.received(message))
+    socket.on('error', error => this.failed(error))
+  }
+
+  /** Listens until the signal. */
+  static listen (options: Options): LoadPort {
+    const { ip, port, signal } = options
+    const socket = createSocket({ type: 'udp4', signal })
+    socket.bind(port, ip)
+    return new LoadPort(socket, options)
+  }
+
+  /** Where a host that takes sessions at the address takes reports. */
+  static behind ({ ip, port }: PoolHost['address']): PoolHost['address'] {
+    return { ip, port: port + BEHIND }
+  }
+
+  onHeard (listener: (report: Report) => void): void {
+    this.listener = listener
+  }
+
+  tell (hosts: readonly PoolHost[], report: Report): void {
+    if (this.options.signal.aborted) return
+    const message = Buffer.from(reportLine.encode(report))
+    for (const { address } of hosts) {
+      const { ip, port } = LoadPort.behind(address)
+      this.socket.send(message, port, ip, error => this.sent(error))
+    }
+  }
+
+  private received (message: Buffer): void {
+    const report = reportLine.decode(message.toString('utf8'))
+    this.options.metrics.loadReports.inc({ what: report === undefined ? 'unreadable' : 'heard' })
+    if (report !== undefined) this.listener(report)
+  }
+
+  private sent (error: Error | null): void {
+    this.options.metrics.loadReports.inc({ what: error === null ? 'sent' : 'unsent' })
+    if (error === null) this.isFailing = false
+    else this.failed(error)
+  }
+
+  /** Logged once until a report is sent again, since reports are many. */
+  private failed (error: Error): void {
+    if (!this.isFailing) this.options.log.write('loadPortFailed', { problem: error.message })
+    this.isFailing = true
+  }
+}
--- /dev/null
+++ b/src/shell/pool/load/reporter.ts
@@ -0,0 +1,88 @@
+/** Tells the other owners of this host's groups of its load, and takes what they tell. */
+
+import type { GroupId } from '../../../core/id/group.ts'
+import type { HostId } from '../../../core/id/host.ts'
+import type { Instant } from '../../../core/id/instant.ts'
+import type { EndpointLoad } from '../../../core/pool/load/endpointload.ts'
+import type { Report } from '../../../core/pool/load/report.ts'
+import type { Log } from '../../log/log.ts'
+import type { PoolMetrics } from '../metrics.ts'
+import type { LoadWay } from './loadway.ts'
+import type { SharedLoad } from './sharedload.ts'
+
+interface LoadedGroup {
+  readonly id: GroupId
+  /** What this host has at each endpoint. */
+  readonly loads: readonly EndpointLoad[]
+  readonly sharedLoad: SharedLoad
+}
+
+interface Options {
+  readonly self: HostId
+  /** Greater than in the earlier lives of this host. */
+  readonly life: number
+  readonly way: LoadWay
+  readonly groups: () => Iterable<LoadedGroup>
+  readonly group: (id: GroupId) => LoadedGroup | undefined
+  /** The clock by which ages of reports are told, */
+  readonly now: () => Instant
+  /** and the one that doesn't hide that this host was suspended. */
+  readonly age: () => Instant
+  readonly log: Log
+  readonly metrics: PoolMetrics
+}
+
+/** A host that looks so much later than before stood still: what came in meanwhile lies unread, and may be as old. Milliseconds. */
+const STILL_MS = 300
+
+export class Reporter {
+  private lookedAt: Instant
+  /** Whether what lay unread while this host stood still is being read now. */
+  private isCatchingUp = false
+  private number = 0
+
+  private constructor (private readonly options: Options) {
+    this.lookedAt = options.age()
+    options.way.onHeard(report => this.heard(report))
+  }
+
+  static create (options: Options): Reporter {
+    return new Reporter(options)
+  }
+
+  /** To be called about as often as load is reported. */
+  look (): void {
+    const { groups, age } = this.options
+    const stoodMs = age() - this.lookedAt
+    this.lookedAt = age()
+    this.isCatchingUp = stoodMs >= STILL_MS
+    for (const group of groups()) {
+      if (group.sharedLoad.others.length === 0) continue
+      if (this.isCatchingUp) group.sharedLoad.forget()
+      this.noteSilent(group)
+      this.tell(group)
+    }
+  }
+
+  private noteSilent ({ id, sharedLoad }: LoadedGroup): void {
+    const { now, log } = this.options
+    for (const owner of sharedLoad.lapse(now())) log.write('ownerSilent', { group: id, owner })
+  }
+
+  private tell ({ id, loads, sharedLoad }: LoadedGroup): void {
+    const { self, life, way, now } = this.options
+    if (!sharedLoad.take(loads, now())) return
+    way.tell(sharedLoad.others, { life, load: { host: self, group: id, number: ++this.number, endpoints: loads } })
+  }
+
+  /**
+   * Guard against a host that stood still and then decides by what lay in its socket, seconds old, as if it were new: it takes nothing until the
+   * next look, by which all that is read. It shows as statements held back for load that ended long before.
+   */
+  private heard (report: Report): void {
+    const { group, now, metrics } = this.options
+    const shared = this.isCatchingUp ? undefined : group(report.load.group)?.sharedLoad
+    if (shared === undefined) metrics.loadReports.inc({ what: 'left' })
+    else shared.heard(report, now())
+  }
+}
--- /dev/null
+++ b/src/shell/pool/load/sharedload.ts
@@ -0,0 +1,61 @@
+/** What the owners of one group tell each other of their load, as this one of them knows it. */
+
+import type { EndpointId } from '../../../core/id/endpoint.ts'
+import type { HostId } from '../../../core/id/host.ts'
+import type { Instant } from '../../../core/id/instant.ts'
+import { LoadBoard } from '../../../core/pool/load/board.ts'
+import type { EndpointLoad } from '../../../core/pool/load/endpointload.ts'
+import type { OthersLoad } from '../../../core/pool/load/othersload.ts'
+import type { Report } from '../../../core/pool/load/report.ts'
+import { Told } from '../../../core/pool/load/told.ts'
+import type { PoolHost } from '../../../core/pool/placing/host.ts'
+
+/** The only place where the pure values are replaced. */
+export class SharedLoad implements OthersLoad {
+  private board = LoadBoard.empty
+  private told = Told.nothing
+  private owners: readonly PoolHost[] = []
+
+  private constructor () {}
+
+  static create (): SharedLoad {
+    return new SharedLoad()
+  }
+
+  /** The other owners; none while every host owns the group, or this one doesn't, and then nothing is told or heard. */
+  get others (): readonly PoolHost[] {
+    return this.owners
+  }
+
+  among (others: readonly PoolHost[]): void {
+    this.owners = others
+    this.board = this.board.among(others.map(({ id }) => id))
+  }
+
+  at (endpoint: EndpointId, now: Instant): ReturnType<OthersLoad['at']> {
+    return this.board.at(endpoint, now)
+  }
+
+  heard (report: Report, now: Instant): void {
+    this.board = this.board.with(report, now)
+  }
+
+  /** Drops what counts no more, and tells which owners went silent with load since this was last asked. */
+  lapse (now: Instant): readonly HostId[] {
+    const silent = this.board.silent(now)
+    this.board = this.board.current(now)
+    return silent
+  }
+
+  /** As if no report had come. */
+  forget (): void {
+    this.board = LoadBoard.empty.among(this.owners.map(({ id }) => id))
+  }
+
+  /** Whether to tell the others now; a yes counts as told. */
+  take (loads: readonly EndpointLoad[], now: Instant): boolean {
+    if (!this.told.isDue(loads, this.owners.length, now)) return false
+    this.told = this.told.with(loads, now)
+    return true
+  }
+}
--- a/src/shell/pool/metrics.ts
+++ b/src/shell/pool/metrics.ts
@@ -34,6 +34,7 @@
   })
 
   readonly tokenAsks = new Counter({ name: 'agatepond_token_asks_total', help: 'Questions for tokens of teams, by outcome', labelNames: ['outcome'] as const, registers: [this.registry] })
+  readonly loadReports = new Counter({ name: 'agatepond_load_reports_total', help: 'Reports of load between owners of a group, by what became of them here', labelNames: ['what'] as const, registers: [this.registry] })
   readonly sessions = new Gauge({ name: 'agatepond_sessions', help: 'Open sessions of callers', registers: [this.registry] })
   readonly passedOn = new Counter({ name: 'agatepond_sessions_passed_on_total', help: 'Sessions handed to a host that has connections for them', registers: [this.registry] })
   readonly configVersion = new Gauge({ name: 'agatepond_config_version', help: 'Version of the configuration in force', registers: [this.registry] })
