Places at an endpoint are counted on this host, and statements and openings wait for them in order

Cause: all owners of a group together have several times as many connections as an endpoint has places, so the queue stood in the endpoint, first come first served, where nobody knows classes or teams, and openings took places from statements. Change: a gate before each endpoint's places, with a limit shared between owners by demand; off where owners aren't picked.

--- /dev/null
+++ b/src/core/pool/load/placegate.ts
@@ -0,0 +1,199 @@
+/**
+ * The queue before one endpoint's places on this host.
+ *
+ * An endpoint works on a few statements at a time and queues more, first come
+ * first served, where nobody knows classes or callers. So this host sends it no
+ * more than its part of the places and keeps the rest here, in order: class by
+ * class, within a class transactions that have begun first, then fair by caller.
+ */
+
+import { classes } from '../../admission/classes.ts'
+import { ServiceTime } from '../../admission/servicetime.ts'
+import type { Instant } from '../../id/instant.ts'
+import type { PlaceAction } from './placeaction.ts'
+import type { PlaceEvent } from './placeevent.ts'
+import { PlaceLine } from './placeline.ts'
+import type { PlaceOrder } from './placeorder.ts'
+
+interface Held {
+  readonly order: PlaceOrder
+  readonly since: Instant
+  /** What its caller was charged at the start, until the true time is known. */
+  readonly charged: number
+}
+
+/** One start in so many goes to a lower class that waits, so that none starves. */
+const TURNS = 16
+/**
+ * Openings hold at most this part of the places, and get at most this part of the starts while statements wait. Without a bound a queue makes
+ * callers lack connections, and the openings for these make the queue longer.
+ */
+const OPENING_SHARE = 1 / 4
+/** So many times the mean gap between two starts counts as a stall. */
+const STALL = 8
+/** What waits is given up only when even this share of the estimated wait is too long: estimates swing. */
+const HOPELESS = 0.5
+
+/** Changes in place: it's stepped twice a statement, and its queues would be copied each time. */
+export class PlaceGate {
+  private readonly lines = classes.map(() => PlaceLine.create())
+  private readonly openingTime = ServiceTime.create()
+  /** Starts of others since the class had one while it waited. */
+  private readonly passed = classes.map(() => 0)
+  private readonly orders = new Map<number, PlaceOrder>()
+  private readonly held = new Map<number, Held>()
+  private openings = 0
+  /** Starts of statements since the last opening. */
+  private sinceOpening = Infinity
+  /** Since when some wait and none has started. */
+  private stuckSince = 0 as Instant
+  private limit = 1
+  private actions: PlaceAction[] = []
+
+  private constructor () {}
+
+  static create (): PlaceGate {
+    return new PlaceGate()
+  }
+
+  /** Statements and openings at the endpoint. */
+  get atWork (): number {
+    return this.held.size
+  }
+
+  get waiting (): number {
+    return this.orders.size
+  }
+
+  /** `limit`: places that this host may use now. */
+  step (event: PlaceEvent, limit: number, now: Instant): readonly PlaceAction[] {
+    this.actions = []
+    this.limit = limit
+    const ahead = event.kind === 'arrived' ? this.line(event.order).aheadOf(event.order) : 0
+    this.take(event, now)
+    this.startAll(now)
+    if (event.kind === 'arrived') this.reconsider(event.order, ahead, now)
+    return this.actions
+  }
+
+  /** How long an opening holds a place, in milliseconds. */
+  openingMs (now: Instant): number {
+    return this.openingTime.at(now)
+  }
+
+  private take (event: PlaceEvent, now: Instant): void {
+    switch (event.kind) {
+      case 'arrived':
+        if (this.orders.size === 0) this.stuckSince = now
+        this.orders.set(event.order.id, event.order)
+        return this.line(event.order).push(event.order)
+      case 'finished': return this.finished(event.id, event.ending, now)
+      case 'cancelled': return this.drop(this.orders.get(event.id))
+      case 'unreachable':
+        for (const order of [...this.orders.values()]) this.refuse(order)
+        return
+      case 'tick': return this.sweep(now)
+    }
+  }
+
+  private finished (id: number, ending: 'answered' | 'cutOff' | 'notSent', now: Instant): void {
+    const held = this.held.get(id)
+    if (held === undefined) return
+    const { order, since, charged } = held
+    this.held.delete(id)
+    if (order.what === 'opening') this.openings--
+    const ms = now - since
+    const time = this.timeOf(order)
+    if (ending === 'answered') time.add(ms, now)
+    if (ending === 'cutOff') time.addCutOff(ms, now)
+    this.line(order).charge(order.caller, ms - charged)
+  }
+
+  private startAll (now: Instant): void {
+    while (this.held.size < this.limit) {
+      const order = this.next()
+      if (order === undefined) return
+      this.drop(order)
+      const charged = this.timeOf(order).at(now)
+      if (charged > order.deadline - now) this.actions.push({ kind: 'refuse', id: order.id })
+      else this.start(order, charged, now)
+    }
+  }
+
+  private start (order: PlaceOrder, charged: number, now: Instant): void {
+    this.line(order).charge(order.caller, charged)
+    this.held.set(order.id, { order, since: now, charged })
+    if (order.what === 'opening') {
+      this.openings++
+      this.sinceOpening = 0
+    } else this.sinceOpening++
+    this.passed[order.rank] = 0
+    for (let lower = order.rank + 1; lower < classes.length; lower++) {
+      this.passed[lower] = this.lines[lower]!.size > 0 ? this.passed[lower]! + 1 : 0
+    }
+    this.stuckSince = now
+    this.actions.push({ kind: 'start', id: order.id })
+  }
+
+  private next (): PlaceOrder | undefined {
+    const mayOpen = this.mayOpen()
+    for (let rank = classes.length - 1; rank > 0; rank--) {
+      const owed = this.passed[rank]! >= TURNS ? this.lines[rank]!.peek(mayOpen) : undefined
+      if (owed !== undefined) return owed
+    }
+    for (const line of this.lines) {
+      const order = line.peek(mayOpen)
+      if (order !== undefined) return order
+    }
+    return undefined
+  }
+
+  private mayOpen (): boolean {
+    if (this.openings >= Math.max(1, Math.floor(this.limit * OPENING_SHARE))) return false
+    return this.sinceOpening + 1 >= 1 / OPENING_SHARE || this.lines.every(({ statements }) => statements === 0)
+  }
+
+  /** Refuses an order that has just come and waits, if it's known that it can't be done in its time. */
+  private reconsider (order: PlaceOrder, ahead: number, now: Instant): void {
+    if (!this.orders.has(order.id)) return
+    if (this.waitMs(order, ahead, now) + this.timeOf(order).at(now) > order.deadline - now) this.refuse(order)
+  }
+
+  /** Gives up what can't make its deadline any more: with an endpoint that hangs, no place comes back and nothing else would end the wait. */
+  private sweep (now: Instant): void {
+    for (const line of this.lines) {
+      line.tidy()
+      const late = [...line.inTurn()].filter(([order, ahead]) =>
+        this.waitMs(order, ahead, now) * HOPELESS + this.timeOf(order).at(now) > order.deadline - now)
+      for (const [order] of late) this.refuse(order)
+    }
+  }
+
+  /** The time until an order with so many of its class ahead gets a place. */
+  private waitMs (order: PlaceOrder, ahead: number, now: Instant): number {
+    let work = ahead * this.line(order).service.at(now)
+    for (let higher = 0; higher < order.rank; higher++) work += this.lines[higher]!.size * this.lines[higher]!.service.at(now)
+    // A class that is passed over has its turns nevertheless.
+    const ownTurns = (ahead + 1) * TURNS * this.line(order).service.at(now)
+    return Math.max(Math.min(work, ownTurns) / this.limit, (ahead + 1) * (now - this.stuckSince) / STALL)
+  }
+
+  private refuse (order: PlaceOrder): void {
+    this.drop(order)
+    this.actions.push({ kind: 'refuse', id: order.id })
+  }
+
+  private drop (order: PlaceOrder | undefined): void {
+    if (order === undefined) return
+    this.orders.delete(order.id)
+    this.line(order).remove(order)
+  }
+
+  private line ({ rank }: PlaceOrder): PlaceLine {
+    return this.lines[rank]!
+  }
+
+  private timeOf (order: PlaceOrder): ServiceTime {
+    return order.what === 'opening' ? this.openingTime : this.line(order).service
+  }
+}
--- /dev/null
+++ b/src/core/pool/load/placelimit.ts
@@ -0,0 +1,94 @@
+/** How many of an endpoint's places this host may use now. */
+
+import type { Instant } from '../../id/instant.ts'
+import type { OthersLoad } from './othersload.ts'
+
+type Others = ReturnType<OthersLoad['at']>
+
+/** Beside the places that work, so many may be on their way there, so that no place idles for a round trip. */
+const SPARE = 2
+/** How fast the mean of this host's own demand follows: a few statements' time. Milliseconds. */
+const FOLLOW_MS = 50
+/** Within this time an owner that is due one place and a half has one for half of it and two for the other. Milliseconds. */
+const PERIOD_MS = 40
+/** Against owners that aren't heard: after a refusal for want of room this host uses half as much, */
+const BACK_OFF = 0.5
+/** at most once within the time in which what it sent before is answered, */
+const BACK_OFF_EVERY_MS = 100
+/** and one place more each time this passes while some wait. */
+const CLIMB_EVERY_MS = 200
+
+/**
+ * The places, and some to spare, are shared between the owners of a group by their demand, as their reports tell it. An owner with demand has
+ * at least an equal share, so that one owner's long queue doesn't stop the others; while all that is asked fits, each has what the others leave.
+ *
+ * Owners whose reports don't come may be there all the same. So each host has a ceiling of its own as well, which starts at half of what there
+ * is, is halved when the endpoint refuses for want of room, and climbs back while some wait. Changes in place: it's asked with every statement.
+ */
+export class PlaceLimit {
+  private ceiling: number
+  private mean = 0
+  private last = 0
+  private countedAt: Instant
+  private climbedAt: Instant
+  private backedOffAt = -Infinity as Instant
+
+  private constructor (private places: number, private readonly phase: number, now: Instant) {
+    this.ceiling = Math.ceil(this.capacity / 2)
+    this.countedAt = now
+    this.climbedAt = now
+  }
+
+  /** `phase`: chance in [0, 1), so that owners that are due parts of a place don't take them at one moment. */
+  static create (places: number, phase: number, now: Instant): PlaceLimit {
+    return new PlaceLimit(places, phase, now)
+  }
+
+  /** The endpoint tells another number of places. */
+  resize (places: number): void {
+    this.places = places
+    this.ceiling = Math.min(this.ceiling, this.capacity)
+  }
+
+  /** `demand`: what this host has at the endpoint and waiting for it. At least 1. */
+  at (demand: number, others: Others, now: Instant): number {
+    this.follow(demand, now)
+    this.climb(demand, now)
+    const due = Math.min(this.ceiling, this.shareOf(Math.max(demand, this.mean), others))
+    const turn = (now / PERIOD_MS + this.phase) % 1
+    return Math.max(1, Math.floor(due + turn))
+  }
+
+  /** The endpoint refused something for want of room. */
+  shed (now: Instant): void {
+    if (now - this.backedOffAt < BACK_OFF_EVERY_MS) return
+    this.backedOffAt = now
+    this.climbedAt = now
+    this.ceiling = Math.max(1, this.ceiling * BACK_OFF)
+  }
+
+  private get capacity (): number {
+    return this.places + SPARE
+  }
+
+  private shareOf (own: number, { owners, atWork, waiting }: Others): number {
+    const { capacity } = this
+    const theirs = atWork + waiting
+    if (own + theirs <= capacity) return capacity - theirs
+    const equal = capacity / (owners + 1)
+    return Math.max(Math.min(own, equal), capacity * own / (own + theirs))
+  }
+
+  private follow (demand: number, now: Instant): void {
+    const kept = Math.exp(-(now - this.countedAt) / FOLLOW_MS)
+    this.mean = this.last + (this.mean - this.last) * kept
+    this.last = demand
+    this.countedAt = now
+  }
+
+  private climb (demand: number, now: Instant): void {
+    if (now - this.climbedAt < CLIMB_EVERY_MS) return
+    this.climbedAt = now
+    if (demand > this.ceiling) this.ceiling = Math.min(this.capacity, this.ceiling + 1)
+  }
+}
--- /dev/null
+++ b/src/core/pool/load/placeorder.ts
@@ -0,0 +1,16 @@
+/** What waits for a place at an endpoint. */
+
+import type { CallerId } from '../../id/caller.ts'
+import type { Instant } from '../../id/instant.ts'
+
+export interface PlaceOrder {
+  /** Unique among those that wait or are at work. */
+  readonly id: number
+  /** Index in `classes`: 0 for the most urgent. */
+  readonly rank: number
+  /** The team, or the database where nobody needs a key: who shares fairly with others. */
+  readonly caller: CallerId
+  readonly deadline: Instant
+  /** `next`: a further statement of a transaction that has begun; `first`: any other statement; `opening`: a new connection. */
+  readonly what: 'next' | 'first' | 'opening'
+}
--- /dev/null
+++ b/src/core/pool/load/teamuse.ts
@@ -0,0 +1,42 @@
+/** How much each team uses the connections to one endpoint. */
+
+import type { TeamId } from '../../id/team.ts'
+import type { Instant } from '../../id/instant.ts'
+
+interface Use {
+  readonly count: number
+  readonly at: Instant
+}
+
+/** A use counts half after so long: longer than a transaction, shorter than a team stays busy. Milliseconds. */
+const HALF_LIFE_MS = 2000
+/** A team whose uses have faded to this isn't kept in mind. */
+const FADED = 0.01
+
+/** Changes in place: it's touched by every operation. */
+export class TeamUse {
+  private readonly uses = new Map<TeamId, Use>()
+
+  private constructor () {}
+
+  static create (): TeamUse {
+    return new TeamUse()
+  }
+
+  add (team: TeamId, now: Instant): void {
+    this.uses.set(team, { count: this.of(team, now) + 1, at: now })
+  }
+
+  /** Uses of the team, older ones counted less; 0 for this process's own connections. */
+  of (team: TeamId | undefined, now: Instant): number {
+    const use = team === undefined ? undefined : this.uses.get(team)
+    return use === undefined ? 0 : use.count * 0.5 ** ((now - use.at) / HALF_LIFE_MS)
+  }
+
+  /** Forgets teams that haven't come for long, so that the table doesn't grow with all teams ever seen. */
+  tidy (now: Instant): void {
+    for (const team of this.uses.keys()) {
+      if (this.of(team, now) < FADED) this.uses.delete(team)
+    }
+  }
+}
--- a/src/shell/log/events.ts
+++ b/src/shell/log/events.ts
@@ -68,5 +68,9 @@
   batchFailed: { id: 7002, level: 'warn', message: 'a batch of audit records could not be stored' },
   recordsDropped: { id: 7003, level: 'warn', message: 'dropped audit records for want of room' },
   recordsLost: { id: 7004, level: 'error', message: 'ended without storing audit records' },
-  batchesRemoved: { id: 7005, level: 'warn', message: 'took the oldest batches of audit records from a full store' }
+  batchesRemoved: { id: 7005, level: 'warn', message: 'took the oldest batches of audit records from a full store' },
+
+  endpointFull: { id: 8001, level: 'warn', message: 'an endpoint refuses statements for want of room; this host sends fewer at a time' },
+  placesRefused: { id: 8002, level: 'info', message: 'statements or openings could not have a place at an endpoint in their time' },
+  placesChanged: { id: 8003, level: 'info', message: 'an endpoint tells another number of places' }
 } as const satisfies Record<string, Event>
--- a/src/shell/pool/group.ts
+++ b/src/shell/pool/group.ts
@@ -8,6 +8,8 @@
 import type { GroupId } from '../../core/id/group.ts'
 import type { Instant } from '../../core/id/instant.ts'
 import { Directory as Endpoints } from '../../core/directory/directory.ts'
+import type { EndpointLoad } from '../../core/pool/load/endpointload.ts'
+import { unheard } from '../../core/pool/load/unheard.ts'
 import { readCandidates } from '../../core/pool/reads/candidates.ts'
 import { Contact } from '../../core/pool/succession/contact.ts'
 import type { Handover } from '../../core/pool/succession/handover.ts'
@@ -24,6 +26,7 @@
 import type { Dealt } from './lending/dealt.ts'
 import type { DialFault } from './lending/dialfault.ts'
 import { Lender } from './lending/lender.ts'
+import { Places } from './lending/places.ts'
 import type { PoolMetrics } from './metrics.ts'
 import { Waiters } from './waiters.ts'
 import { Watchers } from './watchers.ts'
@@ -126,6 +129,7 @@
       const old = before.get(id)
       if (old !== undefined && old.bornAt !== bornAt) this.forget(id)
     }
+    for (const { id, places } of this.endpoints) this.lenders.get(id)?.resize(this.dealt, places)
     const ids = new Set(this.endpoints.map(({ id }) => id))
     for (const id of this.lenders.keys()) {
       if (!ids.has(id) && id !== this.leader) this.forget(id)
@@ -137,7 +141,7 @@
     const { connections, isOwner } = dealt
     if (connections !== this.dealt.connections) this.options.log.write('shareDealt', { group: this.id, connections, isOwner })
     this.dealt = dealt
-    for (const lender of this.lenders.values()) lender.resize(connections)
+    for (const [id, lender] of this.lenders) lender.resize(dealt, this.directory.get(id)?.places ?? lender.endpoint.places)
   }
 
   handOver (handover: Handover): void {
@@ -156,13 +160,19 @@
     const endpoint = this.directory.get(id)
     if (endpoint === undefined) return undefined
     const { dialer, chance, startedAt } = this.options
-    const { connections, hasRoom } = this.dealt
+    const { dealt, dealt: { hasRoom }, options: { log, metrics } } = this
+    const count = (places: number, queued: () => number) => Places.create({ endpoint: id, places, queued, others: unheard, log, metrics, chance })
     const onDialled = (outcome: 'opened' | DialFault) => this.dialled(id, outcome)
-    const lender = Lender.create({ endpoint, dialer, chance, thrift: hasRoom ? Thrift.none : Thrift.started(startedAt), connections, onDialled })
+    const lender = Lender.create({ endpoint, dialer, chance, thrift: hasRoom ? Thrift.none : Thrift.started(startedAt), dealt, count, onDialled })
     this.lenders.set(id, lender)
     return lender
   }
 
+  /** What this host has at the group's endpoints, as far as it counts that. */
+  get loads (): readonly EndpointLoad[] {
+    return [...this.lenders.values()].flatMap(({ load }) => load ?? [])
+  }
+
   /** Where a read may go whose log must hold the position, the best first. `team`: whose connections serve it. */
   readers (position: Token, team: TeamId | undefined): readonly EndpointId[] {
     const now = clock.now()
--- a/src/shell/pool/lending/attempt.ts
+++ b/src/shell/pool/lending/attempt.ts
@@ -5,9 +5,11 @@
 import type { Answer } from '../../../core/statement/answer.ts'
 import type { Command } from '../../../core/statement/command.ts'
 import type { Gate } from '../access/gate.ts'
+import { clock } from '../clock.ts'
 import type { PoolGroup } from '../group.ts'
 import type { EndpointLink } from './link.ts'
 import type { Loans } from './loans.ts'
+import type { PlaceTicket } from './placeticket.ts'
 
 /** A connection on loan, with what it belongs to. */
 export class Attempt {
@@ -28,8 +30,33 @@
    * endpoint leads.
    */
   async ask (commands: readonly Command[], index: number, timeoutMs: number, isLead: boolean): Promise<Answer | Ending> {
-    const refused = commands.some(isCallers) ? this.gate?.check() : undefined
-    if (refused !== undefined) return refused
+    const isOwn = !commands.some(isCallers)
+    const began = clock.now()
+    const ticket = isOwn ? undefined : this.loans.enter(this.link, timeoutMs)
+    if (ticket !== undefined && !await this.isLetOut(ticket, timeoutMs)) return 'busy'
+    const refused = isOwn ? undefined : this.gate?.check()
+    if (refused !== undefined) {
+      ticket?.giveBack('notSent')
+      return refused
+    }
+    const leftMs = ticket === undefined ? timeoutMs : timeoutMs - (clock.now() - began)
+    const answer = await this.send(commands, index, leftMs, isLead)
+    ticket?.giveBack(typeof answer === 'string' ? answer : 'done')
+    return answer
+  }
+
+  /**
+   * Whether the statement has its place in time, and still its connection. One whose connection ended while it waited was never sent: that is
+   * "not run", where a connection that ends later leaves a write in doubt.
+   */
+  private async isLetOut (ticket: PlaceTicket, timeoutMs: number): Promise<boolean> {
+    const until = clock.now() + timeoutMs
+    if (await ticket.granted && this.link.isOpen && clock.now() < until) return true
+    ticket.giveBack('notSent')
+    return false
+  }
+
+  private async send (commands: readonly Command[], index: number, timeoutMs: number, isLead: boolean): Promise<Answer | Ending> {
     this.group.asked(this.endpoint)
     const { answers, lost } = await this.link.ask(commands, timeoutMs)
     const answer = answers[index]
--- a/src/shell/pool/lending/detour.ts
+++ b/src/shell/pool/lending/detour.ts
@@ -14,6 +14,11 @@
     return new Detour({ id: host.id as unknown as Endpoint['id'] })
   }
 
+  /** The other host looks after the places, since it's the one that sends the statement there. */
+  enter (): undefined {
+    return undefined
+  }
+
   giveBack (link: EndpointLink): void {
     link.close()
   }
--- a/src/shell/pool/lending/idlelinks.ts
+++ b/src/shell/pool/lending/idlelinks.ts
@@ -71,4 +71,16 @@
   takeOldest (): EndpointLink | undefined {
     return this.links.shift()
   }
+
+  /** One of the team whose unused connections serve least, each taking its part; the one that is unused for the longest time among equals. */
+  takeLeast (useOf: (team: TeamId | undefined) => number): EndpointLink | undefined {
+    const counts = new Map<TeamId | undefined, number>()
+    for (const link of this.links) counts.set(this.teams.get(link), (counts.get(this.teams.get(link)) ?? 0) + 1)
+    const partOf = (link: EndpointLink) => useOf(this.teams.get(link)) / counts.get(this.teams.get(link))!
+    let least = 0
+    for (let i = 1; i < this.links.length; i++) {
+      if (partOf(this.links[i]!) < partOf(this.links[least]!)) least = i
+    }
+    return this.links.splice(least, 1)[0]
+  }
 }
--- a/src/shell/pool/lending/lender.ts
+++ b/src/shell/pool/lending/lender.ts
@@ -9,14 +9,20 @@
 import type { CallerId } from '../../../core/id/caller.ts'
 import type { TeamId } from '../../../core/id/team.ts'
 import type { Instant } from '../../../core/id/instant.ts'
+import type { EndpointLoad } from '../../../core/pool/load/endpointload.ts'
+import { TeamUse } from '../../../core/pool/load/teamuse.ts'
 import { Thrift } from '../../../core/pool/placing/thrift.ts'
 import type { Values } from '../../../core/session/values.ts'
 import { clock } from '../clock.ts'
+import type { Dealt } from './dealt.ts'
 import type { Dialer } from './dialer.ts'
 import type { DialFault } from './dialfault.ts'
 import { IdleLinks } from './idlelinks.ts'
 import type { EndpointLink } from './link.ts'
 import type { Loans } from './loans.ts'
+import { Openings } from './openings.ts'
+import type { Places } from './places.ts'
+import type { PlaceTicket } from './placeticket.ts'
 
 interface Wish {
   readonly rank: number
@@ -37,15 +43,26 @@
 }
 
 interface Waiter {
+  readonly id: number
   readonly wish: Wish
   readonly deadline: Instant
   readonly answer: (result: Result<EndpointLink, Refusal>) => void
 }
 
+interface Loan {
+  readonly id: number
+  readonly wish: Wish
+  readonly since: Instant
+  /** Its last order for a place at the endpoint; undefined before the first. */
+  ticket?: PlaceTicket
+}
+
 interface Options {
   readonly endpoint: Endpoint
   readonly dialer: Dialer
-  readonly connections: number
+  readonly dealt: Dealt
+  /** Begins to count this host's part of so many places of the endpoint. */
+  readonly count: (places: number, queued: () => number) => Places
   readonly chance: () => number
   /** Whether connections are scarce as it begins. */
   readonly thrift: Thrift
@@ -63,7 +80,7 @@
 export class Lender implements Loans {
   private readonly admission: Admission
   private readonly idle = IdleLinks.create()
-  private readonly loans = new Map<EndpointLink, number>()
+  private readonly loans = new Map<EndpointLink, Loan>()
   private readonly waiting = new Map<number, Waiter>()
   private nextId = 1
   /** Unused connections that are given up unless they are lent before. */
@@ -72,21 +89,27 @@
   private isClosed = false
   private limit: number
   private thrift: Thrift
+  /** Undefined where every host connects by itself, and where the endpoint doesn't tell its places. */
+  private places: Places | undefined
+  private readonly openings = Openings.create<Waiter>()
+  private readonly use = TeamUse.create()
 
   private constructor (private readonly options: Options) {
-    this.limit = options.connections
+    const { dealt: { connections, hasRoom }, endpoint } = options
+    this.limit = connections
     this.thrift = options.thrift
-    this.admission = Admission.create(limitsOf(options.connections))
+    this.admission = Admission.create(limitsOf(connections))
+    this.countPlaces(hasRoom ? endpoint.places : undefined)
   }
 
   static create (options: Options): Lender {
     return new Lender(options)
   }
 
-  /** What an operation that comes now would find: those that wait, and 1 when no connection is free or can be opened. */
+  /** What an operation that comes now would find: those that wait for a connection or a place, and 1 when no connection is free or can be opened. */
   get queued (): number {
     const { idle, running, pending } = this.admission.counts
-    return this.admission.queued + (idle === 0 && running + pending >= this.limit ? 1 : 0)
+    return this.admission.queued + (this.places?.waiting ?? 0) + (idle === 0 && running + pending >= this.limit ? 1 : 0)
   }
 
   /** Whether a connection of the team is unused. */
@@ -98,8 +121,23 @@
     return this.options.endpoint
   }
 
-  /** Takes another share of the endpoint's connections. */
-  resize (connections: number): void {
+  /** What this host has at the endpoint; undefined where it doesn't count that. */
+  get load (): EndpointLoad | undefined {
+    return this.places?.load()
+  }
+
+  enter (link: EndpointLink, leftMs: number): PlaceTicket | undefined {
+    const loan = this.loans.get(link)
+    if (loan === undefined || this.places === undefined) return undefined
+    const { rank, caller, isTransaction } = loan.wish
+    const what = isTransaction && loan.ticket !== undefined ? 'next' : 'first'
+    loan.ticket = this.places.enter({ rank, caller, what, leftMs })
+    return loan.ticket
+  }
+
+  /** Takes another share of the endpoint's connections. `places`: as the endpoint tells. */
+  resize ({ connections, hasRoom }: Dealt, places: number | undefined): void {
+    this.countPlaces(hasRoom ? places : undefined)
     if (connections === this.limit) return
     this.limit = connections
     this.admission.resize(limitsOf(connections))
@@ -109,18 +147,22 @@
   /** Resolves always: a connection that nobody else uses until it's given back, or why there is none. */
   async borrow (wish: Wish): Promise<Result<EndpointLink, Refusal>> {
     if (this.isClosed) return err({ reason: 'unreachable', retryAfterMs: 0 })
-    return await new Promise(resolve => this.enqueue({ wish, deadline: clock.now() + wish.leftMs as Instant, answer: resolve }))
+    return await new Promise(resolve => this.enqueue({ id: this.nextId++, wish, deadline: clock.now() + wish.leftMs as Instant, answer: resolve }))
   }
 
   giveBack (link: EndpointLink): void {
-    const id = this.loans.get(link)
-    if (id === undefined) return
+    const loan = this.loans.get(link)
+    if (loan === undefined) return
+    const { id, wish: { team }, since } = loan
     this.loans.delete(link)
+    this.openings.held(clock.now() - since)
     const isUsable = link.isOpen && !link.isInTransaction && !this.isClosed && this.admission.open <= this.limit
-    if (isUsable) this.idle.add(link)
+    const next = isUsable ? this.openings.next(team) : undefined
+    if (next !== undefined) this.lend(link, next)
+    else if (isUsable) this.idle.add(link)
     else link.close()
     this.step({ kind: 'finished', id, isUsable })
-    if (isUsable) this.letRest(link)
+    if (isUsable && next === undefined) this.letRest(link)
   }
 
   /**
@@ -139,11 +181,15 @@
       this.step({ kind: 'cancelled', id })
       waiter.answer(err({ reason: 'unreachable', retryAfterMs: OUT_MS }))
     }
+    this.places?.refuseWaiting()
+    this.refuseParked(OUT_MS)
   }
 
   close (): void {
     this.isClosed = true
     clearInterval(this.timer)
+    this.places?.close()
+    this.refuseParked(0)
     this.distrust()
     for (const [id, waiter] of this.waiting) {
       this.waiting.delete(id)
@@ -152,8 +198,7 @@
   }
 
   private enqueue (waiter: Waiter): void {
-    const id = this.nextId++
-    const { wish: { rank, caller, isTransaction }, deadline } = waiter
+    const { id, wish: { rank, caller, isTransaction }, deadline } = waiter
     this.waiting.set(id, waiter)
     this.step({ kind: 'arrived', request: { id, rank, caller: caller as CallerId, deadline, isTransaction } })
   }
@@ -176,12 +221,13 @@
     if (waiter === undefined) return this.step({ kind: 'finished', id: action.id, isUsable: true })
     const { team, values } = waiter.wish
     const link = this.idle.take(team, values)
-    if (link === undefined) this.openFor(action.id, waiter)
-    else this.lend(link, action.id, waiter)
+    if (link === undefined) this.openFor(waiter)
+    else this.lend(link, waiter)
   }
 
-  private lend (link: EndpointLink, id: number, { answer }: Waiter): void {
-    this.loans.set(link, id)
+  private lend (link: EndpointLink, { id, wish, answer }: Waiter): void {
+    this.loans.set(link, { id, wish, since: clock.now() })
+    if (wish.team !== undefined) this.use.add(wish.team, clock.now())
     clearTimeout(this.resting.get(link))
     this.resting.delete(link)
     answer(ok(link))
@@ -191,22 +237,39 @@
   private open (): void {
     const [first] = this.waiting.values()
     if (first?.wish.team !== undefined) return this.step({ kind: 'opened', isVacant: true })
-    this.dial(undefined).then(dialled => {
+    this.openForAny(first).then(dialled => {
       if (dialled.isErr()) return this.notOpened(dialled.error)
       this.idle.add(dialled.value)
       this.step({ kind: 'opened' })
     })
   }
 
+  /** Takes a place for the opening at the class of the first that waits; without one in time the endpoint counts as full. */
+  private async openForAny (first: Waiter | undefined): Promise<Result<EndpointLink, DialFault>> {
+    const { places } = this
+    if (places === undefined || first === undefined) return await this.dial(undefined)
+    const { wish: { rank, caller }, deadline } = first
+    const ticket = places.enter({ rank, caller, what: 'opening', leftMs: deadline - clock.now() })
+    if (!await ticket.granted) return err('tooManyConnections')
+    const dialled = await this.dial(undefined)
+    ticket.giveBack(endingOf(dialled))
+    return dialled
+  }
+
   /**
-   * Opens a connection for a request that was started without one of its team. Where no room is left, that of the connection that was
-   * unused for the longest time is taken: closing it costs nothing, while its team may not come back for long.
+   * Opens a connection for a request that was started without one of its team. Where no room is left, that of a connection which
+   * nobody uses is taken.
    */
-  private async openFor (id: number, waiter: Waiter): Promise<void> {
+  private async openFor (waiter: Waiter): Promise<void> {
+    const { places } = this
+    const ticket = places === undefined ? undefined : await this.turnToOpen(places, waiter)
+    if (places !== undefined && ticket === undefined) return
+    const { id } = waiter
     if (this.idle.size > this.admission.counts.idle) this.makeRoom()
     const dialled = await this.dial(waiter.wish.team)
+    ticket?.giveBack(endingOf(dialled))
     if (dialled.isOk()) {
-      this.lend(dialled.value, id, waiter)
+      this.lend(dialled.value, waiter)
       return this.step({ kind: 'dialled' })
     }
     this.step({ kind: 'finished', id, isUsable: false })
@@ -220,13 +283,38 @@
     this.thrift = this.thrift.refused(clock.now())
     this.step({ kind: 'dialRefused' })
     if (this.isClosed) return waiter.answer(err({ reason: 'unreachable', retryAfterMs: 0 }))
-    this.enqueue(waiter)
+    this.enqueue({ ...waiter, id: this.nextId++ })
   }
 
   private makeRoom (): void {
     const { open, counts } = this.admission
     if (open + counts.pending < this.limit) this.step({ kind: 'added' })
-    else this.idle.takeOldest()?.close()
+    else if (this.places === undefined) this.idle.takeOldest()?.close()
+    else this.idle.takeLeast(team => this.use.of(team, clock.now()))?.close()
+  }
+
+  /** Resolves with a place for the opening; undefined once the request is served or refused without. */
+  private async turnToOpen (places: Places, waiter: Waiter): Promise<PlaceTicket | undefined> {
+    const { id, wish: { team }, answer } = waiter
+    const own = [...this.loans.values()].filter(({ wish }) => wish.team === team).length
+    const hasRoom = this.admission.open + this.admission.counts.pending < this.limit
+    const turn = await this.openings.turn(places, waiter, { own, openings: hasRoom ? 1 : 2 })
+    if (typeof turn !== 'string') return turn
+    if (turn === 'taken') return undefined
+    this.step({ kind: 'finished', id, isUsable: true })
+    answer(err({ reason: 'busy', retryAfterMs: OUT_MS }))
+  }
+
+  private refuseParked (retryAfterMs: number): void {
+    for (const { id, answer } of this.openings.takeAll()) {
+      this.step({ kind: 'finished', id, isUsable: true })
+      answer(err({ reason: 'unreachable', retryAfterMs }))
+    }
+  }
+
+  private countPlaces (places: number | undefined): void {
+    if (places !== undefined && this.places !== undefined) this.places.resize(places)
+    else this.places = places === undefined ? undefined : this.options.count(places, () => this.admission.queued)
   }
 
   private async dial (team: TeamId | undefined): Promise<Result<EndpointLink, DialFault>> {
@@ -259,6 +347,7 @@
   }
 
   private ended (link: EndpointLink): void {
+    this.loans.get(link)?.ticket?.cancel()
     if (this.idle.remove(link)) this.step({ kind: 'lost', count: 1 })
   }
 
@@ -279,6 +368,12 @@
   }
 }
 
+/** How an opening counts for the place that it took. */
+function endingOf (dialled: Result<EndpointLink, DialFault>): 'done' | 'notSent' | 'broken' {
+  if (dialled.isOk()) return 'done'
+  return isFull(dialled.error) ? 'notSent' : 'broken'
+}
+
 /** An endpoint that takes no more connections lives, and has the next one free as soon as some host gives one back. */
 function isFull (fault: DialFault): boolean {
   return fault === 'tooManyConnections' || fault === 'turnedAway'
--- a/src/shell/pool/lending/loans.ts
+++ b/src/shell/pool/lending/loans.ts
@@ -2,9 +2,12 @@
 
 import type { Endpoint } from '../../../core/directory/endpoint.ts'
 import type { EndpointLink } from './link.ts'
+import type { PlaceTicket } from './placeticket.ts'
 
 export interface Loans {
   readonly endpoint: Pick<Endpoint, 'id'>
+  /** Asks for a place at the endpoint for a statement on the connection; undefined where none is needed. */
+  enter (link: EndpointLink, leftMs: number): PlaceTicket | undefined
   giveBack (link: EndpointLink): void
   /** One connection gave no answer in time, so the unused ones may be silent as well. */
   distrust (): void
--- /dev/null
+++ b/src/shell/pool/lending/openings.ts
@@ -0,0 +1,82 @@
+/** Whose turn it is to have a connection opened, where openings take places from statements. */
+
+import { setTimeout as pause } from 'node:timers/promises'
+import { ServiceTime } from '../../../core/admission/servicetime.ts'
+import type { Instant } from '../../../core/id/instant.ts'
+import type { TeamId } from '../../../core/id/team.ts'
+import { clock } from '../clock.ts'
+import { Parked } from './parked.ts'
+import type { Places } from './places.ts'
+import type { PlaceTicket } from './placeticket.ts'
+
+interface Request {
+  readonly wish: { readonly rank: number, readonly caller: string, readonly team: TeamId | undefined }
+  readonly deadline: Instant
+}
+
+interface Standing {
+  /** Connections of the team that are on loan. */
+  readonly own: number
+  /** Openings that come of it: its own, and that of the team whose connection is closed for it. */
+  readonly openings: number
+}
+
+/** `T`: a request, with what its owner needs to serve it. */
+export class Openings<T extends Request> {
+  private readonly parked = Parked.create<T>()
+  /** How long connections are on loan. */
+  private readonly holdTime = ServiceTime.create()
+
+  private constructor () {}
+
+  static create<T extends Request> (): Openings<T> {
+    return new Openings()
+  }
+
+  /** A connection of the team was on loan for so long, and is back: the request that gets it, if one waits. */
+  next (team: TeamId | undefined): T | undefined {
+    return this.parked.take(team)
+  }
+
+  held (ms: number): void {
+    this.holdTime.add(ms, clock.now())
+  }
+
+  /** Ends the wait of all. */
+  takeAll (): readonly T[] {
+    return this.parked.takeAll()
+  }
+
+  /**
+   * Resolves with a place for the opening, or once the request needs none: `taken`, as by a connection of its team that came back first,
+   * or `refused`, as there's no place in its time.
+   *
+   * Guard against teams that close each other's connections in turn: each opening takes a place from statements for about as long as a short
+   * one of them, so a queue brings openings, and these make it longer. A request therefore waits for its team's own connections for as
+   * long as opening one would cost, if they are expected back by then: that way it never costs more than twice the better of both.
+   */
+  async turn (places: Places, request: T, standing: Standing): Promise<PlaceTicket | 'taken' | 'refused'> {
+    const { wish: { team, rank, caller }, deadline } = request
+    const seat = this.parked.join(team, rank, request)
+    const waitMs = this.waitMs(team, places.openingMs, standing)
+    if (waitMs > 0) await Promise.race([seat.ended, pause(waitMs, undefined, { ref: false })])
+    if (seat.isTaken) return 'taken'
+    const ticket = places.enter({ rank, caller, what: 'opening', leftMs: deadline - clock.now() })
+    seat.ended.then(() => ticket.cancel())
+    const isGranted = await ticket.granted
+    if (seat.isTaken) {
+      ticket.giveBack('notSent')
+      return 'taken'
+    }
+    this.parked.leave(seat)
+    return isGranted ? ticket : 'refused'
+  }
+
+  /** How long the request waits for one of its team's connections before another is opened, in milliseconds. */
+  private waitMs (team: TeamId | undefined, openingMs: number, { own, openings }: Standing): number {
+    if (own === 0) return 0
+    const costMs = openings * openingMs
+    const expectedMs = this.holdTime.at(clock.now()) * this.parked.countOf(team) / own
+    return expectedMs <= costMs ? costMs : 0
+  }
+}
--- /dev/null
+++ b/src/shell/pool/lending/places.ts
@@ -0,0 +1,183 @@
+/** The places of one endpoint that this host may use, given out as the core decides. */
+
+import type { CallerId } from '../../../core/id/caller.ts'
+import type { EndpointId } from '../../../core/id/endpoint.ts'
+import type { Instant } from '../../../core/id/instant.ts'
+import { AnswerRecord } from '../../../core/pool/load/answerrecord.ts'
+import type { EndpointLoad } from '../../../core/pool/load/endpointload.ts'
+import type { OthersLoad } from '../../../core/pool/load/othersload.ts'
+import type { PlaceEvent } from '../../../core/pool/load/placeevent.ts'
+import { PlaceGate } from '../../../core/pool/load/placegate.ts'
+import { PlaceLimit } from '../../../core/pool/load/placelimit.ts'
+import type { PlaceOrder } from '../../../core/pool/load/placeorder.ts'
+import type { Ending } from '../../../core/pool/statements/ending.ts'
+import type { Log } from '../../log/log.ts'
+import { clock } from '../clock.ts'
+import type { PoolMetrics } from '../metrics.ts'
+import type { PlaceTicket } from './placeticket.ts'
+
+interface Options {
+  readonly endpoint: EndpointId
+  /** As the endpoint tells. */
+  readonly places: number
+  /** Those that wait for a connection, and so for a place after it. */
+  readonly queued: () => number
+  readonly others: OthersLoad
+  readonly log: Log
+  readonly metrics: PoolMetrics
+  readonly chance: () => number
+}
+
+interface Wish {
+  readonly rank: number
+  readonly caller: string
+  readonly what: PlaceOrder['what']
+  /** Milliseconds in which it's to be done. */
+  readonly leftMs: number
+}
+
+type Given = Ending | 'done' | 'notSent'
+type Settle = (isGranted: boolean) => void
+
+/** How often what waits is looked through, and the limit with it. */
+const TICK_MS = 10
+/** At most one line in this time says that the endpoint refuses for want of room, and one that something couldn't have a place in time. */
+const LINE_EVERY_MS = 5000
+/** Endings without an answer: the true time is longer than it was waited for. */
+const CUT_OFF: ReadonlySet<Given> = new Set<Given>(['broken', 'outOfTime'])
+/** Endings that speak against the endpoint. */
+const FAILED: ReadonlySet<Given> = new Set<Given>([...CUT_OFF, 'failed', 'timeout', 'unknown'])
+
+export class Places {
+  private readonly gate = PlaceGate.create()
+  private readonly limit: PlaceLimit
+  private readonly pending = new Map<number, Settle>()
+  private answers = AnswerRecord.empty
+  private nextId = 1
+  private timer: NodeJS.Timeout | undefined
+  private shedAt = -Infinity as Instant
+  private refusedAt = -Infinity as Instant
+  private refused = 0
+  private places: number
+
+  private constructor (private readonly options: Options) {
+    this.places = options.places
+    this.limit = PlaceLimit.create(options.places, options.chance(), clock.now())
+  }
+
+  static create (options: Options): Places {
+    return new Places(options)
+  }
+
+  /** Statements and openings that wait for a place, those without a connection left out. */
+  get waiting (): number {
+    return this.gate.waiting
+  }
+
+  /** What this host has at the endpoint. */
+  load (): EndpointLoad {
+    const { endpoint, queued } = this.options
+    const now = clock.now()
+    return { endpoint, atWork: this.gate.atWork, waiting: this.gate.waiting + queued(), answerMs: this.answers.answerMs(now), failing: this.answers.failing(now) }
+  }
+
+  /** How long an opening takes of a place, in milliseconds. */
+  get openingMs (): number {
+    return this.gate.openingMs(clock.now())
+  }
+
+  /** The endpoint tells another number of places. */
+  resize (places: number): void {
+    if (places === this.places) return
+    this.places = places
+    this.limit.resize(places)
+    this.options.log.write('placesChanged', { endpoint: this.options.endpoint, places })
+    this.step({ kind: 'tick' })
+  }
+
+  enter ({ rank, caller, what, leftMs }: Wish): PlaceTicket {
+    const id = this.nextId++
+    const since = clock.now()
+    let grantedAt: Instant | undefined
+    const granted = new Promise<boolean>(resolve => this.pending.set(id, isGranted => {
+      if (isGranted) grantedAt = clock.now()
+      this.options.metrics.placeSeconds.observe({ what }, (clock.now() - since) / 1000)
+      resolve(isGranted)
+    }))
+    this.step({ kind: 'arrived', order: { id, rank, caller: caller as CallerId, deadline: since + leftMs as Instant, what } })
+    const giveBack = (ending: Given) => {
+      if (grantedAt === undefined) return this.cancel(id)
+      this.gaveBack(id, ending, clock.now() - grantedAt)
+    }
+    return { granted, cancel: () => this.cancel(id), giveBack }
+  }
+
+  /** Tells all that wait that the endpoint is out of reach. */
+  refuseWaiting (): void {
+    this.step({ kind: 'unreachable' })
+  }
+
+  close (): void {
+    this.refuseWaiting()
+    clearInterval(this.timer)
+  }
+
+  private cancel (id: number): void {
+    const settle = this.pending.get(id)
+    if (settle === undefined) return
+    this.pending.delete(id)
+    this.step({ kind: 'cancelled', id })
+    settle(false)
+  }
+
+  private gaveBack (id: number, ending: Given, ms: number): void {
+    const now = clock.now()
+    if (ending === 'busy') this.shed(now)
+    else if (ending !== 'notSent') this.answers = this.answers.with(ms, FAILED.has(ending) ? 1 : 0, now)
+    const isSent = ending !== 'notSent' && ending !== 'busy'
+    this.step({ kind: 'finished', id, ending: !isSent ? 'notSent' : CUT_OFF.has(ending) ? 'cutOff' : 'answered' })
+  }
+
+  private step (event: PlaceEvent): void {
+    const { gate, options: { others, endpoint, queued } } = this
+    const now = clock.now()
+    const demand = gate.atWork + gate.waiting + queued() + (event.kind === 'arrived' ? 1 : 0)
+    const limit = this.limit.at(demand, others.at(endpoint, now), now)
+    for (const { kind, id } of gate.step(event, limit, now)) {
+      const settle = this.pending.get(id)
+      this.pending.delete(id)
+      if (kind === 'refuse') this.noteRefused(now)
+      settle?.(kind === 'start')
+    }
+    this.keepTicking()
+  }
+
+  /** The endpoint has more to do than it takes: other hosts are there too. */
+  private shed (now: Instant): void {
+    const { metrics, log, endpoint } = this.options
+    this.limit.shed(now)
+    metrics.placesShed.inc()
+    if (now - this.shedAt < LINE_EVERY_MS) return
+    this.shedAt = now
+    log.write('endpointFull', { endpoint, atWork: this.gate.atWork, waiting: this.gate.waiting })
+  }
+
+  private noteRefused (now: Instant): void {
+    const { metrics, log, endpoint } = this.options
+    metrics.placesRefused.inc()
+    this.refused++
+    if (now - this.refusedAt < LINE_EVERY_MS) return
+    log.write('placesRefused', { endpoint, count: this.refused, atWork: this.gate.atWork, waiting: this.gate.waiting })
+    this.refusedAt = now
+    this.refused = 0
+  }
+
+  /** The timer runs only while something waits. */
+  private keepTicking (): void {
+    const isNeeded = this.gate.waiting > 0
+    if (isNeeded && this.timer === undefined) this.timer = setInterval(() => this.step({ kind: 'tick' }), TICK_MS)
+    if (isNeeded || this.timer === undefined) return
+    clearInterval(this.timer)
+    this.timer = undefined
+  }
+}
--- a/src/shell/pool/metrics.ts
+++ b/src/shell/pool/metrics.ts
@@ -34,6 +34,12 @@
   })
 
   readonly tokenAsks = new Counter({ name: 'agatepond_token_asks_total', help: 'Questions for tokens of teams, by outcome', labelNames: ['outcome'] as const, registers: [this.registry] })
+  readonly placeSeconds = new Histogram({
+    name: 'agatepond_place_wait_seconds', help: 'From asking for a place at an endpoint to having it, or being refused', labelNames: ['what'] as const, buckets: SECONDS, registers: [this.registry]
+  })
+
+  readonly placesRefused = new Counter({ name: 'agatepond_places_refused_total', help: 'Statements and openings that could not have a place at an endpoint in their time', registers: [this.registry] })
+  readonly placesShed = new Counter({ name: 'agatepond_places_shed_total', help: 'Statements that an endpoint refused for want of room', registers: [this.registry] })
   readonly sessions = new Gauge({ name: 'agatepond_sessions', help: 'Open sessions of callers', registers: [this.registry] })
   readonly passedOn = new Counter({ name: 'agatepond_sessions_passed_on_total', help: 'Sessions handed to a host that has connections for them', registers: [this.registry] })
   readonly configVersion = new Gauge({ name: 'agatepond_config_version', help: 'Version of the configuration in force', registers: [this.registry] })
