--- a/src/shell/log/events.ts
+++ b/src/shell/log/events.ts
@@ -72,5 +72,8 @@
 
   loadPortFailed: { id: 8010, level: 'error', message: 'reports of load cannot be sent or received' },
   ownersPicked: { id: 8011, level: 'info', message: 'the owners of a group changed, of which this host is one or was' },
-  ownerSilent: { id: 8012, level: 'info', message: 'an owner of a group that had load reports no more' }
+  ownerSilent: { id: 8012, level: 'info', message: 'an owner of a group that had load reports no more' },
+  endpointFull: { id: 8001, level: 'warn', message: 'an endpoint refuses statements for want of room; this host sends fewer at a time' },
+  placesRefused: { id: 8002, level: 'info', message: 'statements or openings could not have a place at an endpoint in their time' },
+  placesChanged: { id: 8003, level: 'info', message: 'an endpoint tells another number of places' }
 } as const satisfies Record<string, Event>
--- a/src/shell/pool/group.ts
+++ b/src/shell/pool/group.ts
@@ -26,6 +26,7 @@
 import type { DialFault } from './lending/dialfault.ts'
 import { Lender } from './lending/lender.ts'
 import { SharedLoad } from './load/sharedload.ts'
+import { Places } from './lending/places.ts'
 import type { PoolMetrics } from './metrics.ts'
 import { Waiters } from './waiters.ts'
 import { Watchers } from './watchers.ts'
@@ -130,6 +131,7 @@
       const old = before.get(id)
       if (old !== undefined && old.bornAt !== bornAt) this.forget(id)
     }
+    for (const { id, places } of this.endpoints) this.lenders.get(id)?.resize(this.dealt, places)
     const ids = new Set(this.endpoints.map(({ id }) => id))
     for (const id of this.lenders.keys()) {
       if (!ids.has(id) && id !== this.leader) this.forget(id)
@@ -142,7 +144,7 @@
     if (connections !== this.dealt.connections) this.options.log.write('shareDealt', { group: this.id, connections, isOwner })
     this.dealt = dealt
     this.sharedLoad.among(dealt.others)
-    for (const lender of this.lenders.values()) lender.resize(connections)
+    for (const [id, lender] of this.lenders) lender.resize(dealt, this.directory.get(id)?.places ?? lender.endpoint.places)
   }
 
   handOver (handover: Handover): void {
@@ -161,16 +163,17 @@
     const endpoint = this.directory.get(id)
     if (endpoint === undefined) return undefined
     const { dialer, chance, startedAt } = this.options
-    const { connections, hasRoom } = this.dealt
+    const { dealt, dealt: { hasRoom }, options: { log, metrics } } = this
+    const count = (places: number, queued: () => number) => Places.create({ endpoint: id, places, queued, others: this.sharedLoad, log, metrics, chance })
     const onDialled = (outcome: 'opened' | DialFault) => this.dialled(id, outcome)
-    const lender = Lender.create({ endpoint, dialer, chance, thrift: hasRoom ? Thrift.none : Thrift.started(startedAt), connections, onDialled })
+    const lender = Lender.create({ endpoint, dialer, chance, thrift: hasRoom ? Thrift.none : Thrift.started(startedAt), dealt, count, onDialled })
     this.lenders.set(id, lender)
     return lender
   }
 
-  /** What this host has at each endpoint. */
+  /** What this host has at the group's endpoints, as far as it counts that. */
   get loads (): readonly EndpointLoad[] {
-    return [...this.lenders.values()].map(({ load }) => load)
+    return [...this.lenders.values()].flatMap(({ load }) => load ?? [])
   }
 
   /** Where a read may go whose log must hold the position, the best first. `team`: whose connections serve it. */
