Statements wait for a primary that is expected, and are tried again when endpoints were full

Cause: a statement was refused within milliseconds while nobody led or the primary was out of reach, though a successor is made within about two of its times and its caller retries twice within tens of milliseconds; and after two endpoints had no room, with most of its time left. Ruled out: holding it until its time is up. What isn't expected is refused at once. Change: an expectation of the next primary from the successions that the host saw (core), a patience with two classes, of which the waiting one is taken where a group's owners are picked, and waits between the tries of an operation. What waits is dropped once its caller left. Refusals are counted by cause and class.

--- /dev/null
+++ b/src/core/pool/statements/patient.ts
@@ -0,0 +1,77 @@
+/** Where a group's owners are picked: what can be served within its time, or within that of its caller's next try, waits for it. */
+
+import { newsMs } from './news.ts'
+import type { Patience } from './patience.ts'
+import type { Step } from './step.ts'
+
+/** Each endpoint is asked so often: at once, and after two waits. */
+const ROUNDS = 3
+/** Pauses for want of room; after them the endpoints' own queues have been full for several statements' time. */
+const MOST_PAUSES = 3
+/**
+ * A caller asks again as soon as it's refused, so a statement that ends just before its time is up waits on in the next.
+ * One more is counted on and no third: callers give their operations little more than the time of two statements.
+ */
+const NEXT_TRIES = 1
+/** What waits is looked at so often: a replica may have caught up for a read, or another host may reach the primary. */
+const LOOK_MS = 100
+/** After so many looks, endpoints that refused a read are asked again: after about the lag of a replica, and after four times that; the tries are few. */
+const ANEW: ReadonlySet<number> = new Set([0, 3])
+/** The time to come back where nothing is known to be under way. */
+const UNKNOWN_MS = 500
+/** The part of those that may wait, by class: when many do, the place of one that is less urgent is kept for one that is more. */
+const SHARES = [1, 0.75, 0.5] as const
+
+/**
+ * Guard against refusals of what could be served: a primary is replaced within two
+ * statements' time, its callers retry within a few tens of milliseconds and then give up, and so all who ask
+ * meanwhile are lost. And against its opposite, statements that are held until
+ * their time is up though nobody will serve them: they wait only for what is expected.
+ */
+export class Patient implements Patience {
+  private constructor () {}
+
+  static create (): Patient {
+    return new Patient()
+  }
+
+  mostTries (endpoints: number): number {
+    return ROUNDS * Math.max(1, endpoints)
+  }
+
+  forLeader ({ leftMs, serviceMs, statementMs, missingMs, expectedMs, rank, looks, waiting, connections }: Parameters<Patience['forLeader']>[0]): Step {
+    const news = newsMs(missingMs)
+    const mostMs = leftMs - serviceMs
+    if (expectedMs === undefined && news > 0) return { kind: 'wait', ms: news, isAnew: false }
+    if (expectedMs === undefined) return { kind: 'refuse', cause: 'noLeader', retryAfterMs: UNKNOWN_MS }
+    if (mostMs <= 0 || expectedMs > mostMs + NEXT_TRIES * statementMs) return { kind: 'refuse', cause: 'leaderLate', retryAfterMs: expectedMs }
+    const drainMs = (waiting + 1) * serviceMs / Math.max(1, connections)
+    if (drainMs > statementMs * (SHARES[rank] ?? SHARES[2])) return { kind: 'refuse', cause: 'crowded', retryAfterMs: expectedMs + drainMs }
+    return { kind: 'wait', ms: Math.min(mostMs, LOOK_MS), isAnew: ANEW.has(looks) }
+  }
+
+  /**
+   * An endpoint that is full has a place free as soon as it has done one statement, for which all hosts
+   * ask that it refused: so each pause is twice as long as the one before, and drawn by chance between half of that and one and a half times.
+   */
+  forRoom ({ leftMs, serviceMs, pauses, chance }: Parameters<Patience['forRoom']>[0]): Step {
+    const ms = serviceMs * 2 ** pauses * (0.5 + chance)
+    const isUseless = pauses >= MOST_PAUSES || ms + serviceMs > leftMs
+    return isUseless ? { kind: 'refuse', cause: 'full', retryAfterMs: ms } : { kind: 'wait', ms, isAnew: true }
+  }
+
+  forReach (lack: Parameters<Patience['forReach']>[0]): Step {
+    const step = this.forRoom(lack)
+    return step.kind === 'refuse' ? { ...step, cause: 'unreachable' } : step
+  }
+
+  forBudget (lack: Parameters<Patience['forBudget']>[0]): Step {
+    const step = this.forRoom(lack)
+    return step.kind === 'refuse' ? { ...step, cause: 'budget' } : step
+  }
+
+  /** Against work for nobody: what waited for most of its time was run after its caller had left. */
+  isDropped (hasLeft: boolean): boolean {
+    return hasLeft
+  }
+}
--- a/src/core/pool/succession/contact.ts
+++ b/src/core/pool/succession/contact.ts
@@ -1,6 +1,7 @@
 /** Whether this host reaches an endpoint. */
 
 import type { Instant } from '../../id/instant.ts'
+import { pace } from './pace.ts'
 
 interface Fields {
   readonly reachedAt: Instant
@@ -15,11 +16,6 @@
 const MISSES = 2
 /** An endpoint that is out of reach is tried again after so long; a lost try costs one read a redirection. */
 const RETRY_MS = 500
-/**
- * So long without any answer is doubtful: about twice what the longest statement
- * takes at a slow endpoint. A wrong doubt costs one connection, to find out.
- */
-const DOUBT_MS = 250
 
 /** Immutable; questions, answers and failures yield the next value. */
 export class Contact {
@@ -47,7 +43,7 @@
   /** Whether it's worth finding out if it still answers. */
   isDoubtful (now: Instant): boolean {
     const { misses, waitingSince } = this.fields
-    return misses > 0 || (waitingSince !== undefined && now - waitingSince >= DOUBT_MS)
+    return misses > 0 || (waitingSince !== undefined && now - waitingSince >= pace.doubtMs)
   }
 
   /** Whether tries keep failing; reads then go elsewhere but for a try now and then. */
@@ -58,7 +54,7 @@
   /** Two signs count as a failure: two tries, or one try while what was asked before stays unanswered. */
   isFailing (now: Instant): boolean {
     const { misses, waitingSince } = this.fields
-    const isSilent = waitingSince !== undefined && now - waitingSince >= DOUBT_MS
+    const isSilent = waitingSince !== undefined && now - waitingSince >= pace.doubtMs
     return misses >= MISSES || (misses > 0 && isSilent)
   }
 }
--- a/src/core/pool/succession/lease.ts
+++ b/src/core/pool/succession/lease.ts
@@ -3,6 +3,7 @@
 import type { EndpointId } from '../../id/endpoint.ts'
 import type { HostId } from '../../id/host.ts'
 import type { Instant } from '../../id/instant.ts'
+import { pace } from './pace.ts'
 
 interface Fields {
   readonly holder: HostId
@@ -14,13 +15,6 @@
   readonly seenAt: Instant
 }
 
-/**
- * A holder that died or was suspended keeps the others waiting for so long.
- * Longer than a promotion takes from the claim to the order: asking, a survey
- * and one call to the platform, about two seconds together.
- */
-const LEASE_MS = 3000
-
 /** Immutable. */
 export class Lease implements Fields {
   readonly holder: HostId
@@ -44,11 +38,11 @@
    * process's own clock from when it saw the row, so no two clocks are compared.
    */
   mayClaim (host: HostId, now: Instant): boolean {
-    return this.holder === host || now - this.seenAt >= LEASE_MS
+    return this.holder === host || now - this.seenAt >= pace.leaseMs
   }
 
   /** Whether its holder may still give orders; the fence shuts out those that come later nevertheless. */
   isHeldBy (host: HostId, now: Instant): boolean {
-    return this.holder === host && now - this.seenAt < LEASE_MS
+    return this.holder === host && now - this.seenAt < pace.leaseMs
   }
 }
--- a/src/core/pool/succession/succession.ts
+++ b/src/core/pool/succession/succession.ts
@@ -12,6 +12,7 @@
 import type { EndpointId } from '../../id/endpoint.ts'
 import type { Instant } from '../../id/instant.ts'
 import type { EndpointStatus } from '../../statement/status.ts'
+import { pace } from './pace.ts'
 import type { SuccessionAction } from './successionaction.ts'
 import type { SuccessionEvent } from './successionevent.ts'
 import type { SuccessionView } from './successionview.ts'
@@ -46,9 +47,7 @@
 
 /** The host of the next rank waits so much longer: several times a change in the store and its way to the others. */
 const RANK_MS = 50
-/** A host that reaches the primary has so long to say so: a new connection and a question take a tenth of a second at a slow endpoint, */
-const ASK_MS = 200
-/** and so many times what the claim took: the question's way there, the objection and its way back go through the same store, with one to spare. */
+/** Beside the time to ask, a host that reaches the primary has so many times what the claim took to say so: the question's way there, the objection and its way back go through the same store, with one to spare. */
 const ASK_CLAIMS = 4
 /** So long without any primary, and the group is surveyed: a successor's report arrives within a tenth of it. */
 const ORPHAN_MS = 1500
@@ -128,7 +127,7 @@
     const cause = causeOf(view)
     if (cause === undefined) return this.rest(now)
     if (cause === 'leaving' || cause === 'nobody') return this.survey(fence, cause === 'leaving')
-    return this.to({ kind: 'asking', until: later(now, ASK_MS + ASK_CLAIMS * tookMs), fence }, [])
+    return this.to({ kind: 'asking', until: later(now, pace.askMs + ASK_CLAIMS * tookMs), fence }, [])
   }
 
   private look (left: number): Step {
--- a/src/shell/log/events.ts
+++ b/src/shell/log/events.ts
@@ -8,7 +8,7 @@
   readonly message: string
 }
 
-/** Numbers are never reused; 1xxx process, 2xxx endpoints, 3xxx failover, 4xxx peers, 5xxx platform and configuration, 6xxx callers, 7xxx audit records. */
+/** Numbers are never reused; 1xxx process, 2xxx endpoints, 3xxx failover, 4xxx peers, 5xxx platform and configuration, 6xxx callers, 7xxx audit records, 8xxx load. */
 export const events = {
   started: { id: 1001, level: 'info', message: 'agatepond started' },
   leaving: { id: 1003, level: 'info', message: 'leaving: no new callers, what is in progress ends' },
@@ -64,6 +64,9 @@
   transactionAborted: { id: 6004, level: 'info', message: 'rolled back an open transaction' },
   linesDropped: { id: 6005, level: 'warn', message: 'dropped lines of statements over the budget' },
 
+  primaryAwaited: { id: 8030, level: 'info', message: 'statements wait for the primary that is expected' },
+  primaryUnexpected: { id: 8031, level: 'warn', message: 'no primary is expected any more; what needs one is refused at once' },
+
   batchStored: { id: 7001, level: 'info', message: 'stored a batch of audit records' },
   batchFailed: { id: 7002, level: 'warn', message: 'a batch of audit records could not be stored' },
   recordsDropped: { id: 7003, level: 'warn', message: 'dropped audit records for want of room' },
--- a/src/shell/pool/group.ts
+++ b/src/shell/pool/group.ts
@@ -13,6 +13,10 @@
 import type { Handover } from '../../core/pool/succession/handover.ts'
 import { Leadership } from '../../core/pool/succession/leadership.ts'
 import type { PoolHost } from '../../core/pool/placing/host.ts'
+import type { Patience } from '../../core/pool/statements/patience.ts'
+import { Patient } from '../../core/pool/statements/patient.ts'
+import { Prompt } from '../../core/pool/statements/prompt.ts'
+import { ServiceTime } from '../../core/admission/servicetime.ts'
 import { Progress } from '../../core/pool/reads/progress.ts'
 import { Reach } from '../../core/pool/placing/reach.ts'
 import { Thrift } from '../../core/pool/placing/thrift.ts'
@@ -25,9 +29,12 @@
 import type { DialFault } from './lending/dialfault.ts'
 import { Lender } from './lending/lender.ts'
 import type { PoolMetrics } from './metrics.ts'
-import { Waiters } from './waiters.ts'
+import { Outage } from './succession/outage.ts'
 import { Watchers } from './watchers.ts'
 
+const PATIENT = Patient.create()
+const PROMPT = Prompt.create()
+
 interface Options {
   readonly id: GroupId
   readonly dataCentre: DataCentreId
@@ -53,13 +60,15 @@
   /** The newest that was announced; an old one concerns an endpoint that doesn't lead any more. */
   private handover: Handover | undefined
   private reach = Reach.none
+  private readonly service = ServiceTime.create()
   /** For those who wait for a leader. */
-  private readonly waiting = Waiters.create()
+  readonly outage: Outage
   /** For those who wait for an answer of an endpoint. */
   readonly watchers = Watchers.create()
 
   private constructor (private readonly options: Options) {
     this.leadership = Leadership.create(options.id, clock.now())
+    this.outage = Outage.create(options.id, options.log)
   }
 
   static create (options: Options): PoolGroup {
@@ -118,6 +127,35 @@
     return this.leadership.missingMs(clock.now())
   }
 
+  /** The same; undefined while one is known. */
+  get missingMs (): number | undefined {
+    return this.leader === undefined ? this.leaderlessMs() : undefined
+  }
+
+  /** Which statements wait for what they lack: only where the group's owners are picked, so that each of them knows what is under way. */
+  get patience (): Patience {
+    return this.dealt.hasRoom ? PATIENT : PROMPT
+  }
+
+  /** This host's connections to an endpoint. */
+  get connections (): number {
+    return this.dealt.connections
+  }
+
+  /** What a statement takes here from its sending to its answer, in milliseconds. */
+  get serviceMs (): number {
+    return this.service.at(clock.now())
+  }
+
+  get chance (): () => number {
+    return this.options.chance
+  }
+
+  /** A statement was done, so long after it was sent. */
+  served (ms: number): void {
+    this.service.add(ms, clock.now())
+  }
+
   listed (directory: Directory): void {
     const before = this.directory
     this.directory = directory
@@ -223,6 +261,7 @@
     const contact = this.contact(id).missed(now)
     this.contacts.set(id, contact)
     if (!contact.isFailing(now)) return
+    if (id === this.leader) this.outage.begin()
     this.lenders.get(id)?.refuseWaiting()
     this.watchers.tell(id)
     if (this.unreached.has(id)) return
@@ -230,12 +269,6 @@
     this.options.log.write('endpointUnreachable', { endpoint: id, group: this.id, isLeader: id === this.leader })
   }
 
-  /** Resolves with the leader as soon as there is one, or with undefined after the time. */
-  async awaitLeader (ms: number): Promise<EndpointId | undefined> {
-    if (this.leader === undefined && ms > 0) await this.waiting.wait(ms)
-    return this.leader
-  }
-
   close (): void {
     for (const id of this.lenders.keys()) this.forget(id)
   }
@@ -248,7 +281,9 @@
   }
 
   private reached (id: EndpointId, now: Instant): void {
+    const wasOut = id === this.leader && this.isLeaderOut()
     this.contacts.set(id, this.contact(id).reached(now))
+    if (wasOut) this.outage.end()
     if (this.unreached.delete(id)) this.options.log.write('endpointReachable', { endpoint: id, group: this.id })
   }
 
@@ -262,7 +297,8 @@
     if (next.leader === before) return
     this.options.metrics.leaderChanges.inc({ group: this.id })
     this.options.log.write('leaderChanged', { group: this.id, leader: next.leader ?? 'none', before: before ?? 'none', cause, term: this.progress.term, markAgeMs: Math.round(this.markAgeMs() ?? -1) })
-    if (next.leader !== undefined) this.waiting.wake()
+    if (next.leader === undefined) this.outage.begin()
+    else this.outage.replaced()
   }
 
   private forget (id: EndpointId): void {
--- a/src/shell/pool/lending/lender.ts
+++ b/src/shell/pool/lending/lender.ts
@@ -29,6 +29,8 @@
   readonly isTransaction: boolean
   /** A connection in the same state is preferred. */
   readonly values: Values
+  /** Aborted once nobody waits for it any more; undefined where it's lent all the same. */
+  readonly gone?: AbortSignal | undefined
 }
 
 interface Refusal {
@@ -109,7 +111,11 @@
   /** Resolves always: a connection that nobody else uses until it's given back, or why there is none. */
   async borrow (wish: Wish): Promise<Result<EndpointLink, Refusal>> {
     if (this.isClosed) return err({ reason: 'unreachable', retryAfterMs: 0 })
-    return await new Promise(resolve => this.enqueue({ wish, deadline: clock.now() + wish.leftMs as Instant, answer: resolve }))
+    const giveUp = () => this.giveUp(wish)
+    wish.gone?.addEventListener('abort', giveUp)
+    const borrowed = await new Promise<Result<EndpointLink, Refusal>>(resolve => this.enqueue({ wish, deadline: clock.now() + wish.leftMs as Instant, answer: resolve }))
+    wish.gone?.removeEventListener('abort', giveUp)
+    return borrowed
   }
 
   giveBack (link: EndpointLink): void {
@@ -158,6 +164,15 @@
     this.step({ kind: 'arrived', request: { id, rank, caller: caller as CallerId, deadline, isTransaction } })
   }
 
+  /** Against a place in the queue, and perhaps a new connection, for an operation that nobody waits for. */
+  private giveUp (wish: Wish): void {
+    const [id, waiter] = [...this.waiting].find(([, one]) => one.wish === wish) ?? []
+    if (id === undefined || waiter === undefined) return
+    this.waiting.delete(id)
+    this.step({ kind: 'cancelled', id })
+    waiter.answer(err({ reason: 'busy', retryAfterMs: 0 }))
+  }
+
   private step (event: AdmissionEvent): void {
     const actions = this.admission.step(event, clock.now(), this.options.chance())
     for (const action of actions) this.act(action)
--- a/src/shell/pool/metrics.ts
+++ b/src/shell/pool/metrics.ts
@@ -25,6 +25,11 @@
     name: 'agatepond_dependency_seconds', help: 'From a question to the answer of a dependency', labelNames: ['dependency'] as const, buckets: SECONDS, registers: [this.registry]
   })
 
+  readonly refusals = new Counter({
+    name: 'agatepond_refusals_total', help: 'Statements that were not done, by why and by class', labelNames: ['cause', 'class'] as const, registers: [this.registry]
+  })
+
+  readonly waits = new Counter({ name: 'agatepond_statement_waits_total', help: 'Waits of statements between their tries, by what for', labelNames: ['what'] as const, registers: [this.registry] })
   readonly dials = new Counter({ name: 'agatepond_dials_total', help: 'Connections opened to endpoints, by outcome', labelNames: ['outcome'] as const, registers: [this.registry] })
   readonly leaderChanges = new Counter({ name: 'agatepond_leader_changes_total', help: 'Changes of the primary that this process believes in', labelNames: ['group'] as const, registers: [this.registry] })
   readonly orders = new Counter({ name: 'agatepond_promotion_orders_total', help: 'Orders to promote, by outcome', labelNames: ['outcome'] as const, registers: [this.registry] })
--- a/src/shell/pool/statements/explanation.ts
+++ b/src/shell/pool/statements/explanation.ts
@@ -1,5 +1,7 @@
 /** The line that explains a statement: what was decided, on which knowledge, of which age. */
 
+import { classes } from '../../../core/admission/classes.ts'
+import type { Cause } from '../../../core/pool/statements/cause.ts'
 import type { Trail } from '../../../core/pool/statements/trail.ts'
 import type { Reply } from '../../../core/statement/reply.ts'
 import type { Statement } from '../../../core/statement/statement.ts'
@@ -19,6 +21,8 @@
   readonly transaction: Transaction | undefined
   readonly own: Token
   readonly retryAfterMs: number
+  /** What lies behind a refusal; undefined where its fault says it all. */
+  readonly cause: Cause | undefined
 }
 
 /**
@@ -39,17 +43,23 @@
 }
 
 function tell (ctx: PoolContext, explained: Explained, ms: number): void {
-  const { id, kind, database, reply, trail } = explained
+  const { id, kind, database, reply, trail, cause } = explained
   const { log, lines, metrics } = ctx
   const outcome = reply.kind === 'done' ? 'done' : reply.fault
   metrics.statements.inc({ database, kind, outcome })
+  if (reply.kind === 'refused') metrics.refusals.inc({ cause: cause ?? reply.fault, class: classOf(ctx, explained) })
   if (trail.count > 0) metrics.statementSeconds.observe({ kind }, ms / 1000)
   const isPlain = outcome === 'done' && trail.count < 2
   if (isPlain && !lines.isSampled(id)) return
   const { isGranted, dropped } = lines.take(clock.now())
   if (!isGranted) return metrics.linesDropped.inc()
   if (dropped > 0) log.write('linesDropped', { dropped })
-  log.write(outcome === 'done' ? 'statementDone' : 'statementRefused', { id, database, kind, outcome, ms: Math.round(ms), ...knowledge(ctx, explained) })
+  log.write(outcome === 'done' ? 'statementDone' : 'statementRefused', { id, database, kind, outcome, ms: Math.round(ms), cause: cause ?? 'none', ...knowledge(ctx, explained) })
+}
+
+function classOf ({ config }: PoolContext, { database, transaction }: Explained): string {
+  const { rank } = transaction?.route ?? config().route(database) ?? {}
+  return classes[rank ?? classes.length] ?? 'none'
 }
 
 /** What the decisions on the statement rested on. */
--- a/src/shell/pool/statements/runner.ts
+++ b/src/shell/pool/statements/runner.ts
@@ -26,11 +26,11 @@
   private newest = Token.zero
   private isOwnUnknown = false
 
-  private constructor (private readonly ctx: PoolContext, private readonly database: string, private readonly values: Values, private readonly key: KeyDigest | undefined, private readonly mayDetour: boolean) {}
+  private constructor (private readonly ctx: PoolContext, private readonly database: string, private readonly values: Values, private readonly key: KeyDigest | undefined, private readonly mayDetour: boolean, private readonly gone: AbortSignal) {}
 
-  /** `values`: what the session has set and prepared, now and later. `key`: the caller's. `mayDetour`: whether other hosts may run its statements. */
-  static create (ctx: PoolContext, database: string, values: Values, key: KeyDigest | undefined, mayDetour: boolean): Runner {
-    return new Runner(ctx, database, values, key, mayDetour)
+  /** `values`: what the session has set and prepared, now and later. `key`: the caller's. `mayDetour`: whether other hosts may run its statements. `gone`: aborted once the caller has left. */
+  static create (ctx: PoolContext, database: string, values: Values, key: KeyDigest | undefined, mayDetour: boolean, gone: AbortSignal): Runner {
+    return new Runner(ctx, database, values, key, mayDetour, gone)
   }
 
   /** The session's newest commit. */
@@ -50,9 +50,9 @@
     return await tryAll(this.ctx, { ...this.common(route, work, deadline, trail), mustLead, isInside: false, run })
   }
 
-  private common (route: Route, work: Work, deadline: Instant, trail: Trail): Pick<Tries, 'route' | 'database' | 'what' | 'deadline' | 'own' | 'values' | 'key' | 'mayDetour' | 'trail'> {
-    const { database, own, values, key, mayDetour } = this
-    return { route, database, what: work.what, deadline, own, values, key, mayDetour, trail }
+  private common (route: Route, work: Work, deadline: Instant, trail: Trail): Pick<Tries, 'route' | 'database' | 'what' | 'deadline' | 'own' | 'values' | 'key' | 'mayDetour' | 'gone' | 'trail'> {
+    const { database, own, values, key, mayDetour, gone } = this
+    return { route, database, what: work.what, deadline, own, values, key, mayDetour, gone, trail }
   }
 
   private readsAtPrimary ({ freshness }: Route): boolean {
--- a/src/shell/pool/statements/session.ts
+++ b/src/shell/pool/statements/session.ts
@@ -1,6 +1,7 @@
 /** One caller's session: its values, its transaction, and the way of each statement to an endpoint. */
 
 import { randomBytes } from 'node:crypto'
+import type { Cause } from '../../../core/pool/statements/cause.ts'
 import { remedyOf } from '../../../core/pool/statements/remedy.ts'
 import { Trail } from '../../../core/pool/statements/trail.ts'
 import { Work } from '../../../core/pool/statements/work.ts'
@@ -40,10 +41,12 @@
   /** What was tried for the statement that runs. */
   private trail = Trail.begin(clock.now())
   private retryAfterMs = 0
+  private cause: Cause | undefined
+  private readonly gone = new AbortController()
 
   private constructor (private readonly ctx: PoolContext, private readonly options: Options) {
     const { database, key, mayDetour } = options
-    this.runner = Runner.create(ctx, database, this.values, key, mayDetour)
+    this.runner = Runner.create(ctx, database, this.values, key, mayDetour, this.gone.signal)
   }
 
   /** Undefined when there is no such database. */
@@ -67,6 +70,7 @@
     this.isRunning = true
     this.trail = Trail.begin(clock.now())
     this.retryAfterMs = 0
+    this.cause = undefined
     const reply = await this.answer(id, statement)
     this.isRunning = false
     const told = this.explain(id, statement.kind, reply, transaction)
@@ -98,8 +102,9 @@
     this.ctx.log.write('transactionAborted', { id: this.transaction.id, database: this.database })
   }
 
-  /** The caller is gone. What it hasn't asked to commit is rolled back, after the statement that runs. */
+  /** The caller is gone. What it hasn't asked to commit is rolled back, after the statement that runs; one that only waits may be given up. */
   end (): void {
+    this.gone.abort()
     if (this.isRunning) {
       this.afterRun = () => this.end()
       return
@@ -194,17 +199,18 @@
     return { kind: 'done', rows, proof }
   }
 
-  private refuse ({ fault, retryAfterMs }: Refused): Reply {
+  private refuse ({ fault, retryAfterMs, cause }: Refused): Reply {
     this.retryAfterMs = retryAfterMs
+    this.cause = cause
     // A session whose key was taken away has nothing more to do here.
     return { kind: 'refused', fault, message: remedyOf(fault, retryAfterMs), isFinal: fault === 'unauthorised' }
   }
 
   /** The reply as the caller gets it: one that isn't "done" names its record. `transaction`: the one that was open before, which a commit has ended. */
   private explain (id: string, kind: Statement['kind'] | 'none', reply: Reply, transaction = this.transaction): Reply {
-    const { ctx, id: session, database, options: { caller }, trail, retryAfterMs } = this
+    const { ctx, id: session, database, options: { caller }, trail, retryAfterMs, cause } = this
     const { own } = this.runner
-    const record = explain(ctx, { id, session, caller, kind, database, reply, trail, transaction, own, retryAfterMs })
+    const record = explain(ctx, { id, session, caller, kind, database, reply, trail, transaction, own, retryAfterMs, cause })
     if (reply.kind === 'done' || record === undefined) return reply
     return { ...reply, message: `${reply.message} (request ${record})` }
   }
--- a/src/shell/pool/statements/target.ts
+++ b/src/shell/pool/statements/target.ts
@@ -21,15 +21,8 @@
   readonly tried: ReadonlySet<EndpointId>
 }
 
-/**
- * An operation waits for a new primary at most so long, and only just after the
- * old one refused: the successor's report is then under way. Later it's known
- * that nobody leads, and the caller is told at once.
- */
-const NEWS_MS = 100
-
-/** Resolves with undefined when nothing can serve it now. */
-export async function nextTarget (group: PoolGroup, { mustLead, freshness, own, team, mayDetour, tried }: Wanted): Promise<Target | undefined> {
+/** Undefined when nothing can serve it now, for want of a primary in reach. */
+export function nextTarget (group: PoolGroup, { mustLead, freshness, own, team, mayDetour, tried }: Wanted): Target | undefined {
   if (!mustLead && freshness.kind === 'age') {
     const after = group.required(own, freshness.ms)
     const endpoint = after === undefined ? undefined : group.readers(after, team).find(id => !tried.has(id))
@@ -38,8 +31,7 @@
   // Against requests that are held for their whole time before they are refused: what would go to a primary that
   // is out of reach is known not to be served until it's replaced.
   if (group.isLeaderOut()) return mayDetour ? detour(group) : undefined
-  const leader = group.leader ?? await group.awaitLeader(NEWS_MS - group.leaderlessMs())
-  return leader === undefined ? undefined : { endpoint: leader, after: undefined, mustLead: true }
+  return group.leader === undefined ? undefined : { endpoint: group.leader, after: undefined, mustLead: true }
 }
 
 function detour (group: PoolGroup): Target | undefined {
--- a/src/shell/pool/statements/tries.ts
+++ b/src/shell/pool/statements/tries.ts
@@ -28,6 +28,8 @@
   readonly values: Values
   /** The session's; undefined without one. */
   readonly key: KeyDigest | undefined
+  /** Aborted once the caller has left. */
+  readonly gone: AbortSignal
   /** Where each try is noted. */
   readonly trail: Trail
   readonly run: (attempt: Attempt, target: Target) => Promise<Answer | Ending>
--- a/src/shell/pool/statements/tryall.ts
+++ b/src/shell/pool/statements/tryall.ts
@@ -3,6 +3,7 @@
 import type { EndpointId } from '../../../core/id/endpoint.ts'
 import type { Ending } from '../../../core/pool/statements/ending.ts'
 import type { PoolHost } from '../../../core/pool/placing/host.ts'
+import type { Cause } from '../../../core/pool/statements/cause.ts'
 import type { Target } from '../../../core/pool/statements/target.ts'
 import { verdictOf } from '../../../core/pool/statements/verdict.ts'
 import type { Fault } from '../../../core/statement/fault.ts'
@@ -19,9 +20,8 @@
 import type { Run } from './run.ts'
 import { nextTarget } from './target.ts'
 import type { Tries } from './tries.ts'
+import { Waits } from './waits.ts'
 
-/** Tries of one operation: each of three endpoints, and the primary once more. */
-const MOST_TRIES = 4
 /** A host in reach takes a session within milliseconds; against callers who wait for their whole time on one that died since. */
 const DETOUR_MS = 300
 /** An operation waits for a token of its team for this part of its aim: the rest is for its way and its place at the endpoint. */
@@ -41,26 +41,54 @@
 }
 
 async function tryEach (ctx: PoolContext, tries: Tries, gate: Gate): Promise<Run> {
-  const { route, mustLead, deadline, own, mayDetour } = tries
-  const group = ctx.group(route.group)
+  const group = ctx.group(tries.route.group)
+  if (group === undefined) return { fault: 'busy', retryAfterMs: LEADERLESS_MS }
+  const waits = Waits.of(group, tries, ctx.metrics)
+  const run = await tryInTurn(ctx, group, tries, gate, waits)
+  waits.end()
+  return run
+}
+
+async function tryInTurn (ctx: PoolContext, group: PoolGroup, tries: Tries, gate: Gate, waits: Waits): Promise<Run> {
+  const { route: { freshness }, mustLead, deadline, own, mayDetour } = tries
   let last: Refused = { fault: 'busy', retryAfterMs: LEADERLESS_MS }
-  if (group === undefined) return last
   const tried = new Set<EndpointId>()
-  for (let i = 0; i < MOST_TRIES && left(deadline) > 0; i++) {
-    const target = await nextTarget(group, { mustLead, freshness: route.freshness, own, team: gate.team?.id, mayDetour, tried })
-    if (target === undefined) return last
+  const full = new Set<EndpointId>()
+  for (let count = 0; count < group.patience.mostTries(group.endpoints.length) && left(deadline) > 0;) {
+    if (waits.isDropped) return { ...last, cause: 'left' }
+    const target = nextTarget(group, { mustLead, freshness, own, team: gate.team?.id, mayDetour, tried })
+    const way = await wayTo(target, full, waits)
+    if (typeof way !== 'string') return { ...last, ...way }
+    if (way === 'anew') forget(tried, full)
+    if (target === undefined || way !== 'go') continue
+    count++
     tried.add(target.endpoint)
-    const run = await tryOnce(ctx, group, target, tries, gate)
-    if (run.kind === 'done') return run.run
-    last = run.refused
-    if (run.kind === 'refused') return last
+    const once = await tryOnce(ctx, group, target, tries, gate, waits)
+    if (once.kind === 'done') return once.run
+    last = once.refused
+    if (last.cause === 'full') full.add(target.endpoint)
+    if (once.kind === 'refused') return last
+    const next = once.kind === 'short' ? await waits[once.of](() => ctx.budget.mayRetry(clock.now())) : 'go'
+    if (typeof next !== 'string') return { ...last, cause: next.cause }
   }
   return last
 }
 
+/** An endpoint that had no room is asked again only after a pause. */
+async function wayTo (target: Target | undefined, full: ReadonlySet<EndpointId>, waits: Waits): ReturnType<Waits['forLeader']> {
+  if (target === undefined) return await waits.forLeader()
+  return full.has(target.endpoint) ? await waits.forRoom() : 'go'
+}
+
+function forget (...sets: ReadonlyArray<Set<EndpointId>>): void {
+  for (const set of sets) set.clear()
+}
+
 type Once =
   | { readonly kind: 'done', readonly run: Run }
   | { readonly kind: 'refused' | 'elsewhere', readonly refused: Refused }
+  /** It may be tried again, once what it lacks is there. */
+  | { readonly kind: 'short', readonly of: 'forReach' | 'forBudget', readonly refused: Refused }
 
 /**
  * Against reads that wait out their statement's time at an endpoint that went
@@ -68,7 +96,7 @@
  * connection is given up, and the read goes elsewhere. A write waits on, since
  * only its answer can tell what became of it.
  */
-async function tryOnce (ctx: PoolContext, group: PoolGroup, target: Target, tries: Tries, gate: Gate): Promise<Once> {
+async function tryOnce (ctx: PoolContext, group: PoolGroup, target: Target, tries: Tries, gate: Gate, waits: Waits): Promise<Once> {
   const began = clock.now()
   const { after, mustLead } = target
   const endpoint = target.via === undefined ? target.endpoint : Detour.by(target.via).endpoint.id
@@ -77,12 +105,17 @@
   })
   const refused = target.via === undefined ? await fetch(gate, tries) : undefined
   if (refused !== undefined) return { kind: 'refused', refused }
-  const attempt = target.via === undefined ? await borrow(group, target, tries, gate) : await detour(ctx, group, target.via, tries)
+  const attempt = target.via === undefined ? await borrow(group, target, tries, gate, waits.gone) : await detour(ctx, group, target.via, tries)
   if (!(attempt instanceof Attempt)) {
     note('no connection')
-    return { kind: target.mustLead ? 'refused' : 'elsewhere', refused: attempt }
+    return unconnected(attempt, target)
+  }
+  if (waits.isDropped) {
+    attempt.end()
+    return { kind: 'refused', refused: { fault: 'busy', retryAfterMs: 0, cause: 'left' } }
   }
   const unwatch = tries.what === 'read' && target.via === undefined ? group.watchers.watch(target.endpoint, () => attempt.link.close()) : undefined
+  const sentAt = clock.now()
   const answer = await tries.run(attempt, target)
   unwatch?.()
   if (typeof answer === 'string') note(answer)
@@ -91,17 +124,24 @@
     gate.again(MAY_HAVE_RUN.has(answer))
     return ended(ctx, answer, tries)
   }
+  group.served(clock.now() - sentAt)
   ctx.budget.succeeded()
   return { kind: 'done', run: { answer, attempt } }
 }
 
+/** What only the primary may do has nowhere else to go. */
+function unconnected (refused: Refused, { mustLead, via }: Target): Once {
+  if (!mustLead) return { kind: 'elsewhere', refused }
+  return via === undefined && refused.cause === 'unreachable' ? { kind: 'short', of: 'forReach', refused } : { kind: 'refused', refused }
+}
+
 function ended (ctx: PoolContext, ending: Ending, { what, isInside }: Tries): Once {
   const verdict = verdictOf(ending, { what, isInside, isFirst: true, hasWritten: false })
   if (verdict.kind === 'refuse') return { kind: 'refused', refused: { fault: verdict.fault, retryAfterMs: 0 } }
-  const refused = { fault: faultOf(ending), retryAfterMs: LEADERLESS_MS }
+  const refused: Refused = { fault: faultOf(ending), retryAfterMs: LEADERLESS_MS, cause: ending === 'busy' ? 'full' : undefined }
   // Being sent on by an endpoint that knows better costs no work there, so it takes nothing of the budget.
   const isFree = ending === 'behind' || ending === 'notPrimary'
-  return { kind: isFree || ctx.budget.mayRetry(clock.now()) ? 'elsewhere' : 'refused', refused }
+  return isFree || ctx.budget.mayRetry(clock.now()) ? { kind: 'elsewhere', refused } : { kind: 'short', of: 'forBudget', refused }
 }
 
 async function fetch (gate: Gate, { route, deadline }: Tries): Promise<Refused | undefined> {
@@ -112,18 +152,20 @@
 /** Endings that don't prove that the endpoint did nothing. */
 const MAY_HAVE_RUN: ReadonlySet<Ending> = new Set<Ending>(['broken', 'outOfTime', 'failed', 'timeout', 'unknown'])
 
-async function borrow (group: PoolGroup, target: Target, { route, database, deadline, isInside, values }: Tries, gate: Gate): Promise<Attempt | Refused> {
+const CAUSES: Readonly<Record<'busy' | 'unreachable', Cause>> = { busy: 'queue', unreachable: 'unreachable' }
+
+async function borrow (group: PoolGroup, target: Target, { route, database, deadline, isInside, values }: Tries, gate: Gate, gone: AbortSignal | undefined): Promise<Attempt | Refused> {
   const team = gate.team?.id
   const lender = group.lender(target.endpoint)
   if (lender === undefined) return { fault: 'busy', retryAfterMs: LEADERLESS_MS }
-  const borrowed = await lender.borrow({ rank: route.rank, caller: team ?? database, team, leftMs: left(deadline), isTransaction: isInside, values })
+  const borrowed = await lender.borrow({ rank: route.rank, caller: team ?? database, team, leftMs: left(deadline), isTransaction: isInside, values, gone })
   if (borrowed.isOk()) return Attempt.on(group, lender, borrowed.value, gate)
-  return { fault: 'busy', retryAfterMs: borrowed.error.retryAfterMs }
+  return { fault: 'busy', retryAfterMs: borrowed.error.retryAfterMs, cause: CAUSES[borrowed.error.reason] }
 }
 
 async function detour (ctx: PoolContext, group: PoolGroup, host: PoolHost, { database, deadline, key }: Tries): Promise<Attempt | Refused> {
   const dialled = await ctx.dialHost(host, database, key, Math.min(DETOUR_MS, left(deadline)))
-  return dialled.isOk() ? Attempt.on(group, Detour.by(host), dialled.value) : { fault: 'busy', retryAfterMs: LEADERLESS_MS }
+  return dialled.isOk() ? Attempt.on(group, Detour.by(host), dialled.value) : { fault: 'busy', retryAfterMs: LEADERLESS_MS, cause: 'unreachable' }
 }
 
 /** How an ending that proves "not run" is told when no endpoint is left. */
--- /dev/null
+++ b/src/shell/pool/statements/waits.ts
@@ -0,0 +1,97 @@
+/** What one operation waits for between its tries, as its group's patience has it. */
+
+import type { Cause } from '../../../core/pool/statements/cause.ts'
+import type { Patience } from '../../../core/pool/statements/patience.ts'
+import type { Step } from '../../../core/pool/statements/step.ts'
+import type { PoolGroup } from '../group.ts'
+import type { PoolMetrics } from '../metrics.ts'
+import { Waiters } from '../waiters.ts'
+import { left } from './left.ts'
+import type { Tries } from './tries.ts'
+
+type Way =
+  /** It goes on without having waited. */
+  | 'go'
+  /** It looks again for an endpoint, `anew` also among those that refused it. */
+  | 'again'
+  | 'anew'
+  /** It's refused. */
+  | { readonly cause: Cause, readonly retryAfterMs: number }
+
+type Pause = 'forRoom' | 'forReach' | 'forBudget'
+
+export class Waits {
+  private looks = 0
+  private pauses = 0
+  private leave: (() => void) | undefined
+
+  private constructor (private readonly group: PoolGroup, private readonly tries: Tries, private readonly metrics: PoolMetrics) {}
+
+  static of (group: PoolGroup, tries: Tries, metrics: PoolMetrics): Waits {
+    return new Waits(group, tries, metrics)
+  }
+
+  /** Whether nobody waits for the answer any more, so that nothing more is sent. */
+  get isDropped (): boolean {
+    return this.group.patience.isDropped(this.tries.gone.aborted)
+  }
+
+  /** When what waits for a connection is to be given up; undefined where it isn't. */
+  get gone (): AbortSignal | undefined {
+    return this.group.patience.isDropped(true) ? this.tries.gone : undefined
+  }
+
+  /** To be called when the operation has its answer. */
+  end (): void {
+    this.leave?.()
+    this.leave = undefined
+  }
+
+  /** Until a primary is in reach, or it's known that it comes too late. */
+  async forLeader (): Promise<Way> {
+    const { group, tries: { deadline, route }, looks } = this
+    const { outage, serviceMs, connections, missingMs } = group
+    const expectedMs = outage.expectedMs()
+    const waiting = outage.waiting - (this.leave === undefined ? 0 : 1)
+    const step = group.patience.forLeader({
+      leftMs: left(deadline), serviceMs, statementMs: route.statementMs, missingMs, expectedMs, rank: route.rank, looks, waiting, connections
+    })
+    this.looks++
+    if (step.kind === 'wait') this.leave ??= outage.enter()
+    if (looks > 0) outage.tell(step.kind === 'wait' ? expectedMs : undefined)
+    return await this.take('forLeader', step, async ms => await outage.wait(ms, this.tries.gone))
+  }
+
+  /** Until an endpoint that had no room may have some. */
+  async forRoom (): Promise<Way> {
+    return await this.pause('forRoom')
+  }
+
+  /** Until a connection may be had, or it's known that the endpoint is out of reach. */
+  async forReach (): Promise<Way> {
+    return await this.pause('forReach')
+  }
+
+  /** Until the host has a retry left for it. */
+  async forBudget (mayRetry: () => boolean): Promise<Way> {
+    for (;;) {
+      const way = await this.pause('forBudget')
+      if (typeof way !== 'string' || this.isDropped || mayRetry()) return way
+    }
+  }
+
+  private async pause (what: Pause): Promise<Way> {
+    const { group, tries: { deadline, gone }, pauses } = this
+    const lack: Parameters<Patience['forRoom']>[0] = { leftMs: left(deadline), serviceMs: group.serviceMs, pauses, chance: group.chance() }
+    this.pauses++
+    return await this.take(what, group.patience[what](lack), async ms => await Waiters.create().wait(ms, gone))
+  }
+
+  private async take (what: string, step: Step, wait: (ms: number) => Promise<void>): Promise<Way> {
+    if (step.kind === 'refuse') return { cause: step.cause, retryAfterMs: step.retryAfterMs }
+    if (step.kind === 'go') return 'go'
+    this.metrics.waits.inc({ what })
+    await wait(step.ms)
+    return step.isAnew ? 'anew' : 'again'
+  }
+}
--- /dev/null
+++ b/src/shell/pool/succession/outage.ts
@@ -0,0 +1,90 @@
+/** The time in which a group has no primary that this host reaches, as the statements that need one see it. */
+
+import type { GroupId } from '../../../core/id/group.ts'
+import { Expectation } from '../../../core/pool/succession/expectation.ts'
+import type { Log } from '../../log/log.ts'
+import { clock } from '../clock.ts'
+import { Waiters } from '../waiters.ts'
+
+/** The only place where the group's expectation is replaced. */
+export class Outage {
+  private expectation = Expectation.none
+  private readonly waiters = Waiters.create()
+  private count = 0
+  /** What the log was told of this outage. */
+  private told: 'nothing' | 'awaited' | 'unexpected' = 'nothing'
+
+  private constructor (private readonly group: GroupId, private readonly log: Log) {}
+
+  static create (group: GroupId, log: Log): Outage {
+    return new Outage(group, log)
+  }
+
+  /** Statements that wait. */
+  get waiting (): number {
+    return this.count
+  }
+
+  /** The primary is out of reach, or not known. */
+  begin (): void {
+    this.expectation = this.expectation.lost(clock.now())
+  }
+
+  /** The same primary answers again. */
+  end (): void {
+    this.expectation = this.expectation.back(clock.now())
+    this.wake()
+  }
+
+  /** Another endpoint leads. */
+  replaced (): void {
+    this.expectation = this.expectation.replaced(clock.now())
+    this.wake()
+  }
+
+  /** A host claimed the lease under the fence. */
+  claimed (fence: number): void {
+    this.expectation = this.expectation.claimed(fence, clock.now())
+  }
+
+  /** No promotion follows, as far as this host knows. */
+  halted (): void {
+    this.expectation = this.expectation.halted()
+    this.waiters.wake()
+  }
+
+  /** Milliseconds until there is a primary; undefined when none is expected. */
+  expectedMs (): number | undefined {
+    this.begin()
+    return this.expectation.leftMs(clock.now())
+  }
+
+  /** A statement waits on, `ms` being what is expected; undefined: one that waited was refused since nothing is. At most two lines an outage, however many wait. */
+  tell (ms: number | undefined): void {
+    const { group, count, log, told } = this
+    if (ms !== undefined && told === 'nothing') {
+      this.told = 'awaited'
+      log.write('primaryAwaited', { group, expectedMs: Math.round(ms) })
+    }
+    if (ms === undefined && told === 'awaited') {
+      this.told = 'unexpected'
+      log.write('primaryUnexpected', { group, waiting: count })
+    }
+  }
+
+  /** One more waits, until the returned function is called. */
+  enter (): () => void {
+    this.count++
+    return () => { this.count-- }
+  }
+
+  /** Resolves as soon as something changed, or after the milliseconds, or when whoever waits is gone. */
+  async wait (ms: number, gone: AbortSignal): Promise<void> {
+    await this.waiters.wait(ms, gone)
+  }
+
+  private wake (): void {
+    this.told = 'nothing'
+    this.waiters.wake()
+  }
+}
--- a/src/shell/pool/succession/successor.ts
+++ b/src/shell/pool/succession/successor.ts
@@ -94,6 +94,7 @@
     if (parsed?.success !== true || (this.lease !== undefined && version <= this.lease.version)) return
     const { holder, asksFor } = parsed.data
     this.lease = Lease.of({ holder: holder as HostId, asksFor: asksFor as EndpointId | undefined, version, seenAt: clock.age() })
+    this.options.group.outage.claimed(version)
     if (this.lease.asksFor !== undefined && holder !== this.options.host) this.considerObjection(this.lease.asksFor, version)
   }
 
@@ -104,6 +105,7 @@
     this.objectedTo = Math.max(this.objectedTo, fence)
     const host = this.options.hosts().find(({ id }) => key.endsWith(`/${id}`))
     if (host !== undefined && host.id !== this.options.host) this.options.group.reachedBy(endpoint, host)
+    this.options.group.outage.halted()
     this.step({ kind: 'objected', fence })
   }
 
@@ -158,7 +160,9 @@
     const began = clock.now()
     platform.store.change([change], signal).then(changed => {
       log.write('leaseClaimed', { group: group.id, cause, isTaken: changed.isOk(), fence: changed.unwrapOr(0), leader: group.leader ?? 'none' })
+      if (changed.isErr() && changed.error !== 'conflict') group.outage.halted()
       if (changed.isErr()) return this.step({ kind: 'claimLost' })
+      group.outage.claimed(changed.value)
       this.lease = Lease.of({ holder: host, asksFor, version: changed.value, seenAt: clock.age() })
       this.step({ kind: 'claimed', fence: changed.value, tookMs: clock.now() - began })
     })
@@ -168,7 +172,10 @@
     const { group, platform, table, log, metrics, signal } = this.options
     metrics.storeCalls.inc({ call: 'read', table: 'shared', why: 'objections' })
     platform.store.read(table, signal, `objection/${group.id}/`).then(read => {
-      if (read.isErr()) return this.step({ kind: 'claimLost' })
+      if (read.isErr()) {
+        group.outage.halted()
+        return this.step({ kind: 'claimLost' })
+      }
       const objections = read.value.rows.filter(({ value }) => objectionOf(value)?.fence === fence)
       log.write('objectionsRead', { group: group.id, fence, objections: objections.length })
       this.step(objections.length > 0 ? { kind: 'objected', fence } : { kind: 'confirmed', fence })
--- a/src/shell/pool/waiters.ts
+++ b/src/shell/pool/waiters.ts
@@ -9,17 +9,20 @@
     return new Waiters()
   }
 
-  /** Resolves when it has happened, or after the milliseconds. */
-  async wait (ms: number): Promise<void> {
+  /** Resolves when it has happened, or after the milliseconds, or when whoever waits is gone. */
+  async wait (ms: number, gone?: AbortSignal): Promise<void> {
+    if (gone?.aborted === true) return
     await new Promise<void>(resolve => {
       const { waiting } = this
       const timer = setTimeout(done, ms)
       function done (): void {
         waiting.delete(done)
         clearTimeout(timer)
+        gone?.removeEventListener('abort', done)
         resolve()
       }
       waiting.add(done)
+      gone?.addEventListener('abort', done)
     })
   }
 
