Reads placed by the time until their answer, endpoints judged by what callers get

A read went by what waits at this owner's own connections, with constants for the way, an opening and the primary; an endpoint that said that it's well was asked whatever it answered, and a replica that was behind was asked again each 50 ms by whoever came. A read that an endpoint failed was refused, although it has no effect and other endpoints stand by.

Where owners are picked and endpoints tell their places, a read now goes to the endpoint that answers soonest by the work of all owners there and by its measured pace; endpoints that fail more or are slower than their group are put aside by degrees; a replica's lag is measured, so that it's asked when it will hold the position. Elsewhere reads are placed as before. A read that failed is tried elsewhere within the retry budget, everywhere.

--- a/src/core/pool/reads/progress.ts
+++ b/src/core/pool/reads/progress.ts
@@ -37,6 +37,21 @@
     return this.newest.term
   }
 
+  /** When the primary was known to have the position; undefined when it isn't. */
+  reachedAt (position: Token): Instant | undefined {
+    return this.marks.reachedAt(position)
+  }
+
+  /**
+   * How far a replica is behind whose log ends at the position now, in milliseconds: at least so much, since it lacks what the primary had then, and at
+   * most so much, since it has what the primary hadn't yet; undefined when no such instant is known.
+   */
+  lagAt (position: Token, now: Instant): { readonly leastMs: number, readonly mostMs: number | undefined } {
+    const lacksSince = this.marks.passedAt(position)
+    const hasSince = this.marks.belowAt(position)
+    return { leastMs: lacksSince === undefined ? 0 : now - lacksSince, mostMs: hasSince === undefined ? undefined : now - hasSince }
+  }
+
   /**
    * The position that a read of this age must find; undefined when no mark is
    * young enough, and the primary must be asked. The oldest mark that is young
--- a/src/core/pool/statements/verdict.ts
+++ b/src/core/pool/statements/verdict.ts
@@ -14,7 +14,7 @@
 }
 
 type Verdict =
-  /** Nothing ran, or what ran was a read alone: another endpoint may be asked. */
+  /** Nothing ran, or what ran was a read alone, which changes nothing: another endpoint may be asked. */
   | { readonly kind: 'elsewhere' }
   | { readonly kind: 'refuse', readonly fault: Fault }
 
@@ -23,6 +23,9 @@
   'busy', 'behind', 'notPrimary', 'wrongEndpoint', 'tooManyConnections', 'unknownStatement'
 ])
 
+/** Faults after which an endpoint holds nothing of a read, so that it may be asked once more. */
+const READ_AGAIN: ReadonlySet<Ending> = new Set<Ending>(['broken', 'failed'])
+
 /**
  * Guard against a write that runs twice, and against "not run" said of one
  * that did: a connection that breaks after a write was sent leaves open whether
@@ -30,13 +33,19 @@
  * connection breaks before its commit was sent is rolled back by the endpoint,
  * which is proof that nothing is kept; the same holds for a commit of a
  * transaction that wrote nothing.
+ *
+ * A read that failed may do so because of its endpoint alone, and ran without an effect: it's tried
+ * elsewhere while nothing was written in its transaction. A write that failed stays with its caller, also the first of a
+ * transaction that is rolled back: a second run would have no effect either, but most of them are wrong and not unlucky, and all go to the one primary, where
+ * a second one fails alike.
  */
 export function verdictOf (ending: Ending, { what, isInside, isFirst, hasWritten }: Attempted): Verdict {
   const isKeptNowhere = isInside && isFirst && what !== 'commit'
   if (isKeptNowhere && (NOT_RUN.has(ending) || ending === 'broken')) return { kind: 'elsewhere' }
+  if (what === 'read' && (!isInside || isFirst) && READ_AGAIN.has(ending)) return { kind: 'elsewhere' }
   if (isInside) return refuse(insideFault(ending, what === 'commit', hasWritten))
   if (NOT_RUN.has(ending)) return { kind: 'elsewhere' }
-  if (ending === 'broken') return what === 'read' ? { kind: 'elsewhere' } : refuse('unknown')
+  if (ending === 'broken') return refuse('unknown')
   if (ending === 'outOfTime') return refuse(what === 'read' ? 'timeout' : 'unknown')
   return refuse(ending)
 }
--- a/src/core/routing/marks.ts
+++ b/src/core/routing/marks.ts
@@ -44,6 +44,21 @@
     return this.marks.find(mark => mark.at >= at)?.bound
   }
 
+  /** When the first bound was asked for that is at or above the position; undefined without one. */
+  reachedAt (position: Token): Instant | undefined {
+    return this.marks.find(({ bound }) => !position.isAfter(bound))?.at
+  }
+
+  /** When the first bound was asked for that lies above the position; undefined without one. */
+  passedAt (position: Token): Instant | undefined {
+    return this.marks.find(({ bound }) => bound.isAfter(position))?.at
+  }
+
+  /** When the last bound was asked for that lies below the position; undefined without one. */
+  belowAt (position: Token): Instant | undefined {
+    return this.marks.findLast(({ bound }) => position.isAfter(bound))?.at
+  }
+
   /** The least proved age of what the replica shows, in milliseconds; infinite when nothing is proved. */
   age (sample: Sample, now: Instant): number {
     const mark = this.marks.findLast(({ bound }) => hasApplied(sample, bound))
--- a/src/shell/log/events.ts
+++ b/src/shell/log/events.ts
@@ -68,5 +68,8 @@
   batchFailed: { id: 7002, level: 'warn', message: 'a batch of audit records could not be stored' },
   recordsDropped: { id: 7003, level: 'warn', message: 'dropped audit records for want of room' },
   recordsLost: { id: 7004, level: 'error', message: 'ended without storing audit records' },
-  batchesRemoved: { id: 7005, level: 'warn', message: 'took the oldest batches of audit records from a full store' }
+  batchesRemoved: { id: 7005, level: 'warn', message: 'took the oldest batches of audit records from a full store' },
+
+  endpointAside: { id: 8020, level: 'warn', message: 'an endpoint fails more or answers later than its group: reads go elsewhere while they can' },
+  endpointBack: { id: 8021, level: 'info', message: 'an endpoint serves its part of the reads again' }
 } as const satisfies Record<string, Event>
--- a/src/shell/pool/group.ts
+++ b/src/shell/pool/group.ts
@@ -8,11 +8,15 @@
 import type { GroupId } from '../../core/id/group.ts'
 import type { Instant } from '../../core/id/instant.ts'
 import { Directory as Endpoints } from '../../core/directory/directory.ts'
+import type { Answers } from '../../core/pool/health/answers.ts'
+import type { OthersLoad } from '../../core/pool/load/othersload.ts'
 import { readCandidates } from '../../core/pool/reads/candidates.ts'
+import { SharedReads } from '../../core/pool/reads/sharedreads.ts'
 import { Contact } from '../../core/pool/succession/contact.ts'
 import type { Handover } from '../../core/pool/succession/handover.ts'
 import { Leadership } from '../../core/pool/succession/leadership.ts'
 import type { PoolHost } from '../../core/pool/placing/host.ts'
+import type { Ending } from '../../core/pool/statements/ending.ts'
 import { Progress } from '../../core/pool/reads/progress.ts'
 import { Reach } from '../../core/pool/placing/reach.ts'
 import { Thrift } from '../../core/pool/placing/thrift.ts'
@@ -39,11 +43,15 @@
   readonly startedAt: Instant
 }
 
+/** Endings by which an endpoint shows that it isn't well. */
+const FAILED: ReadonlySet<Ending> = new Set<Ending>(['failed', 'timeout', 'broken', 'outOfTime'])
+
 /** The only place where the group's pure values are replaced. */
 export class PoolGroup {
   private readonly lenders = new Map<EndpointId, Lender>()
   private readonly standings = new Map<EndpointId, Standing>()
   private readonly contacts = new Map<EndpointId, Contact>()
+  private readonly reads = SharedReads.create()
   /** Endpoints that were logged as out of reach. */
   private readonly unreached = new Set<EndpointId>()
   private directory: Directory = Endpoints.empty
@@ -163,18 +171,55 @@
     return lender
   }
 
-  /** Where a read may go whose log must hold the position, the best first. `team`: whose connections serve it. */
-  readers (position: Token, team: TeamId | undefined): readonly EndpointId[] {
+  /** Where a read goes next whose log must hold the position, held for the time; undefined when no endpoint is left. `team`: whose connections serve it. `leftMs`: until its time is up. */
+  reader (position: Token, team: TeamId | undefined, tried: ReadonlySet<EndpointId>, leftMs: number): { readonly endpoint: EndpointId, readonly waitMs: number } | undefined {
     const now = clock.now()
-    return readCandidates({
-      endpoints: this.endpoints,
-      primary: this.leader,
+    const { endpoints, leader: primary } = this
+    const view = {
+      endpoints,
+      primary,
       dataCentre: this.options.dataCentre,
-      standing: id => this.standing(id),
-      queued: id => this.lenders.get(id)?.queued ?? 0,
-      mustOpen: id => team !== undefined && this.lenders.get(id)?.hasUnused(team) !== true,
-      isReachable: id => !this.contact(id).isOut(now)
-    }, position, now)
+      progress: this.progress,
+      leftMs,
+      queued: (id: EndpointId) => this.lenders.get(id)?.queued ?? 0,
+      mustOpen: (id: EndpointId) => team !== undefined && this.lenders.get(id)?.hasUnused(team) !== true,
+      isReachable: (id: EndpointId) => !this.contact(id).isOut(now)
+    }
+    if (!this.dealt.hasRoom || !SharedReads.isPossible(endpoints)) {
+      const endpoint = readCandidates({ ...view, standing: id => this.standing(id) }, position, now).find(id => !tried.has(id))
+      return endpoint === undefined ? undefined : { endpoint, waitMs: 0 }
+    }
+    this.lookAtHealth(now)
+    const mayHold = (id: EndpointId) => this.standing(id).mayHold(position, now)
+    const placed = this.reads.place({ ...view, mayHold }, position, tried, { now, age: clock.age() }, this.options.chance)
+    if (placed !== undefined) this.options.metrics.readsPlaced.inc({ at: placed.endpoint === primary ? 'primary' : placed.waitMs > 0 ? 'replica awaited' : 'replica' })
+    return placed
+  }
+
+  private lookAtHealth (now: Instant): void {
+    for (const { id, isAside, failing, answerMs } of this.reads.look({ endpoints: this.endpoints, primary: this.leader }, now)) {
+      this.options.metrics.asides.inc({ change: isAside ? 'aside' : 'back' })
+      this.options.log.write(isAside ? 'endpointAside' : 'endpointBack', { endpoint: id, group: this.id, failing: Math.round(failing * 100) / 100, answerMs: Math.round(answerMs ?? -1) })
+    }
+  }
+
+  /** Takes what the group's other owners have at its endpoints from now on. */
+  takeOthers (others: OthersLoad): void {
+    this.reads.takeOthers(others)
+  }
+
+  /** How the endpoint answered this owner lately. */
+  answers (id: EndpointId): Answers {
+    return this.reads.health.answers(id)
+  }
+
+  /** A statement of a caller goes to the endpoint; what is returned is called with how it ended. Undefined where nobody counts that. */
+  sent (id: EndpointId): ((ending: Ending | 'done') => void) | undefined {
+    const endpoint = this.directory.get(id)
+    if (endpoint === undefined || !this.dealt.hasRoom) return undefined
+    const sentAt = clock.now()
+    const ended = this.reads.health.sent(id, this.reads.crowd(endpoint, sentAt), sentAt)
+    return ending => ended(ending === 'done' ? 'done' : FAILED.has(ending) ? 'failed' : 'notRun', clock.now())
   }
 
   /** The position that a read of the age must find; undefined when only the primary can serve it. */
@@ -192,8 +237,9 @@
     this.reached(id, clock.now())
     if (position === undefined) return
     this.standings.set(id, this.standing(id).answered(position, clock.now()))
+    if (isLead) this.progress = this.progress.with(position, sentAt)
+    if (this.dealt.hasRoom) this.reads.answered(id, position, this.progress, clock.age())
     if (!isLead) return
-    this.progress = this.progress.with(position, sentAt)
     this.lead(this.leadership.proved(id, position.term), 'proof')
   }
 
@@ -205,6 +251,7 @@
 
   fellShort (id: EndpointId): void {
     this.standings.set(id, this.standing(id).fellShort(clock.now()))
+    this.reads.fellShort(id, clock.age())
   }
 
   notPrimary (id: EndpointId): void {
@@ -269,6 +316,7 @@
     this.lenders.get(id)?.close()
     this.lenders.delete(id)
     this.standings.delete(id)
+    this.reads.forget(id)
     this.contacts.delete(id)
     this.unreached.delete(id)
   }
--- a/src/shell/pool/metrics.ts
+++ b/src/shell/pool/metrics.ts
@@ -26,6 +26,14 @@
   })
 
   readonly dials = new Counter({ name: 'agatepond_dials_total', help: 'Connections opened to endpoints, by outcome', labelNames: ['outcome'] as const, registers: [this.registry] })
+  readonly readsPlaced = new Counter({
+    name: 'agatepond_reads_placed_total', help: 'Reads of groups whose owners share their load, by where they went', labelNames: ['at'] as const, registers: [this.registry]
+  })
+
+  readonly asides = new Counter({
+    name: 'agatepond_endpoints_aside_total', help: 'Endpoints that were put aside for reads, and that came back', labelNames: ['change'] as const, registers: [this.registry]
+  })
+
   readonly leaderChanges = new Counter({ name: 'agatepond_leader_changes_total', help: 'Changes of the primary that this process believes in', labelNames: ['group'] as const, registers: [this.registry] })
   readonly orders = new Counter({ name: 'agatepond_promotion_orders_total', help: 'Orders to promote, by outcome', labelNames: ['outcome'] as const, registers: [this.registry] })
   readonly storeFailures = new Counter({ name: 'agatepond_store_failures_total', help: 'Failed questions to the store', labelNames: ['table'] as const, registers: [this.registry] })
--- a/src/shell/pool/statements/target.ts
+++ b/src/shell/pool/statements/target.ts
@@ -1,5 +1,6 @@
 /** Picks the endpoint for the next try of an operation. */
 
+import { setTimeout as pause } from 'node:timers/promises'
 import type { EndpointId } from '../../../core/id/endpoint.ts'
 import type { TeamId } from '../../../core/id/team.ts'
 import type { Target } from '../../../core/pool/statements/target.ts'
@@ -19,6 +20,8 @@
   readonly mayDetour: boolean
   /** Endpoints that refused this operation as replicas or were out of reach. */
   readonly tried: ReadonlySet<EndpointId>
+  /** Until its time is up, in milliseconds. */
+  readonly leftMs: number
 }
 
 /**
@@ -29,11 +32,14 @@
 const NEWS_MS = 100
 
 /** Resolves with undefined when nothing can serve it now. */
-export async function nextTarget (group: PoolGroup, { mustLead, freshness, own, team, mayDetour, tried }: Wanted): Promise<Target | undefined> {
+export async function nextTarget (group: PoolGroup, { mustLead, freshness, own, team, mayDetour, tried, leftMs }: Wanted): Promise<Target | undefined> {
   if (!mustLead && freshness.kind === 'age') {
     const after = group.required(own, freshness.ms)
-    const endpoint = after === undefined ? undefined : group.readers(after, team).find(id => !tried.has(id))
-    if (endpoint !== undefined) return { endpoint, after, mustLead: false }
+    const reader = after === undefined ? undefined : group.reader(after, team, tried, leftMs)
+    if (reader !== undefined) {
+      if (reader.waitMs > 0) await pause(reader.waitMs)
+      return { endpoint: reader.endpoint, after, mustLead: false }
+    }
   }
   // Against requests that are held for their whole time before they are refused: what would go to a primary that
   // is out of reach is known not to be served until it's replaced.
--- a/src/shell/pool/statements/tryall.ts
+++ b/src/shell/pool/statements/tryall.ts
@@ -47,7 +47,7 @@
   if (group === undefined) return last
   const tried = new Set<EndpointId>()
   for (let i = 0; i < MOST_TRIES && left(deadline) > 0; i++) {
-    const target = await nextTarget(group, { mustLead, freshness: route.freshness, own, team: gate.team?.id, mayDetour, tried })
+    const target = await nextTarget(group, { mustLead, freshness: route.freshness, own, team: gate.team?.id, mayDetour, tried, leftMs: left(deadline) })
     if (target === undefined) return last
     tried.add(target.endpoint)
     const run = await tryOnce(ctx, group, target, tries, gate)
