--- a/src/core/pool/health/answers.ts
+++ b/src/core/pool/health/answers.ts
@@ -2,8 +2,10 @@
 
 import type { Instant } from '../../id/instant.ts'
 
-/** An answer counts for less the more time has passed since: about the time in which an endpoint that turns bad has to show it. */
+/** A failure counts for less the more time has passed since: about the time in which an endpoint that turns bad has to show it. */
 const MEMORY_MS = 500
+/** Times vary less than whether something fails at all, so a few of them tell enough. */
+const TIMES_MEMORY_MS = 250
 /** Each new answer counts at least so much, so that many at once settle on their mean, */
 const LEAST_WEIGHT = 0.1
 /** and at most so much, so that one failure after a pause isn't all that is known. */
@@ -33,7 +35,7 @@
    * together tell how long the endpoint takes for one, the way there and back with it, although it may have waited there.
    */
   done (ms: number, crowd: number, now: Instant): void {
-    const weight = weightOf(now - this.doneAt)
+    const weight = weightOf(now - this.doneAt, TIMES_MEMORY_MS)
     const paceMs = ms / Math.max(1, crowd)
     this.meanMs = mix(this.meanMs ?? ms, ms, weight)
     this.meanPaceMs = mix(this.meanPaceMs ?? paceMs, paceMs, weight)
@@ -67,13 +69,13 @@
   }
 
   private count (isFailed: 0 | 1, now: Instant): void {
-    this.failedPart = mix(this.failedPart, isFailed, weightOf(now - this.heardAt))
+    this.failedPart = mix(this.failedPart, isFailed, weightOf(now - this.heardAt, MEMORY_MS))
     this.heardAt = now
   }
 }
 
-function weightOf (sinceMs: number): number {
-  return Math.min(MOST_WEIGHT, Math.max(LEAST_WEIGHT, 1 - Math.exp(-sinceMs / MEMORY_MS)))
+function weightOf (sinceMs: number, memoryMs: number): number {
+  return Math.min(MOST_WEIGHT, Math.max(LEAST_WEIGHT, 1 - Math.exp(-sinceMs / memoryMs)))
 }
 
 function mix (before: number, sample: number, weight: number): number {
--- a/src/core/pool/health/degree.ts
+++ b/src/core/pool/health/degree.ts
@@ -8,20 +8,24 @@
 const LAST = PARTS.length - 1
 /** Time for the others' reports to show what the step before changed. */
 const WORSE_MS = 100
-/** Slower back than aside, so that owners who all find it well don't all send their reads at once; all steps together stay well below a second. */
-const BETTER_MS = 200
+/**
+ * It must be well for so long at each step. Longer than the way aside, so that neither chance nor owners who all find it well at once
+ * carry it to and fro; all steps together stay well below a second.
+ */
+const BETTER_MS = 150
 
 /** Immutable. */
 export class Degree {
-  private constructor (private readonly step: number, private readonly changedAt: number) {}
+  /** `wellSince`: when it was last found not to be well, or last changed. */
+  private constructor (private readonly step: number, private readonly changedAt: number, private readonly wellSince: number) {}
 
-  static readonly none = new Degree(0, -Infinity)
+  static readonly none = new Degree(0, -Infinity, -Infinity)
 
   judged (judgement: ReturnType<typeof judge>, now: Instant): Degree {
-    const sinceMs = now - this.changedAt
-    if (judgement === 'bad' && this.step < LAST && sinceMs >= WORSE_MS) return new Degree(this.step + 1, now)
-    if (judgement === 'well' && this.step > 0 && sinceMs >= BETTER_MS) return new Degree(this.step - 1, now)
-    return this
+    const { step, changedAt, wellSince } = this
+    if (judgement === 'bad' && step < LAST && now - changedAt >= WORSE_MS) return new Degree(step + 1, now, now)
+    if (judgement === 'well' && step > 0 && now - wellSince >= BETTER_MS) return new Degree(step - 1, now, now)
+    return judgement === 'well' ? this : new Degree(step, changedAt, now)
   }
 
   /** The part of its reads that it keeps; from 0 to 1. */
