The model of a group places reads by time as well, and hosts report their load in it

Asked: least expected time, the sooner of two drawn by chance, either with reports or without, against what waits at the own host.

The least expected time stays, since it keeps the primary's places for what only it can do. Reports are what it needs: without them it's worse than before where an endpoint is slow.

--- a/bench/group/asbuilt.ts
+++ b/bench/group/asbuilt.ts
@@ -20,6 +20,14 @@
     return new AsBuilt(name, change)
   }
 
+  get order (): GroupPolicy['order'] {
+    return this.change.order
+  }
+
+  get reportMs (): GroupPolicy['reportMs'] {
+    return this.change.reportMs
+  }
+
   share (connections: number, hosts: number): number {
     return this.change.share?.(connections, hosts) ?? shareOf(connections, hosts)
   }
--- a/bench/group/endpoint.ts
+++ b/bench/group/endpoint.ts
@@ -22,6 +22,8 @@
   private readonly queue: Job[] = []
   private busy = 0
   private connections = 0
+  /** All that it worked, in milliseconds. */
+  workedMs = 0
 
   private constructor (private readonly options: Options) {}
 
@@ -61,6 +63,7 @@
     this.busy++
     agenda.add(job.ms, () => {
       this.busy--
+      this.workedMs += job.ms
       job.done()
       this.next()
     })
--- a/bench/group/group.test.ts
+++ b/bench/group/group.test.ts
@@ -10,7 +10,11 @@
 const SEED = 11
 
 function run (load: string, policy = 'as built'): Outcomes {
-  return GroupModel.run(loads.find(({ name }) => name === load)!, policies.find(({ name }) => name === policy)!, SEED).outcomes
+  return modelOf(load, policy).outcomes
+}
+
+function modelOf (load: string, policy: string): GroupModel {
+  return GroupModel.run(loads.find(({ name }) => name === load)!, policies.find(({ name }) => name === policy)!, SEED)
 }
 
 describe('the model of a group', () => {
@@ -58,3 +62,18 @@
     expect(run(load, 'half of the connections').worst).toBeGreaterThan(run(load).worst)
   })
 })
+
+describe('reads that go where they are answered soonest', () => {
+  const SOONEST = 'reads go where they are answered soonest'
+
+  it.each([['seven owners'], ['seven owners, twice the callers']])('%s: the busiest endpoint has at most 1.3 times the mean, and less than by what waits at the own host', load => {
+    const { busiest } = modelOf(load, SOONEST)
+    expect(busiest).toBeLessThanOrEqual(1.3)
+    expect(busiest).toBeLessThan(modelOf(load, 'as built').busiest)
+  })
+
+  it.each([['as built'], ['soonest, without reports']])('a slow replica: %s serve fewer in time', policy => {
+    const load = 'seven owners, a slow replica'
+    expect(run(load, policy).worst).toBeLessThan(run(load, SOONEST).worst)
+  })
+})
--- a/bench/group/host.ts
+++ b/bench/group/host.ts
@@ -6,6 +6,7 @@
 import type { AdmissionRequest } from '../../src/core/admission/request.ts'
 import type { Instant } from '../../src/core/id/instant.ts'
 import { Progress } from '../../src/core/pool/reads/progress.ts'
+import { SharedReads } from '../../src/core/pool/reads/sharedreads.ts'
 import { Standing } from '../../src/core/pool/reads/standing.ts'
 import type { Agenda } from '../load/agenda.ts'
 import type { Policy } from '../load/policy.ts'
@@ -38,6 +39,7 @@
 export class ModelHost {
   progress = Progress.empty
   readonly standings: Standing[]
+  readonly reads: SharedReads
   private readonly slots: readonly Slot[]
   private readonly waiting = new Map<number, Lent>()
   private readonly startedAt: Instant
@@ -47,6 +49,7 @@
     const limits = Limits.of(options.connections).with({ mostPinned: [options.connections, options.connections, Math.max(1, options.connections - 1)] })
     this.slots = options.endpoints.map(() => ({ policy: options.policy.admission(limits), idle: 0, open: 0, usedAt: 0, refusedAt: undefined }))
     this.standings = options.endpoints.map(() => Standing.unknown)
+    this.reads = SharedReads.create(options.policy.order)
     this.startedAt = options.agenda.now as Instant
     this.tick()
   }
--- a/bench/group/model.ts
+++ b/bench/group/model.ts
@@ -21,6 +21,7 @@
 import type { Load } from './load.ts'
 import { Outcomes } from './outcomes.ts'
 import type { GroupPolicy } from './policy.ts'
+import { spreadReports } from './reports.ts'
 
 interface Operation {
   readonly kind: Kind
@@ -57,6 +58,8 @@
 /** One run. The same seed gives the same counts on every machine. */
 export class GroupModel {
   readonly outcomes = Outcomes.create()
+  /** Reads that were sent to a replica whose log was short. */
+  inVain = 0
   private readonly agenda = Agenda.create()
   private readonly endpoints: readonly ModelEndpoint[]
   private readonly hosts: Array<ModelHost | undefined>
@@ -68,9 +71,9 @@
   private constructor (private readonly load: Load, private readonly policy: GroupPolicy, seed: number) {
     this.generator = xoroshiro128plus(seed)
     const { agenda } = this
-    this.endpoints = Array.from({ length: ENDPOINTS }, () => ModelEndpoint.create({ agenda, places: PLACES, mostQueued: MOST_QUEUED, mostConnections: load.connections, lingerMs: LINGER_MS }))
+    this.endpoints = Array.from({ length: ENDPOINTS }, () => ModelEndpoint.create({ agenda, places: load.places ?? PLACES, mostQueued: load.mostQueued ?? MOST_QUEUED, mostConnections: load.connections, lingerMs: LINGER_MS }))
     this.listed = this.endpoints.map((_, i) => ({
-      id: `e${i}` as EndpointId, group: 'g' as GroupId, address: { ip: '10.0.0.1', port: i + 1 }, dataCentre: `z${i}` as DataCentreId, isLeaving: false, isPrimary: i === PRIMARY
+      id: `e${i}` as EndpointId, group: 'g' as GroupId, address: { ip: '10.0.0.1', port: i + 1 }, dataCentre: `z${i}` as DataCentreId, isLeaving: false, isPrimary: i === PRIMARY, places: load.places ?? PLACES
     }))
     this.hosts = Array.from({ length: load.hosts }, () => this.start())
   }
@@ -79,10 +82,22 @@
     const it = new GroupModel(load, policy, seed)
     for (const kind of load.kinds) it.scheduleNext(kind)
     if (load.outage !== undefined) it.cutPower(load.outage)
+    if (policy.reportMs !== undefined && Number.isFinite(policy.reportMs)) it.report(policy.reportMs)
     it.agenda.runUntil(load.endMs + Math.max(...load.kinds.map(({ deadlineMs }) => deadlineMs)))
     return it
   }
 
+  /** The work of the busiest endpoint to the mean over all. */
+  get busiest (): number {
+    const worked = this.endpoints.map(({ workedMs }) => workedMs)
+    return Math.max(...worked) * worked.length / worked.reduce((sum, ms) => sum + ms, 0)
+  }
+
+  private report (everyMs: number): void {
+    spreadReports(this.hosts, this.listed)
+    this.agenda.add(everyMs, () => this.report(everyMs))
+  }
+
   private start (): ModelHost {
     const { agenda, endpoints, policy, load } = this
     return ModelHost.start({ agenda, endpoints, policy, connections: policy.share(load.connections, load.hosts), chance: () => this.chance(), connectMs: CONNECT_MS })
@@ -151,13 +166,23 @@
     const { kind, isWrite } = operation
     const { now } = this.agenda
     const bound = isWrite || kind.staleMs === 0 ? undefined : host.progress.required(Token.zero, kind.staleMs, now as Instant)
-    const at = bound === undefined ? PRIMARY : this.readerOf(host, hostAt, bound, tried)
+    const { at, waitMs } = bound === undefined ? { at: PRIMARY, waitMs: 0 } : this.readerOf(host, hostAt, bound, tried)
+    if (waitMs === 0) return this.sendTo(at, bound, operation, host, hostAt, tried)
+    this.agenda.add(waitMs, () => this.sendTo(at, bound, operation, host, hostAt, tried))
+  }
+
+  private sendTo (at: number, bound: Token | undefined, operation: Operation, host: ModelHost, hostAt: number, tried: ReadonlySet<number>): void {
+    const { kind } = operation
+    const { now } = this.agenda
     const isReplica = at !== PRIMARY
     const id = this.nextId++
     const request: AdmissionRequest = { id, rank: kind.rank, caller: kind.name as CallerId, deadline: now + STATEMENT_MS as Instant, isTransaction: operation.isTransaction }
     host.borrow(at, request, isLent => {
       if (!isLent) return isReplica ? this.tryAt(operation, host, hostAt, new Set([...tried, at])) : this.refused(operation)
       if (isReplica && !this.holds(bound!)) {
+        this.inVain++
+        this.showed(host, at)
+        host.reads.fellShort(this.listed[at]!.id, this.agenda.now as Instant)
         host.standings[at] = host.standings[at]!.fellShort(this.agenda.now as Instant)
         host.giveBack(at, id)
         return this.tryAt(operation, host, hostAt, new Set([...tried, at]))
@@ -167,38 +192,65 @@
     })
   }
 
-  private readerOf (host: ModelHost, hostAt: number, bound: Token, tried: ReadonlySet<number>): number {
+  private readerOf (host: ModelHost, hostAt: number, bound: Token, tried: ReadonlySet<number>): { readonly at: number, readonly waitMs: number } {
+    const now = this.agenda.now as Instant
     const indexOf = (id: EndpointId) => this.listed.findIndex(endpoint => endpoint.id === id)
-    const ids = readCandidates({
+    const view = {
       endpoints: this.listed,
       primary: this.listed[PRIMARY]!.id,
       dataCentre: `z${hostAt % DATA_CENTRES}` as DataCentreId,
-      standing: id => host.standings[indexOf(id)]!,
+      standing: (id: EndpointId) => host.standings[indexOf(id)]!,
       mustOpen: () => false,
-      queued: id => host.queued(indexOf(id)),
-      isReachable: id => indexOf(id) === PRIMARY || Number.isFinite(this.load.lagMs(this.agenda.now))
-    }, bound, this.agenda.now as Instant)
-    return ids.map(indexOf).find(at => !tried.has(at)) ?? PRIMARY
+      queued: (id: EndpointId) => host.queued(indexOf(id)),
+      isReachable: (id: EndpointId) => indexOf(id) === PRIMARY || Number.isFinite(this.load.lagMs(now))
+    }
+    if (this.policy.order === undefined) {
+      const at = readCandidates(view, bound, now).map(indexOf).find(one => !tried.has(one)) ?? PRIMARY
+      return { at, waitMs: 0 }
+    }
+    host.reads.look(view, now)
+    const mayHold = (id: EndpointId) => view.standing(id).mayHold(bound, now)
+    const triedIds = new Set([...tried].map(at => this.listed[at]!.id))
+    const placed = host.reads.place({ ...view, mayHold, progress: host.progress, leftMs: STATEMENT_MS }, bound, triedIds, { now, age: now }, () => this.chance())
+    return placed === undefined ? { at: PRIMARY, waitMs: 0 } : { at: indexOf(placed.endpoint), waitMs: placed.waitMs }
+  }
+
+  /** What the endpoint's answer shows of its log. */
+  private showed (host: ModelHost, at: number): void {
+    const now = this.agenda.now as Instant
+    const position = Token.of(1, at === PRIMARY ? this.commits.length : this.applied)
+    if (this.policy.order !== undefined) host.standings[at] = host.standings[at]!.answered(position, now)
+    host.reads.answered(this.listed[at]!.id, position, host.progress, now)
+  }
+
+  /** How many commits replicas have by now. */
+  private get applied (): number {
+    const since = this.agenda.now - this.load.lagMs(this.agenda.now)
+    return this.commits.filter(at => at <= since).length
   }
 
   /** Whether replicas have the commit by now. */
   private holds (bound: Token): boolean {
-    const since = this.agenda.now - this.load.lagMs(this.agenda.now)
-    const applied = this.commits.filter(at => at <= since).length
-    return !bound.isAfter(Token.of(1, applied))
+    return !bound.isAfter(Token.of(1, this.applied))
   }
 
   private runAll (operation: Operation, host: ModelHost, at: number, id: number, left: number): void {
     const sentAt = this.agenda.now as Instant
-    const isDone = this.endpoints[at]!.work(this.exponential(operation.kind.workMs), () => {
+    const endpoint = this.listed[at]!
+    const ended = host.reads.health.sent(endpoint.id, host.reads.crowd(endpoint, sentAt), sentAt)
+    const workMs = this.exponential(operation.kind.workMs) * (this.load.slowness?.(at, sentAt) ?? 1)
+    const isDone = this.endpoints[at]!.work(workMs, () => {
+      ended('done', this.agenda.now as Instant)
       if (operation.isWrite && left === 1) this.commits.push(this.agenda.now)
       if (at === PRIMARY) host.progress = host.progress.with(Token.of(1, this.commits.length), sentAt)
+      this.showed(host, at)
       if (left > 1) return this.agenda.add(PAUSE_MS, () => this.runAll(operation, host, at, id, left - 1))
       host.giveBack(at, id)
       const tookMs = this.agenda.now - operation.askedAt
       this.end(operation, tookMs <= operation.kind.aimMs ? 'inAim' : 'late')
     })
     if (isDone) return
+    ended('notRun', sentAt)
     host.giveBack(at, id)
     this.refused(operation)
   }
--- a/bench/group/policies.ts
+++ b/bench/group/policies.ts
@@ -6,12 +6,14 @@
 import type { AdmissionRequest } from '../../src/core/admission/request.ts'
 import { FifoSlot } from '../load/fifo.ts'
 import type { Policy } from '../load/policy.ts'
+import { soonest } from '../../src/core/pool/reads/soonest.ts'
 import { AsBuilt } from './asbuilt.ts'
 import type { GroupPolicy } from './policy.ts'
 
 /** Connections of an endpoint that the spare form leaves alone. */
 const RESERVE = 2
 const SPARE_REST_MS = 200
+const REPORT_MS = 100
 
 export const policies: readonly GroupPolicy[] = [
   AsBuilt.create(),
@@ -23,9 +25,19 @@
   AsBuilt.but('unused ones are kept', { restMs: () => undefined }),
   AsBuilt.but('no fair queue', { admission: limits => changed(limits, request => ({ ...request, caller: '' as CallerId })) }),
   AsBuilt.but('one class', { admission: limits => changed(limits, request => ({ ...request, rank: 1 })) }),
-  AsBuilt.but('first come first served', { admission: limits => FifoSlot.earlier(limits.connections) })
+  AsBuilt.but('first come first served', { admission: limits => FifoSlot.earlier(limits.connections) }),
+  AsBuilt.but('reads go where they are answered soonest', { order: soonest, reportMs: REPORT_MS }),
+  AsBuilt.but('soonest, without reports', { order: soonest, reportMs: Infinity }),
+  AsBuilt.but('the sooner of two drawn by chance', { order: soonerOfTwo, reportMs: REPORT_MS })
 ]
 
+/** Against a herd that all hosts make up while their reports are old: one is left out by chance. */
+function soonerOfTwo (...[candidates, chance]: Parameters<typeof soonest>): ReturnType<typeof soonest> {
+  const out = candidates.length < 3 ? undefined : candidates[Math.floor(chance() * candidates.length)]?.id
+  const all = soonest(candidates, chance)
+  return [...all.filter(id => id !== out), ...all.filter(id => id === out)]
+}
+
 /** The product's admission, told something else of each request. */
 function changed (limits: Limits, change: (request: AdmissionRequest) => AdmissionRequest): Policy {
   const admission = Admission.create(limits)
--- a/src/core/pool/reads/sharedreads.ts
+++ b/src/core/pool/reads/sharedreads.ts
@@ -45,10 +45,10 @@
   private readonly lags = new Map<EndpointId, Lag>()
   private others = aloneLoad
 
-  private constructor () {}
+  private constructor (private readonly order: typeof soonest) {}
 
-  static create (): SharedReads {
-    return new SharedReads()
+  static create (order: typeof soonest = soonest): SharedReads {
+    return new SharedReads(order)
   }
 
   /** Takes what the others have from now on. */
@@ -64,7 +64,7 @@
   /** Where a read goes next whose log must hold the position; undefined when no endpoint is left. `tried`: those that didn't do it. */
   place (view: View, position: Token, tried: ReadonlySet<EndpointId>, { now, age }: Times, chance: () => number): Placed | undefined {
     const candidates = this.candidates(view, position, { now, age })
-    const endpoint = soonest(candidates, chance).find(id => !tried.has(id))
+    const endpoint = this.order(candidates, chance).find(id => !tried.has(id))
     if (endpoint === undefined) return undefined
     const { isTryDue, waitMs } = candidates.find(({ id }) => id === endpoint)!
     if (isTryDue) this.health.tried(endpoint, now)
