--- a/src/shell/log/events.ts
+++ b/src/shell/log/events.ts
@@ -78,5 +78,7 @@
   ownerSilent: { id: 8012, level: 'info', message: 'an owner of a group that had load reports no more' },
   endpointFull: { id: 8001, level: 'warn', message: 'an endpoint refuses statements for want of room; this host sends fewer at a time' },
   placesRefused: { id: 8002, level: 'info', message: 'statements or openings could not have a place at an endpoint in their time' },
-  placesChanged: { id: 8003, level: 'info', message: 'an endpoint tells another number of places' }
+  placesChanged: { id: 8003, level: 'info', message: 'an endpoint tells another number of places' },
+  endpointAside: { id: 8020, level: 'warn', message: 'an endpoint fails more or answers later than its group: reads go elsewhere while they can' },
+  endpointBack: { id: 8021, level: 'info', message: 'an endpoint serves its part of the reads again' }
 } as const satisfies Record<string, Event>
--- a/src/shell/pool/statements/tryall.ts
+++ b/src/shell/pool/statements/tryall.ts
@@ -56,7 +56,7 @@
   const full = new Set<EndpointId>()
   for (let count = 0; count < group.patience.mostTries(group.endpoints.length) && left(deadline) > 0;) {
     if (waits.isDropped) return { ...last, cause: 'left' }
-    const target = nextTarget(group, { mustLead, freshness, own, team: gate.team?.id, mayDetour, tried })
+    const target = await nextTarget(group, { mustLead, freshness, own, team: gate.team?.id, mayDetour, tried, leftMs: left(deadline) })
     const way = await wayTo(target, full, waits)
     if (typeof way !== 'string') return { ...last, ...way }
     if (way === 'anew') forget(tried, full)
