--- a/src/core/audit/batcher.test.ts
+++ b/src/core/audit/batcher.test.ts
@@ -56,6 +56,17 @@
     expect(old.tick(9000)).toBeUndefined()
   })
 
+  it.each([[1, [false, false, true]], [2, [false, true, true]]])('of %i records, where two are no longer few: cut after one second, two and four as %j', (records, expected) => {
+    // A fleet of many hosts with little work each makes more calls to the store for its records than for anything else.
+    // Each host cuts a batch as soon as its first record is old, however few others came.
+    const isCut = [1000, 2000, 4000].map(now => {
+      const it = batcher({ records: 100, ageMs: 2000, few: { records: 2, ageMs: 4000 } })
+      for (let count = 1; count <= records; count++) it.add(record(count), 0)
+      return it.tick(now) !== undefined
+    })
+    expect(isCut).toEqual(expected)
+  })
+
   it('names the range of requests in a batch, also out of order', () => {
     const it = batcher()
     it.add(record(9), 0)
--- a/src/core/audit/batcher.ts
+++ b/src/core/audit/batcher.ts
@@ -17,6 +17,8 @@
   readonly bytes: number
   /** or when its first entry is so old. */
   readonly ageMs: number
+  /** A batch with fewer records than these waits until its first entry is so old instead; without it none waits longer. */
+  readonly few?: { readonly records: number, readonly ageMs: number }
   /** Characters of the open batch and bytes of cut ones that may wait in memory. */
   readonly bufferBytes: number
 }
@@ -89,10 +91,10 @@
 
   /** Yields the open batch when it's old enough. A clock that was set back counts as old enough. */
   tick (now: number): Batch | undefined {
-    const { bufferBytes, ageMs } = this.options.limits
+    const { bufferBytes } = this.options.limits
     if (this.waiting < bufferBytes / 2) this.closeGap(now)
     const age = now - this.openedAt
-    const isDue = this.lines.length > 0 && (age >= ageMs || age < 0)
+    const isDue = this.lines.length > 0 && (age >= this.longestMs || age < 0)
     return isDue ? this.cutOpen(now) : undefined
   }
 
@@ -115,6 +117,12 @@
     return this.lines.length >= records || this.openBytes >= bytes
   }
 
+  /** How old the open batch may become. */
+  private get longestMs (): number {
+    const { ageMs, few } = this.options.limits
+    return few !== undefined && this.lines.length < few.records ? few.ageMs : ageMs
+  }
+
   private drop (at: number): void {
     this.total++
     const { gap } = this
--- a/src/shell/log/events.ts
+++ b/src/shell/log/events.ts
@@ -8,7 +8,7 @@
   readonly message: string
 }
 
-/** Numbers are never reused; 1xxx process, 2xxx endpoints, 3xxx failover, 4xxx peers, 5xxx platform and configuration, 6xxx callers, 7xxx audit records. */
+/** Numbers are never reused; 1xxx process, 2xxx endpoints, 3xxx failover, 4xxx peers, 5xxx platform and configuration, 6xxx callers, 7xxx audit records, 8xxx load. */
 export const events = {
   started: { id: 1001, level: 'info', message: 'agatepond started' },
   leaving: { id: 1003, level: 'info', message: 'leaving: no new callers, what is in progress ends' },
@@ -68,5 +68,7 @@
   batchFailed: { id: 7002, level: 'warn', message: 'a batch of audit records could not be stored' },
   recordsDropped: { id: 7003, level: 'warn', message: 'dropped audit records for want of room' },
   recordsLost: { id: 7004, level: 'error', message: 'ended without storing audit records' },
-  batchesRemoved: { id: 7005, level: 'warn', message: 'took the oldest batches of audit records from a full store' }
+  batchesRemoved: { id: 7005, level: 'warn', message: 'took the oldest batches of audit records from a full store' },
+
+  storeCalls: { id: 8040, level: 'info', message: 'calls to the store since the start of this process' }
 } as const satisfies Record<string, Event>
--- a/src/shell/pool/statements/auditor.ts
+++ b/src/shell/pool/statements/auditor.ts
@@ -8,11 +8,12 @@
 type Options = Omit<Parameters<typeof Batches.start>[0], 'limits'>
 
 /**
- * A batch is cut after ten seconds: a process without a disk loses that much when it's killed, and each batch
- * is a call to a store whose calls are counted. The buffer holds an hour's outage at ten statements a
+ * Each batch is a call to a store whose calls are counted, and a process without a disk loses the open one when it's killed.
+ * So a batch is cut after ten seconds, or, with less than a tenth of what fits into it, after thirty: many hosts with little work each
+ * would else make most of all calls. The buffer holds an hour's outage at ten statements a
  * second (250 characters a record), within a twentieth of the memory that hosts have.
  */
-const LIMITS = { records: 5000, bytes: 1_048_576, ageMs: 10_000, bufferBytes: 8_388_608 }
+const LIMITS = { records: 5000, bytes: 1_048_576, ageMs: 10_000, few: { records: 500, ageMs: 30_000 }, bufferBytes: 8_388_608 }
 /**
  * What statements leave is made into records so much later: a process that has just started serves those who
  * wait for it first. More than so many are dropped and counted, as at a hundred times the planned load of a host.
