Load that operators see: load, who is refused by whose load

Cause: nobody could tell what a group's places are used for, which team asks most, and what a refused statement met; "busy" was all that a caller's question led to.

Ruled out: a counter by team (10,000 names as labels); a message between hosts for it (operators ask rarely, the metrics' address exists); the exact queue at the moment of each refusal from admission's own answer (two queues stand before a statement once places are accounted; what stands there is read when the refusal is told, some microseconds later).

Change: each group counts the statements of its largest teams in the last five to ten seconds (bounded, core); GET /load beside the metrics gives a host's picture, `load` of the tool and of agatepond merges those of all hosts into a table or JSON; gauges for what waits by class and the three largest teams of a group; event 8041, at most eight lines each ten seconds; 6002 and the audit record of a statement refused for want of room or allowance name team, class, what stood before it, the largest team and the time told, and explain tells them.

--- /dev/null
+++ b/src/cli/loadcommand.ts
@@ -0,0 +1,31 @@
+/** Makes the command `load`: what groups' endpoints are used for, who waits, and whose load it is. */
+
+import { array, command, multioption, option, optional, string } from 'cmd-ts'
+import { exit } from './exit.ts'
+import { loadLines } from './loadlines.ts'
+import { surveyLoad } from './loadsurvey.ts'
+import { options } from './options.ts'
+import { stop } from './stop.ts'
+
+const USAGE = "name hosts to ask: --at and the address of a host's metrics, such as 10.0.0.1:9464, or on the users' platform --settings and the settings file of a host"
+
+/** `listed`: where the hosts of a settings file's system tell of themselves, where that can be found out; it ends the command when the store doesn't say. */
+export function loadCommand (listed?: (settings: string) => Promise<readonly string[]>) {
+  return command({
+    name: 'load',
+    description: "Tells what the groups' endpoints are used for, who waits by class, and which teams ask most and are refused.",
+    args: {
+      settings: option({ type: optional(string), long: 'settings', description: 'the settings file of a host: asks all that the store lists' }),
+      at: multioption({ type: array(string), long: 'at', description: 'ask only this host, by the address of its metrics; may be repeated' }),
+      json: options.json
+    },
+    handler: async ({ settings, at, json }) => {
+      const isListed = at.length === 0 && settings !== undefined
+      const addresses = isListed ? await listed?.(settings) ?? [] : at
+      if (addresses.length === 0) stop(USAGE, exit.usage)
+      const { picture, silent } = await surveyLoad(addresses)
+      if (picture.hosts.length === 0) stop(`no host told of its load: ${silent.join(', ')}; ask one by --at and the address of its metrics`, exit.unknown)
+      process.stdout.write(json ? `${JSON.stringify({ ...picture.toJSON(), silent })}\n` : `${loadLines(picture, silent).join('\n')}\n`)
+    }
+  })
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -7,6 +7,7 @@
 import { exit } from './exit.ts'
 import { explain } from './explain.ts'
 import { history } from './history.ts'
+import { load } from './load.ts'
 import { patch } from './patch.ts'
 import { serve } from './serve.ts'
 import { show } from './show.ts'
@@ -30,6 +31,7 @@
     diff,
     status,
     explain,
+    load,
     burn,
     trace,
     version
--- a/src/cli/overviewcommand.ts
+++ b/src/cli/overviewcommand.ts
@@ -3,11 +3,10 @@
 import { command } from 'cmd-ts'
 import type { Endpoint } from '../core/directory/endpoint.ts'
 import type { Platform } from '../shell/pool/platform.ts'
-import type { HostEntry } from '../core/pool/membership/hostentry.ts'
-import { rollRow } from '../core/pool/membership/rollrow.ts'
 import type { Row } from '../core/pool/membership/row.ts'
 import { exit } from './exit.ts'
 import { options } from './options.ts'
+import { rollHosts } from './rollhosts.ts'
 import { stop } from './stop.ts'
 
 type Stores = Pick<Platform, 'store' | 'config' | 'endpoints'> & { readonly leases: string, readonly hosts: string }
@@ -36,19 +35,12 @@
   const listed = (await read(endpoints.table)).map(({ key, value }) => ({ key, endpoint: endpoints.parse(key, value!) }))
   return [
     `newest configuration: ${version}`,
-    ...hostsOf(await read(hosts)).map(({ id, dataCentre, address, isLeaving }) => `host ${id}  ${dataCentre}  ${address.ip}:${address.port}${isLeaving ? '  leaving' : ''}`),
+    ...rollHosts(await read(hosts)).map(({ id, dataCentre, address, isLeaving }) => `host ${id}  ${dataCentre}  ${address.ip}:${address.port}${isLeaving ? '  leaving' : ''}`),
     ...listed.map(({ key, endpoint }) => endpoint === undefined ? `endpoint ${key}  unreadable` : `endpoint ${key}  ${described(endpoint)}`),
     ...(await read(leases)).map(({ key, value, version }) => `${key}  ${value}  version ${version}`)
   ]
 }
 
-/** The hosts that the roll names, by their newest word. Rows of hosts that ended long ago may be among them. */
-function hostsOf (roll: readonly Row[]): readonly HostEntry[] {
-  const entries = roll.flatMap(({ value }) => rollRow.decode(value!)).sort((a, b) => a.incarnation - b.incarnation)
-  const newest = new Map(entries.map(entry => [entry.id, entry]))
-  return [...newest.values()].sort((a, b) => a.id < b.id ? -1 : 1)
-}
-
 function described ({ group, dataCentre, address, isPrimary, isLeaving }: Endpoint): string {
   return `${group}  ${dataCentre}  ${address.ip}:${address.port}  ${isPrimary ? 'primary' : 'replica'}${isLeaving ? '  leaving' : ''}`
 }
--- a/src/core/admission/admission.ts
+++ b/src/core/admission/admission.ts
@@ -11,6 +11,7 @@
 import type { Instant } from '../id/instant.ts'
 import type { AdmissionAction } from './action.ts'
 import { Backlog } from './backlog.ts'
+import { classes } from './classes.ts'
 import type { AdmissionEvent } from './event.ts'
 import type { Limits } from './limits.ts'
 import { Opener } from './opener.ts'
@@ -60,6 +61,11 @@
     return this.waiting.size
   }
 
+  /** Those that wait, by rank. */
+  get queuedByClass (): readonly number[] {
+    return classes.map((_, rank) => this.backlog.sizeOf(rank))
+  }
+
   /** Connections that are open; those being opened aren't among them. */
   get open (): number {
     return this.idle + this.running.size
--- a/src/core/audit/explanation.ts
+++ b/src/core/audit/explanation.ts
@@ -1,5 +1,6 @@
 /** What happened to a request, in plain sentences. */
 
+import { classes } from '../admission/classes.ts'
 import { reasons } from '../reason.ts'
 import type { Evidence } from './evidence.ts'
 import type { AuditRecord } from './record.ts'
@@ -23,6 +24,7 @@
     `Its shape: ${fields.statement === '' ? 'none' : fields.statement}`,
     ...terms(record),
     ...fields.attempts.flatMap((attempt, i) => tellAttempt(attempt, i + 1)),
+    ...tellMet(record),
     `${ending} It took ${round(fields.tookMs ?? 0)} ms of the ${round(fields.deadlineMs)} ms it had.`
   ]
 }
@@ -37,6 +39,16 @@
   return sentences
 }
 
+/** Whose load a refused statement met, so that a caller who asks is told more than "busy". */
+function tellMet ({ fields: { met, class: own } }: AuditRecord): string[] {
+  if (met === undefined) return []
+  const team = met.team === undefined ? '' : ` of team ${met.team}`
+  const endpoints = met.endpoints.map(({ endpoint, atWork, waiting }) => `at ${endpoint} ${atWork} were at work, and ${waiting.map((count, rank) => `${count} ${classes[rank]}`).join(', ')} waited`)
+  const largest = met.largest === undefined ? '' : ` Team ${met.largest.team} had asked most of the group: ${Math.round(met.largest.part * 100)}% of its last seconds.`
+  const told = met.retryAfterMs === 0 ? ' It was told no time to come back.' : ` It was told to come back after ${round(met.retryAfterMs)} ms.`
+  return [`Before this ${own} statement${team}, of its host's: ${endpoints.length === 0 ? 'nothing' : endpoints.join('; ')}.${largest}${told}`]
+}
+
 function tellAttempt (attempt: Attempt, number: number): string[] {
   const { endpoint, access, transaction, startMs, tookMs, outcome, reason, code, token, evidence } = attempt
   const where = endpoint === '' ? 'found no endpoint to go to' : `went to ${endpoint} (${access}${transaction === undefined ? '' : ` ${transaction}`})`
--- a/src/core/audit/record.ts
+++ b/src/core/audit/record.ts
@@ -44,6 +44,22 @@
   evidence: evidence.optional()
 })
 
+/** What a statement met that was refused for want of room. */
+const metShape = z.object({
+  team: z.string().optional(),
+  endpoints: z.array(z.object({
+    endpoint: z.string(),
+    /** Statements at work there, of this host, */
+    atWork: z.number(),
+    /** and those that waited with it, by class. */
+    waiting: z.array(z.number())
+  })),
+  /** Who had asked most of the group, and the part of all that was asked; from 0 to 1. */
+  largest: z.object({ team: z.string(), part: z.number() }).optional(),
+  /** When the caller was told to come back, in milliseconds; 0 when nothing was known. */
+  retryAfterMs: z.number()
+})
+
 const shape = z.object({
   id: z.string(),
   /** The caller's own id of the request, where the protocol has one. */
@@ -67,6 +83,7 @@
   once: z.string().optional(),
   statement: z.string(),
   deadlineMs: z.number(),
+  met: metShape.optional(),
   attempts: z.array(attemptShape),
   outcome: outcome.optional(),
   tookMs: z.number().optional()
--- a/src/core/pool/statements/audited.ts
+++ b/src/core/pool/statements/audited.ts
@@ -8,6 +8,7 @@
 import type { Fault } from '../../statement/fault.ts'
 import type { Statement } from '../../statement/statement.ts'
 import type { Route } from '../route.ts'
+import type { Met } from './met.ts'
 import type { Trail } from './trail.ts'
 import type { Try } from './try.ts'
 
@@ -28,6 +29,8 @@
   readonly trail: Trail
   readonly ending: 'done' | Fault
   readonly tookMs: number
+  /** Of a statement that was refused for want of room. */
+  readonly met?: Met | undefined
 }
 
 type Attempt = Parameters<AuditRecord['attempted']>[0]
@@ -70,7 +73,7 @@
 const RECEIPT = 'received'
 
 export function auditRecordOf (audited: Audited): AuditRecord {
-  const { id, at, request, session, caller, database, route, config, kind, trail, ending, tookMs } = audited
+  const { id, at, request, session, caller, database, route, config, kind, trail, ending, tookMs, met } = audited
   const { freshness } = route ?? {}
   const isRead = trail.tries[0]?.what === 'read'
   const begun = AuditRecord.begin({
@@ -86,7 +89,8 @@
     freshness: isRead && freshness !== undefined ? textOf(freshness) : undefined,
     class: classes[route?.rank ?? 0] ?? classes[0],
     statement: kind.toUpperCase(),
-    deadlineMs: route?.statementMs ?? 0
+    deadlineMs: route?.statementMs ?? 0,
+    met: met === undefined ? undefined : { ...met, endpoints: met.endpoints.map(one => ({ ...one, waiting: [...one.waiting] })) }
   })
   const attempts = attemptsOf(audited)
   const outcome = ending === 'done' ? ending : OUTCOMES[ending]
--- a/src/shell/log/events.ts
+++ b/src/shell/log/events.ts
@@ -70,5 +70,6 @@
   recordsLost: { id: 7004, level: 'error', message: 'ended without storing audit records' },
   batchesRemoved: { id: 7005, level: 'warn', message: 'took the oldest batches of audit records from a full store' },
 
-  storeCalls: { id: 8040, level: 'info', message: 'calls to the store since the start of this process' }
+  storeCalls: { id: 8040, level: 'info', message: 'calls to the store since the start of this process' },
+  groupRefuses: { id: 8041, level: 'warn', message: 'a group refuses statements for want of room or of allowance' }
 } as const satisfies Record<string, Event>
--- a/src/shell/pool/group.ts
+++ b/src/shell/pool/group.ts
@@ -8,6 +8,8 @@
 import type { GroupId } from '../../core/id/group.ts'
 import type { Instant } from '../../core/id/instant.ts'
 import { Directory as Endpoints } from '../../core/directory/directory.ts'
+import { GroupUse } from '../../core/pool/load/groupuse.ts'
+import type { LoadPicture } from '../../core/pool/load/picture.ts'
 import { readCandidates } from '../../core/pool/reads/candidates.ts'
 import { Contact } from '../../core/pool/succession/contact.ts'
 import type { Handover } from '../../core/pool/succession/handover.ts'
@@ -39,6 +41,9 @@
   readonly startedAt: Instant
 }
 
+/** An endpoint that this host has no connections to. */
+const UNUSED: Lender['seen'] = { connections: 0, atWork: 0, waiting: [] }
+
 /** The only place where the group's pure values are replaced. */
 export class PoolGroup {
   private readonly lenders = new Map<EndpointId, Lender>()
@@ -53,6 +58,8 @@
   /** The newest that was announced; an old one concerns an endpoint that doesn't lead any more. */
   private handover: Handover | undefined
   private reach = Reach.none
+  /** Who asked what of it lately. */
+  readonly use = GroupUse.create(clock.now())
   /** For those who wait for a leader. */
   private readonly waiting = Waiters.create()
   /** For those who wait for an answer of an endpoint. */
@@ -89,6 +96,18 @@
     return isListed ? endpoints : [...endpoints, { id: leader }]
   }
 
+  get isOwned (): boolean {
+    return this.dealt.isOwner
+  }
+
+  /** What this host has at each endpoint, for operators. */
+  get seen (): LoadPicture['groups'][number]['endpoints'] {
+    return this.endpoints.map(({ id, isLeaving, places }) => {
+      const { connections, atWork, waiting } = this.lenders.get(id)?.seen ?? UNUSED
+      return { endpoint: id, isPrimary: id === this.leader, isLeaving, places, connections, atWork, waiting: [...waiting], unreached: this.unreached.has(id) ? 1 : 0 }
+    })
+  }
+
   endpoint (id: EndpointId): Endpoint | undefined {
     return this.directory.get(id)
   }
--- a/src/shell/pool/lending/lender.ts
+++ b/src/shell/pool/lending/lender.ts
@@ -89,6 +89,12 @@
     return this.admission.queued + (idle === 0 && running + pending >= this.limit ? 1 : 0)
   }
 
+  /** For operators: `atWork` has the transactions in it that are between two statements. */
+  get seen (): { readonly connections: number, readonly atWork: number, readonly waiting: readonly number[] } {
+    const { open, counts, queuedByClass } = this.admission
+    return { connections: open, atWork: counts.running, waiting: queuedByClass }
+  }
+
   /** Whether a connection of the team is unused. */
   hasUnused (team: TeamId): boolean {
     return this.idle.hasFor(team)
--- /dev/null
+++ b/src/shell/pool/load/gauges.ts
@@ -0,0 +1,38 @@
+/** The load of this host's groups as metrics, worked out when they're read. */
+
+import { Gauge, type Registry } from 'prom-client'
+import { classes } from '../../../core/admission/classes.ts'
+import type { LoadPicture } from '../../../core/pool/load/picture.ts'
+
+/** Teams of a group that have a line of their own: names come from a configuration that may hold thousands. */
+const MOST_TEAMS = 3
+
+export function loadGauges (registry: Registry, look: () => LoadPicture): void {
+  const waiting: Gauge<'endpoint' | 'class'> = new Gauge({
+    name: 'agatepond_waiting',
+    help: 'Statements that wait with this host for an endpoint, by class',
+    labelNames: ['endpoint', 'class'] as const,
+    registers: [registry],
+    collect: () => {
+      waiting.reset()
+      for (const { endpoints } of look().groups) {
+        for (const one of endpoints) one.waiting.forEach((count, rank) => waiting.set({ endpoint: one.endpoint, class: classes[rank] ?? classes[0] }, count))
+      }
+    }
+  })
+  const asked: Gauge<'group' | 'team' | 'ending'> = new Gauge({
+    name: 'agatepond_team_statements',
+    help: 'Statements of the last five to ten seconds of the teams that asked most of a group, done and refused',
+    labelNames: ['group', 'team', 'ending'] as const,
+    registers: [registry],
+    collect: () => {
+      asked.reset()
+      for (const { group, teams } of look().groups) {
+        for (const { team, done, refused } of teams.slice(0, MOST_TEAMS)) {
+          asked.set({ group, team, ending: 'done' }, done)
+          asked.set({ group, team, ending: 'refused' }, refused)
+        }
+      }
+    }
+  })
+}
--- /dev/null
+++ b/src/shell/pool/load/picture.ts
@@ -0,0 +1,17 @@
+/** Gathers what this host has at its groups' endpoints, and who asked lately. */
+
+import type { HostId } from '../../../core/id/host.ts'
+import { LoadPicture } from '../../../core/pool/load/picture.ts'
+import { clock } from '../clock.ts'
+import type { PoolGroup } from '../group.ts'
+
+/** Groups that this host neither owns nor was asked for are left out: their owners tell of them. */
+export function pictureOf (host: HostId, groups: Iterable<PoolGroup>): LoadPicture {
+  const now = clock.now()
+  return LoadPicture.of(host, [...groups].flatMap(group => {
+    const { teams, rest } = group.use.largest(LoadPicture.mostTeams, now)
+    const { id, seen, isOwned } = group
+    if (!isOwned && teams.length === 0) return []
+    return [{ group: id, owners: isOwned ? 1 : 0, classes: [...group.use.classes(now)], teams: [...teams], rest, endpoints: [...seen] }]
+  }))
+}
--- a/src/shell/pool/node.ts
+++ b/src/shell/pool/node.ts
@@ -7,6 +7,7 @@
 import { permissionOf } from '../../core/pool/access/permission.ts'
 import type { PoolConfig } from '../../core/pool/config.ts'
 import type { Instant } from '../../core/id/instant.ts'
+import type { LoadPicture } from '../../core/pool/load/picture.ts'
 import type { LinkId } from '../../core/pool/membership/linkid.ts'
 import { Pace } from '../../core/pool/membership/pace.ts'
 import type { Row } from '../../core/pool/membership/row.ts'
@@ -26,6 +27,7 @@
 import type { PoolContext } from './context.ts'
 import { Configuration } from './membership/configuration.ts'
 import { PoolGroup } from './group.ts'
+import { pictureOf } from './load/picture.ts'
 import { Listing } from './membership/listing.ts'
 import type { PoolMetrics } from './metrics.ts'
 import type { Platform } from './platform.ts'
@@ -160,6 +162,11 @@
     return this.configuration.isKnown && this.tables.isEnough
   }
 
+  /** What operators see of this host's load. */
+  get load (): LoadPicture {
+    return pictureOf(this.options.self.id, this.groups.values())
+  }
+
   get hosts (): readonly PoolHost[] {
     return this.tables.hosts
   }
--- a/src/shell/pool/statements/explanation.ts
+++ b/src/shell/pool/statements/explanation.ts
@@ -1,11 +1,14 @@
 /** The line that explains a statement: what was decided, on which knowledge, of which age. */
 
+import { classes } from '../../../core/admission/classes.ts'
+import type { Met } from '../../../core/pool/statements/met.ts'
 import type { Trail } from '../../../core/pool/statements/trail.ts'
 import type { Reply } from '../../../core/statement/reply.ts'
 import type { Statement } from '../../../core/statement/statement.ts'
 import type { Token } from '../../../core/token.ts'
 import { clock } from '../clock.ts'
 import type { PoolContext } from '../context.ts'
+import { metBy } from './met.ts'
 import type { Transaction } from './transaction.ts'
 
 interface Explained {
@@ -21,24 +24,40 @@
   readonly retryAfterMs: number
 }
 
+/** Under whose name statements are counted where callers have no keys. */
+const EVERYBODY = 'all callers'
+
 /**
  * Counts the statement, records it, and writes its line when it wasn't done,
  * when it took more than one try, or for the sample. The id of the record; undefined without one.
  */
 export function explain (ctx: PoolContext, explained: Explained): string | undefined {
   const ms = clock.now() - explained.trail.since
-  tell(ctx, explained, ms)
-  return record(ctx, explained, ms)
+  const met = meet(ctx, explained)
+  tell(ctx, explained, ms, met)
+  return record(ctx, explained, ms, met)
+}
+
+/** Counts the statement for who looks for whose load a group has; what it met when it was refused for want of room. */
+function meet (ctx: PoolContext, { database, caller, reply, trail, transaction, retryAfterMs }: Explained): Met | undefined {
+  const config = ctx.config()
+  const route = transaction?.route ?? config.route(database)
+  const group = route === undefined ? undefined : ctx.group(route.group)
+  const team = config.teams === undefined ? undefined : caller
+  const fault = reply.kind === 'done' ? undefined : reply.fault
+  const met = fault === undefined ? undefined : metBy({ group, team, fault, retryAfterMs })
+  if (met !== undefined || trail.count > 0) group?.use.add(team ?? EVERYBODY, route?.rank ?? 0, met === undefined ? 'done' : 'refused', clock.now())
+  return met
 }
 
 /** What this process answers by itself and takes, such as a value that is set, promises nothing that a record could show. */
-function record ({ auditor, config }: PoolContext, { id, session, caller, kind, database, reply, trail, transaction }: Explained, tookMs: number): string | undefined {
+function record ({ auditor, config }: PoolContext, { id, session, caller, kind, database, reply, trail, transaction }: Explained, tookMs: number, met: Met | undefined): string | undefined {
   if (reply.kind === 'done' && trail.count === 0) return undefined
   const route = transaction?.route ?? config().route(database)
-  return auditor?.take({ request: id, session, caller, kind, database, route, config: config().version, transaction: transaction?.id, trail, ending: reply.kind === 'done' ? 'done' : reply.fault, tookMs })
+  return auditor?.take({ request: id, session, caller, kind, database, route, config: config().version, transaction: transaction?.id, trail, ending: reply.kind === 'done' ? 'done' : reply.fault, tookMs, met })
 }
 
-function tell (ctx: PoolContext, explained: Explained, ms: number): void {
+function tell (ctx: PoolContext, explained: Explained, ms: number, met: Met | undefined): void {
   const { id, kind, database, reply, trail } = explained
   const { log, lines, metrics } = ctx
   const outcome = reply.kind === 'done' ? 'done' : reply.fault
@@ -49,7 +68,18 @@
   const { isGranted, dropped } = lines.take(clock.now())
   if (!isGranted) return metrics.linesDropped.inc()
   if (dropped > 0) log.write('linesDropped', { dropped })
-  log.write(outcome === 'done' ? 'statementDone' : 'statementRefused', { id, database, kind, outcome, ms: Math.round(ms), ...knowledge(ctx, explained) })
+  log.write(outcome === 'done' ? 'statementDone' : 'statementRefused', { id, database, kind, outcome, ms: Math.round(ms), ...knowledge(ctx, explained), ...met === undefined ? {} : textOf(ctx, explained, met) })
+}
+
+/** Such as `class=normal team=red before="e0 5 at work, 0/12/40 wait" largest="blue 62%"`. */
+function textOf (ctx: PoolContext, { database, transaction }: Explained, { team, endpoints, largest }: Met): Readonly<Record<string, string>> {
+  const rank = (transaction?.route ?? ctx.config().route(database))?.rank ?? 0
+  return {
+    class: classes[rank] ?? classes[0],
+    team: team ?? 'none',
+    before: endpoints.map(({ endpoint, atWork, waiting }) => `${endpoint} ${atWork} at work, ${waiting.join('/')} wait`).join('; '),
+    largest: largest === undefined ? 'none' : `${largest.team} ${Math.round(largest.part * 100)}%`
+  }
 }
 
 /** What the decisions on the statement rested on. */
--- /dev/null
+++ b/src/shell/pool/statements/met.ts
@@ -0,0 +1,28 @@
+/** Looks at what a statement met that was refused for want of room. */
+
+import type { Met } from '../../../core/pool/statements/met.ts'
+import type { Fault } from '../../../core/statement/fault.ts'
+import { clock } from '../clock.ts'
+import type { PoolGroup } from '../group.ts'
+
+interface Refusal {
+  readonly group: PoolGroup | undefined
+  readonly team: string | undefined
+  readonly fault: Fault
+  readonly retryAfterMs: number
+}
+
+/** Endpoints that are told: records are kept for long, and what binds shows at few. */
+const MOST_ENDPOINTS = 4
+
+/** Undefined for a statement that was refused for another reason. */
+export function metBy ({ group, team, fault, retryAfterMs }: Refusal): Met | undefined {
+  if (group === undefined || (fault !== 'busy' && fault !== 'overAllowance')) return undefined
+  const leader = team === undefined ? undefined : group.use.leader(clock.now())
+  return {
+    team,
+    endpoints: group.seen.filter(({ connections, waiting }) => connections > 0 || waiting.some(count => count > 0)).slice(0, MOST_ENDPOINTS).map(({ endpoint, atWork, waiting }) => ({ endpoint, atWork, waiting })),
+    largest: leader === undefined ? undefined : { team: leader.team, part: Math.round(leader.part * 100) / 100 },
+    retryAfterMs: Math.ceil(retryAfterMs)
+  }
+}
