--- a/src/shell/log/events.ts
+++ b/src/shell/log/events.ts
@@ -80,5 +80,7 @@
   placesRefused: { id: 8002, level: 'info', message: 'statements or openings could not have a place at an endpoint in their time' },
   placesChanged: { id: 8003, level: 'info', message: 'an endpoint tells another number of places' },
   endpointAside: { id: 8020, level: 'warn', message: 'an endpoint fails more or answers later than its group: reads go elsewhere while they can' },
-  endpointBack: { id: 8021, level: 'info', message: 'an endpoint serves its part of the reads again' }
+  endpointBack: { id: 8021, level: 'info', message: 'an endpoint serves its part of the reads again' },
+  storeCalls: { id: 8040, level: 'info', message: 'calls to the store since the start of this process' },
+  groupRefuses: { id: 8041, level: 'warn', message: 'a group refuses statements for want of room or of allowance' }
 } as const satisfies Record<string, Event>
--- a/src/shell/pool/group.ts
+++ b/src/shell/pool/group.ts
@@ -10,6 +10,8 @@
 import { Directory as Endpoints } from '../../core/directory/directory.ts'
 import type { EndpointLoad } from '../../core/pool/load/endpointload.ts'
 import type { Answers } from '../../core/pool/health/answers.ts'
+import { GroupUse } from '../../core/pool/load/groupuse.ts'
+import type { LoadPicture } from '../../core/pool/load/picture.ts'
 import { readCandidates } from '../../core/pool/reads/candidates.ts'
 import { SharedReads } from '../../core/pool/reads/sharedreads.ts'
 import { Contact } from '../../core/pool/succession/contact.ts'
@@ -54,6 +56,8 @@
 
 /** Endings by which an endpoint shows that it isn't well. */
 const FAILED: ReadonlySet<Ending> = new Set<Ending>(['failed', 'timeout', 'broken', 'outOfTime'])
+/** An endpoint that this host has no connections to. */
+const UNUSED: Lender['seen'] = { connections: 0, atWork: 0, waiting: [] }
 
 /** The only place where the group's pure values are replaced. */
 export class PoolGroup {
@@ -70,6 +74,8 @@
   private handover: Handover | undefined
   private reach = Reach.none
   private readonly service = ServiceTime.create()
+  /** Who asked what of it lately. */
+  readonly use = GroupUse.create(clock.now())
   /** For those who wait for a leader. */
   readonly outage: Outage
   /** What the other owners have at the endpoints. */
@@ -111,6 +117,18 @@
     return isListed ? endpoints : [...endpoints, { id: leader }]
   }
 
+  get isOwned (): boolean {
+    return this.dealt.isOwner
+  }
+
+  /** What this host has at each endpoint, for operators. */
+  get seen (): LoadPicture['groups'][number]['endpoints'] {
+    return this.endpoints.map(({ id, isLeaving, places }) => {
+      const { connections, atWork, waiting } = this.lenders.get(id)?.seen ?? UNUSED
+      return { endpoint: id, isPrimary: id === this.leader, isLeaving, places, connections, atWork, waiting: [...waiting], unreached: this.unreached.has(id) ? 1 : 0 }
+    })
+  }
+
   endpoint (id: EndpointId): Endpoint | undefined {
     return this.directory.get(id)
   }
--- a/src/shell/pool/lending/lender.ts
+++ b/src/shell/pool/lending/lender.ts
@@ -10,7 +10,7 @@
 import type { TeamId } from '../../../core/id/team.ts'
 import type { Instant } from '../../../core/id/instant.ts'
 import type { EndpointLoad } from '../../../core/pool/load/endpointload.ts'
-import { TeamUse } from '../../../core/pool/load/teamuse.ts'
+import { ConnectionUse } from '../../../core/pool/load/connectionuse.ts'
 import { Thrift } from '../../../core/pool/placing/thrift.ts'
 import type { Values } from '../../../core/session/values.ts'
 import { clock } from '../clock.ts'
@@ -94,7 +94,7 @@
   /** Undefined where every host connects by itself, and where the endpoint doesn't tell its places. */
   private places: Places | undefined
   private readonly openings = Openings.create<Waiter>()
-  private readonly use = TeamUse.create()
+  private readonly use = ConnectionUse.create()
 
   private constructor (private readonly options: Options) {
     const { dealt: { connections, hasRoom }, endpoint } = options
@@ -114,6 +114,12 @@
     return this.admission.queued + (this.places?.waiting ?? 0) + (idle === 0 && running + pending >= this.limit ? 1 : 0)
   }
 
+  /** For operators: `atWork` has the transactions in it that are between two statements. */
+  get seen (): { readonly connections: number, readonly atWork: number, readonly waiting: readonly number[] } {
+    const { open, counts, queuedByClass } = this.admission
+    return { connections: open, atWork: counts.running, waiting: queuedByClass }
+  }
+
   /** Whether a connection of the team is unused. */
   hasUnused (team: TeamId): boolean {
     return this.idle.hasFor(team)
--- a/src/shell/pool/node.ts
+++ b/src/shell/pool/node.ts
@@ -3,6 +3,7 @@
 import type { KeyDigest } from '../../core/pool/access/keydigest.ts'
 import { permissionOf } from '../../core/pool/access/permission.ts'
 import type { PoolConfig } from '../../core/pool/config.ts'
+import type { LoadPicture } from '../../core/pool/load/picture.ts'
 import { Pace } from '../../core/pool/membership/pace.ts'
 import type { Row } from '../../core/pool/membership/row.ts'
 import type { TableName } from '../../core/pool/membership/tablename.ts'
@@ -17,6 +18,7 @@
 import { PoolGroups } from './groups.ts'
 import type { LoadWay } from './load/loadway.ts'
 import { Reporter } from './load/reporter.ts'
+import { pictureOf } from './load/picture.ts'
 import { Listing } from './membership/listing.ts'
 import type { NodeOptions } from './nodeoptions.ts'
 import { Tables } from './membership/tables.ts'
@@ -124,6 +126,11 @@
     return this.configuration.isKnown && this.tables.isEnough
   }
 
+  /** What operators see of this host's load. */
+  get load (): LoadPicture {
+    return pictureOf(this.options.self.id, this.groups.values())
+  }
+
   get hosts (): readonly PoolHost[] {
     return this.tables.hosts
   }
