--- a/src/shell/pool/node.ts
+++ b/src/shell/pool/node.ts
@@ -128,7 +128,7 @@
 
   /** What operators see of this host's load. */
   get load (): LoadPicture {
-    return pictureOf(this.options.self.id, this.groups.values())
+    return pictureOf(this.options.self.id, this.groups.all)
   }
 
   get hosts (): readonly PoolHost[] {
