--- a/bench/group/model.ts
+++ b/bench/group/model.ts
@@ -19,22 +19,11 @@
 import { ModelHost } from './host.ts'
 import type { Kind } from './kind.ts'
 import type { Load } from './load.ts'
+import type { Operation } from './operation.ts'
 import { Outcomes } from './outcomes.ts'
 import type { GroupPolicy } from './policy.ts'
 import { spreadReports } from './reports.ts'
 
-interface Operation {
-  readonly kind: Kind
-  readonly askedAt: number
-  readonly isTransaction: boolean
-  readonly isWrite: boolean
-  /** Statements, the commit of a transaction that writes among them. */
-  readonly statements: number
-  tries: number
-  isOver: boolean
-  wasLent: boolean
-}
-
 const ENDPOINTS = 3
 const PRIMARY = 0
 const PLACES = 2
--- a/src/shell/pool/group.ts
+++ b/src/shell/pool/group.ts
@@ -4,19 +4,13 @@
 import type { Endpoint } from '../../core/directory/endpoint.ts'
 import type { DataCentreId } from '../../core/id/datacentre.ts'
 import type { EndpointId } from '../../core/id/endpoint.ts'
-import type { TeamId } from '../../core/id/team.ts'
 import type { GroupId } from '../../core/id/group.ts'
 import type { Instant } from '../../core/id/instant.ts'
 import { Directory as Endpoints } from '../../core/directory/directory.ts'
-import type { Answers } from '../../core/pool/health/answers.ts'
-import type { OthersLoad } from '../../core/pool/load/othersload.ts'
-import { readCandidates } from '../../core/pool/reads/candidates.ts'
-import { SharedReads } from '../../core/pool/reads/sharedreads.ts'
 import { Contact } from '../../core/pool/succession/contact.ts'
 import type { Handover } from '../../core/pool/succession/handover.ts'
 import { Leadership } from '../../core/pool/succession/leadership.ts'
 import type { PoolHost } from '../../core/pool/placing/host.ts'
-import type { Ending } from '../../core/pool/statements/ending.ts'
 import { Progress } from '../../core/pool/reads/progress.ts'
 import { Reach } from '../../core/pool/placing/reach.ts'
 import { Thrift } from '../../core/pool/placing/thrift.ts'
@@ -28,6 +22,7 @@
 import type { Dealt } from './lending/dealt.ts'
 import type { DialFault } from './lending/dialfault.ts'
 import { Lender } from './lending/lender.ts'
+import { GroupReads } from './groupreads.ts'
 import type { PoolMetrics } from './metrics.ts'
 import { Waiters } from './waiters.ts'
 import { Watchers } from './watchers.ts'
@@ -43,15 +38,13 @@
   readonly startedAt: Instant
 }
 
-/** Endings by which an endpoint shows that it isn't well. */
-const FAILED: ReadonlySet<Ending> = new Set<Ending>(['failed', 'timeout', 'broken', 'outOfTime'])
-
 /** The only place where the group's pure values are replaced. */
 export class PoolGroup {
   private readonly lenders = new Map<EndpointId, Lender>()
   private readonly standings = new Map<EndpointId, Standing>()
   private readonly contacts = new Map<EndpointId, Contact>()
-  private readonly reads = SharedReads.create()
+  /** Where reads go. */
+  readonly reads: GroupReads
   /** Endpoints that were logged as out of reach. */
   private readonly unreached = new Set<EndpointId>()
   private directory: Directory = Endpoints.empty
@@ -68,6 +61,7 @@
 
   private constructor (private readonly options: Options) {
     this.leadership = Leadership.create(options.id, clock.now())
+    this.reads = GroupReads.create(options, () => this.readsView())
   }
 
   static create (options: Options): PoolGroup {
@@ -171,57 +165,6 @@
     return lender
   }
 
-  /** Where a read goes next whose log must hold the position, held for the time; undefined when no endpoint is left. `team`: whose connections serve it. `leftMs`: until its time is up. */
-  reader (position: Token, team: TeamId | undefined, tried: ReadonlySet<EndpointId>, leftMs: number): { readonly endpoint: EndpointId, readonly waitMs: number } | undefined {
-    const now = clock.now()
-    const { endpoints, leader: primary } = this
-    const view = {
-      endpoints,
-      primary,
-      dataCentre: this.options.dataCentre,
-      progress: this.progress,
-      leftMs,
-      queued: (id: EndpointId) => this.lenders.get(id)?.queued ?? 0,
-      mustOpen: (id: EndpointId) => team !== undefined && this.lenders.get(id)?.hasUnused(team) !== true,
-      isReachable: (id: EndpointId) => !this.contact(id).isOut(now)
-    }
-    if (!this.dealt.hasRoom || !SharedReads.isPossible(endpoints)) {
-      const endpoint = readCandidates({ ...view, standing: id => this.standing(id) }, position, now).find(id => !tried.has(id))
-      return endpoint === undefined ? undefined : { endpoint, waitMs: 0 }
-    }
-    this.lookAtHealth(now)
-    const mayHold = (id: EndpointId) => this.standing(id).mayHold(position, now)
-    const placed = this.reads.place({ ...view, mayHold }, position, tried, { now, age: clock.age() }, this.options.chance)
-    if (placed !== undefined) this.options.metrics.readsPlaced.inc({ at: placed.endpoint === primary ? 'primary' : placed.waitMs > 0 ? 'replica awaited' : 'replica' })
-    return placed
-  }
-
-  private lookAtHealth (now: Instant): void {
-    for (const { id, isAside, failing, answerMs } of this.reads.look({ endpoints: this.endpoints, primary: this.leader }, now)) {
-      this.options.metrics.asides.inc({ change: isAside ? 'aside' : 'back' })
-      this.options.log.write(isAside ? 'endpointAside' : 'endpointBack', { endpoint: id, group: this.id, failing: Math.round(failing * 100) / 100, answerMs: Math.round(answerMs ?? -1) })
-    }
-  }
-
-  /** Takes what the group's other owners have at its endpoints from now on. */
-  takeOthers (others: OthersLoad): void {
-    this.reads.takeOthers(others)
-  }
-
-  /** How the endpoint answered this owner lately. */
-  answers (id: EndpointId): Answers {
-    return this.reads.health.answers(id)
-  }
-
-  /** A statement of a caller goes to the endpoint; what is returned is called with how it ended. Undefined where nobody counts that. */
-  sent (id: EndpointId): ((ending: Ending | 'done') => void) | undefined {
-    const endpoint = this.directory.get(id)
-    if (endpoint === undefined || !this.dealt.hasRoom) return undefined
-    const sentAt = clock.now()
-    const ended = this.reads.health.sent(id, this.reads.crowd(endpoint, sentAt), sentAt)
-    return ending => ended(ending === 'done' ? 'done' : FAILED.has(ending) ? 'failed' : 'notRun', clock.now())
-  }
-
   /** The position that a read of the age must find; undefined when only the primary can serve it. */
   required (own: Token, ageMs: number): Token | undefined {
     return this.progress.required(own, ageMs, clock.age())
@@ -238,7 +181,7 @@
     if (position === undefined) return
     this.standings.set(id, this.standing(id).answered(position, clock.now()))
     if (isLead) this.progress = this.progress.with(position, sentAt)
-    if (this.dealt.hasRoom) this.reads.answered(id, position, this.progress, clock.age())
+    this.reads.answered(id, position)
     if (!isLead) return
     this.lead(this.leadership.proved(id, position.term), 'proof')
   }
@@ -251,7 +194,7 @@
 
   fellShort (id: EndpointId): void {
     this.standings.set(id, this.standing(id).fellShort(clock.now()))
-    this.reads.fellShort(id, clock.age())
+    this.reads.fellShort(id)
   }
 
   notPrimary (id: EndpointId): void {
@@ -299,6 +242,19 @@
     if (this.unreached.delete(id)) this.options.log.write('endpointReachable', { endpoint: id, group: this.id })
   }
 
+  private readsView (): ReturnType<Parameters<typeof GroupReads.create>[1]> {
+    const now = clock.now()
+    return {
+      endpoints: this.endpoints,
+      primary: this.leader,
+      progress: this.progress,
+      isShared: this.dealt.hasRoom,
+      standing: id => this.standing(id),
+      lender: id => this.lenders.get(id),
+      isReachable: id => !this.contact(id).isOut(now)
+    }
+  }
+
   private standing (id: EndpointId): Standing {
     return this.standings.get(id) ?? Standing.unknown
   }
--- a/src/shell/pool/lending/attempt.ts
+++ b/src/shell/pool/lending/attempt.ts
@@ -31,7 +31,7 @@
     const refused = commands.some(isCallers) ? this.gate?.check() : undefined
     if (refused !== undefined) return refused
     this.group.asked(this.endpoint)
-    const ended = commands.some(isCallers) ? this.group.sent(this.endpoint) : undefined
+    const ended = commands.some(isCallers) ? this.group.reads.sent(this.endpoint) : undefined
     const { answers, lost } = await this.link.ask(commands, timeoutMs)
     const answer = answers[index]
     ended?.(answer === undefined ? lost ?? 'broken' : answer.fault ?? 'done')
--- a/src/shell/pool/statements/target.ts
+++ b/src/shell/pool/statements/target.ts
@@ -35,10 +35,10 @@
 export async function nextTarget (group: PoolGroup, { mustLead, freshness, own, team, mayDetour, tried, leftMs }: Wanted): Promise<Target | undefined> {
   if (!mustLead && freshness.kind === 'age') {
     const after = group.required(own, freshness.ms)
-    const reader = after === undefined ? undefined : group.reader(after, team, tried, leftMs)
-    if (reader !== undefined) {
-      if (reader.waitMs > 0) await pause(reader.waitMs)
-      return { endpoint: reader.endpoint, after, mustLead: false }
+    const placed = after === undefined ? undefined : group.reads.place({ position: after, team, tried, leftMs })
+    if (placed !== undefined) {
+      if (placed.waitMs > 0) await pause(placed.waitMs)
+      return { endpoint: placed.endpoint, after, mustLead: false }
     }
   }
   // Against requests that are held for their whole time before they are refused: what would go to a primary that
