--- a/src/core/pool/reads/lag.test.ts
+++ b/src/core/pool/reads/lag.test.ts
@@ -39,6 +39,8 @@
     ['5 s behind, and not heard for a while', replica([5000, 90], [6000, 5000]), 300, 6100, 0],
     ['not for what it wouldn\'t hold were it well', replica([5000, 90], [6000, 5000]), 605, 6100, undefined],
     ['a read went there in spite of it', replica([5000, 90], [6000, 5000]).asked(at(300), 6100 as Instant), 300, 6150, undefined],
+    ['5 s behind since this host started', replica([6000, 5000]), 300, 6050, undefined],
+    ['and not heard for a while', replica([6000, 5000]), 300, 6100, 0],
     ['it has caught up', replica([5000, 90], [6000, 5000], [6100, 90]), 601, 6110, 0],
     ['a session\'s own commit, now that it has caught up', replica([5000, 90], [6000, 5000], [6100, 90]), 610, 6110, 80]
   ])('%s', (_, lag, position, now, expected) => {
--- a/src/core/pool/reads/lag.ts
+++ b/src/core/pool/reads/lag.ts
@@ -28,6 +28,8 @@
 const AGAIN_MS = 100
 /** One that is so many times further behind than usual isn't waited for: nobody knows for how long. */
 const BEHIND_TIMES = 2
+/** One that was never less than this behind, as seen by a host that started meanwhile, isn't as usual. */
+const MOST_USUAL_MS = 500
 
 /**
  * Against reads that are sent to a replica in vain: each costs a way there and back, and one that was seconds behind was asked over and over by every session. What an answer shows is
@@ -67,8 +69,9 @@
     if (!position.isAfter(held)) return 0
     const leftMs = lagMs === undefined || passedAt === undefined ? 0 : passedAt + lagMs - now
     if (leftMs <= 0) return now - shortAt >= AGAIN_MS ? 0 : undefined
-    if (lagMs! <= usualMs * BEHIND_TIMES) return leftMs
-    return this.isTryDue(now) && now - passedAt! >= usualMs ? 0 : undefined
+    const asUsualMs = Math.min(usualMs, MOST_USUAL_MS)
+    if (lagMs! <= asUsualMs * BEHIND_TIMES) return leftMs
+    return this.isTryDue(now) && now - passedAt! >= asUsualMs ? 0 : undefined
   }
 
   private isTryDue (now: Instant): boolean {
