Only a single read that failed is tried elsewhere

The first statement of a transaction that failed did run, and PINNED wants a transaction's statements on the connection of its first: a second run elsewhere would be on another.

--- a/src/core/pool/statements/verdict.ts
+++ b/src/core/pool/statements/verdict.ts
@@ -23,7 +23,7 @@
   'busy', 'behind', 'notPrimary', 'wrongEndpoint', 'tooManyConnections', 'unknownStatement'
 ])
 
-/** Faults after which an endpoint holds nothing of a read, so that it may be asked once more. */
+/** Endings after which an endpoint holds nothing of a single read, so that another may be asked. */
 const READ_AGAIN: ReadonlySet<Ending> = new Set<Ending>(['broken', 'failed'])
 
 /**
@@ -34,17 +34,16 @@
  * which is proof that nothing is kept; the same holds for a commit of a
  * transaction that wrote nothing.
  *
- * A read that failed may do so because of its endpoint alone, and ran without an effect: it's tried
- * elsewhere while nothing was written in its transaction. A write that failed stays with its caller, also the first of a
- * transaction that is rolled back: a second run would have no effect either, but most of them are wrong and not unlucky, and all go to the one primary, where
- * a second one fails alike.
+ * A single read that failed may have done so because of its endpoint alone, and ran without an effect: it's tried elsewhere. A
+ * transaction's first statement that ran and failed isn't: its transaction would then have run on two connections, while
+ * statements of one may only run on that of the first. A write that failed stays with its caller as well, also
+ * where a rollback makes it harmless: most of them are wrong and not unlucky, and all go to the one primary, where a second one fails alike.
  */
 export function verdictOf (ending: Ending, { what, isInside, isFirst, hasWritten }: Attempted): Verdict {
   const isKeptNowhere = isInside && isFirst && what !== 'commit'
   if (isKeptNowhere && (NOT_RUN.has(ending) || ending === 'broken')) return { kind: 'elsewhere' }
-  if (what === 'read' && (!isInside || isFirst) && READ_AGAIN.has(ending)) return { kind: 'elsewhere' }
   if (isInside) return refuse(insideFault(ending, what === 'commit', hasWritten))
-  if (NOT_RUN.has(ending)) return { kind: 'elsewhere' }
+  if (NOT_RUN.has(ending) || (what === 'read' && READ_AGAIN.has(ending))) return { kind: 'elsewhere' }
   if (ending === 'broken') return refuse('unknown')
   if (ending === 'outOfTime') return refuse(what === 'read' ? 'timeout' : 'unknown')
   return refuse(ending)
