--- a/src/shell/pool/statements/tryall.ts
+++ b/src/shell/pool/statements/tryall.ts
@@ -52,7 +52,8 @@
     tried.add(target.endpoint)
     const run = await tryOnce(ctx, group, target, tries, gate)
     if (run.kind === 'done') return run.run
-    last = run.refused
+    // Against "not run" said of a read that did: it failed at one endpoint, and the next one has no room.
+    if (last.fault !== 'failed') last = run.refused
     if (run.kind === 'refused') return last
   }
   return last
