--- a/src/shell/pool/lending/attempt.ts
+++ b/src/shell/pool/lending/attempt.ts
@@ -58,7 +58,7 @@
 
   private async send (commands: readonly Command[], index: number, timeoutMs: number, isLead: boolean): Promise<Answer | Ending> {
     this.group.asked(this.endpoint)
-    const ended = commands.some(isCallers) ? this.group.sent(this.endpoint) : undefined
+    const ended = commands.some(isCallers) ? this.group.reads.sent(this.endpoint) : undefined
     const { answers, lost } = await this.link.ask(commands, timeoutMs)
     const answer = answers[index]
     ended?.(answer === undefined ? lost ?? 'broken' : answer.fault ?? 'done')
--- a/src/shell/pool/statements/tryall.ts
+++ b/src/shell/pool/statements/tryall.ts
@@ -65,7 +65,8 @@
     tried.add(target.endpoint)
     const once = await tryOnce(ctx, group, target, tries, gate, waits)
     if (once.kind === 'done') return once.run
-    last = once.refused
+    // Against "not run" said of a read that did: it failed at one endpoint, and the next one has no room.
+    if (last.fault !== 'failed') last = once.refused
     if (last.cause === 'full') full.add(target.endpoint)
     if (once.kind === 'refused') return last
     const next = once.kind === 'short' ? await waits[once.of](() => ctx.budget.mayRetry(clock.now())) : 'go'
