--- a/src/core/pool/statements/patience.test.ts
+++ b/src/core/pool/statements/patience.test.ts
@@ -44,6 +44,10 @@
   })
 })
 
+it('a statement whose primary is in doubt waits until that is settled', () => {
+  expect([patient.forReach(room), patient.forReach({ ...room, pauses: 3 }), patient.forReach({ ...room, leftMs: 119 })].map(text)).toEqual(['wait 100', 'unreachable 100', 'unreachable 100'])
+})
+
 it('where every host has connections nothing waits but for news', () => {
   const prompt = Prompt.create()
   expect([prompt.forLeader(leader), prompt.forLeader({ ...leader, missingMs: 40 }), prompt.forRoom(), prompt.forReach(), prompt.forBudget()].map(text)).toEqual(['noLeader 500', 'wait 60', 'go', 'unreachable 500', 'budget 500'])
--- a/src/core/pool/statements/patient.ts
+++ b/src/core/pool/statements/patient.ts
@@ -6,7 +6,7 @@
 
 /** Each endpoint is asked so often: at once, and after two waits. */
 const ROUNDS = 3
-/** Pauses for want of room; after them the endpoints' own queues have been full for several statements' time. */
+/** Pauses for want of room or of a connection; after them the endpoints' own queues have been full for several statements' time. */
 const MOST_PAUSES = 3
 /**
  * A caller asks again as soon as it's refused, so a statement that ends just before its time is up waits on in the next.
@@ -60,9 +60,10 @@
     return isUseless ? { kind: 'refuse', cause: 'full', retryAfterMs: ms } : { kind: 'wait', ms, isAnew: true }
   }
 
-  forReach (lack: Parameters<Patience['forReach']>[0]): Step {
-    const step = this.forRoom(lack)
-    return step.kind === 'refuse' ? { ...step, cause: 'unreachable' } : step
+  /** The endpoint is in doubt, and within a few looks it's known to be out of reach, so that the wait for its successor begins, or it's reached. */
+  forReach ({ leftMs, serviceMs, pauses }: Parameters<Patience['forReach']>[0]): Step {
+    const isUseless = pauses >= MOST_PAUSES || LOOK_MS + serviceMs > leftMs
+    return isUseless ? { kind: 'refuse', cause: 'unreachable', retryAfterMs: LOOK_MS } : { kind: 'wait', ms: LOOK_MS, isAnew: false }
   }
 
   forBudget (lack: Parameters<Patience['forBudget']>[0]): Step {
