--- a/src/core/audit/explanation.ts
+++ b/src/core/audit/explanation.ts
@@ -43,10 +43,10 @@
 function tellMet ({ fields: { met, class: own } }: AuditRecord): string[] {
   if (met === undefined) return []
   const team = met.team === undefined ? '' : ` of team ${met.team}`
-  const endpoints = met.endpoints.map(({ endpoint, atWork, waiting }) => `at ${endpoint} ${atWork} were at work, and ${waiting.map((count, rank) => `${count} ${classes[rank]}`).join(', ')} waited`)
+  const endpoints = met.endpoints.map(({ endpoint, atWork, waiting }) => `${atWork} at work at ${endpoint}, and waiting for it ${waiting.map((count, rank) => `${count} ${classes[rank]}`).join(', ')}`)
   const largest = met.largest === undefined ? '' : ` Team ${met.largest.team} had asked most of the group: ${Math.round(met.largest.part * 100)}% of its last seconds.`
   const told = met.retryAfterMs === 0 ? ' It was told no time to come back.' : ` It was told to come back after ${round(met.retryAfterMs)} ms.`
-  return [`Before this ${own} statement${team}, of its host's: ${endpoints.length === 0 ? 'nothing' : endpoints.join('; ')}.${largest}${told}`]
+  return [`When this ${own} statement${team} was refused, its host had ${endpoints.length === 0 ? 'nothing at the endpoints' : endpoints.join('; ')}.${largest}${told}`]
 }
 
 function tellAttempt (attempt: Attempt, number: number): string[] {
--- a/test/cli.test.ts
+++ b/test/cli.test.ts
@@ -90,7 +90,7 @@
     expect(ended.code).toBe(code)
   })
 
-  it.each(['serve', 'check', 'patch', 'history', 'show', 'diff', 'status', 'version'])('%s --help has an example', async command => {
+  it.each(['serve', 'check', 'patch', 'history', 'show', 'diff', 'status', 'load', 'version'])('%s --help has an example', async command => {
     const { code, stdout } = await run(command, '--help')
     expect(code).toBe(0)
     expect(stdout).toContain(`agatepond ${command}`)
