--- a/bench/group/model.ts
+++ b/bench/group/model.ts
@@ -51,6 +51,8 @@
 /** After its power is back a host takes callers within so long. */
 const START_MS = 400
 const TRIES = 4
+/** An operation is best started within this part of its aim; the rest is for its work. */
+const AIM_SHARE = 0.7
 const UINT32 = 0x100000000
 const DATA_CENTRES = 3
 
@@ -154,7 +156,7 @@
     const at = bound === undefined ? PRIMARY : this.readerOf(host, hostAt, bound, tried)
     const isReplica = at !== PRIMARY
     const id = this.nextId++
-    const request: AdmissionRequest = { id, rank: kind.rank, caller: kind.name as CallerId, deadline: now + STATEMENT_MS as Instant, isTransaction: operation.isTransaction }
+    const request: AdmissionRequest = { id, rank: kind.rank, caller: kind.name as CallerId, deadline: now + STATEMENT_MS as Instant, aim: operation.askedAt + kind.aimMs * AIM_SHARE as Instant, isTransaction: operation.isTransaction }
     host.borrow(at, request, isLent => {
       if (!isLent) return isReplica ? this.tryAt(operation, host, hostAt, new Set([...tried, at])) : this.refused(operation)
       if (isReplica && !this.holds(bound!)) {
--- a/bench/group/policies.ts
+++ b/bench/group/policies.ts
@@ -21,6 +21,7 @@
   }),
   AsBuilt.but('half of the connections', { share: (connections, hosts) => Math.max(1, Math.floor(connections / 2 / hosts)) }),
   AsBuilt.but('unused ones are kept', { restMs: () => undefined }),
+  AsBuilt.but('aim plays no part', { admission: limits => changed(limits, request => ({ ...request, aim: undefined })) }),
   AsBuilt.but('no fair queue', { admission: limits => changed(limits, request => ({ ...request, caller: '' as CallerId })) }),
   AsBuilt.but('one class', { admission: limits => changed(limits, request => ({ ...request, rank: 1 })) }),
   AsBuilt.but('first come first served', { admission: limits => FifoSlot.earlier(limits.connections) })
--- a/src/core/admission/admission.ts
+++ b/src/core/admission/admission.ts
@@ -141,7 +141,8 @@
     const hasRoom = this.running.size + this.waiting.size < this.limits.connections
     if (hasRoom && this.shares.mayStart(request.rank, request.isTransaction)) return false
     const line = this.backlog.line(request)
-    const wait = this.backlog.waitMs(request, line.queue.ahead(request.caller), this.stalledMs(now), now)
+    const wait = this.backlog.waitMs(request, line.queue.ahead(request.caller, now), this.stalledMs(now), now)
+    if (request.aim !== undefined && wait > request.aim - now) return true
     return wait > left * MOST_WAIT || wait + MARGIN * line.service.at(now) > left
   }
 
@@ -171,7 +172,7 @@
   private sweep (now: Instant, chance: number): void {
     if (this.waiting.size === 0) return this.backlog.tidy()
     const stalledMs = this.stalledMs(now)
-    const late = [...this.backlog.all()].filter(([request, ahead]) => {
+    const late = [...this.backlog.all(now)].filter(([request, ahead]) => {
       const wait = this.backlog.waitMs(request, ahead, stalledMs, now)
       return wait * HOPELESS + this.backlog.line(request).service.at(now) > request.deadline - now
     })
@@ -180,7 +181,7 @@
 
   private startAll (now: Instant, chance: number): void {
     while (this.idle > 0 && this.waiting.size > 0) {
-      const request = this.backlog.shift()
+      const request = this.backlog.shift(now)
       if (request === undefined) return
       this.waiting.delete(request.id)
       if (this.backlog.line(request).service.at(now) > request.deadline - now) this.answer(request, 'busy', now, chance)
--- a/src/core/admission/backlog.ts
+++ b/src/core/admission/backlog.ts
@@ -48,15 +48,15 @@
   }
 
   /** Takes out the request whose turn it is among those that may start now. */
-  shift (): AdmissionRequest | undefined {
-    const next = this.owed() ?? this.highest()
+  shift (now: Instant): AdmissionRequest | undefined {
+    const next = this.owed(now) ?? this.highest(now)
     if (next === undefined) return undefined
     const { rank } = next
     this.passed[rank] = 0
     for (let lower = rank + 1; lower < classes.length; lower++) {
       this.passed[lower] = this.sizeOf(lower) > 0 ? this.passed[lower]! + 1 : 0
     }
-    return this.line(next).queue.shift()
+    return this.line(next).queue.shift(now)
   }
 
   /** The time until a request that has so many of its line ahead gets a connection. `stalledMs`: for how long none has started although some wait. */
@@ -99,10 +99,10 @@
     return this.line(other).queue.lengthOf(other.caller) > this.line(request).queue.lengthOf(request.caller) + 1 ? other : request
   }
 
-  * all (): Generator<readonly [AdmissionRequest, number]> {
+  * all (now: Instant): Generator<readonly [AdmissionRequest, number]> {
     for (const pair of this.lines) {
       for (const { queue } of pair) {
-        if (queue.size > 0) yield * queue.inTurn()
+        if (queue.size > 0) yield * queue.inTurn(now)
       }
     }
   }
@@ -118,9 +118,9 @@
     return (statements.queue.size >= transactions.queue.size ? statements : transactions).queue.longest()
   }
 
-  private highest (): AdmissionRequest | undefined {
+  private highest (now: Instant): AdmissionRequest | undefined {
     for (let rank = 0; rank < classes.length; rank++) {
-      const next = this.startable(rank)
+      const next = this.startable(rank, now)
       if (next !== undefined) return next
     }
     return undefined
@@ -131,20 +131,20 @@
    * the reserves of others, so such a class has one connection this way and no
    * more: long statements would else gather on all of them, turn by turn.
    */
-  private owed (): AdmissionRequest | undefined {
+  private owed (now: Instant): AdmissionRequest | undefined {
     for (let rank = classes.length - 1; rank > 0; rank--) {
       if (this.passed[rank]! < TURNS) continue
-      const next = this.startable(rank) ?? (this.shares.usedBy(rank) === 0 ? this.lines[rank]![0].queue.peek() : undefined)
+      const next = this.startable(rank, now) ?? (this.shares.usedBy(rank) === 0 ? this.lines[rank]![0].queue.peek(now) : undefined)
       if (next !== undefined) return next
     }
     return undefined
   }
 
   /** Of the class's next statement and next transaction, the one that came first. */
-  private startable (rank: number): AdmissionRequest | undefined {
+  private startable (rank: number, now: Instant): AdmissionRequest | undefined {
     const [statements, transactions] = this.lines[rank]!
-    const statement = statements.queue.size > 0 && this.shares.mayStart(rank, false) ? statements.queue.peek() : undefined
-    const transaction = transactions.queue.size > 0 && this.shares.mayStart(rank, true) ? transactions.queue.peek() : undefined
+    const statement = statements.queue.size > 0 && this.shares.mayStart(rank, false) ? statements.queue.peek(now) : undefined
+    const transaction = transactions.queue.size > 0 && this.shares.mayStart(rank, true) ? transactions.queue.peek(now) : undefined
     if (statement === undefined || transaction === undefined) return statement ?? transaction
     return statement.id < transaction.id ? statement : transaction
   }
--- a/src/core/admission/fairqueue.ts
+++ b/src/core/admission/fairqueue.ts
@@ -1,6 +1,7 @@
 /** The requests of one class that wait, shared fairly between callers. */
 
 import type { CallerId } from '../id/caller.ts'
+import type { Instant } from '../id/instant.ts'
 import type { AdmissionRequest } from './request.ts'
 
 interface Lane {
@@ -13,6 +14,9 @@
  * Start-time fair queueing: next is the caller that has used the least
  * connection time, charged with what its requests really took. So neither many
  * requests nor long ones give a caller more than its share while others wait.
+ *
+ * Requests that can still make their aim go before those that can't. Guard against an overload in which first come first served makes everybody late:
+ * each waits for as long as the queue is, longer than its aim, and what is carried serves nobody well. A late one has its turn once no other waits.
  * Changes in place: it's touched by every request, and copying would cost its length.
  */
 export class FairQueue {
@@ -36,11 +40,13 @@
   }
 
   /** How many requests go first if the caller's next one joins, the others taking turns with it. */
-  ahead (caller: CallerId): number {
-    const own = this.lengthOf(caller)
+  ahead (caller: CallerId, now: Instant): number {
+    const count = (lane: Lane) => lane.waiting.reduce((sum, request) => sum + (isInAim(request, now) ? 1 : 0), 0)
+    const joined = this.lanes.get(caller)
+    const own = joined === undefined ? 0 : count(joined)
     let sum = own
-    for (const [other, lane] of this.lanes) {
-      if (other !== caller) sum += Math.min(lane.waiting.length, own + 1)
+    for (const lane of this.lanes.values()) {
+      if (lane !== joined) sum += Math.min(count(lane), own + 1)
     }
     return sum
   }
@@ -52,16 +58,18 @@
     this.length++
   }
 
-  peek (): AdmissionRequest | undefined {
-    return this.next()?.waiting[0]
+  peek (now: Instant): AdmissionRequest | undefined {
+    return this.turn(now)?.request
   }
 
-  shift (): AdmissionRequest | undefined {
-    const lane = this.next()
-    if (lane === undefined) return undefined
+  shift (now: Instant): AdmissionRequest | undefined {
+    const turn = this.turn(now)
+    if (turn === undefined) return undefined
+    const { lane, request } = turn
     this.level = Math.max(this.level, lane.used)
     this.length--
-    return lane.waiting.shift()
+    lane.waiting.splice(lane.waiting.indexOf(request), 1)
+    return request
   }
 
   remove (request: AdmissionRequest): void {
@@ -87,13 +95,18 @@
   }
 
   /** Every waiting request with the number that goes before it. */
-  * inTurn (): Generator<readonly [AdmissionRequest, number]> {
+  * inTurn (now: Instant): Generator<readonly [AdmissionRequest, number]> {
     const lanes = [...this.lanes.values()].filter(lane => lane.waiting.length > 0)
+    const inAim = lanes.map(({ waiting }) => waiting.filter(request => isInAim(request, now)))
+    const late = lanes.map(({ waiting }) => waiting.filter(request => !isInAim(request, now)))
     let before = 0
-    for (let turn = 0; before < this.length; turn++) {
-      for (const lane of lanes) {
-        const request = lane.waiting[turn]
-        if (request !== undefined) yield [request, before++]
+    for (const part of [inAim, late]) {
+      const longest = Math.max(0, ...part.map(({ length }) => length))
+      for (let turn = 0; turn < longest; turn++) {
+        for (const requests of part) {
+          const request = requests[turn]
+          if (request !== undefined) yield [request, before++]
+        }
       }
     }
   }
@@ -118,6 +131,18 @@
     return Math.min(this.level, this.next()?.used ?? this.level)
   }
 
+  private turn (now: Instant): { readonly lane: Lane, readonly request: AdmissionRequest } | undefined {
+    let best: { readonly lane: Lane, readonly request: AdmissionRequest } | undefined
+    for (const lane of this.lanes.values()) {
+      if (best !== undefined && lane.used >= best.lane.used) continue
+      const request = lane.waiting.find(request => isInAim(request, now))
+      if (request !== undefined) best = { lane, request }
+    }
+    if (best !== undefined) return best
+    const lane = this.next()
+    return lane === undefined ? undefined : { lane, request: lane.waiting[0]! }
+  }
+
   private next (): Lane | undefined {
     let best: Lane | undefined
     for (const lane of this.lanes.values()) {
@@ -126,3 +151,7 @@
     return best
   }
 }
+
+function isInAim ({ aim }: AdmissionRequest, now: Instant): boolean {
+  return aim === undefined || now <= aim
+}
--- a/src/core/admission/request.ts
+++ b/src/core/admission/request.ts
@@ -10,6 +10,8 @@
   readonly rank: number
   readonly caller: CallerId
   readonly deadline: Instant
+  /** Until when it's best started: its caller gets most of what the answer is worth then, and less later. Undefined where all of its time is as good. */
+  readonly aim?: Instant | undefined
   /** Whether it begins a transaction, and so keeps its connection from statement to statement. */
   readonly isTransaction: boolean
 }
