--- a/bench/group/asbuilt.ts
+++ b/bench/group/asbuilt.ts
@@ -24,6 +24,10 @@
     return this.change.order
   }
 
+  get aim (): GroupPolicy['aim'] {
+    return this.change.aim
+  }
+
   get reportMs (): GroupPolicy['reportMs'] {
     return this.change.reportMs
   }
--- a/bench/group/model.ts
+++ b/bench/group/model.ts
@@ -41,8 +41,6 @@
 /** After its power is back a host takes callers within so long. */
 const START_MS = 400
 const TRIES = 4
-/** An operation is best started within this part of its aim; the rest is for its work. */
-const AIM_SHARE = 0.7
 const UINT32 = 0x100000000
 const DATA_CENTRES = 3
 
@@ -167,7 +165,7 @@
     const { now } = this.agenda
     const isReplica = at !== PRIMARY
     const id = this.nextId++
-    const request: AdmissionRequest = { id, rank: kind.rank, caller: kind.name as CallerId, deadline: now + STATEMENT_MS as Instant, aim: operation.askedAt + kind.aimMs * AIM_SHARE as Instant, isTransaction: operation.isTransaction }
+    const request: AdmissionRequest = { id, rank: kind.rank, caller: kind.name as CallerId, deadline: now + STATEMENT_MS as Instant, aim: this.policy.aim?.(operation.askedAt, kind.aimMs) as Instant | undefined, isTransaction: operation.isTransaction }
     host.borrow(at, request, isLent => {
       if (!isLent) return isReplica ? this.tryAt(operation, host, hostAt, new Set([...tried, at])) : this.refused(operation)
       if (isReplica && !this.holds(bound!)) {
--- a/bench/group/policies.ts
+++ b/bench/group/policies.ts
@@ -13,6 +13,8 @@
 /** Connections of an endpoint that the spare form leaves alone. */
 const RESERVE = 2
 const SPARE_REST_MS = 200
+/** An operation is best started within this part of its aim; the rest is for its work. */
+const START_SHARE = 0.7
 const REPORT_MS = 100
 
 export const policies: readonly GroupPolicy[] = [
@@ -23,9 +25,9 @@
   }),
   AsBuilt.but('half of the connections', { share: (connections, hosts) => Math.max(1, Math.floor(connections / 2 / hosts)) }),
   AsBuilt.but('unused ones are kept', { restMs: () => undefined }),
-  AsBuilt.but('aim plays no part', { admission: limits => changed(limits, request => ({ ...request, aim: undefined })) }),
   AsBuilt.but('no fair queue', { admission: limits => changed(limits, request => ({ ...request, caller: '' as CallerId })) }),
   AsBuilt.but('one class', { admission: limits => changed(limits, request => ({ ...request, rank: 1 })) }),
+  AsBuilt.but('what can make its aim goes first', { aim: (askedAt, aimMs) => askedAt + aimMs * START_SHARE }),
   AsBuilt.but('first come first served', { admission: limits => FifoSlot.earlier(limits.connections) }),
   AsBuilt.but('reads go where they are answered soonest', { order: soonest, reportMs: REPORT_MS }),
   AsBuilt.but('soonest, without reports', { order: soonest, reportMs: Infinity }),
--- a/bench/group/policy.ts
+++ b/bench/group/policy.ts
@@ -17,4 +17,6 @@
   readonly reportMs?: number | undefined
   /** For how long an unused connection is kept, in milliseconds; undefined for as long as it lasts. `startedAt`, `refusedAt`: of the host, and of its last refused opening. */
   restMs (now: Instant, startedAt: Instant, refusedAt: Instant | undefined): number | undefined
+  /** Until when an operation is best started; left out where that plays no part. */
+  aim? (askedAt: number, aimMs: number): number
 }
--- a/src/core/pool/load/placegate.ts
+++ b/src/core/pool/load/placegate.ts
@@ -69,7 +69,7 @@
   step (event: PlaceEvent, limit: number, now: Instant): readonly PlaceAction[] {
     this.actions = []
     this.limit = limit
-    const ahead = event.kind === 'arrived' ? this.line(event.order).aheadOf(event.order) : 0
+    const ahead = event.kind === 'arrived' ? this.line(event.order).aheadOf(event.order, now) : 0
     this.take(event, now)
     this.startAll(now)
     if (event.kind === 'arrived') this.reconsider(event.order, ahead, now)
@@ -111,7 +111,7 @@
 
   private startAll (now: Instant): void {
     while (this.held.size < this.limit) {
-      const order = this.next()
+      const order = this.next(now)
       if (order === undefined) return
       this.drop(order)
       const charged = this.timeOf(order).at(now)
@@ -135,14 +135,14 @@
     this.actions.push({ kind: 'start', id: order.id })
   }
 
-  private next (): PlaceOrder | undefined {
+  private next (now: Instant): PlaceOrder | undefined {
     const mayOpen = this.mayOpen()
     for (let rank = classes.length - 1; rank > 0; rank--) {
-      const owed = this.passed[rank]! >= TURNS ? this.lines[rank]!.peek(mayOpen) : undefined
+      const owed = this.passed[rank]! >= TURNS ? this.lines[rank]!.peek(mayOpen, now) : undefined
       if (owed !== undefined) return owed
     }
     for (const line of this.lines) {
-      const order = line.peek(mayOpen)
+      const order = line.peek(mayOpen, now)
       if (order !== undefined) return order
     }
     return undefined
@@ -163,7 +163,7 @@
   private sweep (now: Instant): void {
     for (const line of this.lines) {
       line.tidy()
-      const late = [...line.inTurn()].filter(([order, ahead]) =>
+      const late = [...line.inTurn(now)].filter(([order, ahead]) =>
         this.waitMs(order, ahead, now) * HOPELESS + this.timeOf(order).at(now) > order.deadline - now)
       for (const [order] of late) this.refuse(order)
     }
--- a/src/core/pool/load/placeline.ts
+++ b/src/core/pool/load/placeline.ts
@@ -4,6 +4,7 @@
 import type { AdmissionRequest } from '../../admission/request.ts'
 import { ServiceTime } from '../../admission/servicetime.ts'
 import type { CallerId } from '../../id/caller.ts'
+import type { Instant } from '../../id/instant.ts'
 import type { PlaceOrder } from './placeorder.ts'
 
 interface Waiting {
@@ -53,27 +54,27 @@
    * The order whose turn it is. Transactions that have begun go first: what they hold is free the sooner, and work that is half done isn't
    * thrown away. Of the first that begins and the first opening, the one that came first.
    */
-  peek (isOpeningAllowed: boolean): PlaceOrder | undefined {
-    const next = this.queues.next.peek()
+  peek (isOpeningAllowed: boolean, now: Instant): PlaceOrder | undefined {
+    const next = this.queues.next.peek(now)
     if (next !== undefined) return this.waiting.get(next.id)?.order
-    const first = this.queues.first.peek()
-    const opening = isOpeningAllowed ? this.queues.opening.peek() : undefined
+    const first = this.queues.first.peek(now)
+    const opening = isOpeningAllowed ? this.queues.opening.peek(now) : undefined
     const ids = [first, opening].flatMap(request => request === undefined ? [] : [request.id])
     return this.waiting.get(Math.min(...ids))?.order
   }
 
   /** Every order with the number of its class that goes before it. */
-  * inTurn (): Generator<readonly [PlaceOrder, number]> {
+  * inTurn (now: Instant): Generator<readonly [PlaceOrder, number]> {
     let before = 0
     for (const kind of KINDS) {
-      for (const [{ id }, ahead] of this.queues[kind].inTurn()) yield [this.waiting.get(id)!.order, before + ahead]
+      for (const [{ id }, ahead] of this.queues[kind].inTurn(now)) yield [this.waiting.get(id)!.order, before + ahead]
       before += this.queues[kind].size
     }
   }
 
   /** How many of its class go first if the order joins. */
-  aheadOf ({ what, caller }: PlaceOrder): number {
-    const own = this.queues[what].ahead(caller)
+  aheadOf ({ what, caller }: PlaceOrder, now: Instant): number {
+    const own = this.queues[what].ahead(caller, now)
     return what === 'next' ? own : own + this.queues.next.size
   }
 
@@ -87,6 +88,6 @@
   }
 }
 
-function asRequest ({ id, rank, caller, deadline, what }: PlaceOrder): AdmissionRequest {
-  return { id, rank, caller, deadline, isTransaction: what === 'next' }
+function asRequest ({ id, rank, caller, deadline, aim, what }: PlaceOrder): AdmissionRequest {
+  return { id, rank, caller, deadline, aim, isTransaction: what === 'next' }
 }
--- a/src/core/pool/load/placeorder.ts
+++ b/src/core/pool/load/placeorder.ts
@@ -11,6 +11,8 @@
   /** The team, or the database where nobody needs a key: who shares fairly with others. */
   readonly caller: CallerId
   readonly deadline: Instant
+  /** Until when it's best started; undefined where all of its time is as good. */
+  readonly aim?: Instant | undefined
   /** `next`: a further statement of a transaction that has begun; `first`: any other statement; `opening`: a new connection. */
   readonly what: 'next' | 'first' | 'opening'
 }
--- a/src/shell/pool/lending/lender.ts
+++ b/src/shell/pool/lending/lender.ts
@@ -32,6 +32,8 @@
   readonly team: TeamId | undefined
   /** Milliseconds in which the operation is to be done. */
   readonly leftMs: number
+  /** Milliseconds within which it's best started; none are left once they are negative. */
+  readonly aimMs?: number
   readonly isTransaction: boolean
   /** A connection in the same state is preferred. */
   readonly values: Values
@@ -54,6 +56,8 @@
 interface Loan {
   readonly id: number
   readonly wish: Wish
+  /** Until when it's best started; undefined where that plays no part. */
+  readonly aim: Instant | undefined
   readonly since: Instant
   /** Its last order for a place at the endpoint; undefined before the first. */
   ticket?: PlaceTicket
@@ -137,9 +141,9 @@
   enter (link: EndpointLink, leftMs: number): PlaceTicket | undefined {
     const loan = this.loans.get(link)
     if (loan === undefined || this.places === undefined) return undefined
-    const { rank, caller, isTransaction } = loan.wish
+    const { wish: { rank, caller, isTransaction }, aim } = loan
     const what = isTransaction && loan.ticket !== undefined ? 'next' : 'first'
-    loan.ticket = this.places.enter({ rank, caller, what, leftMs })
+    loan.ticket = this.places.enter({ rank, caller, what, leftMs, aim })
     return loan.ticket
   }
 
@@ -212,7 +216,12 @@
   private enqueue (waiter: Waiter): void {
     const { id, wish: { rank, caller, isTransaction }, deadline } = waiter
     this.waiting.set(id, waiter)
-    this.step({ kind: 'arrived', request: { id, rank, caller: caller as CallerId, deadline, isTransaction } })
+    this.step({ kind: 'arrived', request: { id, rank, caller: caller as CallerId, deadline, aim: this.aimOf(waiter), isTransaction } })
+  }
+
+  /** Where this host counts places it decides by aims as well; elsewhere first come, first served. */
+  private aimOf ({ wish: { leftMs, aimMs }, deadline }: Pick<Waiter, 'wish' | 'deadline'>): Instant | undefined {
+    return this.places === undefined || aimMs === undefined ? undefined : deadline - leftMs + aimMs as Instant
   }
 
   /** Against a place in the queue, and perhaps a new connection, for an operation that nobody waits for. */
@@ -246,8 +255,9 @@
     else this.lend(link, waiter)
   }
 
-  private lend (link: EndpointLink, { id, wish, answer }: Waiter): void {
-    this.loans.set(link, { id, wish, since: clock.now() })
+  private lend (link: EndpointLink, waiter: Waiter): void {
+    const { id, wish, answer } = waiter
+    this.loans.set(link, { id, wish, aim: this.aimOf(waiter), since: clock.now() })
     if (wish.team !== undefined) this.use.add(wish.team, clock.now())
     clearTimeout(this.resting.get(link))
     this.resting.delete(link)
--- a/src/shell/pool/lending/places.ts
+++ b/src/shell/pool/lending/places.ts
@@ -34,6 +34,8 @@
   readonly what: PlaceOrder['what']
   /** Milliseconds in which it's to be done. */
   readonly leftMs: number
+  /** Until when it's best started; undefined where that plays no part. */
+  readonly aim?: Instant | undefined
 }
 
 type Given = Ending | 'done' | 'notSent'
@@ -95,7 +97,7 @@
     this.step({ kind: 'tick' })
   }
 
-  enter ({ rank, caller, what, leftMs }: Wish): PlaceTicket {
+  enter ({ rank, caller, what, leftMs, aim }: Wish): PlaceTicket {
     const id = this.nextId++
     const since = clock.now()
     let grantedAt: Instant | undefined
@@ -104,7 +106,7 @@
       this.options.metrics.placeSeconds.observe({ what }, (clock.now() - since) / 1000)
       resolve(isGranted)
     }))
-    this.step({ kind: 'arrived', order: { id, rank, caller: caller as CallerId, deadline: since + leftMs as Instant, what } })
+    this.step({ kind: 'arrived', order: { id, rank, caller: caller as CallerId, deadline: since + leftMs as Instant, aim, what } })
     const giveBack = (ending: Given) => {
       if (grantedAt === undefined) return this.cancel(id)
       this.gaveBack(id, ending, clock.now() - grantedAt)
--- a/src/shell/pool/statements/tryall.ts
+++ b/src/shell/pool/statements/tryall.ts
@@ -28,6 +28,8 @@
 const TOKEN_SHARE = 0.3
 /** It waits for this part of its time for issuers of tokens that don't answer, as they don't while all hosts start: late is better than never then. */
 const SILENT_SHARE = 0.5
+/** An operation is best started within this part of its aim: the rest is for its work, and for its way to its caller. */
+const START_SHARE = 0.7
 /** The time to come back while nobody leads: about a round of finding the new primary. */
 const LEADERLESS_MS = 500
 
@@ -159,7 +161,7 @@
   const team = gate.team?.id
   const lender = group.lender(target.endpoint)
   if (lender === undefined) return { fault: 'busy', retryAfterMs: LEADERLESS_MS }
-  const borrowed = await lender.borrow({ rank: route.rank, caller: team ?? database, team, leftMs: left(deadline), isTransaction: isInside, values, gone })
+  const borrowed = await lender.borrow({ rank: route.rank, caller: team ?? database, team, leftMs: left(deadline), aimMs: left(deadline) - route.statementMs + route.aimMs * START_SHARE, isTransaction: isInside, values, gone })
   if (borrowed.isOk()) return Attempt.on(group, lender, borrowed.value, gate)
   return { fault: 'busy', retryAfterMs: borrowed.error.retryAfterMs, cause: CAUSES[borrowed.error.reason] }
 }
