--- a/src/shell/pool/statements/waits.ts
+++ b/src/shell/pool/statements/waits.ts
@@ -59,7 +59,7 @@
     this.looks++
     if (step.kind === 'wait') this.leave ??= outage.enter()
     if (looks > 0) outage.tell(step.kind === 'wait' ? expectedMs : undefined)
-    return await this.take('forLeader', step, async ms => await outage.wait(ms, this.tries.gone))
+    return await this.take('forLeader', step, async ms => await outage.wait(ms, this.gone))
   }
 
   /** Until an endpoint that had no room may have some. */
@@ -81,10 +81,11 @@
   }
 
   private async pause (what: Pause): Promise<Way> {
-    const { group, tries: { deadline, gone }, pauses } = this
+    const { group, gone, tries: { deadline }, pauses } = this
     const lack: Parameters<Patience['forRoom']>[0] = { leftMs: left(deadline), serviceMs: group.serviceMs, pauses, chance: group.chance() }
     this.pauses++
-    return await this.take(what, group.patience[what](lack), async ms => await Waiters.create().wait(ms, gone))
+    const waiters = what === 'forReach' ? group.outage : Waiters.create()
+    return await this.take(what, group.patience[what](lack), async ms => await waiters.wait(ms, gone))
   }
 
   private async take (what: string, step: Step, wait: (ms: number) => Promise<void>): Promise<Way> {
--- a/src/shell/pool/succession/outage.ts
+++ b/src/shell/pool/succession/outage.ts
@@ -79,7 +79,7 @@
   }
 
   /** Resolves as soon as something changed, or after the milliseconds, or when whoever waits is gone. */
-  async wait (ms: number, gone: AbortSignal): Promise<void> {
+  async wait (ms: number, gone: AbortSignal | undefined): Promise<void> {
     await this.waiters.wait(ms, gone)
   }
 
