A primary in doubt: what it can't take waits until the doubt is settled

Cause: in the half second in which a primary is silent and not yet known to be out of reach, admission takes the standstill for a queue that is too long and refuses what only the primary may do; what waited there is refused when the doubt is settled, just when the wait for a successor could begin. Ruled out: waiting in admission itself, where nothing knows of successions. Change: such a statement is looked at again for as long as the doubt can last, five looks of 100 ms.

--- a/src/core/pool/statements/patience.ts
+++ b/src/core/pool/statements/patience.ts
@@ -39,7 +39,7 @@
   forLeader (lack: LeaderLack): Step
   /** All that could do it, and whom it would ask once more, refused it for want of room. */
   forRoom (lack: RoomLack): Step
-  /** No connection to the endpoint that alone can do it was to be had, and it isn't known yet whether that is out of reach. */
+  /** No connection to the endpoint that alone can do it was to be had, and it's in doubt whether that is out of reach. */
   forReach (lack: RoomLack): Step
   /** It may be tried elsewhere, but the retries of this host are used up. */
   forBudget (lack: RoomLack): Step
--- a/src/core/pool/statements/patient.ts
+++ b/src/core/pool/statements/patient.ts
@@ -6,8 +6,10 @@
 
 /** Each endpoint is asked so often: at once, and after two waits. */
 const ROUNDS = 3
-/** Pauses for want of room or of a connection; after them the endpoints' own queues have been full for several statements' time. */
+/** Pauses for want of room; after them the endpoints' own queues have been full for several statements' time. */
 const MOST_PAUSES = 3
+/** Looks at an endpoint in doubt: it's settled by the succession's next tick and a question, which take four looks' time together at most. */
+const MOST_DOUBTS = 5
 /**
  * A caller asks again as soon as it's refused, so a statement that ends just before its time is up waits on in the next.
  * One more is counted on and no third: callers give their operations little more than the time of two statements.
@@ -62,7 +64,7 @@
 
   /** The endpoint is in doubt, and within a few looks it's known to be out of reach, so that the wait for its successor begins, or it's reached. */
   forReach ({ leftMs, serviceMs, pauses }: Parameters<Patience['forReach']>[0]): Step {
-    const isUseless = pauses >= MOST_PAUSES || LOOK_MS + serviceMs > leftMs
+    const isUseless = pauses >= MOST_DOUBTS || LOOK_MS + serviceMs > leftMs
     return isUseless ? { kind: 'refuse', cause: 'unreachable', retryAfterMs: LOOK_MS } : { kind: 'wait', ms: LOOK_MS, isAnew: false }
   }
 
--- a/src/shell/pool/statements/tryall.ts
+++ b/src/shell/pool/statements/tryall.ts
@@ -108,7 +108,7 @@
   const attempt = target.via === undefined ? await borrow(group, target, tries, gate, waits.gone) : await detour(ctx, group, target.via, tries)
   if (!(attempt instanceof Attempt)) {
     note('no connection')
-    return unconnected(attempt, target)
+    return unconnected(group, attempt, target)
   }
   if (waits.isDropped) {
     attempt.end()
@@ -129,10 +129,14 @@
   return { kind: 'done', run: { answer, attempt } }
 }
 
-/** What only the primary may do has nowhere else to go. */
-function unconnected (refused: Refused, { mustLead, via }: Target): Once {
+/**
+ * What only the primary may do has nowhere else to go. Against refusals in the half second in which a primary is silent and not known to
+ * be out of reach: admission finds that nothing moves, and takes it for a queue that is too long.
+ */
+function unconnected (group: PoolGroup, refused: Refused, { endpoint, mustLead, via }: Target): Once {
   if (!mustLead) return { kind: 'elsewhere', refused }
-  return via === undefined && refused.cause === 'unreachable' ? { kind: 'short', of: 'forReach', refused } : { kind: 'refused', refused }
+  const isInDoubt = via === undefined && (refused.cause === 'unreachable' || group.contact(endpoint).isDoubtful(clock.now()))
+  return isInDoubt ? { kind: 'short', of: 'forReach', refused } : { kind: 'refused', refused }
 }
 
 function ended (ctx: PoolContext, ending: Ending, { what, isInside }: Tries): Once {
