The history checker knows keys and spans of allowances

Cause: what callers with keys were told was checked case by case, and no check saw a run as a whole.

Change: a call may say under which key it came, a history who held keys when, and what a team may run in a span; the checker finds calls that were served under a key that nobody held (a call counts by its start, so one that was under way is none) and spans with more operations than allowed (only those count that lie in the span with call and answer).

--- a/test/checker/breach.ts
+++ b/test/checker/breach.ts
@@ -16,6 +16,8 @@
   | 'answer doubled'
   | 'transactions mixed'
   | 'configuration version gone back'
+  | 'served without a key'
+  | 'allowance exceeded'
 
 export interface Breach {
   readonly kind: Kind
--- a/test/checker/call.ts
+++ b/test/checker/call.ts
@@ -13,6 +13,8 @@
   /** When the answer came; a call without an answer has an unknown outcome and the end of the run here. */
   readonly to: number
   readonly outcome: Outcome
+  /** Under which key the call came, by a name that the test gives it, and whose it was; absent where nobody needs one. */
+  readonly holder?: { readonly key: string, readonly team: string }
   /** The open transaction that the call is a statement of. */
   readonly transaction?: string
 }
--- a/test/checker/checker.test.ts
+++ b/test/checker/checker.test.ts
@@ -29,6 +29,12 @@
 const aged = { freshness: { kind: 'age', ms: 500 } } as const
 const other = { session: 's2', host: 'host-2' } as const
 const open = { transaction: 't1' } as const
+const red = { holder: { key: 'r1', team: 'red' } } as const
+const grant = { key: 'r1', team: 'red', from: 0 } as const
+const taken = { ...grant, until: { at: 100, lateMs: 50 } } as const
+const allowance = { team: 'red', from: 0, to: 10_000, windowMs: 100, most: 2 } as const
+/** Each takes 10 ms. */
+const reds = (...times: readonly number[]) => times.map((from, i) => write(`v${i}`, from, red))
 const promotion = { group: 'shop', term: 2, position: 5, at: 100 }
 
 describe('a planted breach is told', () => {
@@ -64,6 +70,12 @@
     ['a COMMIT told "not run" and there', '"not run" that ran', { calls: [write('a', 0, open), commit('t1', 20, { outcome: 'notRun' }), read(['a'], 40, other)] }],
     ['never committed and there', 'transactions mixed', { calls: [write('a', 0, open), read(['a'], 40, other)] }],
     ['own statement unseen inside', 'transactions mixed', { calls: [write('a', 0, open), read([], 20, open), commit('t1', 40)] }],
+    ['a key that was taken away too long ago', 'served without a key', { calls: [write('a', 151, red)], grants: [taken] }],
+    ['a key of another team', 'served without a key', { calls: [write('a', 0, { holder: { key: 'r1', team: 'blue' } })], grants: [grant] }],
+    ['one operation too many, in a span that begins between two whole ones', 'allowance exceeded', { calls: reds(70, 110, 150), allowances: [allowance] }],
+    ['one transaction too many', 'allowance exceeded', {
+      calls: [...reds(0, 20), write('t', 40, { ...red, ...open }), write('u', 60, { ...red, ...open }), commit('t1', 70, red)], allowances: [allowance]
+    }],
     ['a version gone back', 'configuration version gone back', {
       versions: [{ host: 'host-1', version: 3, at: 0 }, { host: 'host-1', version: 2, at: 10 }]
     }]
@@ -101,6 +113,14 @@
     ["a promotion of another group's", { calls: [write('a', 190, { term: 1, position: 9 })], promotions: [{ ...promotion, group: 'booking' }] }],
     ['a transaction that sees itself', { calls: [write('a', 0, open), read(['a'], 20, open), commit('t1', 40)] }],
     ['a read under way at COMMIT', { calls: [write('a', 0, open), commit('t1', 20), read(['a'], 15, { ...other, to: 40 })] }],
+    ['a key that was taken away just now', { calls: [write('a', 150, red)], grants: [taken] }],
+    ['a call under way as its key was taken away', { calls: [write('a', 150, { ...red, to: 900 })], grants: [taken] }],
+    ['a refusal for want of a key', { calls: [write('a', 900, { ...red, outcome: 'notRun' })], grants: [taken] }],
+    ['a key that was given to another team later', { calls: [write('a', 0, red), write('b', 300, { holder: { key: 'r1', team: 'blue' } })], grants: [taken, { ...grant, team: 'blue', from: 200 }] }],
+    ['operations that may lie outside of the span', { calls: reds(0, 45, 91), allowances: [allowance] }],
+    ['refused ones beyond the allowance', { calls: [...reds(0, 20), write('r', 40, { ...red, outcome: 'notRun' })], allowances: [allowance] }],
+    ['statements of one transaction', { calls: [...reds(0), write('t', 20, { ...red, ...open }), write('u', 40, { ...red, ...open }), commit('t1', 60, red)], allowances: [allowance] }],
+    ['a span across a change of the allowance', { calls: reds(0, 20, 60), allowances: [{ ...allowance, to: 50 }] }],
     ['the same version again', { versions: [{ host: 'host-1', version: 3, at: 0 }, { host: 'host-1', version: 3, at: 10 }] }]
   ]
   it.each(cases)('%s', (_, part) => {
--- a/test/checker/checker.ts
+++ b/test/checker/checker.ts
@@ -9,16 +9,18 @@
  */
 
 import { findBadAnswers } from './answers.ts'
+import { findExceeded } from './allowances.ts'
 import type { Breach } from './breach.ts'
 import { findEffects } from './effects.ts'
 import type { History } from './history.ts'
+import { findKeyless } from './keys.ts'
 import { Ledger } from './ledger.ts'
 import { findStaleness } from './staleness.ts'
 import { findReplaced } from './terms.ts'
 import { findMixed } from './transactions.ts'
 import { findReverted } from './versions.ts'
 
-const CHECKS = [findBadAnswers, findEffects, findMixed, findReplaced, findReverted, findStaleness]
+const CHECKS = [findBadAnswers, findEffects, findExceeded, findKeyless, findMixed, findReplaced, findReverted, findStaleness]
 
 /** The breaches of a history: of each kind the one with the shortest story, and how many there are. */
 export function checkHistory (history: History): readonly { readonly breach: Breach, readonly count: number }[] {
--- a/test/checker/explanation.ts
+++ b/test/checker/explanation.ts
@@ -13,6 +13,11 @@
   const sentences: readonly Sentence[] = [
     ...part.calls.map(call => ({ at: call.from, text: tellCall(call) })),
     ...part.promotions.map(one => ({ at: one.at, text: `a primary of ${one.group} began term ${one.term} after position ${one.position}` })),
+    ...(part.grants ?? []).flatMap(({ key, team, from, until }) => [
+      { at: from, text: `team ${team} held the key ${key}` },
+      ...until === undefined ? [] : [{ at: until.at, text: `the key ${key} was taken from team ${team}, to be served no more after ${until.lateMs} ms` }]
+    ]),
+    ...(part.allowances ?? []).map(one => ({ at: one.from, text: `team ${one.team} was allowed ${one.most} operations in any ${one.windowMs} ms` })),
     ...part.versions.map(one => ({ at: one.at, text: `${one.host} used version ${one.version} of the configuration` }))
   ]
   return [
@@ -23,7 +28,8 @@
 }
 
 function tellCall (call: Call): string {
-  const who = `session ${call.session} on ${call.host}`
+  const holder = call.holder === undefined ? '' : ` with the key ${call.holder.key}`
+  const who = `session ${call.session} on ${call.host}${holder}`
   const within = call.transaction === undefined ? '' : ` in transaction ${call.transaction}`
   return `${who}${within} ${actOf(call)}, and at ${timeOf(call.to)} ${resultOf(call)}`
 }
--- a/test/checker/history.ts
+++ b/test/checker/history.ts
@@ -18,8 +18,30 @@
   readonly at: number
 }
 
+/** A span in which a team holds a key. */
+interface Grant {
+  readonly key: string
+  readonly team: string
+  readonly from: number
+  /** When it was taken away, and how long after that no host serves it any more; absent while it holds. */
+  readonly until?: { readonly at: number, readonly lateMs: number }
+}
+
+/** What a team may run in any span of a length, between two times. */
+interface Allowance {
+  readonly team: string
+  readonly from: number
+  readonly to: number
+  readonly windowMs: number
+  /** Operations, with the tolerance. */
+  readonly most: number
+}
+
 export interface History {
   readonly calls: readonly Call[]
   readonly promotions: readonly Promotion[]
   readonly versions: readonly Version[]
+  /** Absent where callers need no keys. */
+  readonly grants?: readonly Grant[]
+  readonly allowances?: readonly Allowance[]
 }
