--- a/bench/group/endpoint.ts
+++ b/bench/group/endpoint.ts
@@ -29,6 +29,14 @@
     return new ModelEndpoint(options)
   }
 
+  get atWork (): number {
+    return this.busy
+  }
+
+  get queued (): number {
+    return this.queue.length
+  }
+
   /** Works for so long, first come first served; false when its queue is full and nothing is done. */
   work (ms: number, done: () => void): boolean {
     if (this.busy === this.options.places && this.queue.length === this.options.mostQueued) return false
--- a/src/core/pool/load/placegate.ts
+++ b/src/core/pool/load/placegate.ts
@@ -136,21 +136,21 @@
   }
 
   private next (): PlaceOrder | undefined {
-    const mayOpen = this.mayOpen()
     for (let rank = classes.length - 1; rank > 0; rank--) {
-      const owed = this.passed[rank]! >= TURNS ? this.lines[rank]!.peek(mayOpen) : undefined
+      const owed = this.passed[rank]! >= TURNS ? this.lines[rank]!.peek(this.mayOpen(rank)) : undefined
       if (owed !== undefined) return owed
     }
-    for (const line of this.lines) {
-      const order = line.peek(mayOpen)
+    for (let rank = 0; rank < classes.length; rank++) {
+      const order = this.lines[rank]!.peek(this.mayOpen(rank))
       if (order !== undefined) return order
     }
     return undefined
   }
 
-  private mayOpen (): boolean {
+  /** An opening of the class goes before statements of lower ones, but only in its turn beside those of its own and of higher ones. */
+  private mayOpen (rank: number): boolean {
     if (this.openings >= Math.max(1, Math.floor(this.limit * OPENING_SHARE))) return false
-    return this.sinceOpening + 1 >= 1 / OPENING_SHARE || this.lines.every(({ statements }) => statements === 0)
+    return this.sinceOpening + 1 >= 1 / OPENING_SHARE || this.lines.every(({ statements }, other) => other > rank || statements === 0)
   }
 
   /** Refuses an order that has just come and waits, if it's known that it can't be done in its time. */
--- a/src/core/pool/load/placelimit.ts
+++ b/src/core/pool/load/placelimit.ts
@@ -1,12 +1,16 @@
 /** How many of an endpoint's places this host may use now. */
 
 import type { Instant } from '../../id/instant.ts'
+import { LatencyLimit } from './latencylimit.ts'
 import type { OthersLoad } from './othersload.ts'
 
 type Others = ReturnType<OthersLoad['at']>
 
-/** Beside the places that work, so many may be on their way there, so that no place idles for a round trip. */
-const SPARE = 2
+/**
+ * Beside the places that work, so many for each may be on their way there. Without them places idle for a round trip, and while an owner
+ * doesn't know yet that another one uses less than its part.
+ */
+const SPARE = 1 / 2
 /** How fast the mean of this host's own demand follows: a few statements' time. Milliseconds. */
 const FOLLOW_MS = 50
 /** Within this time an owner that is due one place and a half has one for half of it and two for the other. Milliseconds. */
@@ -20,10 +24,11 @@
 
 /**
  * The places, and some to spare, are shared between the owners of a group by their demand, as their reports tell it. An owner with demand has
- * at least an equal share, so that one owner's long queue doesn't stop the others; while all that is asked fits, each has what the others leave.
+ * at least an equal share, so that one owner's long queue doesn't stop the others; beyond that it has no more than the others leave.
  *
- * Owners whose reports don't come may be there all the same. So each host has a ceiling of its own as well, which starts at half of what there
- * is, is halved when the endpoint refuses for want of room, and climbs back while some wait. Changes in place: it's asked with every statement.
+ * Owners whose reports don't come may be there all the same. While none is heard, this host goes by how long answers take; and at all times
+ * it has a ceiling, which is halved when the endpoint refuses for want of room, and climbs back while some wait. Changes in place: it's asked
+ * with every statement.
  */
 export class PlaceLimit {
   private ceiling: number
@@ -31,10 +36,11 @@
   private last = 0
   private countedAt: Instant
   private climbedAt: Instant
+  private readonly byLatency = LatencyLimit.create()
   private backedOffAt = -Infinity as Instant
 
   private constructor (private places: number, private readonly phase: number, now: Instant) {
-    this.ceiling = Math.ceil(this.capacity / 2)
+    this.ceiling = this.capacity
     this.countedAt = now
     this.climbedAt = now
   }
@@ -54,11 +60,17 @@
   at (demand: number, others: Others, now: Instant): number {
     this.follow(demand, now)
     this.climb(demand, now)
-    const due = Math.min(this.ceiling, this.shareOf(Math.max(demand, this.mean), others))
+    const part = others.owners === 0 ? this.byLatency.places : this.shareOf(Math.max(demand, this.mean), others)
+    const due = Math.min(this.ceiling, part)
     const turn = (now / PERIOD_MS + this.phase) % 1
     return Math.max(1, Math.floor(due + turn))
   }
 
+  /** `ms`: from sending a statement of the class to its answer. */
+  answered (ms: number, rank: number, now: Instant): void {
+    this.byLatency.answered(ms, rank, this.capacity, now)
+  }
+
   /** The endpoint refused something for want of room. */
   shed (now: Instant): void {
     if (now - this.backedOffAt < BACK_OFF_EVERY_MS) return
@@ -68,7 +80,7 @@
   }
 
   private get capacity (): number {
-    return this.places + SPARE
+    return this.places + Math.ceil(this.places * SPARE)
   }
 
   private shareOf (own: number, { owners, atWork, waiting }: Others): number {
@@ -76,7 +88,7 @@
     const theirs = atWork + waiting
     if (own + theirs <= capacity) return capacity - theirs
     const equal = capacity / (owners + 1)
-    return Math.max(Math.min(own, equal), capacity * own / (own + theirs))
+    return Math.max(equal, Math.min(capacity - atWork, capacity * own / (own + theirs)))
   }
 
   private follow (demand: number, now: Instant): void {
--- a/src/shell/pool/lending/openings.ts
+++ b/src/shell/pool/lending/openings.ts
@@ -1,6 +1,5 @@
 /** Whose turn it is to have a connection opened, where openings take places from statements. */
 
-import { setTimeout as pause } from 'node:timers/promises'
 import { ServiceTime } from '../../../core/admission/servicetime.ts'
 import type { Instant } from '../../../core/id/instant.ts'
 import type { TeamId } from '../../../core/id/team.ts'
@@ -59,7 +58,7 @@
     const { wish: { team, rank, caller }, deadline } = request
     const seat = this.parked.join(team, rank, request)
     const waitMs = this.waitMs(team, places.openingMs, standing)
-    if (waitMs > 0) await Promise.race([seat.ended, pause(waitMs, undefined, { ref: false })])
+    if (waitMs > 0) await Promise.race([seat.ended, pause(waitMs)])
     if (seat.isTaken) return 'taken'
     const ticket = places.enter({ rank, caller, what: 'opening', leftMs: deadline - clock.now() })
     seat.ended.then(() => ticket.cancel())
@@ -80,3 +79,7 @@
     return expectedMs <= costMs ? costMs : 0
   }
 }
+
+async function pause (ms: number): Promise<void> {
+  await new Promise<void>(resolve => { setTimeout(resolve, ms) })
+}
--- a/src/shell/pool/lending/places.ts
+++ b/src/shell/pool/lending/places.ts
@@ -107,7 +107,10 @@
     this.step({ kind: 'arrived', order: { id, rank, caller: caller as CallerId, deadline: since + leftMs as Instant, what } })
     const giveBack = (ending: Given) => {
       if (grantedAt === undefined) return this.cancel(id)
-      this.gaveBack(id, ending, clock.now() - grantedAt)
+      const ms = clock.now() - grantedAt
+      if (what !== 'opening' && ending === 'done') this.limit.answered(ms, rank, clock.now())
+      this.gaveBack(id, ending, ms)
+      grantedAt = undefined
     }
     return { granted, cancel: () => this.cancel(id), giveBack }
   }
