--- a/src/core/pool/load/placelimit.ts
+++ b/src/core/pool/load/placelimit.ts
@@ -11,6 +11,8 @@
  * doesn't know yet that another one uses less than its part.
  */
 const SPARE = 1 / 2
+/** While no other owner is heard this host uses at most so much: others are more likely unheard than gone. */
+const UNHEARD = 1 / 2
 /** How fast the mean of this host's own demand follows: a few statements' time. Milliseconds. */
 const FOLLOW_MS = 50
 /** Within this time an owner that is due one place and a half has one for half of it and two for the other. Milliseconds. */
@@ -52,15 +54,16 @@
 
   /** The endpoint tells another number of places. */
   resize (places: number): void {
+    const isWhole = this.ceiling >= this.capacity
     this.places = places
-    this.ceiling = Math.min(this.ceiling, this.capacity)
+    this.ceiling = isWhole ? this.capacity : Math.min(this.ceiling, this.capacity)
   }
 
   /** `demand`: what this host has at the endpoint and waiting for it. At least 1. */
   at (demand: number, others: Others, now: Instant): number {
     this.follow(demand, now)
     this.climb(demand, now)
-    const part = others.owners === 0 ? this.byLatency.places : this.shareOf(Math.max(demand, this.mean), others)
+    const part = others.owners === 0 ? Math.min(this.unheard, this.byLatency.places) : this.shareOf(Math.max(demand, this.mean), others)
     const due = Math.min(this.ceiling, part)
     const turn = (now / PERIOD_MS + this.phase) % 1
     return Math.max(1, Math.floor(due + turn))
@@ -68,7 +71,7 @@
 
   /** `ms`: from sending a statement of the class to its answer. */
   answered (ms: number, rank: number, now: Instant): void {
-    this.byLatency.answered(ms, rank, this.capacity, now)
+    this.byLatency.answered(ms, rank, this.unheard, now)
   }
 
   /** The endpoint refused something for want of room. */
@@ -83,6 +86,10 @@
     return this.places + Math.ceil(this.places * SPARE)
   }
 
+  private get unheard (): number {
+    return Math.ceil(this.capacity * UNHEARD)
+  }
+
   private shareOf (own: number, { owners, atWork, waiting }: Others): number {
     const { capacity } = this
     const theirs = atWork + waiting
--- /dev/null
+++ b/src/shell/pool/lending/dials.ts
@@ -0,0 +1,51 @@
+/** Opens the connections of this host to one endpoint. */
+
+import { err, type Result } from 'neverthrow'
+import type { Endpoint } from '../../../core/directory/endpoint.ts'
+import type { TeamId } from '../../../core/id/team.ts'
+import type { Dialer } from './dialer.ts'
+import type { DialFault } from './dialfault.ts'
+import type { EndpointLink } from './link.ts'
+
+interface Options {
+  readonly endpoint: Endpoint
+  readonly dialer: Dialer
+  /** Told of each try. */
+  readonly onDialled: (outcome: 'opened' | DialFault) => void
+  readonly onOpened: (link: EndpointLink, team: TeamId | undefined) => void
+  readonly onEnded: (link: EndpointLink) => void
+}
+
+/** An opening takes a handshake and a place in the endpoint's queue; one that takes longer than this has failed. */
+const DIAL_MS = 1000
+
+export class Dials {
+  private isClosed = false
+
+  private constructor (private readonly options: Options) {}
+
+  static create (options: Options): Dials {
+    return new Dials(options)
+  }
+
+  /** `team`: whom the connection serves; undefined for one that serves anybody. */
+  async dial (team: TeamId | undefined): Promise<Result<EndpointLink, DialFault>> {
+    const { dialer, endpoint, onDialled, onOpened, onEnded } = this.options
+    const dialled = await dialer.dial(endpoint, team, DIAL_MS)
+    onDialled(dialled.isOk() ? 'opened' : dialled.error)
+    if (dialled.isErr()) return dialled
+    const link = dialled.value
+    if (this.isClosed) {
+      link.close()
+      return err('unreachable')
+    }
+    onOpened(link, team)
+    link.onEnd(() => onEnded(link))
+    return dialled
+  }
+
+  /** What is opened from now on is closed at once. */
+  close (): void {
+    this.isClosed = true
+  }
+}
--- a/src/shell/pool/lending/lender.ts
+++ b/src/shell/pool/lending/lender.ts
@@ -1,10 +1,9 @@
 /** The connections of this host to one endpoint, lent to one operation at a time as admission decides. */
 
-import { err, ok, type Result } from 'neverthrow'
+import { err, ok } from 'neverthrow'
 import type { AdmissionAction } from '../../../core/admission/action.ts'
 import { Admission } from '../../../core/admission/admission.ts'
 import type { AdmissionEvent } from '../../../core/admission/event.ts'
-import { Limits } from '../../../core/admission/limits.ts'
 import type { Endpoint } from '../../../core/directory/endpoint.ts'
 import type { CallerId } from '../../../core/id/caller.ts'
 import type { TeamId } from '../../../core/id/team.ts'
@@ -12,46 +11,27 @@
 import type { EndpointLoad } from '../../../core/pool/load/endpointload.ts'
 import { TeamUse } from '../../../core/pool/load/teamuse.ts'
 import { Thrift } from '../../../core/pool/placing/thrift.ts'
-import type { Values } from '../../../core/session/values.ts'
 import { clock } from '../clock.ts'
 import type { Dealt } from './dealt.ts'
 import type { Dialer } from './dialer.ts'
+import { Dials } from './dials.ts'
 import type { DialFault } from './dialfault.ts'
 import { IdleLinks } from './idlelinks.ts'
 import type { EndpointLink } from './link.ts'
 import type { Loans } from './loans.ts'
+import { isFull } from './isfull.ts'
+import { limitsOf } from './limitsof.ts'
 import { Openings } from './openings.ts'
 import type { Places } from './places.ts'
 import type { PlaceTicket } from './placeticket.ts'
+import { Resting } from './resting.ts'
+import type { Waiter } from './waiter.ts'
 
-interface Wish {
-  readonly rank: number
-  /** Who shares fairly with others. */
-  readonly caller: string
-  /** Whose connections serve it; undefined where they serve anybody. */
-  readonly team: TeamId | undefined
-  /** Milliseconds in which the operation is to be done. */
-  readonly leftMs: number
-  readonly isTransaction: boolean
-  /** A connection in the same state is preferred. */
-  readonly values: Values
-}
-
-interface Refusal {
-  readonly reason: 'busy' | 'unreachable'
-  readonly retryAfterMs: number
-}
-
-interface Waiter {
-  readonly id: number
-  readonly wish: Wish
-  readonly deadline: Instant
-  readonly answer: (result: Result<EndpointLink, Refusal>) => void
-}
+type Lent = Parameters<Waiter['answer']>[0]
 
 interface Loan {
   readonly id: number
-  readonly wish: Wish
+  readonly wish: Waiter['wish']
   readonly since: Instant
   /** Its last order for a place at the endpoint; undefined before the first. */
   ticket?: PlaceTicket
@@ -72,8 +52,6 @@
 
 /** How often waiting operations are looked through; a tenth of the shortest aim that callers have. */
 const TICK_MS = 10
-/** An opening takes a handshake and a place in the endpoint's queue; one that takes longer than this has failed. */
-const DIAL_MS = 1000
 /** The time to come back to an endpoint that is out of reach: about the time in which a successor is found. */
 const OUT_MS = 500
 
@@ -84,7 +62,7 @@
   private readonly waiting = new Map<number, Waiter>()
   private nextId = 1
   /** Unused connections that are given up unless they are lent before. */
-  private readonly resting = new Map<EndpointLink, NodeJS.Timeout>()
+  private readonly resting = Resting.create(link => this.drop(link))
   private timer: NodeJS.Timeout | undefined
   private isClosed = false
   private limit: number
@@ -92,10 +70,12 @@
   /** Undefined where every host connects by itself, and where the endpoint doesn't tell its places. */
   private places: Places | undefined
   private readonly openings = Openings.create<Waiter>()
+  private readonly dials: Dials
   private readonly use = TeamUse.create()
 
   private constructor (private readonly options: Options) {
-    const { dealt: { connections, hasRoom }, endpoint } = options
+    const { dealt: { connections, hasRoom }, endpoint, dialer, onDialled } = options
+    this.dials = Dials.create({ endpoint, dialer, onDialled, onOpened: (link, team) => this.idle.assign(link, team), onEnded: link => this.ended(link) })
     this.limit = connections
     this.thrift = options.thrift
     this.admission = Admission.create(limitsOf(connections))
@@ -145,7 +125,7 @@
   }
 
   /** Resolves always: a connection that nobody else uses until it's given back, or why there is none. */
-  async borrow (wish: Wish): Promise<Result<EndpointLink, Refusal>> {
+  async borrow (wish: Waiter['wish']): Promise<Lent> {
     if (this.isClosed) return err({ reason: 'unreachable', retryAfterMs: 0 })
     return await new Promise(resolve => this.enqueue({ id: this.nextId++, wish, deadline: clock.now() + wish.leftMs as Instant, answer: resolve }))
   }
@@ -162,7 +142,7 @@
     else if (isUsable) this.idle.add(link)
     else link.close()
     this.step({ kind: 'finished', id, isUsable })
-    if (isUsable && next === undefined) this.letRest(link)
+    if (this.idle.has(link)) this.resting.rest(link, this.thrift.restMs(clock.now()))
   }
 
   /**
@@ -187,6 +167,7 @@
 
   close (): void {
     this.isClosed = true
+    this.dials.close()
     clearInterval(this.timer)
     this.places?.close()
     this.refuseParked(0)
@@ -228,8 +209,7 @@
   private lend (link: EndpointLink, { id, wish, answer }: Waiter): void {
     this.loans.set(link, { id, wish, since: clock.now() })
     if (wish.team !== undefined) this.use.add(wish.team, clock.now())
-    clearTimeout(this.resting.get(link))
-    this.resting.delete(link)
+    this.resting.wake(link)
     answer(ok(link))
   }
 
@@ -237,25 +217,13 @@
   private open (): void {
     const [first] = this.waiting.values()
     if (first?.wish.team !== undefined) return this.step({ kind: 'opened', isVacant: true })
-    this.openForAny(first).then(dialled => {
+    this.openings.any(this.places, first, async () => await this.dials.dial(undefined)).then(dialled => {
       if (dialled.isErr()) return this.notOpened(dialled.error)
       this.idle.add(dialled.value)
       this.step({ kind: 'opened' })
     })
   }
 
-  /** Takes a place for the opening at the class of the first that waits; without one in time the endpoint counts as full. */
-  private async openForAny (first: Waiter | undefined): Promise<Result<EndpointLink, DialFault>> {
-    const { places } = this
-    if (places === undefined || first === undefined) return await this.dial(undefined)
-    const { wish: { rank, caller }, deadline } = first
-    const ticket = places.enter({ rank, caller, what: 'opening', leftMs: deadline - clock.now() })
-    if (!await ticket.granted) return err('tooManyConnections')
-    const dialled = await this.dial(undefined)
-    ticket.giveBack(endingOf(dialled))
-    return dialled
-  }
-
   /**
    * Opens a connection for a request that was started without one of its team. Where no room is left, that of a connection which
    * nobody uses is taken.
@@ -266,8 +234,8 @@
     if (places !== undefined && ticket === undefined) return
     const { id } = waiter
     if (this.idle.size > this.admission.counts.idle) this.makeRoom()
-    const dialled = await this.dial(waiter.wish.team)
-    ticket?.giveBack(endingOf(dialled))
+    const dialled = await this.dials.dial(waiter.wish.team)
+    ticket?.giveBack(dialled.isOk() ? 'done' : isFull(dialled.error) ? 'notSent' : 'broken')
     if (dialled.isOk()) {
       this.lend(dialled.value, waiter)
       return this.step({ kind: 'dialled' })
@@ -290,7 +258,13 @@
     const { open, counts } = this.admission
     if (open + counts.pending < this.limit) this.step({ kind: 'added' })
     else if (this.places === undefined) this.idle.takeOldest()?.close()
-    else this.idle.takeLeast(team => this.use.of(team, clock.now()))?.close()
+    else this.closeLeastUsed()
+  }
+
+  private closeLeastUsed (): void {
+    const now = clock.now()
+    this.idle.takeLeast(team => this.use.of(team, now))?.close()
+    this.use.tidy(now)
   }
 
   /** Resolves with a place for the opening; undefined once the request is served or refused without. */
@@ -317,42 +291,19 @@
     else this.places = places === undefined ? undefined : this.options.count(places, () => this.admission.queued)
   }
 
-  private async dial (team: TeamId | undefined): Promise<Result<EndpointLink, DialFault>> {
-    const { dialer, endpoint, onDialled } = this.options
-    const dialled = await dialer.dial(endpoint, team, DIAL_MS)
-    onDialled(dialled.isOk() ? 'opened' : dialled.error)
-    if (dialled.isErr()) return dialled
-    const link = dialled.value
-    if (this.isClosed) {
-      link.close()
-      return err('unreachable')
-    }
-    this.idle.assign(link, team)
-    link.onEnd(() => this.ended(link))
-    return dialled
-  }
-
   private notOpened (fault: DialFault): void {
     if (!isFull(fault)) return this.step({ kind: 'openFailed' })
     this.thrift = this.thrift.refused(clock.now())
     this.step({ kind: 'openRefused' })
   }
 
-  /** While connections are scarce an unused one is given up soon. */
-  private letRest (link: EndpointLink): void {
-    const restMs = this.thrift.restMs(clock.now())
-    if (restMs === undefined || !this.idle.has(link)) return
-    const timer = setTimeout(() => this.drop(link), restMs)
-    this.resting.set(link, timer)
-  }
-
   private ended (link: EndpointLink): void {
     this.loans.get(link)?.ticket?.cancel()
     if (this.idle.remove(link)) this.step({ kind: 'lost', count: 1 })
   }
 
   private drop (link: EndpointLink): void {
-    this.resting.delete(link)
+    this.resting.wake(link)
     if (!this.idle.remove(link)) return
     link.close()
     this.step({ kind: 'lost', count: 1 })
@@ -367,24 +318,3 @@
     this.timer = undefined
   }
 }
-
-/** How an opening counts for the place that it took. */
-function endingOf (dialled: Result<EndpointLink, DialFault>): 'done' | 'notSent' | 'broken' {
-  if (dialled.isOk()) return 'done'
-  return isFull(dialled.error) ? 'notSent' : 'broken'
-}
-
-/** An endpoint that takes no more connections lives, and has the next one free as soon as some host gives one back. */
-function isFull (fault: DialFault): boolean {
-  return fault === 'tooManyConnections' || fault === 'turnedAway'
-}
-
-/**
- * A host's share may be two connections, so the reserves that a slot of many
- * keeps for the urgent don't fit: a transaction may take any of them, but the
- * lowest class leaves one.
- */
-function limitsOf (connections: number): Limits {
-  const lowest = Math.max(1, connections - 1)
-  return Limits.of(connections).with({ mostPinned: [connections, connections, lowest] })
-}
--- a/src/shell/pool/lending/openings.ts
+++ b/src/shell/pool/lending/openings.ts
@@ -1,9 +1,13 @@
 /** Whose turn it is to have a connection opened, where openings take places from statements. */
 
 import { ServiceTime } from '../../../core/admission/servicetime.ts'
+import { err, type Result } from 'neverthrow'
 import type { Instant } from '../../../core/id/instant.ts'
 import type { TeamId } from '../../../core/id/team.ts'
 import { clock } from '../clock.ts'
+import type { DialFault } from './dialfault.ts'
+import { isFull } from './isfull.ts'
+import type { EndpointLink } from './link.ts'
 import { Parked } from './parked.ts'
 import type { Places } from './places.ts'
 import type { PlaceTicket } from './placeticket.ts'
@@ -20,6 +24,8 @@
   readonly openings: number
 }
 
+type Dial = () => Promise<Result<EndpointLink, DialFault>>
+
 /** `T`: a request, with what its owner needs to serve it. */
 export class Openings<T extends Request> {
   private readonly parked = Parked.create<T>()
@@ -71,6 +77,17 @@
     return isGranted ? ticket : 'refused'
   }
 
+  /** Opens a connection that serves anybody, at the class of the first that waits; without a place in time the endpoint counts as full. */
+  async any (places: Places | undefined, first: Request | undefined, dial: Dial): ReturnType<Dial> {
+    if (places === undefined || first === undefined) return await dial()
+    const { wish: { rank, caller }, deadline } = first
+    const ticket = places.enter({ rank, caller, what: 'opening', leftMs: deadline - clock.now() })
+    if (!await ticket.granted) return err('tooManyConnections')
+    const dialled = await dial()
+    ticket.giveBack(dialled.isOk() ? 'done' : isFull(dialled.error) ? 'notSent' : 'broken')
+    return dialled
+  }
+
   /** How long the request waits for one of its team's connections before another is opened, in milliseconds. */
   private waitMs (team: TeamId | undefined, openingMs: number, { own, openings }: Standing): number {
     if (own === 0) return 0
