--- a/src/shell/pool/lending/openings.ts
+++ b/src/shell/pool/lending/openings.ts
@@ -1,10 +1,13 @@
 /** Whose turn it is to have a connection opened, where openings take places from statements. */
 
-import { setTimeout as pause } from 'node:timers/promises'
 import { ServiceTime } from '../../../core/admission/servicetime.ts'
+import { err, type Result } from 'neverthrow'
 import type { Instant } from '../../../core/id/instant.ts'
 import type { TeamId } from '../../../core/id/team.ts'
 import { clock } from '../clock.ts'
+import type { DialFault } from './dialfault.ts'
+import { isFull } from './isfull.ts'
+import type { EndpointLink } from './link.ts'
 import { Parked } from './parked.ts'
 import type { Places } from './places.ts'
 import type { PlaceTicket } from './placeticket.ts'
@@ -21,6 +24,8 @@
   readonly openings: number
 }
 
+type Dial = () => Promise<Result<EndpointLink, DialFault>>
+
 /** `T`: a request, with what its owner needs to serve it. */
 export class Openings<T extends Request> {
   private readonly parked = Parked.create<T>()
@@ -59,7 +64,7 @@
     const { wish: { team, rank, caller }, deadline } = request
     const seat = this.parked.join(team, rank, request)
     const waitMs = this.waitMs(team, places.openingMs, standing)
-    if (waitMs > 0) await Promise.race([seat.ended, pause(waitMs, undefined, { ref: false })])
+    if (waitMs > 0) await Promise.race([seat.ended, pause(waitMs)])
     if (seat.isTaken) return 'taken'
     const ticket = places.enter({ rank, caller, what: 'opening', leftMs: deadline - clock.now() })
     seat.ended.then(() => ticket.cancel())
@@ -72,6 +77,17 @@
     return isGranted ? ticket : 'refused'
   }
 
+  /** Opens a connection that serves anybody, at the class of the first that waits; without a place in time the endpoint counts as full. */
+  async any (places: Places | undefined, first: Request | undefined, dial: Dial): ReturnType<Dial> {
+    if (places === undefined || first === undefined) return await dial()
+    const { wish: { rank, caller }, deadline } = first
+    const ticket = places.enter({ rank, caller, what: 'opening', leftMs: deadline - clock.now() })
+    if (!await ticket.granted) return err('tooManyConnections')
+    const dialled = await dial()
+    ticket.giveBack(dialled.isOk() ? 'done' : isFull(dialled.error) ? 'notSent' : 'broken')
+    return dialled
+  }
+
   /** How long the request waits for one of its team's connections before another is opened, in milliseconds. */
   private waitMs (team: TeamId | undefined, openingMs: number, { own, openings }: Standing): number {
     if (own === 0) return 0
@@ -80,3 +96,7 @@
     return expectedMs <= costMs ? costMs : 0
   }
 }
+
+async function pause (ms: number): Promise<void> {
+  await new Promise<void>(resolve => { setTimeout(resolve, ms) })
+}
