--- a/src/core/pool/placing/ownerships.test.ts
+++ b/src/core/pool/placing/ownerships.test.ts
@@ -6,6 +6,7 @@
 import type { HostId } from '../../id/host.ts'
 import type { TeamId } from '../../id/team.ts'
 import type { PoolHost } from './host.ts'
+import { oneOwner } from './oneowner.ts'
 import { Ownership } from './ownership.ts'
 import { Ownerships } from './ownerships.ts'
 
@@ -24,7 +25,7 @@
 }
 
 function ownersOf (all: readonly PoolHost[], connections = 63, places = 5): string[] {
-  const made = Ownerships.of(groups(connections, places), all, true)
+  const made = Ownerships.of(groups(connections, places), all, true, oneOwner)
   return ids.flatMap(id => made.get(id)!.owners.map(owner => `${id}/${owner.id}`))
 }
 
@@ -38,7 +39,7 @@
     ['no more than keep enough connections', 82, 63, 5, 0.01, 3, 10],
     ['fewer than data centres where connections lack', 20, 8, 2, WEAK, 2, 2]
   ])('%s', (_, count, connections, places, capacity, owners, share) => {
-    const made = Ownerships.of(groups(connections, places), hosts(count, 0, capacity), true).get(ids[0]!)!
+    const made = Ownerships.of(groups(connections, places), hosts(count, 0, capacity), true, oneOwner).get(ids[0]!)!
     expect([made.owners.length, made.share, made.hasRoom]).toEqual([owners, share, true])
     expect(2 * owners * share).toBeLessThanOrEqual(connections)
     expect(new Set(made.owners.map(({ dataCentre }) => dataCentre)).size).toBe(Math.min(3, owners))
@@ -50,7 +51,7 @@
     ['everybody owns the group', hosts(7), 5]
   ])('are picked as ever where %s', (_, all, places) => {
     const plain = Ownership.of(ids[0]!, all, 63, true)
-    const made = Ownerships.of(groups(63, places), all, true).get(ids[0]!)!
+    const made = Ownerships.of(groups(63, places), all, true, oneOwner).get(ids[0]!)!
     expect([made.owners, made.share, made.hasRoom, made.turns]).toEqual([plain.owners, plain.share, plain.hasRoom, plain.turns])
   })
 
@@ -85,7 +86,7 @@
   it('when one is killed, its groups have the next owners alike at every host, and those that stay can fill all places', () => {
     const all = hosts(82, 6)
     const left = all.slice(1)
-    const made = Ownerships.of(groups(63, 5), left, true)
+    const made = Ownerships.of(groups(63, 5), left, true, oneOwner)
     for (const id of ids) {
       expect(made.get(id)!.owners.length).toBe(3)
       expect(made.get(id)!.share).toBeGreaterThanOrEqual(2 * 5)
@@ -97,14 +98,14 @@
   // The list is cut in two halves that see one another no more; each half picks from its own.
   it('of two halves of the hosts that don\'t see each other have room for their connections', () => {
     const all = hosts(82, 6)
-    const halves = [all.filter((_, i) => i % 2 === 0), all.filter((_, i) => i % 2 === 1)].map(half => Ownerships.of(groups(63, 5), half, true).get(ids[0]!)!)
+    const halves = [all.filter((_, i) => i % 2 === 0), all.filter((_, i) => i % 2 === 1)].map(half => Ownerships.of(groups(63, 5), half, true, oneOwner).get(ids[0]!)!)
     expect(halves.reduce((sum, { owners, share }) => sum + owners.length * share, 0)).toBeLessThanOrEqual(63)
   })
 })
 
 describe('sessions of a team', () => {
   const all = hosts(82, 6)
-  const made = Ownerships.of(groups(63, 5), all, true).get(ids[0]!)!
+  const made = Ownerships.of(groups(63, 5), all, true, oneOwner).get(ids[0]!)!
   const metBy = (share: number) => new Set(all.map(host => made.placesFor(host, { id: 't1' as TeamId, share })[0]?.id ?? host.id))
 
   it.each([[0.01, 1], [0.16, 1], [0.2, 3], [0.6, 3]])('with a part of %d meet at %d owners', (share, owners) => expect(metBy(share).size).toBe(owners))
--- a/src/shell/pool/groups.ts
+++ b/src/shell/pool/groups.ts
@@ -7,8 +7,10 @@
 import type { Row } from '../../core/pool/membership/row.ts'
 import { GroupPlaces } from '../../core/pool/placing/groupplaces.ts'
 import type { PoolHost } from '../../core/pool/placing/host.ts'
+import { oneOwner } from '../../core/pool/placing/oneowner.ts'
 import type { Ownership } from '../../core/pool/placing/ownership.ts'
 import { Ownerships } from '../../core/pool/placing/ownerships.ts'
+import type { TeamMeeting } from '../../core/pool/placing/teammeeting.ts'
 import type { Log } from '../log/log.ts'
 import { PoolGroup } from './group.ts'
 import type { PoolMetrics } from './metrics.ts'
@@ -21,6 +23,8 @@
   readonly drainMs: number
   /** Where what hosts tell each other through the store lies. */
   readonly table: string
+  /** Where a team's sessions meet if few owners are picked. */
+  readonly meeting?: TeamMeeting | undefined
   readonly platform: Platform
   readonly log: Log
   readonly metrics: PoolMetrics
@@ -104,11 +108,11 @@
 
   /** Works out anew who owns which group. */
   resize (): void {
-    const { self, config, hosts } = this.options
+    const { self, config, hosts, meeting = oneOwner } = this.options
     const { groups, teams } = config()
     const sized = groups.map(({ id, connections }) => ({ id, connections, places: this.places.get(id) ?? GroupPlaces.none }))
     const before = this.ownerships
-    this.ownerships = Ownerships.of(sized, hosts(), teams !== undefined)
+    this.ownerships = Ownerships.of(sized, hosts(), teams !== undefined, meeting)
     for (const { id } of groups) {
       const ownership = this.ownerships.get(id)!
       this.note(id, before.get(id), ownership)
--- a/src/shell/pool/nodeoptions.ts
+++ b/src/shell/pool/nodeoptions.ts
@@ -3,6 +3,7 @@
 import type { AllowanceBounds } from '../../core/allowance/bounds.ts'
 import type { LinkId } from '../../core/pool/membership/linkid.ts'
 import type { PoolHost } from '../../core/pool/placing/host.ts'
+import type { TeamMeeting } from '../../core/pool/placing/teammeeting.ts'
 import type { Log } from '../log/log.ts'
 import type { TokenWay } from './allowance/tokenway.ts'
 import type { LoadWay } from './load/loadway.ts'
@@ -26,6 +27,8 @@
   readonly revokeMs?: number | undefined
   /** How exactly allowances of teams are kept, and the way to those who issue them; undefined where teams have none. */
   readonly allowances?: { readonly bounds: AllowanceBounds, readonly port: TokenWay } | undefined
+  /** Where a team's sessions meet if few owners are picked: at one of them, unless the data centres are far from each other. */
+  readonly meeting?: TeamMeeting | undefined
   /** How owners tell each other of their load; undefined where they don't. */
   readonly loads?: LoadWay | undefined
   readonly platform: Platform
--- a/standin/lines/host.ts
+++ b/standin/lines/host.ts
@@ -16,6 +16,7 @@
 import type { LinkId } from '../../src/core/pool/membership/linkid.ts'
 import type { Log } from '../../src/shell/log/log.ts'
 import { TokenPort } from '../../src/shell/pool/allowance/tokenport.ts'
+import { LoadPort } from '../../src/shell/pool/load/loadport.ts'
 import { Auditor } from '../../src/shell/pool/statements/auditor.ts'
 import { PoolMetrics } from '../../src/shell/pool/metrics.ts'
 import { PoolNode } from '../../src/shell/pool/node.ts'
@@ -31,6 +32,8 @@
   readonly revokeMs?: number
   /** How exactly allowances are kept; there are none without it. */
   readonly allowances?: AllowanceBounds
+  /** In cores; a host that tells it also tells its load. */
+  readonly capacity?: number
 }
 
 export class LineHost {
@@ -50,7 +53,7 @@
     const auditor = Auditor.start({ host: id as HostId, incarnation: INCARNATION, store: blobs, log, metrics }, stopped.signal)
     const node = PoolNode.start({
       auditor,
-      self: { id: id as HostId, dataCentre: 'z1' as DataCentreId, address: { ip: IP, port: peerPort }, linkPort },
+      self: { id: id as HostId, dataCentre: 'z1' as DataCentreId, address: { ip: IP, port: peerPort }, linkPort, capacity: bounds.capacity },
       seeds,
       isFirstStart: false,
       applyMs: 2000,
@@ -58,6 +61,7 @@
       historyMs: 20_000,
       revokeMs: bounds.revokeMs,
       allowances: bounds.allowances === undefined ? undefined : { bounds: bounds.allowances, port: TokenPort.listen({ ip: IP, port: peerPort }, log, stopped.signal) },
+      loads: bounds.capacity === undefined ? undefined : LoadPort.listen({ ...LoadPort.behind({ ip: IP, port: peerPort }), log, metrics, signal: stopped.signal }),
       log,
       metrics,
       chance: () => 0.5,
