A transaction's first statement isn't held by a primary that is out of reach

Cause: it waited for its answer until its time was up, as a single write must, though nothing of it is kept without its commit, and was then asked again by its caller with half of its time gone. Change: it's cut off and begun elsewhere as reads are, where what waits is told by patience. Test: what a silent primary has, and what waits behind that; fails without the guard.

--- a/src/core/pool/statements/patience.test.ts
+++ b/src/core/pool/statements/patience.test.ts
@@ -51,5 +51,6 @@
 it('where every host has connections nothing waits but for news', () => {
   const prompt = Prompt.create()
   expect([prompt.forLeader(leader), prompt.forLeader({ ...leader, missingMs: 40 }), prompt.forRoom(), prompt.forReach(), prompt.forBudget()].map(text)).toEqual(['noLeader 500', 'wait 60', 'go', 'unreachable 500', 'budget 500'])
+  expect([prompt, patient].map(one => one.isCutOff({ what: 'write', isInside: true }) || one.isCutOff({ what: 'write', isInside: false }))).toEqual([false, true])
   expect([prompt.isDropped(), patient.isDropped(false), patient.isDropped(true)]).toEqual([false, false, true])
 })
--- a/src/core/pool/statements/patience.ts
+++ b/src/core/pool/statements/patience.ts
@@ -32,6 +32,12 @@
   readonly chance: number
 }
 
+interface Sent {
+  readonly what: 'read' | 'write' | 'commit'
+  /** Whether it began a caller's transaction there. */
+  readonly isInside: boolean
+}
+
 export interface Patience {
   /** Tries of one operation at most, in a group of so many endpoints. */
   mostTries (endpoints: number): number
@@ -43,6 +49,8 @@
   forReach (lack: RoomLack): Step
   /** It may be tried elsewhere, but the retries of this host are used up. */
   forBudget (lack: RoomLack): Step
+  /** Whether it's cut off at an endpoint that turns out to be out of reach, and tried elsewhere. */
+  isCutOff (one: Sent): boolean
   /** Whether what waits is given up, now that its caller has left or not. */
   isDropped (hasLeft: boolean): boolean
 }
--- a/src/core/pool/statements/patient.ts
+++ b/src/core/pool/statements/patient.ts
@@ -73,6 +73,11 @@
     return step.kind === 'refuse' ? { ...step, cause: 'budget' } : step
   }
 
+  /** The first statement of a transaction is kept nowhere without its commit, so it needn't wait for an answer as a single write must. */
+  isCutOff ({ what, isInside }: Parameters<Patience['isCutOff']>[0]): boolean {
+    return what === 'read' || (isInside && what === 'write')
+  }
+
   /** Against work for nobody: what waited for most of its time was run after its caller had left. */
   isDropped (hasLeft: boolean): boolean {
     return hasLeft
--- a/src/core/pool/statements/prompt.ts
+++ b/src/core/pool/statements/prompt.ts
@@ -37,6 +37,10 @@
     return { kind: 'refuse', cause: 'budget', retryAfterMs: LEADERLESS_MS }
   }
 
+  isCutOff ({ what }: Parameters<Patience['isCutOff']>[0]): boolean {
+    return what === 'read'
+  }
+
   isDropped (): boolean {
     return false
   }
--- a/src/shell/pool/statements/tryall.ts
+++ b/src/shell/pool/statements/tryall.ts
@@ -93,7 +93,7 @@
 /**
  * Against reads that wait out their statement's time at an endpoint that went
  * silent, while others could serve them: once it's known to be out of reach the
- * connection is given up, and the read goes elsewhere. A write waits on, since
+ * connection is given up, and the read goes elsewhere. A single write waits on, since
  * only its answer can tell what became of it.
  */
 async function tryOnce (ctx: PoolContext, group: PoolGroup, target: Target, tries: Tries, gate: Gate, waits: Waits): Promise<Once> {
@@ -114,7 +114,7 @@
     attempt.end()
     return { kind: 'refused', refused: { fault: 'busy', retryAfterMs: 0, cause: 'left' } }
   }
-  const unwatch = tries.what === 'read' && target.via === undefined ? group.watchers.watch(target.endpoint, () => attempt.link.close()) : undefined
+  const unwatch = group.patience.isCutOff(tries) && target.via === undefined ? group.watchers.watch(target.endpoint, () => attempt.link.close()) : undefined
   const sentAt = clock.now()
   const answer = await tries.run(attempt, target)
   unwatch?.()
