--- a/src/shell/pool/lending/lender.test.ts
+++ b/src/shell/pool/lending/lender.test.ts
@@ -88,7 +88,7 @@
 
   /** Sends a read, and puts down how it ended. */
   read (link: FakeLink, timeoutMs = 500): { ending: unknown } {
-    const group = { asked: () => {}, answered: () => {}, missed: () => {} } as unknown as PoolGroup
+    const group = { asked: () => {}, answered: () => {}, missed: () => {}, reads: { sent: () => undefined } } as unknown as PoolGroup
     const result: { ending: unknown } = { ending: 'open' }
     Attempt.on(group, this.lender, link).ask([READ], 0, timeoutMs, false).then(ending => { result.ending = ending === DONE ? 'done' : ending })
     return result
