--- a/src/shell/pool/lending/attempt.ts
+++ b/src/shell/pool/lending/attempt.ts
@@ -51,8 +51,11 @@
    */
   private async isLetOut (ticket: PlaceTicket, timeoutMs: number): Promise<boolean> {
     const until = clock.now() + timeoutMs
-    if (await ticket.granted && this.link.isOpen && clock.now() < until) return true
+    const isGranted = await ticket.granted
+    if (isGranted && this.link.isOpen && clock.now() < until) return true
     ticket.giveBack('notSent')
+    // A broken connection may be the first sign that the endpoint is gone.
+    if (!this.link.isOpen) this.group.missed(this.endpoint)
     return false
   }
 
--- a/src/shell/pool/lending/lender.test.ts
+++ b/src/shell/pool/lending/lender.test.ts
@@ -60,6 +60,8 @@
   readonly links: FakeLink[] = []
   readonly lender: Lender
   dialMs = 0
+  /** Signs that the endpoint is gone. */
+  missed = 0
 
   constructor (connections: number, hasRoom = true, endpoint = ENDPOINT) {
     this.lender = Lender.create({
@@ -88,7 +90,7 @@
 
   /** Sends a read, and puts down how it ended. */
   read (link: FakeLink, timeoutMs = 500): { ending: unknown } {
-    const group = { asked: () => {}, answered: () => {}, missed: () => {} } as unknown as PoolGroup
+    const group = { asked: () => {}, answered: () => {}, missed: () => { this.missed++ } } as unknown as PoolGroup
     const result: { ending: unknown } = { ending: 'open' }
     Attempt.on(group, this.lender, link).ask([READ], 0, timeoutMs, false).then(ending => { result.ending = ending === DONE ? 'done' : ending })
     return result
@@ -145,10 +147,19 @@
     const [, , third] = await bench.reads(3)
     third!.link.close()
     await vi.advanceTimersByTimeAsync(0)
-    expect([third!.result.ending, third!.link.sent]).toEqual(['busy', 0])
+    expect([third!.result.ending, third!.link.sent, bench.missed]).toEqual(['busy', 0, 1])
     expect(bench.lender.load).toMatchObject({ atWork: 2, waiting: 0 })
   })
 
+  it('one whose connection had broken before was not run either, and gives its place back', async () => {
+    const bench = new Bench(4)
+    const link = await settled(bench.borrow('red'))
+    link.close()
+    const result = bench.read(link)
+    await vi.advanceTimersByTimeAsync(0)
+    expect([result.ending, bench.missed, bench.lender.load?.atWork]).toEqual(['busy', 1, 0])
+  })
+
   it.each<[string, (bench: Bench) => void]>([
     ['is out of reach', ({ lender }) => lender.refuseWaiting()],
     ['starts anew', ({ lender }) => lender.close()]
@@ -193,6 +204,7 @@
     const red = await settled(bench.borrow('red'))
     bench.lender.giveBack(await settled(bench.borrow('blue')))
     const second = bench.borrow('red')
+    await vi.advanceTimersByTimeAsync(3)
     bench.lender.giveBack(red)
     expect(await settled(second)).toBe(red)
     expect(bench.links).toHaveLength(2)
