--- a/src/core/pool/load/placegate.ts
+++ b/src/core/pool/load/placegate.ts
@@ -110,8 +110,8 @@
   }
 
   private startAll (now: Instant): void {
-    while (this.held.size < this.limit) {
-      const order = this.next()
+    for (;;) {
+      const order = this.held.size < this.limit ? this.next() : this.urgent()
       if (order === undefined) return
       this.drop(order)
       const charged = this.timeOf(order).at(now)
@@ -147,6 +147,18 @@
     return undefined
   }
 
+  /**
+   * The most urgent class may use one place beyond the limit while it has none. A host whose only place has a long statement would else keep
+   * an urgent one waiting for its whole time, though other hosts' places come free meanwhile.
+   */
+  private urgent (): PlaceOrder | undefined {
+    if (this.held.size > this.limit) return undefined
+    for (const { order: { rank } } of this.held.values()) {
+      if (rank === 0) return undefined
+    }
+    return this.lines[0]!.peek(this.mayOpen(0))
+  }
+
   /** An opening of the class goes before statements of lower ones, but only in its turn beside those of its own and of higher ones. */
   private mayOpen (rank: number): boolean {
     if (this.openings >= Math.max(1, Math.floor(this.limit * OPENING_SHARE))) return false
--- a/src/shell/pool/lending/lender.ts
+++ b/src/shell/pool/lending/lender.ts
@@ -32,7 +32,6 @@
 interface Loan {
   readonly id: number
   readonly wish: Waiter['wish']
-  readonly since: Instant
   /** Its last order for a place at the endpoint; undefined before the first. */
   ticket?: PlaceTicket
 }
@@ -133,9 +132,8 @@
   giveBack (link: EndpointLink): void {
     const loan = this.loans.get(link)
     if (loan === undefined) return
-    const { id, wish: { team }, since } = loan
+    const { id, wish: { team } } = loan
     this.loans.delete(link)
-    this.openings.held(clock.now() - since)
     const isUsable = link.isOpen && !link.isInTransaction && !this.isClosed && this.admission.open <= this.limit
     const next = isUsable ? this.openings.next(team) : undefined
     if (next !== undefined) this.lend(link, next)
@@ -207,7 +205,7 @@
   }
 
   private lend (link: EndpointLink, { id, wish, answer }: Waiter): void {
-    this.loans.set(link, { id, wish, since: clock.now() })
+    this.loans.set(link, { id, wish })
     if (wish.team !== undefined) this.use.add(wish.team, clock.now())
     this.resting.wake(link)
     answer(ok(link))
--- a/src/shell/pool/lending/openings.ts
+++ b/src/shell/pool/lending/openings.ts
@@ -1,6 +1,5 @@
 /** Whose turn it is to have a connection opened, where openings take places from statements. */
 
-import { ServiceTime } from '../../../core/admission/servicetime.ts'
 import { err, type Result } from 'neverthrow'
 import type { Instant } from '../../../core/id/instant.ts'
 import type { TeamId } from '../../../core/id/team.ts'
@@ -24,13 +23,14 @@
   readonly openings: number
 }
 
+/** A request waits for its team's own connections at most for this part of the time that it has left. */
+const MOST_WAIT = 1 / 4
+
 type Dial = () => Promise<Result<EndpointLink, DialFault>>
 
 /** `T`: a request, with what its owner needs to serve it. */
 export class Openings<T extends Request> {
   private readonly parked = Parked.create<T>()
-  /** How long connections are on loan. */
-  private readonly holdTime = ServiceTime.create()
 
   private constructor () {}
 
@@ -38,15 +38,11 @@
     return new Openings()
   }
 
-  /** A connection of the team was on loan for so long, and is back: the request that gets it, if one waits. */
+  /** A connection of the team is back: the request that gets it, if one waits. */
   next (team: TeamId | undefined): T | undefined {
     return this.parked.take(team)
   }
 
-  held (ms: number): void {
-    this.holdTime.add(ms, clock.now())
-  }
-
   /** Ends the wait of all. */
   takeAll (): readonly T[] {
     return this.parked.takeAll()
@@ -58,12 +54,12 @@
    *
    * Guard against teams that close each other's connections in turn: each opening takes a place from statements for about as long as a short
    * one of them, so a queue brings openings, and these make it longer. A request therefore waits for its team's own connections for as
-   * long as opening one would cost, if they are expected back by then: that way it never costs more than twice the better of both.
+   * long as opening one would cost all who wait, and is opened one only then: that costs at most twice the better of both.
    */
   async turn (places: Places, request: T, standing: Standing): Promise<PlaceTicket | 'taken' | 'refused'> {
     const { wish: { team, rank, caller }, deadline } = request
     const seat = this.parked.join(team, rank, request)
-    const waitMs = this.waitMs(team, places.openingMs, standing)
+    const waitMs = Math.min((deadline - clock.now()) * MOST_WAIT, costMs(places, standing))
     if (waitMs > 0) await Promise.race([seat.ended, pause(waitMs)])
     if (seat.isTaken) return 'taken'
     const ticket = places.enter({ rank, caller, what: 'opening', leftMs: deadline - clock.now() })
@@ -87,14 +83,11 @@
     ticket.giveBack(dialled.isOk() ? 'done' : isFull(dialled.error) ? 'notSent' : 'broken')
     return dialled
   }
+}
 
-  /** How long the request waits for one of its team's connections before another is opened, in milliseconds. */
-  private waitMs (team: TeamId | undefined, openingMs: number, { own, openings }: Standing): number {
-    if (own === 0) return 0
-    const costMs = openings * openingMs
-    const expectedMs = this.holdTime.at(clock.now()) * this.parked.countOf(team) / own
-    return expectedMs <= costMs ? costMs : 0
-  }
+/** What an opening takes from others, in milliseconds: its place, and as much of the time of each that waits here. None is worth waiting for without a connection of the team. */
+function costMs (places: Places, { own, openings }: Standing): number {
+  return own === 0 ? 0 : openings * places.openingMs * (1 + places.load().waiting)
 }
 
 async function pause (ms: number): Promise<void> {
