--- a/src/core/admission/admission.ts
+++ b/src/core/admission/admission.ts
@@ -148,7 +148,6 @@
     if (hasRoom && this.shares.mayStart(request.rank, request.isTransaction)) return false
     const line = this.backlog.line(request)
     const wait = this.backlog.waitMs(request, line.queue.ahead(request.caller, now), this.stalledMs(now), now)
-    if (request.aim !== undefined && wait > request.aim - now) return true
     return wait > left * MOST_WAIT || wait + MARGIN * line.service.at(now) > left
   }
 
--- a/src/shell/pool/lending/lender.ts
+++ b/src/shell/pool/lending/lender.ts
@@ -34,7 +34,6 @@
   readonly wish: Waiter['wish']
   /** Until when it's best started; undefined where that plays no part. */
   readonly aim: Instant | undefined
-  readonly since: Instant
   /** Its last order for a place at the endpoint; undefined before the first. */
   ticket?: PlaceTicket
 }
@@ -145,9 +144,8 @@
   giveBack (link: EndpointLink): void {
     const loan = this.loans.get(link)
     if (loan === undefined) return
-    const { id, wish: { team }, since } = loan
+    const { id, wish: { team } } = loan
     this.loans.delete(link)
-    this.openings.held(clock.now() - since)
     const isUsable = link.isOpen && !link.isInTransaction && !this.isClosed && this.admission.open <= this.limit
     const next = isUsable ? this.openings.next(team) : undefined
     if (next !== undefined) this.lend(link, next)
@@ -234,7 +232,7 @@
 
   private lend (link: EndpointLink, waiter: Waiter): void {
     const { id, wish, answer } = waiter
-    this.loans.set(link, { id, wish, aim: this.aimOf(waiter), since: clock.now() })
+    this.loans.set(link, { id, wish, aim: this.aimOf(waiter) })
     if (wish.team !== undefined) this.use.add(wish.team, clock.now())
     this.resting.wake(link)
     answer(ok(link))
