--- a/src/shell/pool/statements/waits.ts
+++ b/src/shell/pool/statements/waits.ts
@@ -58,7 +58,7 @@
     })
     this.looks++
     if (step.kind === 'wait') this.leave ??= outage.enter()
-    if (looks > 0) outage.tell(step.kind === 'wait' ? expectedMs : undefined)
+    if (looks > 0 && (step.kind === 'wait' || expectedMs === undefined)) outage.tell(expectedMs)
     return await this.take('forLeader', step, async ms => await outage.wait(ms, this.gone))
   }
 
