--- a/src/core/pool/load/placelimit.test.ts
+++ b/src/core/pool/load/placelimit.test.ts
@@ -2,7 +2,6 @@
 
 import { describe, expect, it } from 'vitest'
 import type { Instant } from '../../id/instant.ts'
-import { AnswerRecord } from './answerrecord.ts'
 import { PlaceLimit } from './placelimit.ts'
 import { unheard } from './unheard.ts'
 
@@ -57,11 +56,3 @@
   it('it takes half while answers come as fast as ever, since others may be there', () => expect(after(() => 20)).toBe(4))
   it('it goes back to one while they take longer', () => expect(after(i => 20 + i)).toBe(1))
 })
-
-describe('the record of answers', () => {
-  it('knows nothing of an endpoint without an answer lately', () => {
-    const record = AnswerRecord.empty.with(20, 1, at(0))
-    expect([record.answerMs(at(3000)), record.answerMs(at(3001)), record.failing(at(3001))]).toEqual([20, undefined, 0])
-    expect(record.failing(at(0))).toBe(1 / 16)
-  })
-})
--- a/src/core/pool/reads/sharedreads.ts
+++ b/src/core/pool/reads/sharedreads.ts
@@ -6,7 +6,7 @@
 import type { Instant } from '../../id/instant.ts'
 import type { Token } from '../../token.ts'
 import { Health } from '../health/health.ts'
-import { aloneLoad } from '../load/aloneload.ts'
+import { unheard } from '../load/unheard.ts'
 import type { OthersLoad } from '../load/othersload.ts'
 import { Lag } from './lag.ts'
 import type { Progress } from './progress.ts'
@@ -43,7 +43,7 @@
 export class SharedReads {
   readonly health = Health.create()
   private readonly lags = new Map<EndpointId, Lag>()
-  private others = aloneLoad
+  private others = unheard
 
   private constructor (private readonly order: typeof soonest) {}
 
--- a/src/shell/pool/group.ts
+++ b/src/shell/pool/group.ts
@@ -224,7 +224,7 @@
     if (endpoint === undefined) return undefined
     const { dialer, chance, startedAt } = this.options
     const { dealt, dealt: { hasRoom }, options: { log, metrics } } = this
-    const count = (places: number, queued: () => number) => Places.create({ endpoint: id, places, queued, others: this.sharedLoad, log, metrics, chance })
+    const count = (places: number, queued: () => number) => Places.create({ endpoint: id, places, queued, others: this.sharedLoad, answers: () => this.reads.answers(id), log, metrics, chance })
     const onDialled = (outcome: 'opened' | DialFault) => this.dialled(id, outcome)
     const lender = Lender.create({ endpoint, dialer, chance, thrift: hasRoom ? Thrift.none : Thrift.started(startedAt), dealt, count, onDialled })
     this.lenders.set(id, lender)
--- a/src/shell/pool/lending/lender.test.ts
+++ b/src/shell/pool/lending/lender.test.ts
@@ -6,6 +6,7 @@
 import type { TeamId } from '../../../core/id/team.ts'
 import type { OthersLoad } from '../../../core/pool/load/othersload.ts'
 import { Thrift } from '../../../core/pool/placing/thrift.ts'
+import { Answers } from '../../../core/pool/health/answers.ts'
 import { Values } from '../../../core/session/values.ts'
 import type { Answer } from '../../../core/statement/answer.ts'
 import type { Command } from '../../../core/statement/command.ts'
@@ -70,7 +71,7 @@
       thrift: Thrift.none,
       chance: () => 0,
       onDialled: () => {},
-      count: (count, queued) => Places.create({ endpoint: endpoint.id, places: count, queued, others: IDLE, log: Log.silent, metrics: PoolMetrics.create(), chance: () => 0 }),
+      count: (count, queued) => Places.create({ endpoint: endpoint.id, places: count, queued, others: IDLE, answers: () => Answers.create(), log: Log.silent, metrics: PoolMetrics.create(), chance: () => 0 }),
       dialer: {
         dial: async (_endpoint, team) => {
           if (this.dialMs > 0) await new Promise<void>(resolve => { setTimeout(resolve, this.dialMs) })
--- a/src/shell/pool/lending/places.ts
+++ b/src/shell/pool/lending/places.ts
@@ -3,7 +3,7 @@
 import type { CallerId } from '../../../core/id/caller.ts'
 import type { EndpointId } from '../../../core/id/endpoint.ts'
 import type { Instant } from '../../../core/id/instant.ts'
-import { AnswerRecord } from '../../../core/pool/load/answerrecord.ts'
+import type { Answers } from '../../../core/pool/health/answers.ts'
 import type { EndpointLoad } from '../../../core/pool/load/endpointload.ts'
 import type { OthersLoad } from '../../../core/pool/load/othersload.ts'
 import type { PlaceEvent } from '../../../core/pool/load/placeevent.ts'
@@ -23,6 +23,8 @@
   /** Those that wait for a connection, and so for a place after it. */
   readonly queued: () => number
   readonly others: OthersLoad
+  /** How the endpoint answered lately, for the reports. */
+  readonly answers: () => Pick<Answers, 'answerMs' | 'failing'>
   readonly log: Log
   readonly metrics: PoolMetrics
   readonly chance: () => number
@@ -47,14 +49,11 @@
 const LINE_EVERY_MS = 5000
 /** Endings without an answer: the true time is longer than it was waited for. */
 const CUT_OFF: ReadonlySet<Given> = new Set<Given>(['broken', 'outOfTime'])
-/** Endings that speak against the endpoint. */
-const FAILED: ReadonlySet<Given> = new Set<Given>([...CUT_OFF, 'failed', 'timeout', 'unknown'])
 
 export class Places {
   private readonly gate = PlaceGate.create()
   private readonly limit: PlaceLimit
   private readonly pending = new Map<number, Settle>()
-  private answers = AnswerRecord.empty
   private nextId = 1
   private timer: NodeJS.Timeout | undefined
   private shedAt = -Infinity as Instant
@@ -80,7 +79,8 @@
   load (): EndpointLoad {
     const { endpoint, queued } = this.options
     const now = clock.now()
-    return { endpoint, atWork: this.gate.atWork, waiting: this.gate.waiting + queued(), answerMs: this.answers.answerMs(now), failing: this.answers.failing(now) }
+    const answers = this.options.answers()
+    return { endpoint, atWork: this.gate.atWork, waiting: this.gate.waiting + queued(), answerMs: answers.answerMs(now), failing: answers.failing(now) }
   }
 
   /** How long an opening takes of a place, in milliseconds. */
@@ -111,7 +111,7 @@
       if (grantedAt === undefined) return this.cancel(id)
       const ms = clock.now() - grantedAt
       if (what !== 'opening' && ending === 'done') this.limit.answered(ms, rank, clock.now())
-      this.gaveBack(id, ending, ms)
+      this.gaveBack(id, ending)
       grantedAt = undefined
     }
     return { granted, cancel: () => this.cancel(id), giveBack }
@@ -135,10 +135,8 @@
     settle(false)
   }
 
-  private gaveBack (id: number, ending: Given, ms: number): void {
-    const now = clock.now()
-    if (ending === 'busy') this.shed(now)
-    else if (ending !== 'notSent') this.answers = this.answers.with(ms, FAILED.has(ending) ? 1 : 0, now)
+  private gaveBack (id: number, ending: Given): void {
+    if (ending === 'busy') this.shed(clock.now())
     const isSent = ending !== 'notSent' && ending !== 'busy'
     this.step({ kind: 'finished', id, ending: !isSent ? 'notSent' : CUT_OFF.has(ending) ? 'cutOff' : 'answered' })
   }
