--- a/src/shell/pool/lending/idlelinks.ts
+++ b/src/shell/pool/lending/idlelinks.ts
@@ -1,6 +1,8 @@
 /** The connections to one endpoint that nobody uses now. */
 
+import type { Instant } from '../../../core/id/instant.ts'
 import type { TeamId } from '../../../core/id/team.ts'
+import { ConnectionUse } from '../../../core/pool/load/connectionuse.ts'
 import type { Values } from '../../../core/session/values.ts'
 import type { EndpointLink } from './link.ts'
 
@@ -11,6 +13,8 @@
   /** The team that the endpoint was told of as the connection was opened; none in it for this process's own. */
   private readonly teams = new WeakMap<EndpointLink, TeamId>()
 
+  private readonly use = ConnectionUse.create()
+
   private constructor () {}
 
   static create (): IdleLinks {
@@ -30,6 +34,11 @@
     if (team !== undefined) this.teams.set(link, team)
   }
 
+  /** One of the team's connections is lent. */
+  used (team: TeamId | undefined, now: Instant): void {
+    if (team !== undefined) this.use.add(team, now)
+  }
+
   add (link: EndpointLink): void {
     this.links.push(link)
   }
@@ -73,14 +82,15 @@
   }
 
   /** One of the team whose unused connections serve least, each taking its part; the one that is unused for the longest time among equals. */
-  takeLeast (useOf: (team: TeamId | undefined) => number): EndpointLink | undefined {
+  takeLeast (now: Instant): EndpointLink | undefined {
     const counts = new Map<TeamId | undefined, number>()
     for (const link of this.links) counts.set(this.teams.get(link), (counts.get(this.teams.get(link)) ?? 0) + 1)
-    const partOf = (link: EndpointLink) => useOf(this.teams.get(link)) / counts.get(this.teams.get(link))!
+    const partOf = (link: EndpointLink) => this.use.of(this.teams.get(link), now) / counts.get(this.teams.get(link))!
     let least = 0
     for (let i = 1; i < this.links.length; i++) {
       if (partOf(this.links[i]!) < partOf(this.links[least]!)) least = i
     }
+    this.use.tidy(now)
     return this.links.splice(least, 1)[0]
   }
 }
--- a/src/shell/pool/lending/lender.ts
+++ b/src/shell/pool/lending/lender.ts
@@ -9,7 +9,6 @@
 import type { TeamId } from '../../../core/id/team.ts'
 import type { Instant } from '../../../core/id/instant.ts'
 import type { EndpointLoad } from '../../../core/pool/load/endpointload.ts'
-import { ConnectionUse } from '../../../core/pool/load/connectionuse.ts'
 import { Thrift } from '../../../core/pool/placing/thrift.ts'
 import { clock } from '../clock.ts'
 import type { Dealt } from './dealt.ts'
@@ -25,6 +24,7 @@
 import type { Places } from './places.ts'
 import type { PlaceTicket } from './placeticket.ts'
 import { Resting } from './resting.ts'
+import { Ticker } from './ticker.ts'
 import type { Waiter } from './waiter.ts'
 
 type Lent = Parameters<Waiter['answer']>[0]
@@ -64,7 +64,7 @@
   private nextId = 1
   /** Unused connections that are given up unless they are lent before. */
   private readonly resting = Resting.create(link => this.drop(link))
-  private timer: NodeJS.Timeout | undefined
+  private readonly ticker = Ticker.create(TICK_MS, () => this.step({ kind: 'tick' }))
   private isClosed = false
   private limit: number
   private thrift: Thrift
@@ -72,7 +72,6 @@
   private places: Places | undefined
   private readonly openings = Openings.create<Waiter>()
   private readonly dials: Dials
-  private readonly use = ConnectionUse.create()
 
   private constructor (private readonly options: Options) {
     const { dealt: { connections, hasRoom }, endpoint, dialer, onDialled } = options
@@ -178,7 +177,7 @@
   close (): void {
     this.isClosed = true
     this.dials.close()
-    clearInterval(this.timer)
+    this.ticker.stop()
     this.places?.close()
     this.refuseParked(0)
     this.distrust()
@@ -211,7 +210,8 @@
   private step (event: AdmissionEvent): void {
     const actions = this.admission.step(event, clock.now(), this.options.chance())
     for (const action of actions) this.act(action)
-    this.keepTicking()
+    if (this.waiting.size > 0 && !this.isClosed) this.ticker.run()
+    else this.ticker.stop()
   }
 
   private act (action: AdmissionAction): void {
@@ -233,7 +233,7 @@
   private lend (link: EndpointLink, waiter: Waiter): void {
     const { id, wish, answer } = waiter
     this.loans.set(link, { id, wish, aim: this.aimOf(waiter) })
-    if (wish.team !== undefined) this.use.add(wish.team, clock.now())
+    this.idle.used(wish.team, clock.now())
     this.resting.wake(link)
     answer(ok(link))
   }
@@ -283,13 +283,7 @@
     const { open, counts } = this.admission
     if (open + counts.pending < this.limit) this.step({ kind: 'added' })
     else if (this.places === undefined) this.idle.takeOldest()?.close()
-    else this.closeLeastUsed()
-  }
-
-  private closeLeastUsed (): void {
-    const now = clock.now()
-    this.idle.takeLeast(team => this.use.of(team, now))?.close()
-    this.use.tidy(now)
+    else this.idle.takeLeast(clock.now())?.close()
   }
 
   /** Resolves with a place for the opening; undefined once the request is served or refused without. */
@@ -333,13 +327,4 @@
     link.close()
     this.step({ kind: 'lost', count: 1 })
   }
-
-  /** The timer runs only while somebody waits. */
-  private keepTicking (): void {
-    const isNeeded = this.waiting.size > 0 && !this.isClosed
-    if (isNeeded && this.timer === undefined) this.timer = setInterval(() => this.step({ kind: 'tick' }), TICK_MS)
-    if (isNeeded || this.timer === undefined) return
-    clearInterval(this.timer)
-    this.timer = undefined
-  }
 }
--- a/src/shell/pool/lending/places.ts
+++ b/src/shell/pool/lending/places.ts
@@ -15,6 +15,7 @@
 import { clock } from '../clock.ts'
 import type { PoolMetrics } from '../metrics.ts'
 import type { PlaceTicket } from './placeticket.ts'
+import { Ticker } from './ticker.ts'
 
 interface Options {
   readonly endpoint: EndpointId
@@ -55,7 +56,7 @@
   private readonly limit: PlaceLimit
   private readonly pending = new Map<number, Settle>()
   private nextId = 1
-  private timer: NodeJS.Timeout | undefined
+  private readonly ticker = Ticker.create(TICK_MS, () => this.step({ kind: 'tick' }))
   private shedAt = -Infinity as Instant
   private refusedAt = -Infinity as Instant
   private refused = 0
@@ -124,7 +125,7 @@
 
   close (): void {
     this.refuseWaiting()
-    clearInterval(this.timer)
+    this.ticker.stop()
   }
 
   private cancel (id: number): void {
@@ -152,7 +153,8 @@
       if (kind === 'refuse') this.noteRefused(now)
       settle?.(kind === 'start')
     }
-    this.keepTicking()
+    if (this.gate.waiting > 0) this.ticker.run()
+    else this.ticker.stop()
   }
 
   /** The endpoint has more to do than it takes: other hosts are there too. */
@@ -174,13 +176,4 @@
     this.refusedAt = now
     this.refused = 0
   }
-
-  /** The timer runs only while something waits. */
-  private keepTicking (): void {
-    const isNeeded = this.gate.waiting > 0
-    if (isNeeded && this.timer === undefined) this.timer = setInterval(() => this.step({ kind: 'tick' }), TICK_MS)
-    if (isNeeded || this.timer === undefined) return
-    clearInterval(this.timer)
-    this.timer = undefined
-  }
 }
--- /dev/null
+++ b/src/shell/pool/lending/ticker.ts
@@ -0,0 +1,21 @@
+/** A timer that runs only while it's needed. */
+
+export class Ticker {
+  private timer: NodeJS.Timeout | undefined
+
+  private constructor (private readonly ms: number, private readonly act: () => void) {}
+
+  static create (ms: number, act: () => void): Ticker {
+    return new Ticker(ms, act)
+  }
+
+  /** Starts it, or goes on. */
+  run (): void {
+    this.timer ??= setInterval(this.act, this.ms)
+  }
+
+  stop (): void {
+    clearInterval(this.timer)
+    this.timer = undefined
+  }
+}
