An operation waits for a token no longer than its patience, though some tokens come with each question

A host asks for a team's tokens with one question after the other and refused those that wait only when it knew that there are none; with a hot team each question brings some, so its operations queued without a bound, and the part that it may ask was served late or refused. Change: whoever has waited for as long as it may is refused after each answer; where issuers don't answer the longer patience holds as before. Test: 100 operations at once, one token a question: all are answered within the patience and one question; without the change all 100 get their token, the last after a second.

--- /dev/null
+++ b/src/shell/pool/allowance/allowances.test.ts
@@ -0,0 +1,76 @@
+/** How long operations wait for a token of their team. */
+
+import { afterEach, beforeEach, expect, it, vi } from 'vitest'
+import type { HostId } from '../../../core/id/host.ts'
+import type { Instant } from '../../../core/id/instant.ts'
+import type { TeamId } from '../../../core/id/team.ts'
+import type { Team } from '../../../core/pool/access/team.ts'
+import type { PoolHost } from '../../../core/pool/placing/host.ts'
+import { PoolMetrics } from '../metrics.ts'
+import { Allowances } from './allowances.ts'
+
+const TEAM: Team = { id: 'red' as TeamId, keys: [], rate: { perSecond: 100, burst: 100 } }
+const PATIENCE_MS = 100
+const MOST_MS = 500
+/** From a question for tokens to its answer. */
+const ANSWER_MS = 10
+const ISSUER = { id: 'h1' } as PoolHost
+const now = () => Date.now() as Instant
+
+beforeEach(() => { vi.useFakeTimers({ now: 0 }) })
+afterEach(() => { vi.useRealTimers() })
+
+/** A host's account of the team where each question brings so many tokens; undefined for issuers that don't answer. */
+function account (count: number | undefined): Allowances {
+  const allowances = Allowances.create({
+    self: 'h2' as HostId,
+    bounds: { windowMs: 5000, overage: 0.1, slack: 20 },
+    trustMs: 10_000,
+    isFirstStart: true,
+    bornAt: 0 as Instant,
+    ageMs: () => 0,
+    team: () => TEAM,
+    hosts: () => [ISSUER],
+    port: {
+      onAsked: () => {},
+      ask: async () => {
+        await new Promise<void>(resolve => { setTimeout(resolve, ANSWER_MS) })
+        return count === undefined ? undefined : { count, nextMs: 0 }
+      }
+    },
+    metrics: PoolMetrics.create(),
+    chance: () => 0,
+    now,
+    age: now,
+    pause: async ms => await new Promise(resolve => { setTimeout(resolve, ms) }),
+    onBegun: () => {},
+    onAsked: () => {}
+  })
+  allowances.learnt(JSON.stringify([{ host: 'h1', term: 0 }]))
+  return allowances
+}
+
+/** When each of so many operations that come at once got its token, or was refused. */
+async function endings (allowances: Allowances, operations: number): Promise<ReadonlyArray<{ readonly isGranted: boolean, readonly at: number }>> {
+  const ended: Array<{ isGranted: boolean, at: number }> = []
+  for (let i = 0; i < operations; i++) allowances.take(TEAM, PATIENCE_MS, MOST_MS).then(taken => ended.push({ isGranted: taken.isOk(), at: now() }))
+  await vi.advanceTimersByTimeAsync(5000)
+  return ended
+}
+
+it('a team that asks more than it may waits no longer than its patience, though some tokens come with each question', async () => {
+  // Of a team that sends several times its allowance nearly all is late or refused, the part that it may ask as well.
+  // Each question brings a token, so none was ever known to be missing, and its operations queued for a second.
+  const ended = await endings(account(1), 100)
+  expect(ended.length).toBe(100)
+  // One more by the question that was under way as their patience ended.
+  expect(ended.filter(({ isGranted }) => isGranted).length).toBe(PATIENCE_MS / ANSWER_MS + 1)
+  expect(Math.max(...ended.map(({ at }) => at))).toBeLessThanOrEqual(PATIENCE_MS + ANSWER_MS)
+})
+
+it('issuers that don\'t answer are waited for longer', async () => {
+  const ended = await endings(account(undefined), 3)
+  expect(ended.map(({ isGranted }) => isGranted)).toEqual([false, false, false])
+  expect(Math.min(...ended.map(({ at }) => at))).toBeGreaterThan(PATIENCE_MS)
+  expect(Math.max(...ended.map(({ at }) => at))).toBeLessThanOrEqual(MOST_MS + ANSWER_MS)
+})
--- a/src/shell/pool/allowance/allowances.ts
+++ b/src/shell/pool/allowance/allowances.ts
@@ -185,14 +185,16 @@
         this.refuseLate(team, account)
         if (waiting.length > 0) await this.options.pause(Math.max(LEAST_BACK_MS, next.ms))
       } else {
-        await this.askAt(next.place, next.count, team, account, lifetimeMs)
+        const isAnswered = await this.askAt(next.place, next.count, team, account, lifetimeMs)
         this.serve(account)
+        this.refuseOverdue(team, account, isAnswered)
       }
     } while (waiting.length > 0)
     account.isAsking = false
   }
 
-  private async askAt (place: number, count: number, team: Team, { tokens }: Account, lifetimeMs: number): Promise<void> {
+  /** Resolves with whether the place answered. */
+  private async askAt (place: number, count: number, team: Team, { tokens }: Account, lifetimeMs: number): Promise<boolean> {
     const { hosts, port, metrics, onAsked } = this.options
     const askedAt = this.options.age()
     const host = hosts().find(({ id }) => id === this.issuers?.hostAt(place))
@@ -200,8 +202,9 @@
     metrics.tokenAsks.inc({ outcome: answer === undefined ? 'silent' : answer.count > 0 ? 'issued' : 'none' })
     onAsked(place, answer !== undefined)
     if (answer !== undefined) this.silence.answered(place)
-    if (answer !== undefined) return tokens.answered(place, { ...answer, askedAt, lifetimeMs }, this.options.age())
-    this.silence.missed(place, this.options.age())
+    if (answer === undefined) this.silence.missed(place, this.options.age())
+    else tokens.answered(place, { ...answer, askedAt, lifetimeMs }, this.options.age())
+    return answer !== undefined
   }
 
   private serve ({ tokens, waiting }: Account): void {
@@ -213,6 +216,20 @@
     }
   }
 
+  /**
+   * Guard against a team that asks more than its allowance and finds some tokens with each question: so it's never known that there are none, its
+   * operations wait for as long as they are many, and those that get a token at last have no time left to use it. It shows as a team that is served
+   * late or not at all, its allowed part with it. Whoever has waited for as long as it may is refused, while issuers answer.
+   */
+  private refuseOverdue ({ rate }: Team, account: Account, isAnswered: boolean): void {
+    const now = this.options.age()
+    const overdue = account.waiting.filter(({ until, last }) => now > (isAnswered ? until : last))
+    if (overdue.length === 0) return
+    account.waiting.splice(0, account.waiting.length, ...account.waiting.filter(one => !overdue.includes(one)))
+    const perTokenMs = 1000 / Math.max(rate?.perSecond ?? 0, LEAST_RATE)
+    for (const [i, { answer }] of overdue.entries()) answer(err(Math.max(LEAST_BACK_MS, Math.ceil((account.waiting.length + i) * perTokenMs))))
+  }
+
   /** Refuses those whose turn is known to come too late: the one behind so many others waits for as many tokens. */
   private refuseLate ({ rate }: Team, account: Account): void {
     const { waiting, freeAt, isSilent } = account
