--- a/src/core/pool/placing/drawn.ts
+++ b/src/core/pool/placing/drawn.ts
@@ -17,7 +17,7 @@
  */
 export function drawn (purpose: string, hosts: readonly PoolHost[]): readonly PoolHost[] {
   return hosts
-    .map(host => ({ host, score: Math.log((weightOf(`${purpose}/${host.id}`) + 0.5) / RANGE) / carrying.capacityOf(host) ** POWER }))
-    .sort((a, b) => b.score - a.score || (a.host.id < b.host.id ? -1 : 1))
+    .map(host => ({ host, draw: Math.log((weightOf(`${purpose}/${host.id}`) + 0.5) / RANGE) / carrying.capacityOf(host) ** POWER }))
+    .sort((a, b) => b.draw - a.draw || (a.host.id < b.host.id ? -1 : 1))
     .map(({ host }) => host)
 }
