--- a/bench/group/endpoint.ts
+++ b/bench/group/endpoint.ts
@@ -22,6 +22,8 @@
   private readonly queue: Job[] = []
   private busy = 0
   private connections = 0
+  /** All that it worked, in milliseconds. */
+  workedMs = 0
 
   private constructor (private readonly options: Options) {}
 
@@ -29,6 +31,14 @@
     return new ModelEndpoint(options)
   }
 
+  get atWork (): number {
+    return this.busy
+  }
+
+  get queued (): number {
+    return this.queue.length
+  }
+
   /** Works for so long, first come first served; false when its queue is full and nothing is done. */
   work (ms: number, done: () => void): boolean {
     if (this.busy === this.options.places && this.queue.length === this.options.mostQueued) return false
@@ -61,6 +71,7 @@
     this.busy++
     agenda.add(job.ms, () => {
       this.busy--
+      this.workedMs += job.ms
       job.done()
       this.next()
     })
--- a/src/core/admission/admission.ts
+++ b/src/core/admission/admission.ts
@@ -11,6 +11,7 @@
 import type { Instant } from '../id/instant.ts'
 import type { AdmissionAction } from './action.ts'
 import { Backlog } from './backlog.ts'
+import { classes } from './classes.ts'
 import type { AdmissionEvent } from './event.ts'
 import type { Limits } from './limits.ts'
 import { Opener } from './opener.ts'
@@ -60,6 +61,11 @@
     return this.waiting.size
   }
 
+  /** Those that wait, by rank. */
+  get queuedByClass (): readonly number[] {
+    return classes.map((_, rank) => this.backlog.sizeOf(rank))
+  }
+
   /** Connections that are open; those being opened aren't among them. */
   get open (): number {
     return this.idle + this.running.size
@@ -141,7 +147,7 @@
     const hasRoom = this.running.size + this.waiting.size < this.limits.connections
     if (hasRoom && this.shares.mayStart(request.rank, request.isTransaction)) return false
     const line = this.backlog.line(request)
-    const wait = this.backlog.waitMs(request, line.queue.ahead(request.caller), this.stalledMs(now), now)
+    const wait = this.backlog.waitMs(request, line.queue.ahead(request.caller, now), this.stalledMs(now), now)
     return wait > left * MOST_WAIT || wait + MARGIN * line.service.at(now) > left
   }
 
@@ -171,7 +177,7 @@
   private sweep (now: Instant, chance: number): void {
     if (this.waiting.size === 0) return this.backlog.tidy()
     const stalledMs = this.stalledMs(now)
-    const late = [...this.backlog.all()].filter(([request, ahead]) => {
+    const late = [...this.backlog.all(now)].filter(([request, ahead]) => {
       const wait = this.backlog.waitMs(request, ahead, stalledMs, now)
       return wait * HOPELESS + this.backlog.line(request).service.at(now) > request.deadline - now
     })
@@ -180,7 +186,7 @@
 
   private startAll (now: Instant, chance: number): void {
     while (this.idle > 0 && this.waiting.size > 0) {
-      const request = this.backlog.shift()
+      const request = this.backlog.shift(now)
       if (request === undefined) return
       this.waiting.delete(request.id)
       if (this.backlog.line(request).service.at(now) > request.deadline - now) this.answer(request, 'busy', now, chance)
--- a/src/shell/log/events.ts
+++ b/src/shell/log/events.ts
@@ -8,7 +8,7 @@
   readonly message: string
 }
 
-/** Numbers are never reused; 1xxx process, 2xxx endpoints, 3xxx failover, 4xxx peers, 5xxx platform and configuration, 6xxx callers, 7xxx audit records. */
+/** Numbers are never reused; 1xxx process, 2xxx endpoints, 3xxx failover, 4xxx peers, 5xxx platform and configuration, 6xxx callers, 7xxx audit records, 8xxx load. */
 export const events = {
   started: { id: 1001, level: 'info', message: 'agatepond started' },
   leaving: { id: 1003, level: 'info', message: 'leaving: no new callers, what is in progress ends' },
@@ -64,9 +64,23 @@
   transactionAborted: { id: 6004, level: 'info', message: 'rolled back an open transaction' },
   linesDropped: { id: 6005, level: 'warn', message: 'dropped lines of statements over the budget' },
 
+  primaryAwaited: { id: 8030, level: 'info', message: 'statements wait for the primary that is expected' },
+  primaryUnexpected: { id: 8031, level: 'warn', message: 'no primary is expected any more; what needs one is refused at once' },
+
   batchStored: { id: 7001, level: 'info', message: 'stored a batch of audit records' },
   batchFailed: { id: 7002, level: 'warn', message: 'a batch of audit records could not be stored' },
   recordsDropped: { id: 7003, level: 'warn', message: 'dropped audit records for want of room' },
   recordsLost: { id: 7004, level: 'error', message: 'ended without storing audit records' },
-  batchesRemoved: { id: 7005, level: 'warn', message: 'took the oldest batches of audit records from a full store' }
+  batchesRemoved: { id: 7005, level: 'warn', message: 'took the oldest batches of audit records from a full store' },
+
+  loadPortFailed: { id: 8010, level: 'error', message: 'reports of load cannot be sent or received' },
+  ownersPicked: { id: 8011, level: 'info', message: 'the owners of a group changed, of which this host is one or was' },
+  ownerSilent: { id: 8012, level: 'info', message: 'an owner of a group that had load reports no more' },
+  endpointFull: { id: 8001, level: 'warn', message: 'an endpoint refuses statements for want of room; this host sends fewer at a time' },
+  placesRefused: { id: 8002, level: 'info', message: 'statements or openings could not have a place at an endpoint in their time' },
+  placesChanged: { id: 8003, level: 'info', message: 'an endpoint tells another number of places' },
+  endpointAside: { id: 8020, level: 'warn', message: 'an endpoint fails more or answers later than its group: reads go elsewhere while they can' },
+  endpointBack: { id: 8021, level: 'info', message: 'an endpoint serves its part of the reads again' },
+  storeCalls: { id: 8040, level: 'info', message: 'calls to the store since the start of this process' },
+  groupRefuses: { id: 8041, level: 'warn', message: 'a group refuses statements for want of room or of allowance' }
 } as const satisfies Record<string, Event>
--- a/src/shell/pool/group.ts
+++ b/src/shell/pool/group.ts
@@ -4,15 +4,20 @@
 import type { Endpoint } from '../../core/directory/endpoint.ts'
 import type { DataCentreId } from '../../core/id/datacentre.ts'
 import type { EndpointId } from '../../core/id/endpoint.ts'
-import type { TeamId } from '../../core/id/team.ts'
 import type { GroupId } from '../../core/id/group.ts'
 import type { Instant } from '../../core/id/instant.ts'
 import { Directory as Endpoints } from '../../core/directory/directory.ts'
-import { readCandidates } from '../../core/pool/reads/candidates.ts'
+import type { EndpointLoad } from '../../core/pool/load/endpointload.ts'
+import { GroupUse } from '../../core/pool/load/groupuse.ts'
+import type { LoadPicture } from '../../core/pool/load/picture.ts'
 import { Contact } from '../../core/pool/succession/contact.ts'
 import type { Handover } from '../../core/pool/succession/handover.ts'
 import { Leadership } from '../../core/pool/succession/leadership.ts'
 import type { PoolHost } from '../../core/pool/placing/host.ts'
+import type { Patience } from '../../core/pool/statements/patience.ts'
+import { Patient } from '../../core/pool/statements/patient.ts'
+import { Prompt } from '../../core/pool/statements/prompt.ts'
+import { ServiceTime } from '../../core/admission/servicetime.ts'
 import { Progress } from '../../core/pool/reads/progress.ts'
 import { Reach } from '../../core/pool/placing/reach.ts'
 import { Thrift } from '../../core/pool/placing/thrift.ts'
@@ -24,10 +29,16 @@
 import type { Dealt } from './lending/dealt.ts'
 import type { DialFault } from './lending/dialfault.ts'
 import { Lender } from './lending/lender.ts'
+import { SharedLoad } from './load/sharedload.ts'
+import { Places } from './lending/places.ts'
+import { GroupReads } from './groupreads.ts'
 import type { PoolMetrics } from './metrics.ts'
-import { Waiters } from './waiters.ts'
+import { Outage } from './succession/outage.ts'
 import { Watchers } from './watchers.ts'
 
+const PATIENT = Patient.create()
+const PROMPT = Prompt.create()
+
 interface Options {
   readonly id: GroupId
   readonly dataCentre: DataCentreId
@@ -39,27 +50,40 @@
   readonly startedAt: Instant
 }
 
+/** An endpoint that this host has no connections to. */
+const UNUSED: Lender['seen'] = { connections: 0, atWork: 0, waiting: [] }
+
 /** The only place where the group's pure values are replaced. */
 export class PoolGroup {
   private readonly lenders = new Map<EndpointId, Lender>()
   private readonly standings = new Map<EndpointId, Standing>()
   private readonly contacts = new Map<EndpointId, Contact>()
+  /** Where reads go. */
+  readonly reads: GroupReads
   /** Endpoints that were logged as out of reach. */
   private readonly unreached = new Set<EndpointId>()
   private directory: Directory = Endpoints.empty
   private leadership: Leadership
   private progress = Progress.empty
-  private dealt: Dealt = { connections: 1, isOwner: false, hasRoom: false }
+  private dealt: Dealt = { connections: 1, isOwner: false, hasRoom: false, others: [] }
   /** The newest that was announced; an old one concerns an endpoint that doesn't lead any more. */
   private handover: Handover | undefined
   private reach = Reach.none
+  private readonly service = ServiceTime.create()
+  /** Who asked what of it lately. */
+  readonly use = GroupUse.create(clock.now())
   /** For those who wait for a leader. */
-  private readonly waiting = Waiters.create()
+  readonly outage: Outage
+  /** What the other owners have at the endpoints. */
+  readonly sharedLoad = SharedLoad.create()
   /** For those who wait for an answer of an endpoint. */
   readonly watchers = Watchers.create()
 
   private constructor (private readonly options: Options) {
     this.leadership = Leadership.create(options.id, clock.now())
+    this.outage = Outage.create(options.id, options.log)
+    this.reads = GroupReads.create(options, () => this.readsView())
+    this.reads.takeOthers(this.sharedLoad)
   }
 
   static create (options: Options): PoolGroup {
@@ -89,6 +113,18 @@
     return isListed ? endpoints : [...endpoints, { id: leader }]
   }
 
+  get isOwned (): boolean {
+    return this.dealt.isOwner
+  }
+
+  /** What this host has at each endpoint, for operators. */
+  get seen (): LoadPicture['groups'][number]['endpoints'] {
+    return this.endpoints.map(({ id, isLeaving, places }) => {
+      const { connections, atWork, waiting } = this.lenders.get(id)?.seen ?? UNUSED
+      return { endpoint: id, isPrimary: id === this.leader, isLeaving, places, connections, atWork, waiting: [...waiting], unreached: this.unreached.has(id) ? 1 : 0 }
+    })
+  }
+
   endpoint (id: EndpointId): Endpoint | undefined {
     return this.directory.get(id)
   }
@@ -118,6 +154,35 @@
     return this.leadership.missingMs(clock.now())
   }
 
+  /** The same; undefined while one is known. */
+  get missingMs (): number | undefined {
+    return this.leader === undefined ? this.leaderlessMs() : undefined
+  }
+
+  /** Which statements wait for what they lack: only where the group's owners are picked, so that each of them knows what is under way. */
+  get patience (): Patience {
+    return this.dealt.hasRoom ? PATIENT : PROMPT
+  }
+
+  /** This host's connections to an endpoint. */
+  get connections (): number {
+    return this.dealt.connections
+  }
+
+  /** What a statement takes here from its sending to its answer, in milliseconds. */
+  get serviceMs (): number {
+    return this.service.at(clock.now())
+  }
+
+  get chance (): () => number {
+    return this.options.chance
+  }
+
+  /** A statement was done, so long after it was sent. */
+  served (ms: number): void {
+    this.service.add(ms, clock.now())
+  }
+
   listed (directory: Directory): void {
     const before = this.directory
     this.directory = directory
@@ -126,6 +191,7 @@
       const old = before.get(id)
       if (old !== undefined && old.bornAt !== bornAt) this.forget(id)
     }
+    for (const { id, places } of this.endpoints) this.lenders.get(id)?.resize(this.dealt, places)
     const ids = new Set(this.endpoints.map(({ id }) => id))
     for (const id of this.lenders.keys()) {
       if (!ids.has(id) && id !== this.leader) this.forget(id)
@@ -137,7 +203,8 @@
     const { connections, isOwner } = dealt
     if (connections !== this.dealt.connections) this.options.log.write('shareDealt', { group: this.id, connections, isOwner })
     this.dealt = dealt
-    for (const lender of this.lenders.values()) lender.resize(connections)
+    this.sharedLoad.among(dealt.others)
+    for (const [id, lender] of this.lenders) lender.resize(dealt, this.directory.get(id)?.places ?? lender.endpoint.places)
   }
 
   handOver (handover: Handover): void {
@@ -156,25 +223,17 @@
     const endpoint = this.directory.get(id)
     if (endpoint === undefined) return undefined
     const { dialer, chance, startedAt } = this.options
-    const { connections, hasRoom } = this.dealt
+    const { dealt, dealt: { hasRoom }, options: { log, metrics } } = this
+    const count = (places: number, queued: () => number) => Places.create({ endpoint: id, places, queued, others: this.sharedLoad, answers: () => this.reads.answers(id), log, metrics, chance })
     const onDialled = (outcome: 'opened' | DialFault) => this.dialled(id, outcome)
-    const lender = Lender.create({ endpoint, dialer, chance, thrift: hasRoom ? Thrift.none : Thrift.started(startedAt), connections, onDialled })
+    const lender = Lender.create({ endpoint, dialer, chance, thrift: hasRoom ? Thrift.none : Thrift.started(startedAt), dealt, count, onDialled })
     this.lenders.set(id, lender)
     return lender
   }
 
-  /** Where a read may go whose log must hold the position, the best first. `team`: whose connections serve it. */
-  readers (position: Token, team: TeamId | undefined): readonly EndpointId[] {
-    const now = clock.now()
-    return readCandidates({
-      endpoints: this.endpoints,
-      primary: this.leader,
-      dataCentre: this.options.dataCentre,
-      standing: id => this.standing(id),
-      queued: id => this.lenders.get(id)?.queued ?? 0,
-      mustOpen: id => team !== undefined && this.lenders.get(id)?.hasUnused(team) !== true,
-      isReachable: id => !this.contact(id).isOut(now)
-    }, position, now)
+  /** What this host has at the group's endpoints, as far as it counts that. */
+  get loads (): readonly EndpointLoad[] {
+    return [...this.lenders.values()].flatMap(({ load }) => load ?? [])
   }
 
   /** The position that a read of the age must find; undefined when only the primary can serve it. */
@@ -192,8 +251,9 @@
     this.reached(id, clock.now())
     if (position === undefined) return
     this.standings.set(id, this.standing(id).answered(position, clock.now()))
+    if (isLead) this.progress = this.progress.with(position, sentAt)
+    this.reads.answered(id, position)
     if (!isLead) return
-    this.progress = this.progress.with(position, sentAt)
     this.lead(this.leadership.proved(id, position.term), 'proof')
   }
 
@@ -205,6 +265,7 @@
 
   fellShort (id: EndpointId): void {
     this.standings.set(id, this.standing(id).fellShort(clock.now()))
+    this.reads.fellShort(id)
   }
 
   notPrimary (id: EndpointId): void {
@@ -223,6 +284,7 @@
     const contact = this.contact(id).missed(now)
     this.contacts.set(id, contact)
     if (!contact.isFailing(now)) return
+    if (id === this.leader) this.outage.begin()
     this.lenders.get(id)?.refuseWaiting()
     this.watchers.tell(id)
     if (this.unreached.has(id)) return
@@ -230,12 +292,6 @@
     this.options.log.write('endpointUnreachable', { endpoint: id, group: this.id, isLeader: id === this.leader })
   }
 
-  /** Resolves with the leader as soon as there is one, or with undefined after the time. */
-  async awaitLeader (ms: number): Promise<EndpointId | undefined> {
-    if (this.leader === undefined && ms > 0) await this.waiting.wait(ms)
-    return this.leader
-  }
-
   close (): void {
     for (const id of this.lenders.keys()) this.forget(id)
   }
@@ -248,10 +304,25 @@
   }
 
   private reached (id: EndpointId, now: Instant): void {
+    const wasOut = id === this.leader && this.isLeaderOut()
     this.contacts.set(id, this.contact(id).reached(now))
+    if (wasOut) this.outage.end()
     if (this.unreached.delete(id)) this.options.log.write('endpointReachable', { endpoint: id, group: this.id })
   }
 
+  private readsView (): ReturnType<Parameters<typeof GroupReads.create>[1]> {
+    const now = clock.now()
+    return {
+      endpoints: this.endpoints,
+      primary: this.leader,
+      progress: this.progress,
+      isShared: this.dealt.hasRoom,
+      standing: id => this.standing(id),
+      lender: id => this.lenders.get(id),
+      isReachable: id => !this.contact(id).isOut(now)
+    }
+  }
+
   private standing (id: EndpointId): Standing {
     return this.standings.get(id) ?? Standing.unknown
   }
@@ -262,13 +333,15 @@
     if (next.leader === before) return
     this.options.metrics.leaderChanges.inc({ group: this.id })
     this.options.log.write('leaderChanged', { group: this.id, leader: next.leader ?? 'none', before: before ?? 'none', cause, term: this.progress.term, markAgeMs: Math.round(this.markAgeMs() ?? -1) })
-    if (next.leader !== undefined) this.waiting.wake()
+    if (next.leader === undefined) this.outage.begin()
+    else this.outage.replaced()
   }
 
   private forget (id: EndpointId): void {
     this.lenders.get(id)?.close()
     this.lenders.delete(id)
     this.standings.delete(id)
+    this.reads.forget(id)
     this.contacts.delete(id)
     this.unreached.delete(id)
   }
--- a/src/shell/pool/lending/lender.ts
+++ b/src/shell/pool/lending/lender.ts
@@ -1,51 +1,49 @@
 /** The connections of this host to one endpoint, lent to one operation at a time as admission decides. */
 
-import { err, ok, type Result } from 'neverthrow'
+import { err, ok } from 'neverthrow'
 import type { AdmissionAction } from '../../../core/admission/action.ts'
 import { Admission } from '../../../core/admission/admission.ts'
 import type { AdmissionEvent } from '../../../core/admission/event.ts'
-import { Limits } from '../../../core/admission/limits.ts'
 import type { Endpoint } from '../../../core/directory/endpoint.ts'
 import type { CallerId } from '../../../core/id/caller.ts'
 import type { TeamId } from '../../../core/id/team.ts'
 import type { Instant } from '../../../core/id/instant.ts'
+import type { EndpointLoad } from '../../../core/pool/load/endpointload.ts'
 import { Thrift } from '../../../core/pool/placing/thrift.ts'
-import type { Values } from '../../../core/session/values.ts'
 import { clock } from '../clock.ts'
+import type { Dealt } from './dealt.ts'
 import type { Dialer } from './dialer.ts'
+import { Dials } from './dials.ts'
 import type { DialFault } from './dialfault.ts'
 import { IdleLinks } from './idlelinks.ts'
 import type { EndpointLink } from './link.ts'
 import type { Loans } from './loans.ts'
-
-interface Wish {
-  readonly rank: number
-  /** Who shares fairly with others. */
-  readonly caller: string
-  /** Whose connections serve it; undefined where they serve anybody. */
-  readonly team: TeamId | undefined
-  /** Milliseconds in which the operation is to be done. */
-  readonly leftMs: number
-  readonly isTransaction: boolean
-  /** A connection in the same state is preferred. */
-  readonly values: Values
-}
-
-interface Refusal {
-  readonly reason: 'busy' | 'unreachable'
-  readonly retryAfterMs: number
-}
-
-interface Waiter {
-  readonly wish: Wish
-  readonly deadline: Instant
-  readonly answer: (result: Result<EndpointLink, Refusal>) => void
+import { isFull } from './isfull.ts'
+import { limitsOf } from './limitsof.ts'
+import { Openings } from './openings.ts'
+import type { Places } from './places.ts'
+import type { PlaceTicket } from './placeticket.ts'
+import { Resting } from './resting.ts'
+import { Ticker } from './ticker.ts'
+import type { Waiter } from './waiter.ts'
+
+type Lent = Parameters<Waiter['answer']>[0]
+
+interface Loan {
+  readonly id: number
+  readonly wish: Waiter['wish']
+  /** Until when it's best started; undefined where that plays no part. */
+  readonly aim: Instant | undefined
+  /** Its last order for a place at the endpoint; undefined before the first. */
+  ticket?: PlaceTicket
 }
 
 interface Options {
   readonly endpoint: Endpoint
   readonly dialer: Dialer
-  readonly connections: number
+  readonly dealt: Dealt
+  /** Begins to count this host's part of so many places of the endpoint. */
+  readonly count: (places: number, queued: () => number) => Places
   readonly chance: () => number
   /** Whether connections are scarce as it begins. */
   readonly thrift: Thrift
@@ -55,38 +53,49 @@
 
 /** How often waiting operations are looked through; a tenth of the shortest aim that callers have. */
 const TICK_MS = 10
-/** An opening takes a handshake and a place in the endpoint's queue; one that takes longer than this has failed. */
-const DIAL_MS = 1000
 /** The time to come back to an endpoint that is out of reach: about the time in which a successor is found. */
 const OUT_MS = 500
 
 export class Lender implements Loans {
   private readonly admission: Admission
   private readonly idle = IdleLinks.create()
-  private readonly loans = new Map<EndpointLink, number>()
+  private readonly loans = new Map<EndpointLink, Loan>()
   private readonly waiting = new Map<number, Waiter>()
   private nextId = 1
   /** Unused connections that are given up unless they are lent before. */
-  private readonly resting = new Map<EndpointLink, NodeJS.Timeout>()
-  private timer: NodeJS.Timeout | undefined
+  private readonly resting = Resting.create(link => this.drop(link))
+  private readonly ticker = Ticker.create(TICK_MS, () => this.step({ kind: 'tick' }))
   private isClosed = false
   private limit: number
   private thrift: Thrift
+  /** Undefined where every host connects by itself, and where the endpoint doesn't tell its places. */
+  private places: Places | undefined
+  private readonly openings = Openings.create<Waiter>()
+  private readonly dials: Dials
 
   private constructor (private readonly options: Options) {
-    this.limit = options.connections
+    const { dealt: { connections, hasRoom }, endpoint, dialer, onDialled } = options
+    this.dials = Dials.create({ endpoint, dialer, onDialled, onOpened: (link, team) => this.idle.assign(link, team), onEnded: link => this.ended(link) })
+    this.limit = connections
     this.thrift = options.thrift
-    this.admission = Admission.create(limitsOf(options.connections))
+    this.admission = Admission.create(limitsOf(connections))
+    this.countPlaces(hasRoom ? endpoint.places : undefined)
   }
 
   static create (options: Options): Lender {
     return new Lender(options)
   }
 
-  /** What an operation that comes now would find: those that wait, and 1 when no connection is free or can be opened. */
+  /** What an operation that comes now would find: those that wait for a connection or a place, and 1 when no connection is free or can be opened. */
   get queued (): number {
     const { idle, running, pending } = this.admission.counts
-    return this.admission.queued + (idle === 0 && running + pending >= this.limit ? 1 : 0)
+    return this.admission.queued + (this.places?.waiting ?? 0) + (idle === 0 && running + pending >= this.limit ? 1 : 0)
+  }
+
+  /** For operators: `atWork` has the transactions in it that are between two statements. */
+  get seen (): { readonly connections: number, readonly atWork: number, readonly waiting: readonly number[] } {
+    const { open, counts, queuedByClass } = this.admission
+    return { connections: open, atWork: counts.running, waiting: queuedByClass }
   }
 
   /** Whether a connection of the team is unused. */
@@ -98,8 +107,23 @@
     return this.options.endpoint
   }
 
-  /** Takes another share of the endpoint's connections. */
-  resize (connections: number): void {
+  /** What this host has at the endpoint; undefined where it doesn't count that. */
+  get load (): EndpointLoad | undefined {
+    return this.places?.load()
+  }
+
+  enter (link: EndpointLink, leftMs: number): PlaceTicket | undefined {
+    const loan = this.loans.get(link)
+    if (loan === undefined || this.places === undefined) return undefined
+    const { wish: { rank, caller, isTransaction }, aim } = loan
+    const what = isTransaction && loan.ticket !== undefined ? 'next' : 'first'
+    loan.ticket = this.places.enter({ rank, caller, what, leftMs, aim })
+    return loan.ticket
+  }
+
+  /** Takes another share of the endpoint's connections. `places`: as the endpoint tells. */
+  resize ({ connections, hasRoom }: Dealt, places: number | undefined): void {
+    this.countPlaces(hasRoom ? places : undefined)
     if (connections === this.limit) return
     this.limit = connections
     this.admission.resize(limitsOf(connections))
@@ -107,20 +131,27 @@
   }
 
   /** Resolves always: a connection that nobody else uses until it's given back, or why there is none. */
-  async borrow (wish: Wish): Promise<Result<EndpointLink, Refusal>> {
+  async borrow (wish: Waiter['wish']): Promise<Lent> {
     if (this.isClosed) return err({ reason: 'unreachable', retryAfterMs: 0 })
-    return await new Promise(resolve => this.enqueue({ wish, deadline: clock.now() + wish.leftMs as Instant, answer: resolve }))
+    const giveUp = () => this.giveUp(wish)
+    wish.gone?.addEventListener('abort', giveUp)
+    const borrowed = await new Promise<Lent>(resolve => this.enqueue({ id: this.nextId++, wish, deadline: clock.now() + wish.leftMs as Instant, answer: resolve }))
+    wish.gone?.removeEventListener('abort', giveUp)
+    return borrowed
   }
 
   giveBack (link: EndpointLink): void {
-    const id = this.loans.get(link)
-    if (id === undefined) return
+    const loan = this.loans.get(link)
+    if (loan === undefined) return
+    const { id, wish: { team } } = loan
     this.loans.delete(link)
     const isUsable = link.isOpen && !link.isInTransaction && !this.isClosed && this.admission.open <= this.limit
-    if (isUsable) this.idle.add(link)
+    const next = isUsable ? this.openings.next(team) : undefined
+    if (next !== undefined) this.lend(link, next)
+    else if (isUsable) this.idle.add(link)
     else link.close()
     this.step({ kind: 'finished', id, isUsable })
-    if (isUsable) this.letRest(link)
+    if (this.idle.has(link)) this.resting.rest(link, this.thrift.restMs(clock.now()))
   }
 
   /**
@@ -139,11 +170,16 @@
       this.step({ kind: 'cancelled', id })
       waiter.answer(err({ reason: 'unreachable', retryAfterMs: OUT_MS }))
     }
+    this.places?.refuseWaiting()
+    this.refuseParked(OUT_MS)
   }
 
   close (): void {
     this.isClosed = true
-    clearInterval(this.timer)
+    this.dials.close()
+    this.ticker.stop()
+    this.places?.close()
+    this.refuseParked(0)
     this.distrust()
     for (const [id, waiter] of this.waiting) {
       this.waiting.delete(id)
@@ -152,16 +188,30 @@
   }
 
   private enqueue (waiter: Waiter): void {
-    const id = this.nextId++
-    const { wish: { rank, caller, isTransaction }, deadline } = waiter
+    const { id, wish: { rank, caller, isTransaction }, deadline } = waiter
     this.waiting.set(id, waiter)
-    this.step({ kind: 'arrived', request: { id, rank, caller: caller as CallerId, deadline, isTransaction } })
+    this.step({ kind: 'arrived', request: { id, rank, caller: caller as CallerId, deadline, aim: this.aimOf(waiter), isTransaction } })
+  }
+
+  /** Where this host counts places it decides by aims as well; elsewhere first come, first served. */
+  private aimOf ({ wish: { leftMs, aimMs }, deadline }: Pick<Waiter, 'wish' | 'deadline'>): Instant | undefined {
+    return this.places === undefined || aimMs === undefined ? undefined : deadline - leftMs + aimMs as Instant
+  }
+
+  /** Against a place in the queue, and perhaps a new connection, for an operation that nobody waits for. */
+  private giveUp (wish: Waiter['wish']): void {
+    const [id, waiter] = [...this.waiting].find(([, one]) => one.wish === wish) ?? []
+    if (id === undefined || waiter === undefined) return
+    this.waiting.delete(id)
+    this.step({ kind: 'cancelled', id })
+    waiter.answer(err({ reason: 'busy', retryAfterMs: 0 }))
   }
 
   private step (event: AdmissionEvent): void {
     const actions = this.admission.step(event, clock.now(), this.options.chance())
     for (const action of actions) this.act(action)
-    this.keepTicking()
+    if (this.waiting.size > 0 && !this.isClosed) this.ticker.run()
+    else this.ticker.stop()
   }
 
   private act (action: AdmissionAction): void {
@@ -176,14 +226,15 @@
     if (waiter === undefined) return this.step({ kind: 'finished', id: action.id, isUsable: true })
     const { team, values } = waiter.wish
     const link = this.idle.take(team, values)
-    if (link === undefined) this.openFor(action.id, waiter)
-    else this.lend(link, action.id, waiter)
+    if (link === undefined) this.openFor(waiter)
+    else this.lend(link, waiter)
   }
 
-  private lend (link: EndpointLink, id: number, { answer }: Waiter): void {
-    this.loans.set(link, id)
-    clearTimeout(this.resting.get(link))
-    this.resting.delete(link)
+  private lend (link: EndpointLink, waiter: Waiter): void {
+    const { id, wish, answer } = waiter
+    this.loans.set(link, { id, wish, aim: this.aimOf(waiter) })
+    this.idle.used(wish.team, clock.now())
+    this.resting.wake(link)
     answer(ok(link))
   }
 
@@ -191,7 +242,7 @@
   private open (): void {
     const [first] = this.waiting.values()
     if (first?.wish.team !== undefined) return this.step({ kind: 'opened', isVacant: true })
-    this.dial(undefined).then(dialled => {
+    this.openings.any(this.places, first, async () => await this.dials.dial(undefined)).then(dialled => {
       if (dialled.isErr()) return this.notOpened(dialled.error)
       this.idle.add(dialled.value)
       this.step({ kind: 'opened' })
@@ -199,14 +250,19 @@
   }
 
   /**
-   * Opens a connection for a request that was started without one of its team. Where no room is left, that of the connection that was
-   * unused for the longest time is taken: closing it costs nothing, while its team may not come back for long.
+   * Opens a connection for a request that was started without one of its team. Where no room is left, that of a connection which
+   * nobody uses is taken.
    */
-  private async openFor (id: number, waiter: Waiter): Promise<void> {
+  private async openFor (waiter: Waiter): Promise<void> {
+    const { places } = this
+    const ticket = places === undefined ? undefined : await this.turnToOpen(places, waiter)
+    if (places !== undefined && ticket === undefined) return
+    const { id } = waiter
     if (this.idle.size > this.admission.counts.idle) this.makeRoom()
-    const dialled = await this.dial(waiter.wish.team)
+    const dialled = await this.dials.dial(waiter.wish.team)
+    ticket?.giveBack(dialled.isOk() ? 'done' : isFull(dialled.error) ? 'notSent' : 'broken')
     if (dialled.isOk()) {
-      this.lend(dialled.value, id, waiter)
+      this.lend(dialled.value, waiter)
       return this.step({ kind: 'dialled' })
     }
     this.step({ kind: 'finished', id, isUsable: false })
@@ -220,28 +276,38 @@
     this.thrift = this.thrift.refused(clock.now())
     this.step({ kind: 'dialRefused' })
     if (this.isClosed) return waiter.answer(err({ reason: 'unreachable', retryAfterMs: 0 }))
-    this.enqueue(waiter)
+    this.enqueue({ ...waiter, id: this.nextId++ })
   }
 
   private makeRoom (): void {
     const { open, counts } = this.admission
     if (open + counts.pending < this.limit) this.step({ kind: 'added' })
-    else this.idle.takeOldest()?.close()
+    else if (this.places === undefined) this.idle.takeOldest()?.close()
+    else this.idle.takeLeast(clock.now())?.close()
+  }
+
+  /** Resolves with a place for the opening; undefined once the request is served or refused without. */
+  private async turnToOpen (places: Places, waiter: Waiter): Promise<PlaceTicket | undefined> {
+    const { id, wish: { team }, answer } = waiter
+    const own = [...this.loans.values()].filter(({ wish }) => wish.team === team).length
+    const hasRoom = this.admission.open + this.admission.counts.pending < this.limit
+    const turn = await this.openings.turn(places, waiter, { own, openings: hasRoom ? 1 : 2 })
+    if (typeof turn !== 'string') return turn
+    if (turn === 'taken') return undefined
+    this.step({ kind: 'finished', id, isUsable: true })
+    answer(err({ reason: 'busy', retryAfterMs: OUT_MS }))
   }
 
-  private async dial (team: TeamId | undefined): Promise<Result<EndpointLink, DialFault>> {
-    const { dialer, endpoint, onDialled } = this.options
-    const dialled = await dialer.dial(endpoint, team, DIAL_MS)
-    onDialled(dialled.isOk() ? 'opened' : dialled.error)
-    if (dialled.isErr()) return dialled
-    const link = dialled.value
-    if (this.isClosed) {
-      link.close()
-      return err('unreachable')
+  private refuseParked (retryAfterMs: number): void {
+    for (const { id, answer } of this.openings.takeAll()) {
+      this.step({ kind: 'finished', id, isUsable: true })
+      answer(err({ reason: 'unreachable', retryAfterMs }))
     }
-    this.idle.assign(link, team)
-    link.onEnd(() => this.ended(link))
-    return dialled
+  }
+
+  private countPlaces (places: number | undefined): void {
+    if (places !== undefined && this.places !== undefined) this.places.resize(places)
+    else this.places = places === undefined ? undefined : this.options.count(places, () => this.admission.queued)
   }
 
   private notOpened (fault: DialFault): void {
@@ -250,46 +316,15 @@
     this.step({ kind: 'openRefused' })
   }
 
-  /** While connections are scarce an unused one is given up soon. */
-  private letRest (link: EndpointLink): void {
-    const restMs = this.thrift.restMs(clock.now())
-    if (restMs === undefined || !this.idle.has(link)) return
-    const timer = setTimeout(() => this.drop(link), restMs)
-    this.resting.set(link, timer)
-  }
-
   private ended (link: EndpointLink): void {
+    this.loans.get(link)?.ticket?.cancel()
     if (this.idle.remove(link)) this.step({ kind: 'lost', count: 1 })
   }
 
   private drop (link: EndpointLink): void {
-    this.resting.delete(link)
+    this.resting.wake(link)
     if (!this.idle.remove(link)) return
     link.close()
     this.step({ kind: 'lost', count: 1 })
   }
-
-  /** The timer runs only while somebody waits. */
-  private keepTicking (): void {
-    const isNeeded = this.waiting.size > 0 && !this.isClosed
-    if (isNeeded && this.timer === undefined) this.timer = setInterval(() => this.step({ kind: 'tick' }), TICK_MS)
-    if (isNeeded || this.timer === undefined) return
-    clearInterval(this.timer)
-    this.timer = undefined
-  }
-}
-
-/** An endpoint that takes no more connections lives, and has the next one free as soon as some host gives one back. */
-function isFull (fault: DialFault): boolean {
-  return fault === 'tooManyConnections' || fault === 'turnedAway'
-}
-
-/**
- * A host's share may be two connections, so the reserves that a slot of many
- * keeps for the urgent don't fit: a transaction may take any of them, but the
- * lowest class leaves one.
- */
-function limitsOf (connections: number): Limits {
-  const lowest = Math.max(1, connections - 1)
-  return Limits.of(connections).with({ mostPinned: [connections, connections, lowest] })
 }
--- a/src/shell/pool/statements/target.ts
+++ b/src/shell/pool/statements/target.ts
@@ -1,5 +1,6 @@
 /** Picks the endpoint for the next try of an operation. */
 
+import { setTimeout as pause } from 'node:timers/promises'
 import type { EndpointId } from '../../../core/id/endpoint.ts'
 import type { TeamId } from '../../../core/id/team.ts'
 import type { Target } from '../../../core/pool/statements/target.ts'
@@ -19,27 +20,24 @@
   readonly mayDetour: boolean
   /** Endpoints that refused this operation as replicas or were out of reach. */
   readonly tried: ReadonlySet<EndpointId>
+  /** Until its time is up, in milliseconds. */
+  readonly leftMs: number
 }
 
-/**
- * An operation waits for a new primary at most so long, and only just after the
- * old one refused: the successor's report is then under way. Later it's known
- * that nobody leads, and the caller is told at once.
- */
-const NEWS_MS = 100
-
-/** Resolves with undefined when nothing can serve it now. */
-export async function nextTarget (group: PoolGroup, { mustLead, freshness, own, team, mayDetour, tried }: Wanted): Promise<Target | undefined> {
+/** Resolves with undefined when nothing can serve it now, for want of a primary in reach; after a wait only for a replica that will soon hold what the read needs. */
+export async function nextTarget (group: PoolGroup, { mustLead, freshness, own, team, mayDetour, tried, leftMs }: Wanted): Promise<Target | undefined> {
   if (!mustLead && freshness.kind === 'age') {
     const after = group.required(own, freshness.ms)
-    const endpoint = after === undefined ? undefined : group.readers(after, team).find(id => !tried.has(id))
-    if (endpoint !== undefined) return { endpoint, after, mustLead: false }
+    const placed = after === undefined ? undefined : group.reads.place({ position: after, team, tried, leftMs })
+    if (placed !== undefined) {
+      if (placed.waitMs > 0) await pause(placed.waitMs)
+      return { endpoint: placed.endpoint, after, mustLead: false }
+    }
   }
   // Against requests that are held for their whole time before they are refused: what would go to a primary that
   // is out of reach is known not to be served until it's replaced.
   if (group.isLeaderOut()) return mayDetour ? detour(group) : undefined
-  const leader = group.leader ?? await group.awaitLeader(NEWS_MS - group.leaderlessMs())
-  return leader === undefined ? undefined : { endpoint: leader, after: undefined, mustLead: true }
+  return group.leader === undefined ? undefined : { endpoint: group.leader, after: undefined, mustLead: true }
 }
 
 function detour (group: PoolGroup): Target | undefined {
--- a/standin/lines/host.ts
+++ b/standin/lines/host.ts
@@ -16,6 +16,7 @@
 import type { LinkId } from '../../src/core/pool/membership/linkid.ts'
 import type { Log } from '../../src/shell/log/log.ts'
 import { TokenPort } from '../../src/shell/pool/allowance/tokenport.ts'
+import { LoadPort } from '../../src/shell/pool/load/loadport.ts'
 import { Auditor } from '../../src/shell/pool/statements/auditor.ts'
 import { PoolMetrics } from '../../src/shell/pool/metrics.ts'
 import { PoolNode } from '../../src/shell/pool/node.ts'
@@ -27,10 +28,14 @@
 const INCARNATION = '0123456789ab'
 
 interface Bounds {
+  /** Whether the whole system starts for the first time. */
+  readonly isFirstStart?: boolean
   /** Milliseconds after which no host serves a key that was taken away. */
   readonly revokeMs?: number
   /** How exactly allowances are kept; there are none without it. */
   readonly allowances?: AllowanceBounds
+  /** In cores; a host that tells it also tells its load. */
+  readonly capacity?: number
 }
 
 export class LineHost {
@@ -50,14 +55,15 @@
     const auditor = Auditor.start({ host: id as HostId, incarnation: INCARNATION, store: blobs, log, metrics }, stopped.signal)
     const node = PoolNode.start({
       auditor,
-      self: { id: id as HostId, dataCentre: 'z1' as DataCentreId, address: { ip: IP, port: peerPort }, linkPort },
+      self: { id: id as HostId, dataCentre: 'z1' as DataCentreId, address: { ip: IP, port: peerPort }, linkPort, capacity: bounds.capacity },
       seeds,
-      isFirstStart: false,
+      isFirstStart: bounds.isFirstStart ?? false,
       applyMs: 2000,
       drainMs: 8000,
       historyMs: 20_000,
       revokeMs: bounds.revokeMs,
       allowances: bounds.allowances === undefined ? undefined : { bounds: bounds.allowances, port: TokenPort.listen({ ip: IP, port: peerPort }, log, stopped.signal) },
+      loads: bounds.capacity === undefined ? undefined : LoadPort.listen({ ...LoadPort.behind({ ip: IP, port: peerPort }), log, metrics, signal: stopped.signal }),
       log,
       metrics,
       chance: () => 0.5,
