Who missed its aim while others can make theirs waits for half of its time and no longer

Cause: in the first customer's heaviest seconds statements of groups whose replicas are behind stood before the primary for 858 to 1,000 ms and were refused then: those that can still make their aim go first, so the others hardly had a turn. Change: what has missed its aim and still has others before it is refused once it has waited for the half of its time that a request may be let in to wait.

--- a/src/core/admission/admission.test.ts
+++ b/src/core/admission/admission.test.ts
@@ -30,10 +30,11 @@
     return it
   }
 
-  arrive ({ rank = NORMAL, caller = 'a', ms = 60_000, isTransaction = false }: { rank?: number, caller?: string, ms?: number, isTransaction?: boolean } = {}): number {
+  arrive ({ rank = NORMAL, caller = 'a', ms = 60_000, aimMs, isTransaction = false }: { rank?: number, caller?: string, ms?: number, aimMs?: number, isTransaction?: boolean } = {}): number {
     const id = this.nextId++
     const deadline = this.now + ms as Instant
-    this.step({ kind: 'arrived', request: { id, rank, caller: caller as CallerId, deadline, isTransaction } })
+    const aim = aimMs === undefined ? undefined : this.now + aimMs as Instant
+    this.step({ kind: 'arrived', request: { id, rank, caller: caller as CallerId, deadline, aim, isTransaction } })
     return id
   }
 
@@ -329,3 +330,25 @@
     expect(answers).toEqual(arrived)
   }), { seed: 7, numRuns: 300 })
 })
+
+// In an overload everybody waits for as long as the queue is: longer than their aim, so what is carried serves nobody well.
+describe('aims', () => {
+  it('who can still make it goes before who can\'t, whoever came first', () => {
+    const slot = Drive.warm(1)
+    const [running] = slot.many(1, {})
+    const late = slot.arrive({ ms: 1000, aimMs: 10 })
+    slot.now += 20
+    const fresh = slot.arrive({ ms: 1000, aimMs: 10 })
+    expect(slot.drain([running!, fresh], 2)).toEqual([fresh, late])
+  })
+
+  it('who missed it, while others can make theirs, waits for half of its time and no longer', () => {
+    const slot = Drive.warm(1)
+    slot.arrive({})
+    const late = slot.arrive({ ms: 1000, aimMs: 10 })
+    slot.now += 501
+    slot.arrive({ ms: 1000, aimMs: 10 })
+    slot.step({ kind: 'tick' })
+    expect(slot.refused.map(({ id }) => id)).toEqual([late])
+  })
+})
--- a/src/core/admission/admission.ts
+++ b/src/core/admission/admission.ts
@@ -42,6 +42,8 @@
   private readonly opener: Opener
   private readonly running = new Map<number, Running>()
   private readonly waiting = new Map<number, AdmissionRequest>()
+  /** Until when those that wait may stand behind others once they have missed their aim. */
+  private readonly latest = new Map<number, Instant>()
   private idle = 0
   /** Since when requests wait and none has started. */
   private stuckSince = 0 as Instant
@@ -133,6 +135,7 @@
     }
     if (this.waiting.size === 0) this.stuckSince = now
     this.waiting.set(request.id, request)
+    this.latest.set(request.id, now + (request.deadline - now) * MOST_WAIT as Instant)
     this.backlog.line(request).queue.push(request)
   }
 
@@ -178,17 +181,26 @@
     if (this.waiting.size === 0) return this.backlog.tidy()
     const stalledMs = this.stalledMs(now)
     const late = [...this.backlog.all(now)].filter(([request, ahead]) => {
+      if (this.isOvertaken(request, ahead, now)) return true
       const wait = this.backlog.waitMs(request, ahead, stalledMs, now)
       return wait * HOPELESS + this.backlog.line(request).service.at(now) > request.deadline - now
     })
     for (const [request] of late) this.refuse(request, 'busy', now, chance)
   }
 
+  /**
+   * Guard against callers who wait for all of their time and get nothing: while more come than is carried, those that can still make their aim
+   * go first, and one that has missed it hardly has a turn. It waits for as long as one may be let in to wait, and is refused then.
+   */
+  private isOvertaken ({ id, aim }: AdmissionRequest, ahead: number, now: Instant): boolean {
+    return aim !== undefined && now > aim && ahead > 0 && now > this.latest.get(id)!
+  }
+
   private startAll (now: Instant, chance: number): void {
     while (this.idle > 0 && this.waiting.size > 0) {
       const request = this.backlog.shift(now)
       if (request === undefined) return
-      this.waiting.delete(request.id)
+      this.forget(request.id)
       if (this.backlog.line(request).service.at(now) > request.deadline - now) this.answer(request, 'busy', now, chance)
       else this.start(request, now)
     }
@@ -228,10 +240,15 @@
   private drop (id: number): void {
     const request = this.waiting.get(id)
     if (request === undefined) return
-    this.waiting.delete(id)
+    this.forget(id)
     this.backlog.line(request).queue.remove(request)
   }
 
+  private forget (id: number): void {
+    this.waiting.delete(id)
+    this.latest.delete(id)
+  }
+
   /** For how long nothing has started although requests wait: a sign that the measured service time no longer holds. */
   private stalledMs (now: Instant): number {
     return this.waiting.size === 0 ? 0 : now - this.stuckSince
