An operation waits for a token for twice its patience at most

Whoever had waited for its patience was refused while tokens still came, also of a team that keeps within its allowance and asks at some places in vain.

--- a/src/shell/pool/allowance/allowances.ts
+++ b/src/shell/pool/allowance/allowances.ts
@@ -48,6 +48,8 @@
 interface Waiter {
   /** Until when it waits for a token that is known to come, */
   readonly until: Instant
+  /** for one that isn't known not to come, */
+  readonly overdue: Instant
   /** and for issuers that don't answer. */
   readonly last: Instant
   readonly answer: (taken: Result<Instant, number>) => void
@@ -72,6 +74,8 @@
 const LEAST_BACK_MS = 5
 /** A host that asks at a place that holds none of the team's shards asks there again after so long: by then it has the newer configuration, as a rule. Milliseconds. */
 const ELSEWHERE_MS = 500
+/** While some tokens come an operation waits for so many times its patience. */
+const OVERDUE = 2
 /** Operations a second; what a team without any is taken to get, for the time to come back. */
 const LEAST_RATE = 0.01
 
@@ -128,7 +132,7 @@
     }
     return await new Promise(resolve => {
       const now = this.options.age()
-      account.waiting.push({ until: now + patienceMs as Instant, last: now + mostMs as Instant, answer: resolve })
+      account.waiting.push({ until: now + patienceMs as Instant, overdue: now + OVERDUE * patienceMs as Instant, last: now + mostMs as Instant, answer: resolve })
       if (!account.isAsking) this.ask(team, account)
       else if (account.freeAt > now) this.refuseLate(team, account)
     })
@@ -219,11 +223,12 @@
   /**
    * Guard against a team that asks more than its allowance and finds some tokens with each question: so it's never known that there are none, its
    * operations wait for as long as they are many, and those that get a token at last have no time left to use it. It shows as a team that is served
-   * late or not at all, its allowed part with it. Whoever has waited for as long as it may is refused, while issuers answer.
+   * late or not at all, its allowed part with it. Whoever has waited for twice as long as it may is refused, while issuers answer: a team that keeps
+   * within its allowance finds its token in that time, also where it asks at some places in vain.
    */
   private refuseOverdue ({ rate }: Team, account: Account, isAnswered: boolean): void {
     const now = this.options.age()
-    const overdue = account.waiting.filter(({ until, last }) => now > (isAnswered ? until : last))
+    const overdue = account.waiting.filter(({ overdue, last }) => now > (isAnswered ? overdue : last))
     if (overdue.length === 0) return
     account.waiting.splice(0, account.waiting.length, ...account.waiting.filter(one => !overdue.includes(one)))
     const perTokenMs = 1000 / Math.max(rate?.perSecond ?? 0, LEAST_RATE)
