--- a/src/core/pool/placing/carrying.ts
+++ b/src/core/pool/placing/carrying.ts
@@ -2,7 +2,7 @@
 
 import type { PoolHost } from './host.ts'
 
-/** What a statement takes of an owner's processor, in seconds of one core: the upper end of what the product measured on itself, see docs/CAPACITY.md. */
+/** What a statement takes of an owner's processor, in seconds of one core; docs/CAPACITY.md has the costs. */
 const STATEMENT_S = 0.0005
 /** Statements a second of a place that is never idle, at 20 ms each. */
 const STATEMENTS_PER_PLACE = 50
--- a/src/core/pool/reads/soonest.ts
+++ b/src/core/pool/reads/soonest.ts
@@ -28,7 +28,7 @@
 const PRIMARY = 1
 /** an opening takes a place for half a statement, which the read waits for and others lack; */
 const OPENING = 1
-/** and another data centre costs the bytes of the way there, beside its time, which is measured. */
+/** and another data centre costs the bytes of the way there; its time is in the times of answers already. */
 const ANOTHER_CENTRE = 0.25
 /** However much an endpoint fails, so much of what it's asked is taken to be answered: else a group that fails as a whole couldn't be weighed. */
 const LEAST_ANSWERED = 0.1
