--- a/src/shell/pool/metrics.ts
+++ b/src/shell/pool/metrics.ts
@@ -56,6 +56,10 @@
   readonly placesShed = new Counter({ name: 'agatepond_places_shed_total', help: 'Statements that an endpoint refused for want of room', registers: [this.registry] })
   readonly sessions = new Gauge({ name: 'agatepond_sessions', help: 'Open sessions of callers', registers: [this.registry] })
   readonly passedOn = new Counter({ name: 'agatepond_sessions_passed_on_total', help: 'Sessions handed to a host that has connections for them', registers: [this.registry] })
+  readonly passedOnEnds = new Counter({
+    name: 'agatepond_sessions_passed_on_ended_total', help: 'Sessions that were handed to another host and ended there, by how and whether a statement was open', labelNames: ['cause', 'open'] as const, registers: [this.registry]
+  })
+
   readonly configVersion = new Gauge({ name: 'agatepond_config_version', help: 'Version of the configuration in force', registers: [this.registry] })
   readonly linesDropped = new Counter({ name: 'agatepond_log_lines_dropped_total', help: 'Lines of requests that went over the budget', registers: [this.registry] })
   readonly audit = auditMetrics(this.registry)
