An owner counts as unreachable only while another host is reached

What callers saw: beside a storm of configurations statements were answered ABORTED or INDOUBT, and their sessions ended, though the owner was well and its answer on the way.

Cause: the second connection to a silent owner is late like everything else when it is this host's own link that is full, and was taken for the owner's end.

--- a/src/shell/pool/context.ts
+++ b/src/shell/pool/context.ts
@@ -32,6 +32,8 @@
   readonly forwardingTargets: (database: string, key?: KeyDigest) => readonly PoolHost[]
   /** Reports a host that couldn't be reached, or that ended with statements open. */
   readonly reportUnreachableHost: (id: HostId) => void
+  /** Some hosts other than this one and `id`, to compare with `id` when it can't be reached. */
+  readonly otherHosts: (id: HostId) => readonly PoolHost[]
   /** Connects to a host that reaches an endpoint of the database. */
   readonly dialHost: (host: PoolHost, database: string, key: KeyDigest | undefined, timeoutMs: number) => ReturnType<Dialer['dialHost']>
   /** Undefined for a group that isn't configured. */
--- a/src/shell/pool/node.ts
+++ b/src/shell/pool/node.ts
@@ -9,6 +9,7 @@
 import type { TableName } from '../../core/pool/membership/tablename.ts'
 import type { PoolHost } from '../../core/pool/placing/host.ts'
 import { LogRateLimiter } from '../../core/pool/statements/logratelimiter.ts'
+import { sampleHosts } from '../../core/pool/placing/samplehosts.ts'
 import { UnreachableHosts } from '../../core/pool/placing/unreachablehosts.ts'
 import { SharedRetryBudget } from '../../core/retry/sharedretrybudget.ts'
 import { AllowanceService } from './allowance/allowanceservice.ts'
@@ -36,6 +37,8 @@
 const TICK_INTERVAL_MS = 100
 /** Interval at which the hosts that issue tokens are checked. */
 const ISSUER_CHECK_INTERVAL_MS = 500
+/** Few, since each of them gets a connection, and enough for one to be alive while half of all hosts are down. */
+const COMPARED_HOSTS = 3
 
 export class PoolNode {
   /** The store table that all hosts share. */
@@ -72,6 +75,7 @@
       allowances: this.allowanceService?.allowances,
       forwardingTargets: (database, key) => this.forwardingTargets(database, key),
       reportUnreachableHost: id => { this.unreachableHosts = this.unreachableHosts.with(id, clock.now()) },
+      otherHosts: id => sampleHosts(this.hosts, new Set([id, options.self.id]), COMPARED_HOSTS, options.chance()),
       dialHost: async (host, database, key, ms) => await options.platform.dialer.dialHost(host, database, this.config.version, key, ms),
       group: id => this.groups.get(id),
       retryBudget: SharedRetryBudget.create(clock.now()),
