--- a/src/core/pool/statements/ownerverdict.ts
+++ b/src/core/pool/statements/ownerverdict.ts
@@ -1,9 +1,9 @@
 /** What becomes of a session whose owner hasn't answered a statement for some time. */
 
 interface Evidence {
-  /** Whether the owner took a new connection. */
-  readonly isReached: boolean
-  /** Whether another host took one in the meantime; undefined when none was asked. */
+  /** What became of a new connection to the owner. */
+  readonly owner: 'taken' | 'refused' | 'silent'
+  /** Whether another host answered one in the meantime; undefined when none was asked. */
   readonly isOtherReached: boolean | undefined
   /** Whether the answer is out for longer than a statement may take. */
   readonly isOverdue: boolean
@@ -11,9 +11,10 @@
 
 /**
  * A host whose own link or processor is busy reaches nobody in time, and ending its sessions would only lose answers that are under way.
- * So an owner counts as unreachable only while another host is reached.
+ * So an owner that is silent counts as unreachable only while another host is reached; one that refuses has said so itself.
  */
-export function ownerVerdict ({ isReached, isOtherReached, isOverdue }: Evidence): 'unreachable' | 'overdue' | 'wait' {
+export function ownerVerdict ({ owner, isOtherReached, isOverdue }: Evidence): 'unreachable' | 'overdue' | 'wait' {
   if (isOverdue) return 'overdue'
-  return isReached || isOtherReached === false ? 'wait' : 'unreachable'
+  if (owner === 'refused') return 'unreachable'
+  return owner === 'taken' || isOtherReached === false ? 'wait' : 'unreachable'
 }
--- a/src/shell/log/events.ts
+++ b/src/shell/log/events.ts
@@ -51,7 +51,7 @@
   hostListFailed: { id: 5003, level: 'warn', message: 'the host list does not answer' },
   configUnreadable: { id: 5004, level: 'error', message: 'a configuration cannot be parsed' },
 
-  ownerLost: { id: 4008, level: 'warn', message: 'the host that a session was forwarded to is gone: its open statements are answered' },
+  ownerLost: { id: 4008, level: 'warn', message: 'a session ends with the host that it was forwarded to: its open statements are answered' },
   statementDropped: { id: 4011, level: 'warn', message: 'a statement came after its session was ended: it has no answer' },
   tokenPortFailed: { id: 4010, level: 'error', message: 'token messages cannot be sent or received' },
   sourceLost: { id: 4009, level: 'info', message: 'lost a source of replicated tables' },
