A promotion waits for every replica that may hold an acknowledged commit

Callers lost writes that were acknowledged to them, where commits wait for one replica: the primary crashed while one replica received nothing and the other, which had the commits, was slow. The replica without them was promoted.

(1) The survey passes over an endpoint that doesn't answer in time: refuted if event 3007 has an answer of both replicas before 3001. (2) Replicas go on receiving after they were asked: refuted if the promoted log equals the position of its own 3007. (3) The longest log is chosen wrongly: refuted if the chosen one is the longest of those in 3007.

The longest log among those that happened to answer in 300 ms was promoted. With one replica to wait for, an acknowledged commit may be in the log of one replica alone, so the longest log is complete only if all answered.

CommitHolders names the endpoints that may hold such a commit: those listed, and those that disappeared, unless the chosen log has a position that the primary had after that. While one of them is unheard, nothing is ordered (event 3011), replicas resume, and statements for the primary are refused at once. The survey is repeated, and after three times the lease is left to another host. A leaving primary's replicas are stopped only once all can be heard.

--- a/src/core/pool/failover/groupfailover.mix.test.ts
+++ b/src/core/pool/failover/groupfailover.mix.test.ts
@@ -108,6 +108,7 @@
       isFailing: host.unreachableSince !== undefined && this.now - host.unreachableSince >= FAILURE_DETECTION_MS,
       leaving,
       catchUpMs: 2000,
+      commitHolders: undefined,
       rank: host.rank,
       mayClaim: host.lease?.mayClaim(host.id, this.now as Instant) ?? true,
       isLeaseHolder: host.lease?.isHeldBy(host.id, this.now as Instant) === true
--- a/src/core/pool/failover/groupfailover.test.ts
+++ b/src/core/pool/failover/groupfailover.test.ts
@@ -1,17 +1,19 @@
 /** Guards against replacing a healthy primary, and against a group that stays without one. */
 
 import { describe, expect, it } from 'vitest'
+import type { Endpoint } from '../../directory/endpoint.ts'
 import type { EndpointId } from '../../id/endpoint.ts'
 import type { Instant } from '../../id/instant.ts'
 import type { EndpointStatus } from '../../statement/endpointstatus.ts'
 import { Token } from '../../token.ts'
+import { CommitHolders } from './commitholders.ts'
 import { GroupFailover } from './groupfailover.ts'
 import type { GroupFailoverAction } from './groupfailoveraction.ts'
 import type { GroupFailoverEvent } from './groupfailoverevent.ts'
 import type { GroupFailoverView } from './groupfailoverview.ts'
 
 const HEALTHY: GroupFailoverView = {
-  leader: 'a' as EndpointId, leaderlessMs: 0, isLeaving: false, catchUpMs: 1000, isListed: true, isFailing: false, leaving: new Set(), rank: 0, mayClaim: true, isLeaseHolder: true
+  leader: 'a' as EndpointId, leaderlessMs: 0, isLeaving: false, catchUpMs: 1000, isListed: true, isFailing: false, leaving: new Set(), commitHolders: undefined, rank: 0, mayClaim: true, isLeaseHolder: true
 }
 
 /** Runs one failover on a virtual clock and returns its actions as short texts. */
@@ -38,6 +40,13 @@
     return actions.map(textOf)
   }
 
+  /** Gets the lease, and hears of no objection. */
+  claimAndConfirm (fence: number): void {
+    this.step({ kind: 'claimed', fence, tookMs: 10 })
+    this.pass(600)
+    this.step({ kind: 'confirmed', fence })
+  }
+
   /** Ends a survey with answers such as `b 1:5` (id, term, position) or `b 1:5 primary`. */
   surveyed (...texts: string[]): string[] {
     const statuses = new Map<EndpointId, EndpointStatus>(texts.map(text => {
@@ -54,11 +63,23 @@
     case 'claim': return `claim ${action.cause}${action.asksFor === undefined ? '' : ' asking'}`
     case 'promote': return `promote ${action.endpoint} under ${action.fence}${action.handoverFrom === undefined ? '' : ` for ${action.handoverFrom}`}`
     case 'found': return `found ${action.endpoint}`
+    case 'withhold': return `withhold for ${action.unheard.join(' ')}`
     case 'survey': return action.isHandover ? 'survey handover' : 'survey'
     default: return action.kind
   }
 }
 
+/** A group whose commits wait for one of the replicas `b` and `c`. */
+const COMMIT_HOLDERS = CommitHolders.none.directoryChanged(['a', 'b', 'c'].map(id => ({ id, address: { ip: id, port: 1 } }) as unknown as Endpoint), 0 as Instant)
+
+/** A failover of such a group that surveys the replicas, since no host reaches the primary. */
+function surveying (): Harness {
+  const failover = harness({ isFailing: true, commitHolders: COMMIT_HOLDERS })
+  failover.pass(200)
+  failover.claimAndConfirm(7)
+  return failover
+}
+
 function harness (change: Partial<GroupFailoverView> = {}): Harness {
   return new Harness().see(change)
 }
@@ -197,3 +218,34 @@
     expect(failover.surveyed('b 1:5')).toEqual(['promote b under 4'])
   })
 })
+
+// Guards against the loss of an acknowledged commit: the only replica that has it doesn't answer the survey, and another is promoted.
+describe('a failover where commits wait for a replica', () => {
+  it('promotes the longest log once every replica has answered', () => expect(surveying().surveyed('b 1:5', 'c 1:9')).toEqual(['promote c under 7']))
+
+  it('promotes nothing while a replica is silent, and surveys again', () => {
+    const failover = surveying()
+    expect(failover.surveyed('b 1:5')).toEqual(['withhold for c'])
+    expect(failover.pass(400)).toEqual(['claim unreached asking'])
+    failover.claimAndConfirm(8)
+    expect(failover.surveyed('b 1:5', 'c 1:9')).toEqual(['promote c under 8'])
+  })
+
+  it('lets its lease expire after three surveys, so that a host that reaches the silent replica can act', () => {
+    const failover = surveying()
+    for (const fence of [8, 9]) {
+      failover.surveyed('b 1:5')
+      failover.pass(400)
+      failover.claimAndConfirm(fence)
+    }
+    failover.surveyed('b 1:5')
+    expect(failover.pass(3500)).toEqual([])
+    expect(failover.pass(1000)).toEqual(['claim unreached asking'])
+  })
+
+  it('stops waiting when the old primary answers again', () => {
+    const failover = surveying()
+    failover.surveyed('b 1:5')
+    expect(failover.see({ isFailing: false }).pass(5000)).toEqual([])
+  })
+})
--- a/src/core/pool/failover/groupfailover.ts
+++ b/src/core/pool/failover/groupfailover.ts
@@ -37,6 +37,8 @@
   readonly old: EndpointId | undefined
   /** When the failover began. */
   readonly since: Instant
+  /** Surveys of this failover in which an endpoint was missing that may hold acknowledged commits. */
+  readonly incompleteSurveys: number
 }
 
 interface Step {
@@ -61,6 +63,9 @@
 const UNANSWERED_ORDER_MS = 500
 /** Interval between surveys while a leaving primary's replicas catch up; each one claims the lease again. */
 const CATCH_UP_INTERVAL_MS = 300
+/** Surveys of one failover that may be incomplete, and the pause between them. Then another host tries, which may reach more endpoints. */
+const MAX_INCOMPLETE_SURVEYS = 3
+const SURVEY_RETRY_MS = 300
 /** Wait after the platform rejected a promotion without carrying it out; it limits promotions per second. */
 const ORDER_RETRY_MS = 300
 
@@ -69,7 +74,7 @@
   private constructor (private readonly fields: Fields) {}
 
   static create (now: Instant): GroupFailover {
-    return new GroupFailover({ phase: { kind: 'idle', until: now }, old: undefined, since: now })
+    return new GroupFailover({ phase: { kind: 'idle', until: now }, old: undefined, since: now, incompleteSurveys: 0 })
   }
 
   get isIdle (): boolean {
@@ -103,7 +108,7 @@
   }
 
   private waitForTurn (view: GroupFailoverView, now: Instant): Step {
-    return this.to({ kind: 'waiting', until: later(now, view.rank * RANK_DELAY_MS) }, [], { old: view.leader, since: now }).thenTick(view, now)
+    return this.to({ kind: 'waiting', until: later(now, view.rank * RANK_DELAY_MS) }, [], { old: view.leader, since: now, incompleteSurveys: 0 }).thenTick(view, now)
   }
 
   /** Checks again whether a new primary is needed, since the cause may have gone while this host waited. */
@@ -165,6 +170,8 @@
    *
    * A primary that leaves still serves, so a successor that lacks part of its log gets time to catch up; a promotion keeps only what
    * the successor has received.
+   *
+   * Where commits wait for a replica, nothing is promoted while an endpoint is silent that may hold an acknowledged commit.
    */
   private surveyed (statuses: ReadonlyMap<EndpointId, EndpointStatus>, view: GroupFailoverView, now: Instant): Step {
     const { phase, old, since } = this.fields
@@ -174,6 +181,8 @@
     if (phase.kind === 'searching') return this.searchAgain(phase.left, now)
     const endpoint = longestLog(statuses, old, view)
     if (endpoint === undefined || !view.isLeaseHolder) return this.rest(now, [{ kind: 'giveUp' }])
+    const unheard = view.commitHolders?.unheard(statuses, statuses.get(endpoint)!.received, old) ?? []
+    if (unheard.length > 0) return this.withhold(unheard, now)
     const oldStatus = old === undefined ? undefined : statuses.get(old)
     const isBehind = oldStatus?.received.isAfter(statuses.get(endpoint)!.received) === true
     if (isBehind && now - since < view.catchUpMs) return this.to({ kind: 'waiting', until: later(now, CATCH_UP_INTERVAL_MS) }, [])
@@ -181,6 +190,14 @@
     return this.to({ kind: 'ordering', fence: phase.fence, endpoint }, [{ kind: 'promote', endpoint, fence: phase.fence, handoverFrom }])
   }
 
+  /** Surveys again soon. After some incomplete surveys this host lets its lease expire, so that a host that reaches more endpoints can claim it. */
+  private withhold (unheard: readonly EndpointId[], now: Instant): Step {
+    const incompleteSurveys = this.fields.incompleteSurveys + 1
+    const isLast = incompleteSurveys >= MAX_INCOMPLETE_SURVEYS
+    const phase: Phase = isLast ? { kind: 'idle', until: later(now, timings.leaseMs + COOLDOWN_MS) } : { kind: 'waiting', until: later(now, SURVEY_RETRY_MS) }
+    return this.to(phase, [{ kind: 'withhold', unheard }], { incompleteSurveys })
+  }
+
   /**
    * A refused order ends the failover: the platform has seen a higher fence, so another host acts, or the chosen endpoint is down.
    *
--- a/src/core/pool/failover/groupfailoverview.ts
+++ b/src/core/pool/failover/groupfailoverview.ts
@@ -1,6 +1,7 @@
 /** The state of the group and its surroundings that a failover decides by at each step. */
 
 import type { EndpointId } from '../../id/endpoint.ts'
+import type { CommitHolders } from './commitholders.ts'
 
 export interface GroupFailoverView {
   /** The endpoint that is believed to be the primary; undefined when none is known. */
@@ -17,6 +18,8 @@
   readonly isFailing: boolean
   /** Endpoints of the group that are leaving. */
   readonly leaving: ReadonlySet<EndpointId>
+  /** Where acknowledged commits may be; undefined where commits don't wait for a replica. */
+  readonly commitHolders: CommitHolders | undefined
   /** This host's place in the failover order; 0 acts first. */
   readonly rank: number
   /** Whether this host may claim the lease. */
--- a/src/shell/pool/failover/failovercontroller.ts
+++ b/src/shell/pool/failover/failovercontroller.ts
@@ -114,7 +114,7 @@
   }
 
   private get view (): GroupFailoverView {
-    const { group, host, failoverOrder, drainMs } = this.options
+    const { group, host, failoverOrder, drainMs, isSynchronous } = this.options
     const { leader, endpoints } = group
     const now = clock.age()
     const listed = leader === undefined ? undefined : group.endpoint(leader)
@@ -126,6 +126,7 @@
       isListed: listed !== undefined,
       isFailing: leader !== undefined && group.reachability(leader).isFailing(clock.now()),
       leaving: new Set(endpoints.filter(({ isLeaving }) => isLeaving).map(({ id }) => id)),
+      commitHolders: isSynchronous() ? group.commitHolders : undefined,
       rank: Math.max(0, failoverOrder().indexOf(host)),
       mayClaim: this.lease === undefined || this.lease.mayClaim(host, now),
       isLeaseHolder: this.lease?.isHeldBy(host, now) === true
@@ -146,6 +147,7 @@
       case 'look': return this.survey({ old: action.old, isHandover: false }, false)
       case 'promote': return this.promote(action)
       case 'found': return this.options.group.recordLeaderClaim(action.endpoint, action.term)
+      case 'withhold': return this.withhold(action.unheard)
       case 'giveUp': return this.resumeAll()
     }
   }
@@ -213,6 +215,14 @@
     return outcome
   }
 
+  /** Statements that need a primary are refused from now on, since none is expected soon. */
+  private withhold (unheard: readonly EndpointId[]): void {
+    const { group, log } = this.options
+    log.write('promotionWithheld', { group: group.id, unheard: unheard.join(' ') })
+    group.outage.cancelExpectation()
+    this.resumeAll()
+  }
+
   private resumeAll (): void {
     const { group, isSynchronous } = this.options
     if (!isSynchronous()) return
--- a/src/shell/pool/failover/surveyall.ts
+++ b/src/shell/pool/failover/surveyall.ts
@@ -15,7 +15,7 @@
   readonly old: EndpointId | undefined
   /** Whether the old primary hands over, and is asked as well. */
   readonly isHandover: boolean
-  /** Whether the replicas are to stop receiving. */
+  /** Whether the replicas are to stop receiving, and every one of them must be heard. */
   readonly isStopped: boolean
 }
 
@@ -25,14 +25,21 @@
  * before the replicas, so that a replica with its position has everything up to then.
  */
 export async function surveyAll ({ group, probes, log, old, isHandover, isStopped }: Options): Promise<ReadonlyMap<EndpointId, EndpointStatus>> {
-  const command: Command = isStopped ? { kind: 'pause', term: group.term + 1 as Term } : { kind: 'status' }
   const statuses = new Map<EndpointId, EndpointStatus>()
-  const ask = async (endpoint: EndpointId) => {
-    const status = await probes.ask(endpoint, command)
+  const replicas = group.endpoints.filter(({ id }) => id !== old)
+  const ask = async (endpoint: EndpointId, command: Command) => {
+    const status = isStopped ? await probes.askRequired(endpoint, command) : await probes.ask(endpoint, command)
     if (status !== undefined) statuses.set(endpoint, status)
     log.write('surveyed', { group: group.id, endpoint, answered: status !== undefined, received: String(status?.received ?? '-'), isPrimary: status?.isPrimary ?? false })
   }
-  if (isHandover && !isStopped && old !== undefined) await ask(old)
-  await Promise.all(group.endpoints.filter(({ id }) => id !== old).map(async ({ id }) => await ask(id)))
+  const askReplicas = async (command: Command) => { await Promise.all(replicas.map(async ({ id }) => await ask(id, command))) }
+  if (!isStopped) {
+    if (isHandover && old !== undefined) await ask(old, { kind: 'status' })
+    await askReplicas({ kind: 'status' })
+    return statuses
+  }
+  // A primary that leaves still serves, so its replicas aren't stopped before all of them can be heard.
+  if (isHandover) await askReplicas({ kind: 'status' })
+  if (!isHandover || statuses.size === replicas.length) await askReplicas({ kind: 'pause', term: group.term + 1 as Term })
   return statuses
 }
--- a/src/shell/pool/group.ts
+++ b/src/shell/pool/group.ts
@@ -11,6 +11,7 @@
 import { GroupUsage } from '../../core/pool/load/groupusage.ts'
 import type { LoadSnapshot } from '../../core/pool/load/loadsnapshot.ts'
 import { Reachability } from '../../core/pool/failover/reachability.ts'
+import { CommitHolders } from '../../core/pool/failover/commitholders.ts'
 import type { Handover } from '../../core/pool/failover/handover.ts'
 import { Leadership } from '../../core/pool/failover/leadership.ts'
 import type { PoolHost } from '../../core/pool/placing/host.ts'
@@ -69,6 +70,7 @@
   /** The last that was announced; it may be about an endpoint that is no longer the primary. */
   private handover: Handover | undefined
   private reachingHosts = ReachingHosts.none
+  private holders = CommitHolders.none
   private readonly service = ServiceTime.create()
   /** Recent statements by team. */
   readonly usage = GroupUsage.create(clock.now())
@@ -113,6 +115,11 @@
     return isListed ? endpoints : [...endpoints, { id: leader }]
   }
 
+  /** The endpoints that may hold acknowledged commits. */
+  get commitHolders (): CommitHolders {
+    return this.holders
+  }
+
   get isOwned (): boolean {
     return this.share.isOwner
   }
@@ -187,6 +194,7 @@
   updateDirectory (directory: Directory): void {
     const before = this.directory
     this.directory = directory
+    this.holders = this.holders.directoryChanged(this.endpoints, clock.age())
     this.setLeadership(this.leadership.directoryChanged(before, directory), 'directory')
     for (const { id, startedAtMs } of this.endpoints) {
       const old = before.get(id)
@@ -252,7 +260,10 @@
     this.recordReached(id, clock.now())
     if (position === undefined) return
     this.logStates.set(id, this.logState(id).answered(position, clock.now()))
-    if (isLead) this.progress = this.progress.with(position, sentAt)
+    if (isLead) {
+      this.progress = this.progress.with(position, sentAt)
+      this.holders = this.holders.primaryAnswered(position, sentAt)
+    }
     this.readRouter.answered(id, position)
     if (!isLead) return
     this.setLeadership(this.leadership.proved(id, position.term), 'proof')
--- a/standin/lines/endpoint.ts
+++ b/standin/lines/endpoint.ts
@@ -6,6 +6,8 @@
 import { createServer, type Server, type Socket } from 'node:net'
 
 interface Faults {
+  /** Refuses so many questions for its status, and commands that stop or resume replication, as busy. */
+  busyStatuses?: number
   /** Answers every read, write and commit with this word. */
   refuseWith?: string
   /** Runs the next statement whose text begins so, and breaks the connection in place of the answer. */
@@ -57,6 +59,8 @@
   position = 0
   opened = 0
   turnedAway = 0
+  /** The term under which it has stopped receiving; 0 while it receives. */
+  pausedBy = 0
   private readonly sockets = new Set<Socket>()
 
   private constructor (private readonly options: Options, private readonly server: Server) {
@@ -152,7 +156,7 @@
         connection.values.clear()
         connection.prepared.clear()
         return 'COMPLETE -'
-      case 'STATUS': return `DATAROW ${this.isPrimary ? 'primary' : 'replica'} ${this.term} ${this.term}.${this.position} 0 0 0 1\r\nCOMPLETE -`
+      case 'STATUS': case 'PAUSE': case 'RESUME': return this.status(verb, Number(args[0]))
       case 'BEGIN': return this.begin(connection, args[0])
       case 'ROLLBACK':
         connection.state = 'I'
@@ -164,6 +168,17 @@
     }
   }
 
+  private status (verb: string, term: number): string {
+    const { faults } = this
+    if (faults.busyStatuses !== undefined && faults.busyStatuses > 0) {
+      faults.busyStatuses--
+      return `ERROR BUSY ${this.id}`
+    }
+    if (verb === 'PAUSE' && term > this.term && !this.isPrimary) this.pausedBy = term
+    if (verb === 'RESUME') this.pausedBy = 0
+    return `DATAROW ${this.isPrimary ? 'primary' : 'replica'} ${this.term} ${this.term}.${this.position} ${this.pausedBy} 0 0 1\r\nCOMPLETE -`
+  }
+
   /** Whether the log lacks the position that goes before the statement, and the statement alone. */
   private cutAfter (text: string): readonly [boolean, string] {
     const match = /^AFTER (\d+)\.(\d+) (.*)$/.exec(text)
--- a/standin/lines/stage.ts
+++ b/standin/lines/stage.ts
@@ -22,6 +22,8 @@
   /** The limit of a statement, in milliseconds. */
   readonly statementMs?: number
   readonly idleTransactionMs?: number
+  /** Replicas that a commit waits for; none without it. */
+  readonly syncReplicas?: number
   /** Hosts that serve, one when none is given. */
   readonly hosts?: number
   /** Starts before the store answers. */
@@ -63,7 +65,7 @@
   }
 
   /** The operator's document in a version. */
-  static config (version: number, { connections = 16, statementMs = 5000, idleTransactionMs = 60_000, teams, open = [] }: Options = {}): string {
+  static config (version: number, { connections = 16, statementMs = 5000, idleTransactionMs = 60_000, syncReplicas = 0, teams, open = [] }: Options = {}): string {
     const route = { prefix: '/', timeoutMs: statementMs, targetLatencyMs: 100, priority: 1, service: SERVICE, attempts: 2 }
     return JSON.stringify({
       version,
@@ -71,7 +73,7 @@
         { ...route, name: 'r1', host: 'strict', routeType: 'primary', public: open.includes('strict') },
         { ...route, name: 'r2', host: 'aged', routeType: 'read_your_writes', maxStalenessMs: 60_000, public: open.includes('aged') }
       ],
-      services: [{ name: SERVICE, healthPath: '/health', maxConns: connections, protocol: 'h1', tls: false, syncReplicas: 0 }],
+      services: [{ name: SERVICE, healthPath: '/health', maxConns: connections, protocol: 'h1', tls: false, syncReplicas }],
       ...(teams === undefined ? {} : { tenants: teams.map(({ name, keys, rate, burst }) => ({ name, apiKeys: keys, ratePerS: rate, burst })) }),
       limits: { txIdleMs: idleTransactionMs }
     })
