A leaving primary gets no request after its drain time

Callers whose statements went to a primary that leaves were cut by its end and left in doubt, when orders to promote a successor came to nothing for longer than its drain time.

(1) Hosts go on sending to the leaving primary until a successor leads, however long that takes: refuted if a host that knows of the leave refuses a statement before. (2) Statements wait at the host and are sent late: refuted if late ones reach the primary steadily and not in a burst. (3) Hosts don't hear that it leaves: refuted by 3006 with cause `leaving`.

Cause. nextTarget chose the primary whether it was leaving or not, and nothing knew since when it was.

Departures keeps since when an endpoint leaves, counted from when the directory was last known without it, so a late notice doesn't extend the time; a host that was out of touch takes half of the time to have passed. After nine tenths of the drain time no request is sent to the endpoint: statements that need it are refused at once (event 2009), what waits for a connection to it is refused, and a statement that waited for a place is checked again before it is sent. Transactions that were begun before go on.

--- a/src/shell/log/events.ts
+++ b/src/shell/log/events.ts
@@ -23,6 +23,7 @@
   endpointReachable: { id: 2004, level: 'info', message: 'an endpoint answers again' },
   endpointListed: { id: 2005, level: 'info', message: 'the directory entry of an endpoint changed' },
   endpointGone: { id: 2006, level: 'info', message: 'the directory no longer lists an endpoint' },
+  endpointDrained: { id: 2009, level: 'warn', message: 'a leaving endpoint gets no more requests: its drain time is over' },
   endpointUnreadable: { id: 2008, level: 'error', message: 'the directory entry of an endpoint cannot be parsed' },
   shareDealt: { id: 2007, level: 'info', message: 'the share of connections to each endpoint of a group changed' },
 
--- a/src/shell/pool/connections/attempt.ts
+++ b/src/shell/pool/connections/attempt.ts
@@ -13,6 +13,8 @@
 
 /** A borrowed connection with its group and its source. */
 export class Attempt {
+  private hasSentStatement = false
+
   private constructor (readonly group: PoolGroup, readonly source: ConnectionSource, readonly link: EndpointLink, private readonly gate: Gate | undefined) {}
 
   /** `gate`: checks callers' statements; undefined if another host checks them, and for this process's own statements. */
@@ -33,11 +35,12 @@
     const began = clock.now()
     const ticket = isInternal ? undefined : this.source.requestPlace(this.link, timeoutMs)
     if (ticket !== undefined && !await this.waitForPlace(ticket, timeoutMs)) return 'busy'
-    const refused = isInternal ? undefined : this.gate?.check()
+    const refused = isInternal ? undefined : this.gate?.check() ?? this.drainCheck()
     if (refused !== undefined) {
       ticket?.returnPlace('notSent')
       return refused
     }
+    this.hasSentStatement ||= !isInternal
     const remainingMs = ticket === undefined ? timeoutMs : timeoutMs - (clock.now() - began)
     const answer = await this.send(commands, index, remainingMs, isLead)
     ticket?.returnPlace(typeof answer === 'string' ? answer : 'done')
@@ -58,6 +61,11 @@
     return false
   }
 
+  /** A statement that waited may come after the drain time of its endpoint; only transactions that were begun before may go on. */
+  private drainCheck (): 'busy' | undefined {
+    return !this.hasSentStatement && this.group.isDrained(this.endpoint) ? 'busy' : undefined
+  }
+
   private async send (commands: readonly Command[], index: number, timeoutMs: number, isLead: boolean): Promise<Answer | Ending> {
     this.group.recordRequest(this.endpoint)
     const ended = commands.some(isCallerCommand) ? this.group.readRouter.sent(this.endpoint) : undefined
--- a/src/shell/pool/failover/failovercontroller.ts
+++ b/src/shell/pool/failover/failovercontroller.ts
@@ -72,6 +72,7 @@
   /** Must be called about every 100 ms. */
   tick (): void {
     const { group } = this.options
+    group.checkDrained()
     for (const { id } of group.knownEndpoints) {
       if (!this.probing.has(id) && group.reachability(id).isSuspect(clock.now())) this.probeSuspect(id)
     }
--- a/src/shell/pool/group.ts
+++ b/src/shell/pool/group.ts
@@ -6,6 +6,7 @@
 import type { EndpointId } from '../../core/id/endpoint.ts'
 import type { GroupId } from '../../core/id/group.ts'
 import type { Instant } from '../../core/id/instant.ts'
+import { Departures } from '../../core/directory/departures.ts'
 import { Directory as Endpoints } from '../../core/directory/directory.ts'
 import type { EndpointLoad } from '../../core/pool/load/endpointload.ts'
 import { GroupUsage } from '../../core/pool/load/groupusage.ts'
@@ -43,6 +44,8 @@
 interface Options {
   readonly id: GroupId
   readonly dataCentre: DataCentreId
+  /** Milliseconds for which an endpoint keeps serving after it announced that it leaves. */
+  readonly drainMs: number
   readonly dialer: Dialer
   readonly log: Log
   readonly metrics: PoolMetrics
@@ -64,6 +67,9 @@
   /** Endpoints that were logged as unreachable. */
   private readonly unreached = new Set<EndpointId>()
   private directory: Directory = Endpoints.empty
+  private departures: Departures
+  /** Endpoints that were logged as drained. */
+  private readonly drained = new Set<EndpointId>()
   private leadership: Leadership
   private progress = LogProgress.empty
   private share: EndpointShare = { connections: 1, isOwner: false, hasSpareConnections: false, otherOwners: [] }
@@ -82,6 +88,7 @@
   readonly watchers = Watchers.create()
 
   private constructor (private readonly options: Options) {
+    this.departures = Departures.create(options.drainMs)
     this.leadership = Leadership.create(options.id, clock.now())
     this.outage = Outage.create(options.id, options.log)
     this.readRouter = ReadRouter.create(options, () => this.readView())
@@ -156,6 +163,21 @@
     return this.leader !== undefined && this.reachability(this.leader).isFailing(clock.now())
   }
 
+  /** Whether no request may be sent to the endpoint any more, since its drain time is over. */
+  isDrained (id: EndpointId): boolean {
+    return this.departures.isOver(id, clock.age())
+  }
+
+  /** Refuses what waits for endpoints whose drain time has just ended. Must be called regularly. */
+  checkDrained (): void {
+    for (const { id } of this.endpoints) {
+      if (this.drained.has(id) || !this.isDrained(id)) continue
+      this.drained.add(id)
+      this.options.log.write('endpointDrained', { endpoint: id, group: this.id, isLeader: id === this.leader })
+      this.connectionPools.get(id)?.refuseWaiting()
+    }
+  }
+
   /** Milliseconds without a known primary. */
   leaderlessMs (): number {
     return this.leadership.leaderlessMs(clock.now())
@@ -190,11 +212,13 @@
     this.service.add(ms, clock.now())
   }
 
-  /** Takes in a change of the directory; drops the state of endpoints that are gone or were replaced. */
-  updateDirectory (directory: Directory): void {
+  /** Takes in a change of the directory; drops the state of endpoints that are gone or were replaced. `staleMs`: milliseconds for which the store may have had the change. */
+  updateDirectory (directory: Directory, staleMs: number): void {
     const before = this.directory
     this.directory = directory
     this.holders = this.holders.directoryChanged(this.endpoints, clock.age())
+    this.departures = this.departures.directoryChanged(this.endpoints, this.leader, staleMs, clock.age())
+    for (const id of this.drained) this.forgetUndrained(id)
     this.setLeadership(this.leadership.directoryChanged(before, directory), 'directory')
     for (const { id, startedAtMs } of this.endpoints) {
       const old = before.get(id)
@@ -334,7 +358,7 @@
       isShared: this.share.hasSpareConnections,
       logState: id => this.logState(id),
       connectionPool: id => this.connectionPools.get(id),
-      isReachable: id => !this.reachability(id).isUnreachable(now)
+      isReachable: id => !this.reachability(id).isUnreachable(now) && !this.isDrained(id)
     }
   }
 
@@ -352,6 +376,13 @@
     else this.outage.recordReplaced()
   }
 
+  /** An endpoint that stays after all is a primary again for the statements that were refused. */
+  private forgetUndrained (id: EndpointId): void {
+    if (this.isDrained(id)) return
+    this.drained.delete(id)
+    if (id === this.leader) this.outage.end()
+  }
+
   private removeEndpoint (id: EndpointId): void {
     this.connectionPools.get(id)?.close()
     this.connectionPools.delete(id)
--- a/src/shell/pool/groups.ts
+++ b/src/shell/pool/groups.ts
@@ -63,10 +63,10 @@
     return this.ownerships.get(id)
   }
 
-  /** Takes in a change of the directory. */
-  updateDirectory (): void {
+  /** Takes in a change of the directory. `staleMs`: milliseconds for which the store may have had it. */
+  updateDirectory (staleMs: number): void {
     const directory = this.options.directory()
-    for (const group of this.groups.values()) group.updateDirectory(directory)
+    for (const group of this.groups.values()) group.updateDirectory(directory, staleMs)
     if (this.updatePlaces()) this.assignOwners()
   }
 
@@ -82,9 +82,9 @@
     }
     for (const id of configuredIds) {
       if (this.groups.has(id)) continue
-      const { self, platform, log, metrics, chance, startedAt, directory } = this.options
-      const group = PoolGroup.create({ id, dataCentre: self.dataCentre, dialer: platform.dialer, log, metrics, chance, startedAt })
-      group.updateDirectory(directory())
+      const { self, drainMs, platform, log, metrics, chance, startedAt, directory } = this.options
+      const group = PoolGroup.create({ id, dataCentre: self.dataCentre, drainMs, dialer: platform.dialer, log, metrics, chance, startedAt })
+      group.updateDirectory(directory(), Infinity)
       this.groups.set(id, group)
       this.failovers.set(id, this.createFailover(group))
     }
--- a/src/shell/pool/membership/endpointlisting.ts
+++ b/src/shell/pool/membership/endpointlisting.ts
@@ -11,8 +11,8 @@
 interface Options {
   readonly log: Log
   readonly parse: (id: string, text: string) => Endpoint | undefined
-  /** Called when the directory may have changed. */
-  readonly onChange: () => void
+  /** Called when the directory may have changed. `staleMs`: milliseconds for which the store may have had the change. */
+  readonly onChange: (staleMs: number) => void
 }
 
 export class EndpointListing {
@@ -35,11 +35,11 @@
     return this.wasRead
   }
 
-  /** Takes in changed rows, including erased ones. */
-  applyRows (rows: readonly Row[]): void {
+  /** Takes in changed rows, including erased ones. `staleMs`: milliseconds for which the store may have had them. */
+  applyRows (rows: readonly Row[], staleMs: number): void {
     for (const row of rows) this.applyRow(row)
     this.wasRead = true
-    this.options.onChange()
+    this.options.onChange(staleMs)
   }
 
   /** Removes endpoints whose rows were erased and didn't come back in time. Must be called regularly. */
@@ -47,7 +47,7 @@
     const due = this.missingEndpoints.expired(clock.now())
     if (due.length === 0) return
     for (const id of due) this.remove(id)
-    this.options.onChange()
+    this.options.onChange(0)
   }
 
   private applyRow ({ key, value, version }: Row): void {
--- a/src/shell/pool/membership/tablereplicator.ts
+++ b/src/shell/pool/membership/tablereplicator.ts
@@ -36,8 +36,8 @@
   readonly log: Log
   readonly metrics: PoolMetrics
   readonly chance: () => number
-  /** Called with changed rows, including erased ones; `isFirst`: the table wasn't known before. */
-  readonly onRows: (table: TableName, rows: readonly Row[], isFirst: boolean) => void
+  /** Called with changed rows, including erased ones. `staleMs`: milliseconds for which the store may have had them; infinite if unknown. */
+  readonly onRows: (table: TableName, rows: readonly Row[], staleMs: number) => void
   /** Called when the list of live hosts changed. */
   readonly onHostsChange: () => void
   /** Called once, when enough is known to serve. */
@@ -135,9 +135,10 @@
     if (this.isStepping) return
     this.isStepping = true
     for (let next = this.events.shift(); next !== undefined; next = this.events.shift()) {
-      const stepped = this.control.step(next, this.options.chance(), clock.now(), clock.age())
+      const before = this.control
+      const stepped = before.step(next, this.options.chance(), clock.now(), clock.age())
       this.control = stepped.next
-      for (const action of stepped.actions) this.act(action)
+      for (const action of stepped.actions) this.act(action, before)
     }
     this.isStepping = false
     if (this.wasReady || !this.control.isReady(clock.now())) return
@@ -145,11 +146,12 @@
     this.options.onReady()
   }
 
-  private act (action: SyncAction): void {
+  /** `before`: the state in which the rows of a change weren't known. */
+  private act (action: SyncAction, before: TableSync): void {
     const { log, onRows, onHostsChange } = this.options
     switch (action.kind) {
       case 'news': {
-        onRows(action.table, action.rows, action.isFirst)
+        onRows(action.table, action.rows, before.ageMs(action.table, clock.age()))
         return this.waiting.wake()
       }
       case 'hosts': return onHostsChange()
--- a/src/shell/pool/node.ts
+++ b/src/shell/pool/node.ts
@@ -85,7 +85,7 @@
       auditor: options.auditor
     }
     this.configuration = Configuration.create({ log, metrics, ...options.platform.config })
-    this.listing = EndpointListing.create({ log, parse: options.platform.endpoints.parse, onChange: () => this.groups.updateDirectory() })
+    this.listing = EndpointListing.create({ log, parse: options.platform.endpoints.parse, onChange: staleMs => this.groups.updateDirectory(staleMs) })
     this.groups = PoolGroups.create({
       ...options, table: SHARED_TABLE, startedAt: this.startedAt, config: () => this.config, directory: () => this.listing.directory, hosts: () => this.hosts, signal
     })
@@ -101,7 +101,7 @@
       log,
       metrics,
       chance: options.chance,
-      onRows: (table, rows) => this.heard(table, rows),
+      onRows: (table, rows, staleMs) => this.heard(table, rows, staleMs),
       onHostsChange: () => this.hostsChanged(),
       onReady: () => this.wakeIfReady()
     }, signal)
@@ -199,10 +199,10 @@
     })
   }
 
-  private heard (table: TableName, rows: readonly Row[]): void {
+  private heard (table: TableName, rows: readonly Row[], staleMs: number): void {
     switch (table) {
       case 'config': this.applyConfig(rows); break
-      case 'endpoints': this.listing.applyRows(rows); break
+      case 'endpoints': this.listing.applyRows(rows, staleMs); break
       case 'shared': this.shared(rows); break
       case 'roll': break
     }
--- a/src/shell/pool/statements/target.ts
+++ b/src/shell/pool/statements/target.ts
@@ -24,7 +24,7 @@
   readonly remainingMs: number
 }
 
-/** Resolves with undefined if the primary is needed and unreachable. Waits only for a replica that will soon have the position that the read requires. */
+/** Resolves with undefined if the primary is needed and unreachable, or has left without a successor. Waits only for a replica that will soon have the position that the read requires. */
 export async function nextTarget (group: PoolGroup, { mustLead, freshness, newestCommit, team, mayForward, tried, remainingMs }: TargetOptions): Promise<Target | undefined> {
   if (!mustLead && freshness.kind === 'age') {
     const after = group.requiredPosition(newestCommit, freshness.ms)
@@ -34,6 +34,8 @@
       return { endpoint: placement.endpoint, after, mustLead: false }
     }
   }
+  // A request must not reach a leaving primary after its drain time, not even by way of another host.
+  if (group.leader !== undefined && group.isDrained(group.leader)) return undefined
   // An unreachable primary isn't tried, since the request would time out there.
   if (group.isLeaderUnreachable()) return mayForward ? forwardedTarget(group) : undefined
   return group.leader === undefined ? undefined : { endpoint: group.leader, after: undefined, mustLead: true }
--- a/standin/lines/host.ts
+++ b/standin/lines/host.ts
@@ -30,6 +30,8 @@
 interface Bounds {
   /** Whether the whole system starts for the first time. */
   readonly isFirstStart?: boolean
+  /** Milliseconds for which an endpoint serves after it announced that it leaves. */
+  readonly drainMs?: number
   /** Milliseconds after which no host serves a key that was taken away. */
   readonly revokeMs?: number
   /** How exactly allowances are kept; there are none without it. */
@@ -59,7 +61,7 @@
       seeds,
       isFirstStart: bounds.isFirstStart ?? false,
       applyMs: 2000,
-      drainMs: 8000,
+      drainMs: bounds.drainMs ?? 8000,
       historyMs: 20_000,
       revokeMs: bounds.revokeMs,
       allowances: bounds.allowances === undefined ? undefined : { bounds: bounds.allowances, port: TokenPort.listen({ ip: IP, port: peerPort }, log, stopped.signal) },
