Replicas are stopped under a term above the newest one that they know

Where commits wait for a replica, a survey stops the replicas, so that no further commit is acknowledged by one of them once the longest log is chosen. A host that had just started had no proof of a term, paused under term 1, and stopped nobody: a replica could acknowledge a commit that the chosen one lacks.

The pause had the term that this host had proof of, plus one; a replica ignores a pause that isn't above the newest term.

Each replica answers with its term. If one is as new as the pause, all are paused again above the newest, unless one of them leads already. A replica counts as heard only by the answer to its last pause.

--- a/src/shell/pool/failover/surveyall.ts
+++ b/src/shell/pool/failover/surveyall.ts
@@ -24,22 +24,35 @@
  * log might lack a commit that another replica acknowledged after it was asked. Otherwise an old primary that hands over is asked
  * before the replicas, so that a replica with its position has everything up to then.
  */
-export async function surveyAll ({ group, probes, log, old, isHandover, isStopped }: Options): Promise<ReadonlyMap<EndpointId, EndpointStatus>> {
+export async function surveyAll (options: Options): Promise<ReadonlyMap<EndpointId, EndpointStatus>> {
+  const { group, old, isHandover, isStopped } = options
+  const replicas = group.endpoints.map(({ id }) => id).filter(id => id !== old)
+  if (isStopped) return await stopAll(options, replicas)
+  const primary = isHandover && old !== undefined ? await askAll(options, [old], { kind: 'status' }) : []
+  return new Map([...primary, ...await askAll(options, replicas, { kind: 'status' })])
+}
+
+/** A primary that leaves still serves, so its replicas aren't stopped before all of them can be heard. */
+async function stopAll (options: Options, replicas: readonly EndpointId[]): Promise<ReadonlyMap<EndpointId, EndpointStatus>> {
+  const { group, isHandover } = options
+  const heard = isHandover ? await askAll(options, replicas, { kind: 'status' }) : undefined
+  if (heard !== undefined && heard.size < replicas.length) return heard
+  const term = group.term + 1 as Term
+  const stopped = await askAll(options, replicas, { kind: 'pause', term })
+  // A pause stops a replica only if its term is above the newest one, which this host may not have seen.
+  const statuses = [...stopped.values()]
+  const newest = Math.max(...statuses.map(status => status.term))
+  if (newest < term || statuses.some(({ isPrimary }) => isPrimary)) return stopped
+  return await askAll(options, replicas, { kind: 'pause', term: newest + 1 as Term })
+}
+
+/** Sends the command to the endpoints at once; resolves with the status of those that answered. */
+async function askAll ({ group, probes, log, isStopped }: Options, endpoints: readonly EndpointId[], command: Command): Promise<ReadonlyMap<EndpointId, EndpointStatus>> {
   const statuses = new Map<EndpointId, EndpointStatus>()
-  const replicas = group.endpoints.filter(({ id }) => id !== old)
-  const ask = async (endpoint: EndpointId, command: Command) => {
+  await Promise.all(endpoints.map(async endpoint => {
     const status = isStopped ? await probes.askRequired(endpoint, command) : await probes.ask(endpoint, command)
     if (status !== undefined) statuses.set(endpoint, status)
     log.write('surveyed', { group: group.id, endpoint, answered: status !== undefined, received: String(status?.received ?? '-'), isPrimary: status?.isPrimary ?? false })
-  }
-  const askReplicas = async (command: Command) => { await Promise.all(replicas.map(async ({ id }) => await ask(id, command))) }
-  if (!isStopped) {
-    if (isHandover && old !== undefined) await ask(old, { kind: 'status' })
-    await askReplicas({ kind: 'status' })
-    return statuses
-  }
-  // A primary that leaves still serves, so its replicas aren't stopped before all of them can be heard.
-  if (isHandover) await askReplicas({ kind: 'status' })
-  if (!isHandover || statuses.size === replicas.length) await askReplicas({ kind: 'pause', term: group.term + 1 as Term })
+  }))
   return statuses
 }
