Replicas receive again however a failover ends

Where commits wait for a replica, callers' writes hung until their time was over, for as long as nobody promoted or restarted a replica: a failover had stopped the replicas and ended without a promotion.

A survey stops the replicas, and only a refused order, an expired lease and a survey without a successor had them go on. After an objection during the survey, or an order without an answer whose cause had gone, nothing did.

Every end of a failover whose lease this host got resumes them, and only while no other host has the lease, which may have stopped them for a survey of its own. The test of a primary that the directory doesn't list expects one action more, since that failover stopped the replicas too.

--- a/src/core/pool/failover/groupfailover.test.ts
+++ b/src/core/pool/failover/groupfailover.test.ts
@@ -176,7 +176,7 @@
     const failover = harness({ leader: undefined, leaderlessMs: 2000 })
     expect(failover.pass(100)).toEqual(['claim nobody'])
     expect(failover.step({ kind: 'claimed', fence: 3, tookMs: 10 })).toEqual(['survey'])
-    expect(failover.surveyed('b 2:5 primary', 'c 1:9')).toEqual(['found b'])
+    expect(failover.surveyed('b 2:5 primary', 'c 1:9')).toEqual(['found b', 'giveUp'])
   })
 
   it('finds the successor while it is cut off from the store', () => {
@@ -246,6 +246,24 @@
   it('stops waiting when the old primary answers again', () => {
     const failover = surveying()
     failover.surveyed('b 1:5')
-    expect(failover.see({ isFailing: false }).pass(5000)).toEqual([])
+    expect(failover.see({ isFailing: false }).pass(5000)).toEqual(['giveUp'])
   })
 })
+
+// Guards against replicas that stay stopped after a failover without a promotion, so that no commit is acknowledged any more.
+describe('replicas receive again', () => {
+  it.each<[string, (failover: Harness) => string[]]>([
+    ['after an objection while they are surveyed', failover => failover.step({ kind: 'objected', fence: 7 })],
+    ['once the primary answers after an order without an answer', failover => {
+      failover.surveyed('b 1:5', 'c 1:9')
+      failover.step({ kind: 'ordered', outcome: 'unknown' })
+      return failover.see({ isFailing: false }).pass(1000)
+    }],
+    ['once the primary answers after an order that came to nothing', failover => {
+      failover.surveyed('b 1:5', 'c 1:9')
+      failover.step({ kind: 'ordered', outcome: 'done' })
+      return failover.see({ isFailing: false }).pass(3000)
+    }],
+    ['when another endpoint leads that no order named', failover => failover.see({ leader: 'b' as EndpointId, isFailing: false }).pass(100)]
+  ])('%s', (_, end) => expect(end(surveying())).toEqual(['giveUp']))
+})
--- a/src/core/pool/failover/groupfailover.ts
+++ b/src/core/pool/failover/groupfailover.ts
@@ -39,6 +39,8 @@
   readonly since: Instant
   /** Surveys of this failover in which an endpoint was missing that may hold acknowledged commits. */
   readonly incompleteSurveys: number
+  /** Whether this host got the lease; this failover, or that of the holder before, may have stopped the replicas. */
+  readonly hasClaimed: boolean
 }
 
 interface Step {
@@ -74,7 +76,7 @@
   private constructor (private readonly fields: Fields) {}
 
   static create (now: Instant): GroupFailover {
-    return new GroupFailover({ phase: { kind: 'idle', until: now }, old: undefined, since: now, incompleteSurveys: 0 })
+    return new GroupFailover({ phase: { kind: 'idle', until: now }, old: undefined, since: now, incompleteSurveys: 0, hasClaimed: false })
   }
 
   get isIdle (): boolean {
@@ -127,9 +129,10 @@
   private claimed ({ fence, tookMs }: Extract<GroupFailoverEvent, { kind: 'claimed' }>, view: GroupFailoverView, now: Instant): Step {
     if (this.fields.phase.kind !== 'claiming') return this.idle
     const cause = causeOf(view)
-    if (cause === undefined) return this.rest(now)
-    if (cause === 'leaving' || cause === 'nobody') return this.survey(fence, cause === 'leaving')
-    return this.to({ kind: 'awaitingObjections', until: later(now, timings.objectionWaitMs + OBJECTION_CLAIM_FACTOR * tookMs), fence }, [])
+    const holder = new GroupFailover({ ...this.fields, hasClaimed: true })
+    if (cause === undefined) return holder.rest(now)
+    if (cause === 'leaving' || cause === 'nobody') return holder.survey(fence, cause === 'leaving')
+    return holder.to({ kind: 'awaitingObjections', until: later(now, timings.objectionWaitMs + OBJECTION_CLAIM_FACTOR * tookMs), fence }, [])
   }
 
   private searchPrimary (left: number): Step {
@@ -180,7 +183,7 @@
     if (leading !== undefined) return this.rest(now, [{ kind: 'found', endpoint: leading[0], term: leading[1].term }])
     if (phase.kind === 'searching') return this.searchAgain(phase.left, now)
     const endpoint = longestLog(statuses, old, view)
-    if (endpoint === undefined || !view.isLeaseHolder) return this.rest(now, [{ kind: 'giveUp' }])
+    if (endpoint === undefined || !view.isLeaseHolder) return this.rest(now)
     const unheard = view.commitHolders?.unheard(statuses, statuses.get(endpoint)!.received, old) ?? []
     if (unheard.length > 0) return this.withhold(unheard, now)
     const oldStatus = old === undefined ? undefined : statuses.get(old)
@@ -207,14 +210,16 @@
   private ordered (outcome: 'done' | 'refused' | 'notDone' | 'unknown', now: Instant): Step {
     const { phase } = this.fields
     if (phase.kind !== 'ordering') return this.idle
-    if (outcome === 'refused') return this.rest(now, [{ kind: 'giveUp' }])
+    if (outcome === 'refused') return this.rest(now)
     if (outcome === 'notDone') return this.to({ kind: 'waiting', until: later(now, ORDER_RETRY_MS) }, [])
     if (outcome === 'unknown') return this.to({ kind: 'waiting', until: later(now, UNANSWERED_ORDER_MS) }, [])
     return this.to({ kind: 'settling', until: later(now, PROMOTION_TIMEOUT_MS), endpoint: phase.endpoint }, [])
   }
 
+  /** Ends the failover. However it ends, the replicas must receive again: no commit would be acknowledged any more. */
   private rest (now: Instant, actions: readonly GroupFailoverAction[] = []): Step {
-    return this.to({ kind: 'idle', until: later(now, COOLDOWN_MS) }, actions)
+    const giveUp: readonly GroupFailoverAction[] = this.fields.hasClaimed ? [{ kind: 'giveUp' }] : []
+    return this.to({ kind: 'idle', until: later(now, COOLDOWN_MS) }, [...actions, ...giveUp], { hasClaimed: false })
   }
 
   private get idle (): Step {
--- a/src/core/pool/failover/groupfailoveraction.ts
+++ b/src/core/pool/failover/groupfailoveraction.ts
@@ -17,5 +17,5 @@
   | { readonly kind: 'found', readonly endpoint: EndpointId, readonly term: number }
   /** No promotion follows for now, since endpoints that may hold acknowledged commits haven't answered; resume the replication that the survey stopped. */
   | { readonly kind: 'withhold', readonly unheard: readonly EndpointId[] }
-  /** No promotion follows; resume the replication that the survey stopped. */
+  /** The failover ends; resume the replication that a survey may have stopped. */
   | { readonly kind: 'giveUp' }
--- a/src/shell/pool/failover/failovercontroller.ts
+++ b/src/shell/pool/failover/failovercontroller.ts
@@ -224,9 +224,10 @@
     this.resumeAll()
   }
 
+  /** Has the replicas receive again, unless another host has the lease by now: it may have stopped them for its own survey. */
   private resumeAll (): void {
-    const { group, isSynchronous } = this.options
-    if (!isSynchronous()) return
+    const { group, host, isSynchronous } = this.options
+    if (!isSynchronous() || this.lease?.holder !== host) return
     for (const { id } of group.endpoints) this.probes.ask(id, { kind: 'resume' })
   }
 
--- a/standin/lines/store.ts
+++ b/standin/lines/store.ts
@@ -28,7 +28,7 @@
 
 export class RowServer {
   readonly orders: Order[] = []
-  readonly faults: { isDown?: boolean, isForgetful?: boolean, hasNoHistory?: boolean, loseNextWrite?: boolean, isSilent?: boolean, silentTables?: RegExp } = {}
+  readonly faults: { isDown?: boolean, isForgetful?: boolean, hasNoHistory?: boolean, loseNextWrite?: boolean, isSilent?: boolean, silentTables?: RegExp, isPromotionUnanswered?: boolean } = {}
   /** Carries a promotion out; the answer's status. */
   onPromote: (order: Order) => number = () => 200
   readonly objects = ObjectServer.create()
@@ -139,6 +139,7 @@
     const order = { service, id, holder: String(req.headers['x-lease-holder']), fence: Number(req.headers['x-fencing-token']) }
     const highest = Math.max(0, ...this.orders.filter(one => one.service === service).map(({ fence }) => fence))
     this.orders.push(order)
+    if (this.faults.isPromotionUnanswered === true) return
     answer(res, order.fence < highest ? 409 : this.onPromote(order), {})
   }
 }
