A primary that the directory has dropped gets no request after its drain time

Requests went on to a primary whose entry was gone, for as long as it answered: to be dropped counts like leaving, so after the drain time they come too late.

Departures counts a primary without an entry as leaving since the entry was last known, the grace for lapsed entries included. To refuse statements and nothing else would leave the group without a primary, since nobody replaces one that answers. So after six tenths of the drain time it is replaced as one that leaves: it is asked for its log, and its commits wait for the successor. Until then it may be listed again.

--- a/src/core/directory/departures.test.ts
+++ b/src/core/directory/departures.test.ts
@@ -28,6 +28,7 @@
     ['counts from when the announcement may have been made', 200, ['200 a- b'], 900, true],
     ['counts as half over when that isn\'t known', Infinity, ['0 a- b'], 399, false],
     ['counts as half over for a host that was out of touch for long', 5000, ['0 a- b'], 400, true],
+    ['ends for a primary whose entry is gone without notice', 200, ['0 a b', '200 b'], 900, true],
     ['goes on for a primary whose entry is gone', 0, ['0 a- b', '500 b'], 900, true],
     ['has no end for one that stays after all', 0, ['0 a- b', '500 a b'], 1500, false],
     ['starts anew when it announces again', 0, ['0 a- b', '500 a b', '800 a- b'], 1500, false]
@@ -35,3 +36,11 @@
     expect(departures(staleMs, ...changes).isOver('a' as EndpointId, at(ms))).toBe(isOver)
   })
 })
+
+// Guards against a group without a primary: nothing may be sent to one that is gone from the directory, and nobody replaces it since it answers.
+describe('a primary that is gone from the directory', () => {
+  it.each<[string, number, boolean]>([
+    ['may be listed again', 599, false],
+    ['is replaced in time before its drain time is over', 600, true]
+  ])('%s', (_, ms, isDue) => expect(departures(0, '0 a b', '0 b').isReplacementDue('a' as EndpointId, at(ms))).toBe(isDue))
+})
--- a/src/core/directory/missingendpoints.ts
+++ b/src/core/directory/missingendpoints.ts
@@ -16,6 +16,8 @@
   private constructor (private readonly since: ReadonlyMap<EndpointId, Instant>) {}
 
   static readonly empty = new MissingEndpoints(new Map())
+  /** How long an endpoint is kept, in milliseconds. */
+  static readonly graceMs = GRACE_MS
 
   /** Marks the endpoint as missing since the instant, unless it was missing already. */
   with (id: EndpointId, now: Instant): MissingEndpoints {
--- a/src/core/pool/failover/groupfailover.mix.test.ts
+++ b/src/core/pool/failover/groupfailover.mix.test.ts
@@ -105,6 +105,7 @@
       leaderlessMs: host.leader === undefined ? 2000 : 0,
       isLeaving: host.leader !== undefined && host.isStoreReachable && leaving.has(host.leader),
       isListed: true,
+      isReplacementDue: false,
       isFailing: host.unreachableSince !== undefined && this.now - host.unreachableSince >= FAILURE_DETECTION_MS,
       leaving,
       catchUpMs: 2000,
--- a/src/core/pool/failover/groupfailover.test.ts
+++ b/src/core/pool/failover/groupfailover.test.ts
@@ -13,7 +13,7 @@
 import type { GroupFailoverView } from './groupfailoverview.ts'
 
 const HEALTHY: GroupFailoverView = {
-  leader: 'a' as EndpointId, leaderlessMs: 0, isLeaving: false, catchUpMs: 1000, isListed: true, isFailing: false, leaving: new Set(), commitHolders: undefined, rank: 0, mayClaim: true, isLeaseHolder: true
+  leader: 'a' as EndpointId, leaderlessMs: 0, isLeaving: false, catchUpMs: 1000, isListed: true, isReplacementDue: false, isFailing: false, leaving: new Set(), commitHolders: undefined, rank: 0, mayClaim: true, isLeaseHolder: true
 }
 
 /** Runs one failover on a virtual clock and returns its actions as short texts. */
@@ -140,6 +140,14 @@
     expect(failover.see({ leaving: new Set(['a', 'c'] as EndpointId[]) }).surveyed('b 1:5', 'c 1:9')).toEqual(['promote b under 3'])
   })
 
+  it('replaces a primary that answers but is gone from the directory, as one that leaves', () => {
+    const failover = harness({ isListed: false })
+    expect(failover.pass(1000)).toEqual([])
+    expect(failover.see({ isReplacementDue: true }).pass(100)).toEqual(['claim leaving'])
+    expect(failover.step({ kind: 'claimed', fence: 3, tookMs: 10 })).toEqual(['survey handover'])
+    expect(failover.surveyed('a 1:9 primary', 'b 1:9')).toEqual(['promote b under 3 for a'])
+  })
+
   it('reports a handover only while the old primary leads', () => {
     const failover = harness({ isLeaving: true })
     failover.pass(100)
--- a/src/core/pool/failover/groupfailover.ts
+++ b/src/core/pool/failover/groupfailover.ts
@@ -233,10 +233,10 @@
 }
 
 /** Why the group needs a new primary; undefined when it doesn't. */
-function causeOf ({ leader, isLeaving, isListed, isFailing, leaderlessMs }: GroupFailoverView): 'leaving' | 'gone' | 'unreached' | 'nobody' | undefined {
+function causeOf ({ leader, isLeaving, isListed, isReplacementDue, isFailing, leaderlessMs }: GroupFailoverView): 'leaving' | 'gone' | 'unreached' | 'nobody' | undefined {
   if (leader === undefined) return leaderlessMs >= LEADERLESS_TIMEOUT_MS ? 'nobody' : undefined
   if (isLeaving) return 'leaving'
-  if (!isFailing) return undefined
+  if (!isFailing) return isReplacementDue ? 'leaving' : undefined
   return isListed ? 'unreached' : 'gone'
 }
 
--- a/src/core/pool/failover/groupfailoverview.ts
+++ b/src/core/pool/failover/groupfailoverview.ts
@@ -14,6 +14,8 @@
   readonly catchUpMs: number
   /** Whether the directory lists the primary. */
   readonly isListed: boolean
+  /** Whether the primary is gone from the directory for so long that it has to be replaced, even if it still answers. */
+  readonly isReplacementDue: boolean
   /** Whether this host keeps failing to reach the primary. */
   readonly isFailing: boolean
   /** Endpoints of the group that are leaving. */
--- a/src/shell/pool/failover/failovercontroller.ts
+++ b/src/shell/pool/failover/failovercontroller.ts
@@ -125,6 +125,7 @@
       isLeaving: listed?.isLeaving === true,
       catchUpMs: drainMs * CATCH_UP_SHARE,
       isListed: listed !== undefined,
+      isReplacementDue: group.isReplacementDue,
       isFailing: leader !== undefined && group.reachability(leader).isFailing(clock.now()),
       leaving: new Set(endpoints.filter(({ isLeaving }) => isLeaving).map(({ id }) => id)),
       commitHolders: isSynchronous() ? group.commitHolders : undefined,
--- a/src/shell/pool/failover/probes.ts
+++ b/src/shell/pool/failover/probes.ts
@@ -77,7 +77,7 @@
 
   private async askOnce (id: EndpointId, command: Command, timeoutMs: number): Promise<EndpointStatus | 'full' | undefined> {
     const { group, dialer } = this
-    const endpoint = group.endpoint(id)
+    const endpoint = group.endpoint(id) ?? group.connectionPool(id)?.endpoint
     if (endpoint === undefined) return undefined
     const dialled = await dialer.dial(endpoint, undefined, timeoutMs)
     if (dialled.isErr()) return isEndpointFull(dialled.error) ? 'full' : undefined
--- a/src/shell/pool/group.ts
+++ b/src/shell/pool/group.ts
@@ -163,6 +163,12 @@
     return this.leader !== undefined && this.reachability(this.leader).isFailing(clock.now())
   }
 
+  /** Whether the primary is gone from the directory for so long that it has to be replaced, even if it still answers. */
+  get isReplacementDue (): boolean {
+    const { leader } = this
+    return leader !== undefined && this.directory.get(leader) === undefined && this.departures.isReplacementDue(leader, clock.age())
+  }
+
   /** Whether no request may be sent to the endpoint any more, since its drain time is over. */
   isDrained (id: EndpointId): boolean {
     return this.departures.isOver(id, clock.age())
@@ -170,7 +176,7 @@
 
   /** Refuses what waits for endpoints whose drain time has just ended. Must be called regularly. */
   checkDrained (): void {
-    for (const { id } of this.endpoints) {
+    for (const { id } of this.knownEndpoints) {
       if (this.drained.has(id) || !this.isDrained(id)) continue
       this.drained.add(id)
       this.options.log.write('endpointDrained', { endpoint: id, group: this.id, isLeader: id === this.leader })
@@ -217,9 +223,9 @@
     const before = this.directory
     this.directory = directory
     this.holders = this.holders.directoryChanged(this.endpoints, clock.age())
+    this.setLeadership(this.leadership.directoryChanged(before, directory), 'directory')
     this.departures = this.departures.directoryChanged(this.endpoints, this.leader, staleMs, clock.age())
     for (const id of this.drained) this.forgetUndrained(id)
-    this.setLeadership(this.leadership.directoryChanged(before, directory), 'directory')
     for (const { id, startedAtMs } of this.endpoints) {
       const old = before.get(id)
       if (old !== undefined && old.startedAtMs !== startedAtMs) this.removeEndpoint(id)
--- a/src/shell/pool/membership/endpointlisting.ts
+++ b/src/shell/pool/membership/endpointlisting.ts
@@ -47,7 +47,7 @@
     const due = this.missingEndpoints.expired(clock.now())
     if (due.length === 0) return
     for (const id of due) this.remove(id)
-    this.options.onChange(0)
+    this.options.onChange(MissingEndpoints.graceMs)
   }
 
   private applyRow ({ key, value, version }: Row): void {
