A promotion without an answer is carried through where commits wait for a replica

An acknowledged commit could be lost after an order to promote had no answer and the old primary came back: the failover ended, the replicas received again, the primary acknowledged commits that one replica had, and the order, carried out seconds later, promoted the other.

The same as of the promotion without all replicas: what was known when the successor was chosen doesn't hold any more when it leads. An order without an answer may be executed seconds later, after newer calls.

To order the old primary under a higher fence would void the late order, but that order may be late itself, and then undo a later promotion.

Where commits wait for a replica, the host that gave the order orders the same endpoint again, under a higher fence, until an order is answered; the replicas stay stopped, so that endpoint has every acknowledged commit. Where commits wait for none, nothing changes. Left open: a host that ends after such an order, whose successor in the lease doesn't know of it.

What a leaving endpoint is asked for costs no clock.

--- a/src/core/pool/failover/groupfailover.ts
+++ b/src/core/pool/failover/groupfailover.ts
@@ -41,6 +41,8 @@
   readonly incompleteSurveys: number
   /** Whether this host got the lease; this failover, or that of the holder before, may have stopped the replicas. */
   readonly hasClaimed: boolean
+  /** The endpoint that the last order named, if the order had no answer and may still be carried out. */
+  readonly unansweredOrder: EndpointId | undefined
 }
 
 interface Step {
@@ -76,7 +78,7 @@
   private constructor (private readonly fields: Fields) {}
 
   static create (now: Instant): GroupFailover {
-    return new GroupFailover({ phase: { kind: 'idle', until: now }, old: undefined, since: now, incompleteSurveys: 0, hasClaimed: false })
+    return new GroupFailover({ phase: { kind: 'idle', until: now }, old: undefined, since: now, incompleteSurveys: 0, hasClaimed: false, unansweredOrder: undefined })
   }
 
   get isIdle (): boolean {
@@ -115,7 +117,7 @@
 
   /** Checks again whether a new primary is needed, since the cause may have gone while this host waited. */
   private claim (view: GroupFailoverView, now: Instant): Step {
-    const cause = causeOf(view)
+    const cause = this.causeFor(view)
     if (cause === undefined) return this.rest(now)
     if (!view.mayClaim) return this.idle
     const asksFor = cause === 'leaving' || cause === 'nobody' ? undefined : view.leader
@@ -128,13 +130,28 @@
    */
   private claimed ({ fence, tookMs }: Extract<GroupFailoverEvent, { kind: 'claimed' }>, view: GroupFailoverView, now: Instant): Step {
     if (this.fields.phase.kind !== 'claiming') return this.idle
-    const cause = causeOf(view)
+    const cause = this.causeFor(view)
     const holder = new GroupFailover({ ...this.fields, hasClaimed: true })
     if (cause === undefined) return holder.rest(now)
+    const successor = this.unansweredOrder(view)
+    if (successor !== undefined) return holder.order(fence, successor, undefined)
     if (cause === 'leaving' || cause === 'nobody') return holder.survey(fence, cause === 'leaving')
     return holder.to({ kind: 'awaitingObjections', until: later(now, timings.objectionWaitMs + OBJECTION_CLAIM_FACTOR * tookMs), fence }, [])
   }
 
+  /**
+   * Where commits wait for a replica, a promotion whose order had no answer is carried through, even if its cause is gone: the order may
+   * still be carried out, and would lose the commits that another replica acknowledges meanwhile. The replicas stay stopped, so the
+   * endpoint that the order named is still the right one.
+   */
+  private unansweredOrder ({ commitHolders }: GroupFailoverView): EndpointId | undefined {
+    return commitHolders === undefined ? undefined : this.fields.unansweredOrder
+  }
+
+  private causeFor (view: GroupFailoverView): ReturnType<typeof causeOf> {
+    return this.unansweredOrder(view) === undefined ? causeOf(view) : 'leaving'
+  }
+
   private searchPrimary (left: number): Step {
     return this.to({ kind: 'searching', left: left - 1 }, [{ kind: 'look', old: this.fields.old }])
   }
@@ -190,7 +207,7 @@
     const isBehind = oldStatus?.received.isAfter(statuses.get(endpoint)!.received) === true
     if (isBehind && now - since < view.catchUpMs) return this.to({ kind: 'waiting', until: later(now, CATCH_UP_INTERVAL_MS) }, [])
     const handoverFrom = oldStatus?.isPrimary === true ? old : undefined
-    return this.to({ kind: 'ordering', fence: phase.fence, endpoint }, [{ kind: 'promote', endpoint, fence: phase.fence, handoverFrom }])
+    return this.order(phase.fence, endpoint, handoverFrom)
   }
 
   /** Surveys again soon. After some incomplete surveys this host lets its lease expire, so that a host that reaches more endpoints can claim it. */
@@ -198,7 +215,11 @@
     const incompleteSurveys = this.fields.incompleteSurveys + 1
     const isLast = incompleteSurveys >= MAX_INCOMPLETE_SURVEYS
     const phase: Phase = isLast ? { kind: 'idle', until: later(now, timings.leaseMs + COOLDOWN_MS) } : { kind: 'waiting', until: later(now, SURVEY_RETRY_MS) }
-    return this.to(phase, [{ kind: 'withhold', unheard }], { incompleteSurveys })
+    return this.to(phase, [{ kind: 'withhold', unheard }, { kind: 'giveUp' }], { incompleteSurveys })
+  }
+
+  private order (fence: number, endpoint: EndpointId, handoverFrom: EndpointId | undefined): Step {
+    return this.to({ kind: 'ordering', fence, endpoint }, [{ kind: 'promote', endpoint, fence, handoverFrom }])
   }
 
   /**
@@ -212,14 +233,14 @@
     if (phase.kind !== 'ordering') return this.idle
     if (outcome === 'refused') return this.rest(now)
     if (outcome === 'notDone') return this.to({ kind: 'waiting', until: later(now, ORDER_RETRY_MS) }, [])
-    if (outcome === 'unknown') return this.to({ kind: 'waiting', until: later(now, UNANSWERED_ORDER_MS) }, [])
-    return this.to({ kind: 'settling', until: later(now, PROMOTION_TIMEOUT_MS), endpoint: phase.endpoint }, [])
+    if (outcome === 'unknown') return this.to({ kind: 'waiting', until: later(now, UNANSWERED_ORDER_MS) }, [], { unansweredOrder: phase.endpoint })
+    return this.to({ kind: 'settling', until: later(now, PROMOTION_TIMEOUT_MS), endpoint: phase.endpoint }, [], { unansweredOrder: undefined })
   }
 
   /** Ends the failover. However it ends, the replicas must receive again: no commit would be acknowledged any more. */
   private rest (now: Instant, actions: readonly GroupFailoverAction[] = []): Step {
     const giveUp: readonly GroupFailoverAction[] = this.fields.hasClaimed ? [{ kind: 'giveUp' }] : []
-    return this.to({ kind: 'idle', until: later(now, COOLDOWN_MS) }, [...actions, ...giveUp], { hasClaimed: false })
+    return this.to({ kind: 'idle', until: later(now, COOLDOWN_MS) }, [...actions, ...giveUp], { hasClaimed: false, unansweredOrder: undefined })
   }
 
   private get idle (): Step {
--- a/src/core/pool/failover/groupfailoveraction.ts
+++ b/src/core/pool/failover/groupfailoveraction.ts
@@ -15,7 +15,7 @@
   | { readonly kind: 'promote', readonly endpoint: EndpointId, readonly fence: number, readonly handoverFrom: EndpointId | undefined }
   /** A survey or search found an endpoint that leads in the term. */
   | { readonly kind: 'found', readonly endpoint: EndpointId, readonly term: number }
-  /** No promotion follows for now, since endpoints that may hold acknowledged commits haven't answered; resume the replication that the survey stopped. */
+  /** No promotion follows for now, since endpoints that may hold acknowledged commits haven't answered. */
   | { readonly kind: 'withhold', readonly unheard: readonly EndpointId[] }
   /** The failover ends; resume the replication that a survey may have stopped. */
   | { readonly kind: 'giveUp' }
--- a/src/shell/pool/failover/failovercontroller.ts
+++ b/src/shell/pool/failover/failovercontroller.ts
@@ -222,7 +222,6 @@
     const { group, log } = this.options
     log.write('promotionWithheld', { group: group.id, unheard: unheard.join(' ') })
     group.outage.cancelExpectation()
-    this.resumeAll()
   }
 
   /** Has the replicas receive again, unless another host has the lease by now: it may have stopped them for its own survey. */
--- a/src/shell/pool/group.ts
+++ b/src/shell/pool/group.ts
@@ -171,7 +171,7 @@
 
   /** Whether no request may be sent to the endpoint any more, since its drain time is over. */
   isDrained (id: EndpointId): boolean {
-    return this.departures.isOver(id, clock.age())
+    return this.departures.has(id) && this.departures.isOver(id, clock.age())
   }
 
   /** Refuses what waits for endpoints whose drain time has just ended. Must be called regularly. */
