A replica that went for good holds up no later promotion

In a group without statements, where commits wait for a replica, the loss of a replica for good kept every later promotion waiting: the primary answered nothing from which this host could know what that replica may have had.

While a missing endpoint isn't covered by an answer of the primary, the host asks the primary on a connection of its own, as it does to prove that it leads; one answer is enough. Nothing is asked where commits wait for none.

--- a/src/core/pool/failover/commitholders.ts
+++ b/src/core/pool/failover/commitholders.ts
@@ -28,6 +28,11 @@
 
   static readonly none = new CommitHolders(new Map(), new Map())
 
+  /** Whether an answer of the primary is needed to know what a missing endpoint may have received. */
+  get needsAnswer (): boolean {
+    return [...this.missing.values()].some(({ coveredBy }) => coveredBy === undefined)
+  }
+
   /** The directory lists these endpoints from now on. A new endpoint at the address of a missing one has taken over its log. */
   directoryChanged (endpoints: readonly Endpoint[], now: Instant): CommitHolders {
     const listed: Addresses = new Map(endpoints.map(({ id, address: { ip, port } }) => [id, `${ip}:${port}`]))
--- a/src/shell/pool/failover/failovercontroller.ts
+++ b/src/shell/pool/failover/failovercontroller.ts
@@ -74,7 +74,7 @@
     const { group } = this.options
     group.checkDrained()
     for (const { id } of group.knownEndpoints) {
-      if (!this.probing.has(id) && group.reachability(id).isSuspect(clock.now())) this.probeSuspect(id)
+      if (!this.probing.has(id) && (group.reachability(id).isSuspect(clock.now()) || this.needsAnswerOf(id))) this.probe(id)
     }
     if (!this.groupFailover.isIdle || !this.isHealthy) this.step({ kind: 'tick' })
   }
@@ -231,7 +231,13 @@
     for (const { id } of group.endpoints) this.probes.ask(id, { kind: 'resume' })
   }
 
-  private probeSuspect (id: EndpointId): void {
+  /** In a group without statements the primary has to be asked, so that a replica that went for good holds up no later promotion. */
+  private needsAnswerOf (id: EndpointId): boolean {
+    const { group, isSynchronous } = this.options
+    return id === group.leader && isSynchronous() && group.commitHolders.needsAnswer
+  }
+
+  private probe (id: EndpointId): void {
     this.probing.add(id)
     this.probes.proveLeader(id).then(() => {
       this.probing.delete(id)
