Test: a statement that waited for a place past the drain time isn't sent

The fake has it now, and a further test uses it: a statement that was queued in time and got its place after the drain time counts as not run. No check was changed.

--- a/src/shell/pool/connections/connectionpool.test.ts
+++ b/src/shell/pool/connections/connectionpool.test.ts
@@ -63,6 +63,8 @@
   dialMs = 0
   /** Number of calls to `recordNoAnswer`. */
   missed = 0
+  /** Whether the drain time of the endpoint is over. */
+  isDrained = false
 
   constructor (connections: number, hasSpareConnections = true, endpoint = ENDPOINT) {
     this.pool = ConnectionPool.create({
@@ -91,7 +93,7 @@
 
   /** Sends a read; `ending` is set once it has ended. */
   read (link: FakeLink, timeoutMs = 500): { ending: unknown } {
-    const group = { recordRequest: () => {}, answered: () => {}, recordNoAnswer: () => { this.missed++ }, readRouter: { sent: () => undefined } } as unknown as PoolGroup
+    const group = { recordRequest: () => {}, answered: () => {}, recordNoAnswer: () => { this.missed++ }, isDrained: () => this.isDrained, readRouter: { sent: () => undefined } } as unknown as PoolGroup
     const result: { ending: unknown } = { ending: 'open' }
     Attempt.on(group, this.pool, link).ask([READ], 0, timeoutMs, false).then(ending => { result.ending = ending === DONE ? 'done' : ending })
     return result
@@ -140,6 +142,16 @@
     expect(bench.pool.load).toMatchObject({ atWork: 0, waiting: 0 })
   })
 
+  it('is not sent after the drain time of a leaving endpoint, which was over while it waited', async () => {
+    // Guards against requests that reach a leaving endpoint too late, since they were queued in time.
+    const bench = new Bench(4)
+    const [first, , third] = await bench.reads(3)
+    bench.isDrained = true
+    first!.link.answer([DONE])
+    await vi.advanceTimersByTimeAsync(0)
+    expect([first!.result.ending, third!.result.ending, third!.link.sent]).toEqual(['done', 'busy', 0])
+  })
+
   it('counts as not run if its connection breaks while it waits for a place', async () => {
     // A write that was never sent must not be reported as one that may have run.
     const bench = new Bench(4)
