--- a/src/core/directory/departures.ts
+++ b/src/core/directory/departures.ts
@@ -38,11 +38,12 @@
     return new Departures(this.drainMs, new Map(departed.map(id => [id, this.since.get(id) ?? earliest])))
   }
 
+  /** Whether the endpoint is leaving or gone. */
   has (id: EndpointId): boolean {
     return this.since.has(id)
   }
 
-  /** Whether an endpoint that is gone from the directory has to be replaced, even if it still answers. */
+  /** Whether a primary that is gone from the directory has to be replaced, even if it still answers. */
   isReplacementDue (id: EndpointId, now: Instant): boolean {
     return this.hasLasted(id, REPLACED_SHARE, now)
   }
--- a/src/shell/pool/group.ts
+++ b/src/shell/pool/group.ts
@@ -68,7 +68,7 @@
   private readonly unreached = new Set<EndpointId>()
   private directory: Directory = Endpoints.empty
   private departures: Departures
-  /** Endpoints that were logged as drained. */
+  /** Endpoints whose drain time was found to be over, each logged once. */
   private readonly drained = new Set<EndpointId>()
   private leadership: Leadership
   private progress = LogProgress.empty
@@ -218,7 +218,10 @@
     this.service.add(ms, clock.now())
   }
 
-  /** Takes in a change of the directory; drops the state of endpoints that are gone or were replaced. `staleMs`: milliseconds for which the store may have had the change. */
+  /**
+   * Takes in a change of the directory; drops the state of endpoints that are gone or were replaced. `staleMs`: milliseconds for which
+   * the store may have had the change.
+   */
   updateDirectory (directory: Directory, staleMs: number): void {
     const before = this.directory
     this.directory = directory
@@ -382,7 +385,7 @@
     else this.outage.recordReplaced()
   }
 
-  /** An endpoint that stays after all is a primary again for the statements that were refused. */
+  /** An endpoint that stays after all gets requests again; if it's the primary, statements needn't wait for another. */
   private forgetUndrained (id: EndpointId): void {
     if (this.isDrained(id)) return
     this.drained.delete(id)
--- a/src/shell/pool/membership/configcopy.ts
+++ b/src/shell/pool/membership/configcopy.ts
@@ -34,8 +34,9 @@
 const rowsShape = z.array(z.object({ key: z.string(), version: z.number(), value: z.string() }))
 
 /**
- * Shortens the start of a host with a large configuration: on a link of 7 Mbit/s, 300 KB take 0.4 s and their copy 0.04 s. The copy may be outdated, so a reader must ask the store for the
- * changes since the version of the copy, and read the configuration itself if the store no longer has them.
+ * Shortens the start of a host with a large configuration: on a link of 7 Mbit/s, 300 KB take 0.4 s and their copy 0.04 s. The copy
+ * may be outdated, so a reader must ask the store for the changes since the version of the copy, and read the configuration itself if
+ * the store no longer has them.
  */
 export class ConfigCopy {
   /** The newest version among the rows that this host last wrote as parts; undefined if unknown. */
--- a/src/shell/pool/statements/target.ts
+++ b/src/shell/pool/statements/target.ts
@@ -24,7 +24,10 @@
   readonly remainingMs: number
 }
 
-/** Resolves with undefined if the primary is needed and unreachable, or has left without a successor. Waits only for a replica that will soon have the position that the read requires. */
+/**
+ * Resolves with undefined if the primary is needed and unreachable, or has left without a successor. Waits only for a replica that will
+ * soon have the position that the read requires.
+ */
 export async function nextTarget (group: PoolGroup, { mustLead, freshness, newestCommit, team, mayForward, tried, remainingMs }: TargetOptions): Promise<Target | undefined> {
   if (!mustLead && freshness.kind === 'age') {
     const after = group.requiredPosition(newestCommit, freshness.ms)
