Tests that fail: statements that cross the end of their session, or are open at the end of the process

Callers saw connections closed without an answer to a whole request. Three tests over real sockets show it on this code: a statement that arrives behind the close of an idle session, by a host that leaves or since the owner is gone, is read and dropped ('closed' in place of an answer), and statements that are open at an endpoint when a leaving host's time is over get none either.

The caller of the tests does what callers of the protocol do: it closes its connection on a message that answers nothing, and may have a statement under way while its session ends.

--- a/standin/lines/stage.ts
+++ b/standin/lines/stage.ts
@@ -88,15 +88,15 @@
   }
 
   /** A caller that is signed in at a host, the first when none is given. */
-  async caller (database: string, host = 0, who?: string): Promise<LineCaller> {
-    const caller = LineCaller.open(this.hosts[host]!.port, database, who)
+  async caller (database: string, host = 0, who?: string, crossing?: string): Promise<LineCaller> {
+    const caller = LineCaller.open(this.hosts[host]!.port, database, { who, crossing })
     await caller.answer()
     return caller
   }
 
   /** A caller whose sign-in is not answered yet. */
   knock (database: string, who?: string): LineCaller {
-    return LineCaller.open(this.hosts[0]!.port, database, who)
+    return LineCaller.open(this.hosts[0]!.port, database, { who })
   }
 
   /** Starts one more host; `seeds`: hosts that its settings name, all others when none are given. */
