--- a/src/shell/log/events.ts
+++ b/src/shell/log/events.ts
@@ -54,7 +54,7 @@
   configUnreadable: { id: 5004, level: 'error', message: 'a configuration cannot be parsed' },
 
   ownerLost: { id: 4008, level: 'warn', message: 'a session ends with the host that it was forwarded to: its open statements are answered' },
-  statementDropped: { id: 4011, level: 'warn', message: 'a statement came after its session was ended: it has no answer' },
+  statementCrossed: { id: 4011, level: 'info', message: 'a statement came after its session was ended: it was not run' },
   tokenPortFailed: { id: 4010, level: 'error', message: 'token messages cannot be sent or received' },
   sourceLost: { id: 4009, level: 'info', message: 'lost a source of replicated tables' },
   storeAsked: { id: 5007, level: 'info', message: 'this host queries the store itself' },
