--- a/standin/lines/caller.ts
+++ b/standin/lines/caller.ts
@@ -52,6 +52,15 @@
     this.socket.write(text, 'latin1')
   }
 
+  /** Reads nothing until `resume`, as behind a link that holds everything back. */
+  pause (): void {
+    this.socket.pause()
+  }
+
+  resume (): void {
+    this.socket.resume()
+  }
+
   /** Sends no more, and reads on. */
   finish (): void {
     this.socket.end()
