--- a/standin/child.ts
+++ b/standin/child.ts
@@ -18,10 +18,10 @@
   private constructor (readonly name: string, private readonly process: ChildProcess) {}
 
   /** Resolves when a line of its output matches `ready`; rejects when it ends before. */
-  static async start (name: string, args: readonly string[], ready: RegExp): Promise<Child> {
+  static async start (name: string, args: readonly string[], ready: RegExp, env: Readonly<Record<string, string>> = {}): Promise<Child> {
     const process_ = spawn(process.execPath, [...args], {
       stdio: ['ignore', 'pipe', 'pipe'],
-      env: { ...process.env, AWS_ACCESS_KEY_ID: 'local', AWS_SECRET_ACCESS_KEY: 'local' }
+      env: { ...process.env, AWS_ACCESS_KEY_ID: 'local', AWS_SECRET_ACCESS_KEY: 'local', ...env }
     })
     running.add(process_)
     process_.once('exit', () => running.delete(process_))
