An operation whose connection takes longer than its time is refused in time

Callers saw: a write with a time of 200 ms, where opening a connection took 600 ms, was answered after 627 ms with INDOUBT; it was sent with no time left and ran, and its connection was closed for having no answer, so the next one had to wait for another opening.

Cause: where connections belong to teams, admission has chosen the operation when its connection is opened. From then on nothing looks at its deadline: the opening has a second, and whoever asked gets the connection however late it is.

Change: the operation is refused as busy at its deadline while the opening goes on, and the connection is returned to the pool for the next one. Where connections serve anyone, operations wait in the queue meanwhile, which refuses them in time.

--- a/src/shell/pool/connections/connectionpool.test.ts
+++ b/src/shell/pool/connections/connectionpool.test.ts
@@ -229,6 +229,20 @@
     expect(bench.links.filter(({ isOpen }) => !isOpen).map(({ team }) => team)).toEqual(['rare'])
   })
 
+  it('an operation whose connection takes longer than its time is refused in time, and the next one uses the connection', async () => {
+    // Guards against a write that is sent after its time: the caller waits beyond it, and can't know whether the write ran.
+    const bench = new Bench(2)
+    bench.dialMs = 300
+    const borrowed = bench.pool.borrow({ rank: 1, caller: 'red', team: 'red' as TeamId, remainingMs: 200, isTransaction: false, values: SessionState.empty() })
+    let refused: unknown
+    borrowed.then(result => { refused = result.isErr() ? result.error.reason : 'none' })
+    await vi.advanceTimersByTimeAsync(200)
+    expect(refused).toBe('busy')
+    await vi.advanceTimersByTimeAsync(100)
+    expect(await settled(bench.borrow('red'))).toBe(bench.links[0])
+    expect([bench.links.length, bench.pool.stats.atWork, bench.pool.load?.atWork]).toEqual([1, 1, 0])
+  })
+
   it('openings leave places for statements', async () => {
     // Statements on open connections must not wait behind openings, which increase with the length of the queue.
     const bench = new Bench(6)
--- a/src/shell/pool/connections/connectionpool.ts
+++ b/src/shell/pool/connections/connectionpool.ts
@@ -250,12 +250,20 @@
     const { places } = this
     const ticket = places === undefined ? undefined : await this.waitForOpening(places, request)
     if (places !== undefined && ticket === undefined) return
-    const { id } = request
+    const { id, deadline } = request
     if (this.idle.size > this.admission.counts.idle) this.makeRoom()
+    // An opening may take longer than the operation has; its answer doesn't wait for that, and the connection serves the next one.
+    let isOver = false
+    const timer = setTimeout(() => {
+      isOver = true
+      request.answer(err({ reason: 'busy', retryAfterMs: UNREACHABLE_RETRY_MS }))
+    }, deadline - clock.now())
     const dialled = await this.dialer.dial(request.wish.team)
+    clearTimeout(timer)
     ticket?.returnPlace(dialled.isOk() ? 'done' : isEndpointFull(dialled.error) ? 'notSent' : 'broken')
     if (dialled.isOk()) {
       this.handOut(dialled.value, request)
+      if (isOver) this.returnLink(dialled.value)
       return this.step({ kind: 'dialled' })
     }
     this.step({ kind: 'finished', id, isUsable: false })
