A source isn't silent while a message of it arrives

A host that follows another left it as silent, or as late, once a single message took longer than the silence timeout (a sixth of the time in which a configuration must be in force). It then asked the next source with the versions that it had, so the same message began anew. Callers see it where the host is starting or behind: it knows no database meanwhile.

Cause: only whole messages counted as heard, and a source whose first heartbeat is behind its rows counted as infinitely late.

Change: a part of a message counts against silence, and for nothing else: whether the source is current, and how late its data is, follow from whole messages as before, so a host without a current source still asks the store itself. Lateness counts once the source has told it.

--- a/src/core/pool/membership/sourcelinks.ts
+++ b/src/core/pool/membership/sourcelinks.ts
@@ -10,6 +10,8 @@
   readonly isOpen: boolean
   /** When the last message arrived; undefined before the first. */
   readonly heardAt: Instant | undefined
+  /** When a part of a message arrived that wasn't whole yet; undefined before the first. */
+  readonly partAt: Instant | undefined
   /** Whether the source has every table; undefined until it said so. */
   readonly hasTables: boolean | undefined
   /** By how much the store's answer is overdue at the source or at one of its own sources, by its last heartbeat; infinite before that. */
@@ -46,7 +48,7 @@
   }
 
   dialing (id: LinkId, now: Instant): SourceLinks {
-    return this.with(id, { since: now, isOpen: false, heardAt: undefined, hasTables: undefined, lateMs: Infinity, ownLateMs: Infinity, unansweredSince: undefined })
+    return this.with(id, { since: now, isOpen: false, heardAt: undefined, partAt: undefined, hasTables: undefined, lateMs: Infinity, ownLateMs: Infinity, unansweredSince: undefined })
   }
 
   opened (id: LinkId, now: Instant): SourceLinks {
@@ -70,6 +72,11 @@
     return this.change(id, { heardAt: now })
   }
 
+  /** A part of a message shows that the source is there, and nothing about what it has. */
+  partReceived (id: LinkId, now: Instant): SourceLinks {
+    return this.change(id, { partAt: now })
+  }
+
   beat (id: LinkId, lateness: Pick<Link, 'lateMs' | 'ownLateMs'>, hasTables: boolean, now: Instant): SourceLinks {
     return this.change(id, { ...lateness, heardAt: now, hasTables })
   }
@@ -111,12 +118,12 @@
   /** Links to close, each with the reason: no connection, no messages, or a late store. */
   failing ({ silenceTimeoutMs, answerMs }: SyncTimings, now: Instant): ReadonlyMap<LinkId, LinkFault> {
     const excludedCount = [...this.excludedAt.keys()].filter(id => this.isExcluded(id, now)).length
-    const faultOf = ({ since, isOpen, heardAt, lateMs }: Link): LinkFault | undefined => {
+    const faultOf = ({ since, isOpen, heardAt, partAt, lateMs }: Link): LinkFault | undefined => {
       // Waits a full silence timeout, since a host that many others dial at once takes a while to accept them.
       if (!isOpen) return now - since > silenceTimeoutMs ? 'unreachable' : undefined
-      if (now - (heardAt ?? since) > silenceTimeoutMs) return 'silent'
-      // A host that just got its first follower has only begun to query the store.
-      return lateMs > answerMs && now - since > silenceTimeoutMs && excludedCount < MAX_EXCLUDED ? 'late' : undefined
+      if (now - Math.max(heardAt ?? since, partAt ?? since) > silenceTimeoutMs) return 'silent'
+      // A host that just got its first follower has only begun to query the store, and the first heartbeat may still be behind the rows.
+      return Number.isFinite(lateMs) && lateMs > answerMs && now - since > silenceTimeoutMs && excludedCount < MAX_EXCLUDED ? 'late' : undefined
     }
     return new Map([...this.links].flatMap(([id, link]) => {
       const fault = faultOf(link)
@@ -130,7 +137,8 @@
     return new SourceLinks(new Map([...this.links].map(([id, link]) => [id, {
       ...link,
       since: later(link.since),
-      heardAt: link.heardAt === undefined ? undefined : later(link.heardAt)
+      heardAt: link.heardAt === undefined ? undefined : later(link.heardAt),
+      partAt: link.partAt === undefined ? undefined : later(link.partAt)
     }])), this.excludedAt)
   }
 
--- a/src/core/pool/membership/syncevent.ts
+++ b/src/core/pool/membership/syncevent.ts
@@ -26,6 +26,8 @@
   | { readonly kind: 'lost', readonly link: LinkId }
   /** A message from a source. */
   | { readonly kind: 'told', readonly link: LinkId, readonly message: MessageOf<'rows' | 'beat' | 'welcome'> }
+  /** A part of a message from a source, which isn't whole yet. */
+  | { readonly kind: 'partTold', readonly link: LinkId }
   /** A message from a follower. */
   | { readonly kind: 'spoke', readonly link: number, readonly message: MessageOf<'follow' | 'alive'> }
   /** The link of a follower was closed. */
--- a/src/core/pool/membership/tablesync.ts
+++ b/src/core/pool/membership/tablesync.ts
@@ -112,7 +112,7 @@
   step (event: SyncEvent, chance: number, now: Instant, age: Instant = now): Step {
     const handled = handleEvent(this.state, event, chance, now, age)
     // These are by far the most frequent events; their consequences can wait until the next tick.
-    const isFrequent = (event.kind === 'told' && event.message.kind === 'beat') || (event.kind === 'spoke' && event.message.kind === 'alive')
+    const isFrequent = event.kind === 'partTold' || (event.kind === 'told' && event.message.kind === 'beat') || (event.kind === 'spoke' && event.message.kind === 'alive')
     if (isFrequent) return { next: new TableSync(handled.state), actions: handled.actions }
     const planned = plan(handled.state, now, age)
     return { next: new TableSync(planned.state), actions: [...handled.actions, ...planned.actions] }
@@ -130,6 +130,7 @@
     case 'opened': return handleOpened(state, event.link, now, age)
     case 'lost': return withoutActions({ ...state, links: state.links.has(event.link) ? state.links.lost(event.link, now) : state.links })
     case 'told': return handleSourceMessage(state, event, now)
+    case 'partTold': return withoutActions({ ...state, links: state.links.partReceived(event.link, now) })
     case 'spoke': return handleFollowerMessage(state, event, now, age)
     case 'left': return withoutActions({ ...state, followers: state.followers.left(event.link) })
     case 'consult': return withoutActions({ ...state, consultedUntil: new Map([...state.consultedUntil, [event.link, now + state.pace.silenceTimeoutMs as Instant]]) })
--- a/src/shell/pool/membership/messagelink.ts
+++ b/src/shell/pool/membership/messagelink.ts
@@ -9,6 +9,8 @@
 interface Listeners {
   readonly onOpen?: () => void
   readonly onMessage: (message: SyncMessage) => void
+  /** Called when something arrived and the last message isn't whole yet. */
+  readonly onPart?: () => void
   /** Called once when the connection ends, but not after `close`. */
   readonly onEnd: () => void
 }
@@ -58,7 +60,8 @@
       if (message === undefined) return this.end()
       this.listeners.onMessage(message)
     }
-    if (this.rest.length > MAX_LINE_CHARACTERS) this.end()
+    if (this.rest.length > MAX_LINE_CHARACTERS) return this.end()
+    if (this.rest !== '' && !this.isEnded) this.listeners.onPart?.()
   }
 
   private end (): void {
--- a/src/shell/pool/membership/tablereplicator.ts
+++ b/src/shell/pool/membership/tablereplicator.ts
@@ -236,6 +236,7 @@
       onMessage: message => {
         if (message.kind === 'rows' || message.kind === 'beat' || message.kind === 'welcome') this.step({ kind: 'told', link, message })
       },
+      onPart: () => this.step({ kind: 'partTold', link }),
       onEnd: () => {
         this.sources.delete(link)
         this.options.log.write('sourceLost', { link, why: 'ended' })
