An issuer whose answers are late isn't replaced

A host whose link is full for five seconds had a healthy issuer of tokens replaced. The new one may issue only once the old one surely doesn't (some ten seconds), so teams lack a part of their allowance, and callers are refused.

Cause: an answer after 100 ms was thrown away, and the issuer counted as silent from its first miss on.

Change: a late answer still grants nothing, and shows that the issuer is there. An issuer that never answers is replaced as before; a comparison with other issuers was ruled out, since a host with few teams asks only one.

Shown before: src/shell/pool/allowance/allowanceservice.test.ts (virtual time, answers after 500 ms): the issuer was replaced; tokenport.test.ts (sockets): nothing was told, until the limit of the test.

--- a/src/shell/pool/allowance/allowances.ts
+++ b/src/shell/pool/allowance/allowances.ts
@@ -39,7 +39,7 @@
   readonly pause: (ms: number) => Promise<void>
   /** Called once, if this process restarted at places at which its host issued before. */
   readonly onStarted: (places: readonly number[]) => void
-  /** Called when the issuer at a place answered, or didn't in time. */
+  /** Called when the issuer at a place answered, in time or later, and when it didn't in time. */
   readonly onAskEnded: (place: number, isAnswered: boolean) => void
 }
 
@@ -200,7 +200,9 @@
     const { hosts, port, metrics, onAskEnded } = this.options
     const askedAt = this.options.age()
     const host = hosts().find(({ id }) => id === this.issuers?.hostAt(place))
-    const answer = host === undefined ? undefined : await port.ask(host, { team: team.id, place, count }, ANSWER_TIMEOUT_MS)
+    // Behind a full link all answers are late, which says nothing of the issuer.
+    const onLate = () => { if (host?.id === this.issuers?.hostAt(place)) onAskEnded(place, true) }
+    const answer = host === undefined ? undefined : await port.ask(host, { team: team.id, place, count }, ANSWER_TIMEOUT_MS, onLate)
     metrics.tokenAsks.inc({ outcome: answer === undefined ? 'silent' : answer.count > 0 ? 'issued' : 'none' })
     onAskEnded(place, answer !== undefined)
     if (answer !== undefined) this.backOff.answered(place)
--- a/src/shell/pool/allowance/tokentransport.ts
+++ b/src/shell/pool/allowance/tokentransport.ts
@@ -20,6 +20,6 @@
 export interface TokenTransport {
   /** Sets the handler for requests of other hosts. No answer is sent if it returns undefined. */
   onRequest (handler: (team: TeamId, place: number, count: number) => TokenGrant | undefined): void
-  /** Resolves with the answer, or with undefined if none came within `timeoutMs`. */
-  ask (host: PoolHost, request: TokenRequest, timeoutMs: number): Promise<TokenGrant | undefined>
+  /** Resolves with the answer, or with undefined if none came within `timeoutMs`; `onLate`: called when one comes later. */
+  ask (host: PoolHost, request: TokenRequest, timeoutMs: number, onLate?: () => void): Promise<TokenGrant | undefined>
 }
