A large configuration is sent in turn, not to all followers at once

What callers saw. Beside a storm of versions (7 KB compressed, one each 0.13 to 0.16 s) the hosts that read from the store send each version whole to 25 to 32 followers at once, with no bound on what waits. Where the link carries 875 KB/s a queue of 230 to 830 ms stands before each answer to a caller of that host.

TableSync answers each change with a message to every follower and hears nothing of what has arrived.

A follower says that it confirms, and a source marks a large update of the configuration (4,096 characters or more) as one to be confirmed. At most one is under way a follower and four a source; the longest wait goes first. What comes meanwhile is skipped: the next message has the newest rows since what the follower has. A host tells its other marking sources too what it has, which then don't send it. A heartbeat says to each follower only what that one was sent, versions and times alike, so no configuration looks younger than it is. A follower that doesn't confirm loses its turn after 80 ms, that is at the next tick, and then gets the newest version once a second beside the turns. Hosts of an earlier program version don't say that they confirm, and are sent everything at once as before; no confirmation goes to a source that didn't mark rows.

Each rule taken out singly fails tests of updates.test.ts: heartbeats' versions, their times, turns, their end, the timeout, resends beside the turns, the order, confirmations from elsewhere.

Weighed and left: counting on the socket's buffer (the kernel takes whole messages at once, so it shows nothing), turns for other tables (leases and endpoints would wait behind dead hosts), the order of the two readers reversed (1.2 in place of 1.4 copies a host, but it depends on the ranking).

The control model's links may have a width now, and hosts an earlier version; its store keeps a written value as a number, which a padded one is slow to give.

--- a/src/core/pool/membership/applyrows.ts
+++ b/src/core/pool/membership/applyrows.ts
@@ -7,21 +7,27 @@
 import { updateRanking } from './updateranking.ts'
 import { registryRow } from './registryrow.ts'
 import type { Row } from './row.ts'
-import type { SyncMessage } from './syncmessage.ts'
+import type { RowsMessage } from './rowsmessage.ts'
+import { isLarge } from './islarge.ts'
 
-type Rows = Extract<SyncMessage, { kind: 'rows' }>
-
-/** Changed rows are passed to this process and to its followers. */
-export function applyRows (state: SyncState, { table, isWhole, rows, version }: Omit<Rows, 'kind'>, now: Instant): SyncStep {
-  const { tables, followers } = state
+/**
+ * Changed rows are passed to this process and to its followers; large ones wait for their turn (see `planUpdates`). `state`: with the staleness
+ * before the rows, which is what a follower that waits knows.
+ */
+export function applyRows (state: SyncState, { table, isWhole, rows, version }: Omit<RowsMessage, 'kind'>, now: Instant): SyncStep {
+  const { tables, followers, staleness, updates } = state
   const before = tables[table]
   const { next, changedRows } = isWhole ? before.applySnapshot(rows, version) : before.applyChanges(rows, version)
   const isFirst = before.version === undefined
   const copy = table === 'config' && changedRows.length > 0 ? { ...state.copy, notBefore: now } : state.copy
-  const changed = { ...state, tables: { ...tables, [table]: next }, copy }
-  if (changedRows.length === 0 && !isFirst) return { state: changed, actions: [] }
-  const message: Rows = { kind: 'rows', table, isWhole: isFirst, rows: changedRows, version: next.version! }
-  const actions: SyncAction[] = [{ kind: 'news', table, rows: changedRows, isFirst }, ...followers.links.map(link => ({ kind: 'tell', link, message } as const))]
+  const applied = { ...state, tables: { ...tables, [table]: next }, copy }
+  if (changedRows.length === 0 && !isFirst) return { state: applied, actions: [] }
+  const isLargeUpdate = isLarge({ table, rows: changedRows })
+  const message: RowsMessage = { kind: 'rows', table, isWhole: isFirst, rows: changedRows, version: next.version!, isToConfirm: isLargeUpdate || undefined }
+  const held = followers.heldBack(table, isLargeUpdate, { version: before.version, asOf: staleness.asOf[table], since: now })
+  const links = held.links.filter(link => held.progressOf(link, table).backlog === undefined)
+  const changed = { ...applied, followers: held, updates: isLargeUpdate ? { ...updates, [table]: message } : updates }
+  const actions: SyncAction[] = [{ kind: 'news', table, rows: changedRows, isFirst }, ...links.map(link => ({ kind: 'tell', link, message } as const))]
   if (table !== 'roll') return { state: changed, actions }
   const ranked = updateRanking({ ...changed, roll: updateRegistry(changed, changedRows, now) }, now)
   return { state: ranked.state, actions: [...actions, ...ranked.actions] }
--- a/src/core/pool/membership/followaction.ts
+++ b/src/core/pool/membership/followaction.ts
@@ -7,5 +7,5 @@
 
 /** Sends the host's own entry and its versions, so that the source sends newer rows. */
 export function followAction (state: SyncState, link: LinkId): SyncAction {
-  return { kind: 'say', link, message: { kind: 'follow', self: state.self, versions: versionsOf(state) } }
+  return { kind: 'say', link, message: { kind: 'follow', self: state.self, versions: versionsOf(state), isConfirming: true } }
 }
--- a/src/core/pool/membership/plan.ts
+++ b/src/core/pool/membership/plan.ts
@@ -5,14 +5,17 @@
 import type { SyncStep } from './syncstep.ts'
 import { planCopy } from './plancopy.ts'
 import { planQuery } from './planquery.ts'
+import { planUpdates } from './planupdates.ts'
 import { Followers } from './followers.ts'
 import { latenessOf } from './lateness.ts'
 import { planRegistryWrite } from './planregistrywrite.ts'
+import type { TableName } from './tablename.ts'
 import { tableNames } from './tablenames.ts'
 import { versionsOf } from './versions.ts'
 import { selectSources } from './sourceselection.ts'
 import type { SyncMessage } from './syncmessage.ts'
 
+type Beat = Extract<SyncMessage, { kind: 'beat' }>
 type Planner = (state: SyncState, now: Instant, age: Instant) => SyncStep
 
 /** Least interval between writes of this host's registry row, so that hosts that start or end together share one: each write wakes all readers. */
@@ -20,7 +23,7 @@
 /** Interval at which a registry write is considered. */
 const ROW_CHECK_MS = 500
 
-const PLANNERS: readonly Planner[] = [closeFailedLinks, updateLinks, ask, writeRegistryRow, copy, sendHeartbeats]
+const PLANNERS: readonly Planner[] = [closeFailedLinks, updateLinks, ask, writeRegistryRow, copy, planUpdates, sendHeartbeats]
 
 /** Idempotent, so it may run after any event. */
 export function plan (state: SyncState, now: Instant, age: Instant): SyncStep {
@@ -94,13 +97,26 @@
   const isStale = staleness.ageMs('config', age) > pace.normalConfigAgeMs && now - keepaliveAt >= pace.heartbeatMs
   const isKeepaliveDue = isStale || now - keepaliveAt >= Followers.keepaliveMs
   if (!isHeartbeatDue && !isKeepaliveDue) return { state, actions: [] }
-  const beat: SyncMessage = { kind: 'beat', ...latenessOf(state, now), versions: versionsOf(state), asOf: staleness.asOf }
+  const beat: Beat = { kind: 'beat', ...latenessOf(state, now), versions: versionsOf(state), asOf: staleness.asOf }
   const notified = isKeepaliveDue ? links.open.reduce((sum, link) => sum.messageSent(link, age), links) : links
   return {
     state: { ...state, links: notified, heartbeatAt: isHeartbeatDue ? now : heartbeatAt, keepaliveAt: isKeepaliveDue ? now : keepaliveAt },
     actions: [
-      ...(isHeartbeatDue ? followers.links.map(link => ({ kind: 'tell', link, message: beat } as const)) : []),
+      ...(isHeartbeatDue ? followers.links.map(link => ({ kind: 'tell', link, message: heartbeatTo(link, followers, beat) } as const)) : []),
       ...(isKeepaliveDue ? links.open.map(link => ({ kind: 'say', link, message: { kind: 'alive' } } as const)) : [])
     ]
   }
 }
+
+/** A follower from which rows are held back is told only of what it was sent. */
+function heartbeatTo (link: number, followers: Followers, beat: Beat): Beat {
+  const backlogs = followers.backlogs(link)
+  if (backlogs.length === 0) return beat
+  const versions = backlogs.map(([table, { version }]) => [table, version] as const)
+  const asOf = backlogs.map(([table, one]) => [table, one.asOf] as const)
+  return { ...beat, versions: overridden(beat.versions, versions), asOf: overridden(beat.asOf, asOf) }
+}
+
+function overridden (all: Beat['versions'], own: ReadonlyArray<readonly [TableName, number | undefined]>): Beat['versions'] {
+  return Object.fromEntries(Object.entries({ ...all, ...Object.fromEntries(own) }).filter(([, value]) => value !== undefined))
+}
--- a/src/core/pool/membership/sourcelinks.ts
+++ b/src/core/pool/membership/sourcelinks.ts
@@ -20,6 +20,8 @@
   readonly ownLateMs: number
   /** When the oldest message that awaits a welcome was sent, on the clock that counts suspension. */
   readonly unansweredSince: Instant | undefined
+  /** Whether the source marks rows to be confirmed; one of an earlier program version doesn't. */
+  readonly isConfirmed: boolean
 }
 
 type LinkFault = 'unreachable' | 'silent' | 'late'
@@ -43,12 +45,17 @@
     return this.ids.filter(id => this.links.get(id)?.isOpen === true)
   }
 
+  /** Open links to sources that want to know what this host has. */
+  get confirmed (): readonly LinkId[] {
+    return this.open.filter(id => this.links.get(id)?.isConfirmed === true)
+  }
+
   has (id: LinkId): boolean {
     return this.links.has(id)
   }
 
   dialing (id: LinkId, now: Instant): SourceLinks {
-    return this.with(id, { since: now, isOpen: false, heardAt: undefined, partAt: undefined, hasTables: undefined, lateMs: Infinity, ownLateMs: Infinity, unansweredSince: undefined })
+    return this.with(id, { since: now, isOpen: false, heardAt: undefined, partAt: undefined, hasTables: undefined, lateMs: Infinity, ownLateMs: Infinity, unansweredSince: undefined, isConfirmed: false })
   }
 
   opened (id: LinkId, now: Instant): SourceLinks {
@@ -77,6 +84,11 @@
     return this.change(id, { partAt: now })
   }
 
+  /** Rows that are to be confirmed arrived. */
+  confirmationRequested (id: LinkId): SourceLinks {
+    return this.change(id, { isConfirmed: true })
+  }
+
   beat (id: LinkId, lateness: Pick<Link, 'lateMs' | 'ownLateMs'>, hasTables: boolean, now: Instant): SourceLinks {
     return this.change(id, { ...lateness, heardAt: now, hasTables })
   }
--- a/src/core/pool/membership/syncaction.ts
+++ b/src/core/pool/membership/syncaction.ts
@@ -20,7 +20,7 @@
   /** `why`: for the log; `others` when the link isn't needed any more. */
   | { readonly kind: 'close', readonly link: LinkId, readonly why: 'unreachable' | 'silent' | 'late' | 'others' }
   /** Send a message to a source. */
-  | { readonly kind: 'say', readonly link: LinkId, readonly message: Extract<SyncMessage, { kind: 'follow' | 'alive' }> }
+  | { readonly kind: 'say', readonly link: LinkId, readonly message: Extract<SyncMessage, { kind: 'follow' | 'alive' | 'confirm' }> }
   /** Send a message to a follower. */
   | { readonly kind: 'tell', readonly link: number, readonly message: Extract<SyncMessage, { kind: 'rows' | 'beat' | 'welcome' }> }
   /** Close the link of a follower that is silent. */
--- a/src/core/pool/membership/syncevent.ts
+++ b/src/core/pool/membership/syncevent.ts
@@ -29,7 +29,7 @@
   /** A part of a message from a source, which isn't whole yet. */
   | { readonly kind: 'partTold', readonly link: LinkId }
   /** A message from a follower. */
-  | { readonly kind: 'spoke', readonly link: number, readonly message: MessageOf<'follow' | 'alive'> }
+  | { readonly kind: 'spoke', readonly link: number, readonly message: MessageOf<'follow' | 'alive' | 'confirm'> }
   /** The link of a follower was closed. */
   | { readonly kind: 'left', readonly link: number }
   /** The host at the link has newer rows than this one, so it becomes a source for a while. */
--- a/src/core/pool/membership/syncstate.ts
+++ b/src/core/pool/membership/syncstate.ts
@@ -11,6 +11,7 @@
 import type { HostRegistry } from './hostregistry.ts'
 import type { Staleness } from './staleness.ts'
 import type { ReplicatedTable } from './replicatedtable.ts'
+import type { RowsMessage } from './rowsmessage.ts'
 import type { TableName } from './tablename.ts'
 
 export interface SyncState {
@@ -30,6 +31,8 @@
   readonly staleness: Staleness
   readonly links: SourceLinks
   readonly followers: Followers
+  /** The last large update of each table, kept since an equal one for another follower needn't be encoded again. */
+  readonly updates: Readonly<Partial<Record<TableName, RowsMessage>>>
   readonly roll: HostRegistry
   readonly ranking: ReaderRanking
   readonly rankedAt: Instant
--- a/src/core/pool/membership/tablesync.ts
+++ b/src/core/pool/membership/tablesync.ts
@@ -9,6 +9,7 @@
 
 import type { Instant } from '../../id/instant.ts'
 import { backoff } from '../../membership/backoff.ts'
+import { weightOf } from '../../weight.ts'
 import type { SyncAction } from './syncaction.ts'
 import type { SyncEvent } from './syncevent.ts'
 import type { SyncState } from './syncstate.ts'
@@ -19,6 +20,10 @@
 import { followAction } from './followaction.ts'
 import { latenessOf } from './lateness.ts'
 import { applyRows } from './applyrows.ts'
+import { isLarge } from './islarge.ts'
+import type { Row } from './row.ts'
+import type { RowsMessage } from './rowsmessage.ts'
+import { rowsSince } from './rowssince.ts'
 import type { LinkId } from './linkid.ts'
 import { linkOf } from './linkof.ts'
 import { SourceLinks } from './sourcelinks.ts'
@@ -70,6 +75,7 @@
       staleness: Staleness.none,
       links: SourceLinks.none,
       followers: Followers.none,
+      updates: {},
       roll: HostRegistry.empty,
       ranking: ReaderRanking.of([options.self], options.self),
       rankedAt: now,
@@ -150,10 +156,11 @@
   const { queries, pace, heartbeatAt } = state
   const staleness = state.staleness.withClockSample(sentAt, storeMs).withAsOf({ [table]: storeMs })
   const delayMs = table === 'roll' && rows.length > 0 ? REGISTRY_QUERY_DELAY_MS : 0
-  const next = { ...state, staleness, queries: { ...queries, [table]: queries[table].answered(now, delayMs) } }
+  const next = { ...state, queries: { ...queries, [table]: queries[table].answered(now, delayMs) } }
   // Sends a heartbeat at once when the store answers again, since followers wait for it.
   const wasLate = latenessOf(state, now).ownLateMs > pace.answerMs
-  return applyRows({ ...next, heartbeatAt: wasLate ? NEVER : heartbeatAt }, { table, isWhole, rows, version }, now)
+  const applied = applyRows({ ...next, heartbeatAt: wasLate ? NEVER : heartbeatAt }, { table, isWhole, rows, version }, now)
+  return confirm({ state: { ...applied.state, staleness }, actions: applied.actions }, table, rows, [])
 }
 
 function handleFailure (state: SyncState, table: TableName, chance: number, now: Instant): SyncStep {
@@ -180,7 +187,7 @@
   if (!links.has(link)) return withoutActions(state)
   switch (message.kind) {
     case 'welcome': return handleWelcome(state, link, message, now)
-    case 'rows': return applyRows({ ...state, links: links.heard(link, now) }, message, now)
+    case 'rows': return handleRows({ ...state, links: links.heard(link, now) }, link, message, now)
     case 'beat': return beat(state, link, message, now)
   }
 }
@@ -192,6 +199,22 @@
   return withoutActions({ ...state, staleness: sampled, links: links.welcomeReceived(link, hasTables, now) })
 }
 
+function handleRows (state: SyncState, link: LinkId, message: RowsMessage, now: Instant): SyncStep {
+  if (message.isToConfirm !== true) return applyRows(state, message, now)
+  const applied = applyRows({ ...state, links: state.links.confirmationRequested(link) }, message, now)
+  return confirm(applied, message.table, message.rows, [link])
+}
+
+/** Says that this host has the rows: to the host that sent them, and if they are large and new, to other sources, which then needn't send them. */
+function confirm ({ state, actions }: SyncStep, table: TableName, rows: readonly Row[], from: readonly LinkId[]): SyncStep {
+  const { version } = state.tables[table]
+  if (version === undefined) return { state, actions }
+  const isNews = actions.some(({ kind }) => kind === 'news') && isLarge({ table, rows })
+  const links = new Set([...from, ...(isNews ? state.links.confirmed : [])])
+  // Before the other actions, since applying a configuration takes a while.
+  return { state, actions: [...[...links].map(link => ({ kind: 'say', link, message: { kind: 'confirm', table, version, isAnswer: from.includes(link) } } as const)), ...actions] }
+}
+
 /** A heartbeat follows all rows up to its versions on the same link, so the tables are now known up to them. */
 function beat (state: SyncState, link: LinkId, { lateMs, ownLateMs, versions, asOf }: Extract<SyncMessage, { kind: 'beat' }>, now: Instant): SyncStep {
   const { tables, links, pace, ranking, sourceAt, localSourceAt } = state
@@ -211,18 +234,14 @@
 }
 
 function handleFollowerMessage (state: SyncState, { link, message }: Event<'spoke'>, now: Instant, age: Instant): SyncStep {
-  const { followers, tables, staleness } = state
+  const { followers, self, staleness } = state
+  if (message.kind === 'confirm') return withoutActions({ ...state, followers: followers.confirmed(link, message, now) })
   const welcome: SyncAction = { kind: 'tell', link, message: { kind: 'welcome', hasTables: hasAllTables(state), storeMs: staleness.storeMs(age) } }
   if (message.kind === 'alive') return { state: { ...state, followers: followers.markHeard(link, now) }, actions: [welcome] }
-  const rows = tableNames.flatMap((table): SyncAction[] => {
-    const { version } = tables[table]
-    if (version === undefined) return []
-    const knownVersion = message.versions[table]
-    const changes = knownVersion === undefined ? undefined : tables[table].since(knownVersion)
-    if (changes?.length === 0) return []
-    return [{ kind: 'tell', link, message: { kind: 'rows', table, isWhole: changes === undefined, rows: changes ?? tables[table].rows, version } }]
-  })
-  return { state: { ...state, followers: followers.add(link, message.self, now) }, actions: [welcome, ...rows] }
+  const rows = tableNames.flatMap(table => rowsSince(state, table, message.versions[table]) ?? [])
+  const added = followers.add(link, message.self, { isConfirming: message.isConfirming === true, rank: weightOf(`${self.id}/${message.self.id}`) }, now)
+  const next = { ...state, followers: rows.reduce((sum, one) => sum.sent(link, one, now), added) }
+  return { state: next, actions: [welcome, ...rows.map(one => ({ kind: 'tell', link, message: one } as const))] }
 }
 
 function hasAllTables ({ tables }: SyncState): boolean {
--- a/src/shell/pool/membership/messagecodec.ts
+++ b/src/shell/pool/membership/messagecodec.ts
@@ -23,9 +23,10 @@
   isLeaving: z.boolean()
 })
 const messageShape = z.discriminatedUnion('kind', [
-  z.object({ kind: z.literal('follow'), self: entry, versions }),
+  z.object({ kind: z.literal('follow'), self: entry, versions, isConfirming: z.boolean().optional() }),
   z.object({ kind: z.literal('alive') }),
-  z.object({ kind: z.literal('rows'), table: z.enum(tableNames), isWhole: z.boolean(), rows: z.array(row), version: z.number() }),
+  z.object({ kind: z.literal('confirm'), table: z.enum(tableNames), version: z.number(), isAnswer: z.boolean() }),
+  z.object({ kind: z.literal('rows'), table: z.enum(tableNames), isWhole: z.boolean(), rows: z.array(row), version: z.number(), isToConfirm: z.boolean().optional() }),
   z.object({ kind: z.literal('beat'), lateMs: z.number(), ownLateMs: z.number(), versions, asOf: versions }),
   z.object({ kind: z.literal('welcome'), hasTables: z.boolean(), storeMs: z.number().optional() })
 ])
--- a/src/shell/pool/membership/tablereplicator.ts
+++ b/src/shell/pool/membership/tablereplicator.ts
@@ -252,7 +252,7 @@
       const link = ++this.links
       this.followers.set(link, MessageLink.of(socket, {
         onMessage: message => {
-          if (message.kind === 'follow' || message.kind === 'alive') this.step({ kind: 'spoke', link, message })
+          if (message.kind === 'follow' || message.kind === 'alive' || message.kind === 'confirm') this.step({ kind: 'spoke', link, message })
         },
         onEnd: () => {
           this.followers.delete(link)
--- a/test/control/store.ts
+++ b/test/control/store.ts
@@ -36,12 +36,12 @@
     return this.calls.read + this.calls.changes + this.calls.write
   }
 
-  /** What was written, and when. */
-  readonly puts: Array<{ readonly table: TableName, readonly value: string | undefined, readonly at: number }> = []
+  /** What was written, and when; the value as a number, since a long one takes a while to read. */
+  readonly puts: Array<{ readonly table: TableName, readonly number: number, readonly at: number }> = []
 
   put (table: TableName, key: string, value: string | undefined): number {
     this.version++
-    this.puts.push({ table, value, at: this.agenda.now })
+    this.puts.push({ table, number: Number(value), at: this.agenda.now })
     this.rows.set(`${table}/${key}`, { table, key, value, version: this.version })
     const due = this.held.filter(one => one.table === table)
     this.held = this.held.filter(one => one.table !== table)
--- a/test/control/world.ts
+++ b/test/control/world.ts
@@ -26,10 +26,17 @@
   readonly seed: number
   /** Hosts that the settings name. */
   readonly seeds: number
+  /** What each host's link carries; undefined for any number of bytes at once. */
+  readonly linkBytesPerMs?: number
+  /** Numbers of hosts of an earlier program version, which confirm nothing and let nobody confirm. */
+  readonly earlier?: ReadonlySet<number>
 }
 
 const NEAR_MS = 1
 const FAR_MS = 3
+/** Longer words are compressed, to so large a part. */
+const COMPRESSED_FROM_CHARACTERS = 2000
+const COMPRESSED_SHARE = 0.1
 /** All start within so long. */
 const START_MS = 300
 
@@ -41,6 +48,12 @@
   readonly said = { words: 0, characters: 0 }
   /** One-way cuts, as `from>to`. */
   readonly cuts = new Set<string>()
+  /** Confirmations sent to hosts of an earlier program version, or by them. */
+  unreadable = 0
+  /** The longest time that a word waited behind others on its host's link, in milliseconds, since it was last set to 0. */
+  longestQueueMs = 0
+  /** When the link of a host will have carried all that it was given. */
+  private readonly freeAt = new Map<ModelHost, number>()
   private readonly links = new Map<number, Link>()
   /** The same, by who opened them. */
   private readonly opened = new Map<ModelHost, Map<LinkId, Link>>()
@@ -77,7 +90,7 @@
 
   /** For how long the store has had a newer configuration than the version, in milliseconds; 0 when it has none. */
   missingMs (version: number): number {
-    const first = this.store.puts.find(one => one.table === 'config' && Number(one.value) > version)
+    const first = this.store.puts.find(one => one.table === 'config' && one.number > version)
     return first === undefined ? 0 : this.now - first.at
   }
 
@@ -136,26 +149,47 @@
     this.later(to, link.from, () => link.from.step({ kind: 'lost', link: link.id }))
   }
 
-  say (from: ModelHost, id: LinkId, word: Extract<SyncMessage, { kind: 'follow' | 'alive' }>): void {
+  say (from: ModelHost, id: LinkId, word: Extract<SyncMessage, { kind: 'follow' | 'alive' | 'confirm' }>): void {
     const link = this.linkOf(from, id)
     if (link === undefined) return
-    this.count(word)
-    this.later(from, link.to, () => link.to.step({ kind: 'spoke', link: link.number, message: word }))
+    const isEarlier = this.isEarlier(from) || this.isEarlier(link.to)
+    if (isEarlier && word.kind === 'confirm') this.unreadable++
+    const message = isEarlier && word.kind === 'follow' ? { ...word, isConfirming: undefined } : word
+    this.later(from, link.to, () => link.to.step({ kind: 'spoke', link: link.number, message }), this.carriedMs(from, word))
   }
 
   tell (to: ModelHost, number: number, word: Extract<SyncMessage, { kind: 'rows' | 'beat' | 'welcome' }>): void {
     const link = this.links.get(number)
     if (link === undefined) return
-    this.count(word)
+    const isEarlier = this.isEarlier(to) || this.isEarlier(link.from)
+    const message = isEarlier && word.kind === 'rows' ? { ...word, isToConfirm: undefined } : word
     this.later(to, link.from, () => {
-      if (this.links.has(number)) link.from.step({ kind: 'told', link: link.id, message: word })
-    })
+      if (this.links.has(number)) link.from.step({ kind: 'told', link: link.id, message })
+    }, this.carriedMs(to, word))
+  }
+
+  private isEarlier (host: ModelHost): boolean {
+    return this.options.earlier?.has(this.hosts.indexOf(host)) === true
   }
 
-  private count (word: SyncMessage): void {
+  private count (word: SyncMessage): number {
     this.said.words++
     this.sizes.set(word, this.sizes.get(word) ?? JSON.stringify(word).length)
-    this.said.characters += this.sizes.get(word)!
+    const size = this.sizes.get(word)!
+    this.said.characters += size
+    return size
+  }
+
+  /** Milliseconds until the host's link has carried the word, behind those that it was given before. */
+  private carriedMs (from: ModelHost, word: SyncMessage): number {
+    const size = this.count(word)
+    const { linkBytesPerMs } = this.options
+    if (linkBytesPerMs === undefined) return 0
+    const startsAt = Math.max(this.now, this.freeAt.get(from) ?? 0)
+    const endsAt = startsAt + size * (size < COMPRESSED_FROM_CHARACTERS ? 1 : COMPRESSED_SHARE) / linkBytesPerMs
+    this.freeAt.set(from, endsAt)
+    this.longestQueueMs = Math.max(this.longestQueueMs, startsAt - this.now)
+    return endsAt - this.now
   }
 
   private linkOf (from: ModelHost, id: LinkId): Link | undefined {
@@ -167,9 +201,9 @@
     if (this.linkOf(link.from, link.id) === link) this.opened.get(link.from)?.delete(link.id)
   }
 
-  private later (from: ModelHost, to: ModelHost, run: () => void): void {
+  private later (from: ModelHost, to: ModelHost, run: () => void, carriedMs = 0): void {
     if (this.cuts.has(`${from.id}>${to.id}`)) return
     const isNear = from.options.self.dataCentre === to.options.self.dataCentre
-    this.agenda.add(isNear ? NEAR_MS : FAR_MS, run)
+    this.agenda.add(carriedMs + (isNear ? NEAR_MS : FAR_MS), run)
   }
 }
