A command behind a closed statement or ahead of an answer is answered

Callers lost their connection with a request under way: the first command after COM_STMT_CLOSE, and any command sent before the one ahead of it was answered, got neither an answer nor an error; the connection was closed.

Cause: mysql2 has one packet number for both directions and compares what arrives with it. A command without a reply left it at 1, since only a reply set it back, and a reply under way held its own number there. The next command begins at 0, as the protocol has it, was taken for out of order, and the server closes a connection on that warning.

Now a reply counts its own packets, and the wire has its number only while the reply writes, and 0 whenever it may read a command. A command with another number than 0 still closes the connection: the two sides then don't agree on what a command is.

--- a/src/shell/mysql/reply.ts
+++ b/src/shell/mysql/reply.ts
@@ -12,13 +12,14 @@
 /** The reply to one command. Nothing more is written after `ok`, `end` or `error`. */
 export class Reply {
   private isOver = false
+  /** The number of the next packet of this reply; the command had 0. */
+  private sequence = 1
   /** Pending until the stream drains; shared by all batches of rows that wait for it. */
   private draining: Promise<void> | undefined
 
   private constructor (private readonly wire: Wire) {}
 
   static of (wire: Wire): Reply {
-    wire.sequenceId = 1
     return new Reply(wire)
   }
 
@@ -35,28 +36,30 @@
 
   ok (counts: { affected?: number, insertId?: number, inTransaction?: boolean, message?: string } = {}): void {
     if (this.isOver) return
-    this.wire.writeOk({
+    this.write(() => this.wire.writeOk({
       affectedRows: counts.affected ?? 0,
       insertId: counts.insertId ?? 0,
       serverStatus: statusOf(counts.inTransaction ?? false),
       message: counts.message ?? ''
-    })
+    }))
     this.finish()
   }
 
   /** Writes an encoded payload, such as an OK packet with session state. Does not finish the reply. */
   raw (payload: Uint8Array): void {
     if (this.isOver) return
-    this.wire.writePacket(RawPacket.of(payload))
+    this.write(() => this.wire.writePacket(RawPacket.of(payload)))
   }
 
   head (columns: readonly Uint8Array[]): void {
     if (this.isOver) return
     this.hasHead = true
     this.wire.stream.cork()
-    this.wire.writePacket(RawPacket.of(Buffer.from([columns.length])))
-    for (const column of columns) this.wire.writePacket(RawPacket.of(column))
-    this.wire.writeEof(0, AUTOCOMMIT)
+    this.write(() => {
+      this.wire.writePacket(RawPacket.of(Buffer.from([columns.length])))
+      for (const column of columns) this.wire.writePacket(RawPacket.of(column))
+      this.wire.writeEof(0, AUTOCOMMIT)
+    })
     this.uncork()
   }
 
@@ -64,7 +67,9 @@
   rows (rows: readonly Uint8Array[]): boolean {
     if (this.isOver) return true
     this.wire.stream.cork()
-    for (const row of rows) this.wire.writePacket(RawPacket.of(row))
+    this.write(() => {
+      for (const row of rows) this.wire.writePacket(RawPacket.of(row))
+    })
     this.uncork()
     return !this.wire.stream.writableNeedDrain
   }
@@ -92,26 +97,39 @@
     const header = Buffer.alloc(12)
     header.writeUInt32LE(id, 1)
     header.writeUInt16LE(parameters, 7)
-    this.wire.writePacket(RawPacket.of(header))
-    for (let i = 0; i < parameters; i++) this.wire.writePacket(RawPacket.of(PARAMETER_DEFINITION))
-    if (parameters > 0) this.wire.writeEof(0, AUTOCOMMIT)
+    this.write(() => {
+      this.wire.writePacket(RawPacket.of(header))
+      for (let i = 0; i < parameters; i++) this.wire.writePacket(RawPacket.of(PARAMETER_DEFINITION))
+      if (parameters > 0) this.wire.writeEof(0, AUTOCOMMIT)
+    })
     this.finish()
   }
 
   end (inTransaction = false): void {
     if (this.isOver) return
-    this.wire.writeEof(0, statusOf(inTransaction))
+    this.write(() => this.wire.writeEof(0, statusOf(inTransaction)))
     this.finish()
   }
 
   error (code: number, message: string): void {
     if (this.isOver) return
-    this.wire.writeError({ code, message })
+    this.write(() => this.wire.writeError({ code, message }))
     this.finish()
   }
 
   finish (): void {
     this.isOver = true
+  }
+
+  /**
+   * mysql2 has one number for both directions and checks what arrives against
+   * it. The next command begins at 0 and may arrive before this reply ends, so
+   * the wire has the reply's number only while the reply writes.
+   */
+  private write (writePackets: () => void): void {
+    this.wire.sequenceId = this.sequence
+    writePackets()
+    this.sequence = this.wire.sequenceId
     this.wire.sequenceId = 0
   }
 
--- /dev/null
+++ b/src/shell/mysql/server.test.ts
@@ -0,0 +1,73 @@
+/** Numbers of packets at the MySQL server: what a client sends behind a command that has no answer, or ahead of an answer. */
+
+import { createConnection } from 'mysql2/promise'
+import { afterAll, beforeAll, describe, expect, it } from 'vitest'
+import { freePorts } from '../../../standin/ports.ts'
+import { RawClient } from '../../../standin/rawclient.ts'
+import type { CommandHandler } from './commandhandler.ts'
+import type { Reply } from './reply.ts'
+import { MysqlServer } from './server.ts'
+
+const PING = 14
+const CLOSE_STATEMENT = 25
+const ER_PARSE = 1064
+const ERROR = 0xff
+
+const { packet, query } = RawClient
+
+/** Answers each query with an error of the same text, a turn of the event loop later. */
+class EchoHandler implements CommandHandler {
+  async query (sql: string, reply: Reply): Promise<void> {
+    await new Promise(resolve => setImmediate(resolve))
+    if (sql === 'ok') reply.ok()
+    else reply.error(ER_PARSE, sql)
+  }
+
+  async use (_database: string, reply: Reply): Promise<void> { reply.ok() }
+  async prepare (_sql: string, reply: Reply): Promise<void> { reply.prepareOk(1, 0) }
+  async execute (_payload: Buffer, reply: Reply): Promise<void> { reply.ok() }
+  async reset (reply: Reply): Promise<void> { reply.ok() }
+  closeStatement (): void {}
+  closed (): void {}
+}
+
+describe('the MySQL server', () => {
+  const stop = new AbortController()
+  let port = 0
+
+  beforeAll(async () => {
+    port = (await freePorts(1))[0]!
+    await MysqlServer.listen({ host: '127.0.0.1', port, tracksSession: false, accept: async () => new EchoHandler() }, stop.signal)
+  })
+  afterAll(() => stop.abort())
+
+  // Each command begins anew at number 0; counted on from the command before it, it would end the connection without an answer.
+  it.each([
+    ['behind a closed statement', [packet([CLOSE_STATEMENT, 1, 0, 0, 0]), query('a')], ['a']],
+    ['behind two closed statements', [packet([CLOSE_STATEMENT, 1, 0, 0, 0]), packet([CLOSE_STATEMENT, 2, 0, 0, 0]), query('a')], ['a']],
+    ['ahead of an answer', [query('a'), query('b'), query('c')], ['a', 'b', 'c']],
+    ['ahead of an answer, behind a closed statement', [query('a'), packet([CLOSE_STATEMENT, 1, 0, 0, 0]), query('b')], ['a', 'b']]
+  ])('answers a command that is sent %s', async (_title, packets, texts) => {
+    const client = await RawClient.signIn(port)
+    client.send(...packets)
+    for (const text of texts) expect(await client.read()).toEqual([1, ERROR, text])
+    client.close()
+  })
+
+  // The same when the two commands arrive one after the other, as a library sends them.
+  it('answers a library that closes a prepared statement and goes on', async () => {
+    const client = await createConnection({ host: '127.0.0.1', port, user: 'app' })
+    const statement = await client.prepare('INSERT INTO t VALUES (1)')
+    await statement.execute([])
+    await statement.close()
+    await client.query('ok')
+    await client.end()
+  })
+
+  // A packet that is out of order shows that the two sides don't agree on what is a command.
+  it('closes a connection whose command has another number than 0', async () => {
+    const client = await RawClient.signIn(port)
+    client.send(packet([PING], 1))
+    expect(await client.read()).toBe('closed')
+  })
+})
--- a/src/shell/mysql/server.ts
+++ b/src/shell/mysql/server.ts
@@ -133,6 +133,8 @@
       execute: (packet, same) => {
         it.pendingBytes = 0
         if (it.handler !== undefined) {
+          // Each command begins at 0, also behind one that has no reply.
+          wire.sequenceId = 0
           it.enqueue(payloadOf(packet!))
         } else if (it.hasLogin) {
           // A command that was sent before the login was answered: the client is not authenticated yet.
