A leaving process answers what has arrived before it closes a connection

While a process left, callers lost their connection with a request under way: one that had arrived and wasn't read, one of which a part had arrived, one that was sent ahead of an answer, one behind a refusal, and one that crossed the close on its way. None ran; their callers had neither an answer nor an error.

Cause: whether a connection is idle was judged from the requests that had reached its handler. A timer runs before sockets are read, a connection whose caller sends ahead isn't read until the answer before is written, and a part of a packet reaches no handler. And the close itself said nothing.

Now a close that is due is decided again after what has arrived was read, and not while a command or a part of one is there; a caller that sends ahead has a refusal for each. Nothing holds the process for longer than the idle time (500 ms) after the time limit.

The test of a request that arrives after its close looks two turns of the event loop later now, because the close is decided then; what it expects is the same.

--- a/src/core/membership/closing.ts
+++ b/src/core/membership/closing.ts
@@ -2,16 +2,19 @@
  * When a leaving process closes a caller's connection.
  *
  * The MySQL protocol has no message for "don't send any more": a request can be
- * on its way while the server closes. It isn't run then, but the caller can't
- * know. So a connection is closed right after an answer, when nothing is on its
- * way, and only if the caller has always paused before its next request. A
- * caller that never pauses is served until its time limit and is then told that
- * its request wasn't run.
+ * on its way while the server closes. It isn't run then; its answer is the error
+ * that is written before the close, which not every client takes for one. So a
+ * connection is closed right after an answer, when nothing is on its way, and
+ * only if the caller has always paused before its next request. A caller that
+ * never pauses is served until its time limit and is then told that its request
+ * wasn't run. What has arrived, whole or in part, is answered before a close.
  */
 
 interface ConnectionState {
-  /** `asked`: a request has arrived. `answered`: its answer was just written. `idle`: neither, some time later. */
-  readonly kind: 'asked' | 'answered' | 'idle'
+  /** `asked`: a request has arrived. `answered`: its answer was just written. `refused`: its refusal was. `idle`: neither, some time later. */
+  readonly kind: 'asked' | 'answered' | 'refused' | 'idle'
+  /** Whether another request or a part of one has arrived. */
+  readonly isReceiving: boolean
   readonly isInTransaction: boolean
   /** Time since the last answer. */
   readonly idleMs: number
@@ -26,7 +29,7 @@
   readonly transactionsMs: number
   /** The time limit of a caller that never pauses. */
   readonly callersMs: number
-  /** A caller that was idle for this long is closed between requests. */
+  /** A caller that was idle for this long is closed between requests. What has arrived is read for as long after a time limit. */
   readonly idleMs: number
   /** A caller that always pauses for this long is closed right after an answer. */
   readonly pauseMs: number
@@ -34,9 +37,12 @@
 
 /** `go`: run the request, or leave the connection open. `refuse`: answer that it wasn't run, and close. */
 export function decideClosing (state: ConnectionState, timings: Timings): 'go' | 'refuse' | 'close' {
-  const { kind, isInTransaction, idleMs, shortestGapMs, leavingMs } = state
-  const isOver = leavingMs >= (isInTransaction ? timings.transactionsMs : timings.callersMs)
+  const { kind, isInTransaction, isReceiving, idleMs, shortestGapMs, leavingMs } = state
+  const limitMs = isInTransaction ? timings.transactionsMs : timings.callersMs
+  const isOver = leavingMs >= limitMs
   if (kind === 'asked') return isOver ? 'refuse' : 'go'
+  if (isReceiving && leavingMs < limitMs + timings.idleMs) return 'go'
+  if (kind === 'refused') return 'close'
   if (isInTransaction) return isOver ? 'close' : 'go'
   const isPausing = kind === 'answered' ? shortestGapMs >= timings.pauseMs : idleMs >= timings.idleMs
   return isPausing ? 'close' : 'go'
--- a/src/shell/mysql/login.ts
+++ b/src/shell/mysql/login.ts
@@ -9,6 +9,12 @@
   readonly address: string
   /** Checks the client's password against a double SHA-1 hash in hexadecimal. */
   verifyPassword (passwordHash: string): boolean
-  /** Closes the connection once everything written to it has been sent. */
-  closeConnection (): void
+  /** Whether a command or a part of one has arrived and hasn't reached the handler. */
+  isReceiving (): boolean
+  /**
+   * Closes the connection behind an error packet, as MySQL does when it shuts
+   * down: a command that crosses the close gets it as its answer. No command
+   * that arrives later is read.
+   */
+  closeConnection (code: number, message: string): void
 }
--- a/src/shell/mysql/server.ts
+++ b/src/shell/mysql/server.ts
@@ -9,6 +9,8 @@
 import { Reply } from './reply.ts'
 import type { Wire } from './wire.ts'
 
+type IncomingPacket = NonNullable<Parameters<NonNullable<Wire['_command']>['execute']>[0]>
+
 interface Options {
   readonly host: string
   readonly port: number
@@ -37,6 +39,7 @@
   ResetConnection = 31
 }
 
+const HEADER_BYTES = 4
 const ER_UNKNOWN_COMMAND = 1047
 const MAX_LOGIN_BYTES = 64 * 1024
 /** MySQL's default `max_allowed_packet`. */
@@ -108,6 +111,8 @@
   private readonly waiting: Buffer[] = []
   private isBusy = false
   private hasLogin = false
+  /** Whether this side has closed the connection, so that nothing that arrives is read. */
+  private isOver = false
   /** Bytes received since the last complete packet. */
   private pendingBytes = 0
 
@@ -131,7 +136,8 @@
     const handshake = wire._command!
     wire._command = {
       execute: (packet, same) => {
-        it.pendingBytes = 0
+        it.pendingBytes -= sizeOf(packet!)
+        if (it.isOver) return false
         if (it.handler !== undefined) {
           // Each command begins at 0, also behind one that has no reply.
           wire.sequenceId = 0
@@ -176,7 +182,8 @@
       attributes: this.wire.clientHelloReply?.connectAttributes ?? {},
       address: data.address,
       verifyPassword: passwordHash => isNativePassword(data.authToken, scramble, passwordHash),
-      closeConnection: () => this.wire.stream.end()
+      isReceiving: () => this.pendingBytes > 0 || this.waiting.length > 0,
+      closeConnection: (code, message) => this.close(code, message)
     })
     accepted.then(answer => {
       if (this.wire.stream.destroyed) return 'code' in answer ? undefined : answer.closed()
@@ -187,6 +194,17 @@
     }, () => this.wire.stream.destroy())
   }
 
+  private close (code: number, message: string): void {
+    const { wire } = this
+    if (this.isOver) return
+    this.isOver = true
+    this.waiting.length = 0
+    wire.sequenceId = 0
+    wire.writeError({ code, message })
+    wire.sequenceId = 0
+    wire.stream.end()
+  }
+
   private enqueue (payload: Buffer): void {
     if (this.isBusy) {
       this.waiting.push(payload)
@@ -237,6 +255,11 @@
   }
 }
 
+/** Bytes of a received command on the wire. */
+function sizeOf ({ start, end, numPackets }: IncomingPacket): number {
+  return end - start + (numPackets - 1) * HEADER_BYTES
+}
+
 interface LoginData {
   readonly user: string
   readonly database?: string
--- a/src/shell/mysql/wire.ts
+++ b/src/shell/mysql/wire.ts
@@ -9,6 +9,8 @@
   readonly buffer: Buffer
   readonly start: number
   readonly end: number
+  /** More than one if the payload was too large for a single packet. */
+  readonly numPackets: number
   offset: number
   isError (): boolean
   isEOF (): boolean
--- a/src/shell/node/callerconnections.ts
+++ b/src/shell/node/callerconnections.ts
@@ -4,7 +4,9 @@
 import type { CommandHandler } from '../mysql/commandhandler.ts'
 import { DrainableHandler } from './drainablehandler.ts'
 
-type DrainTimings = Parameters<typeof DrainableHandler.before>[0]['timings']
+type HandlerOptions = Parameters<typeof DrainableHandler.before>[0]
+type DrainTimings = HandlerOptions['timings']
+type Connection = HandlerOptions['connection']
 
 interface Options {
   readonly timings: DrainTimings
@@ -27,10 +29,10 @@
   }
 
   /** Returns the handler to use in place of the caller's own. Calls `onClosed` when the connection has closed. */
-  wrap (handler: CommandHandler, hangUp: () => void, onClosed: () => void): CommandHandler {
+  wrap (handler: CommandHandler, connection: Connection, onClosed: () => void): CommandHandler {
     const wrapped = DrainableHandler.before({
       handler,
-      hangUp,
+      connection,
       timings: this.options.timings,
       now: this.options.now,
       leavingSince: () => this.leavingSince,
--- a/src/shell/node/drainablehandler.test.ts
+++ b/src/shell/node/drainablehandler.test.ts
@@ -1,5 +1,6 @@
 /** Requests that arrive after their connection was closed. */
 
+import { setImmediate as readPending } from 'node:timers/promises'
 import { describe, expect, it } from 'vitest'
 import type { Instant } from '../../core/id/instant.ts'
 import type { CommandHandler } from '../mysql/commandhandler.ts'
@@ -19,12 +20,14 @@
       timings: { transactionsMs: 10_000, callersMs: 5000, idleMs: 500, pauseMs: 20 },
       now: () => now as Instant,
       leavingSince: () => now > 0 ? 1 as Instant : undefined,
-      hangUp: () => { isClosed = true },
+      connection: { isReceiving: () => false, closeConnection: () => { isClosed = true } },
       onClosed: () => undefined
     })
     await wrapped.query('first', {} as Reply)
     now = 1000
     wrapped.tick()
+    await readPending()
+    await readPending()
     expect(isClosed).toBe(true)
     await wrapped.query('crossed', {} as Reply)
     expect(ran).toEqual(['first'])
--- a/src/shell/node/drainablehandler.ts
+++ b/src/shell/node/drainablehandler.ts
@@ -1,8 +1,10 @@
 /** Wraps the handler of one caller's connection and closes the connection when this process drains. */
 
+import { setImmediate as readPending } from 'node:timers/promises'
 import type { Instant } from '../../core/id/instant.ts'
 import { decideClosing } from '../../core/membership/closing.ts'
 import type { CommandHandler } from '../mysql/commandhandler.ts'
+import type { Login } from '../mysql/login.ts'
 import type { Reply } from '../mysql/reply.ts'
 
 type DrainTimings = Parameters<typeof decideClosing>[1]
@@ -13,8 +15,7 @@
   readonly now: () => Instant
   /** When this process began to drain; undefined before. */
   readonly leavingSince: () => Instant | undefined
-  /** Closes the connection from this side. */
-  readonly hangUp: () => void
+  readonly connection: Pick<Login, 'isReceiving' | 'closeConnection'>
   readonly onClosed: () => void
 }
 
@@ -28,6 +29,7 @@
 export class DrainableHandler implements CommandHandler {
   private isBusy = false
   private hasHungUp = false
+  private requests = 0
   private answeredAt: Instant
   private shortestGapMs = Infinity
 
@@ -80,22 +82,38 @@
 
   /** Closes the connection if it is due. To be called at intervals while this process drains. */
   tick (): void {
-    if (!this.isBusy && this.decide('idle') === 'close') this.hangUp()
+    this.closeIfDue('idle')
   }
 
   private async handle (reply: Reply, act: () => Promise<void>): Promise<void> {
     // A request that was on its way while the connection closed can't be answered any more, so it must not run.
     if (this.hasHungUp) return
+    this.requests++
     this.recordGap()
     if (this.decide('asked') === 'refuse') {
       reply.error(ER_SERVER_SHUTDOWN, REFUSAL)
-      return this.hangUp()
+      this.closeIfDue('refused')
+      return
     }
     this.isBusy = true
     await act()
     this.isBusy = false
     this.answeredAt = this.options.now()
-    if (this.decide('answered') === 'close') this.hangUp()
+    this.closeIfDue('answered')
+  }
+
+  /**
+   * Timers run before sockets are read, and a connection whose caller sends
+   * ahead isn't read until the answer before is written. So whether to close
+   * is decided again when what has arrived by now is read: the second turn
+   * reads a connection that the first one resumes.
+   */
+  private async closeIfDue (kind: 'answered' | 'refused' | 'idle'): Promise<void> {
+    if (this.isBusy || this.decide(kind) !== 'close') return
+    const { requests } = this
+    await readPending()
+    await readPending()
+    if (this.requests === requests && this.decide(kind) === 'close') this.hangUp()
   }
 
   /** Keeps the shortest gap between requests. It doubles with each request, so that the quick first requests of a caller soon stop counting. */
@@ -105,13 +123,14 @@
     this.shortestGapMs = Math.min(gap, this.shortestGapMs * 2)
   }
 
-  private decide (kind: 'asked' | 'answered' | 'idle'): ReturnType<typeof decideClosing> {
-    const { now, leavingSince, timings } = this.options
+  private decide (kind: 'asked' | 'answered' | 'refused' | 'idle'): ReturnType<typeof decideClosing> {
+    const { now, leavingSince, timings, connection } = this.options
     const since = leavingSince()
     if (since === undefined) return 'go'
     return decideClosing({
       kind,
       isInTransaction: this.isInTransaction,
+      isReceiving: connection.isReceiving(),
       idleMs: now() - this.answeredAt,
       shortestGapMs: this.shortestGapMs,
       leavingMs: now() - since
@@ -122,6 +141,6 @@
     if (this.hasHungUp) return
     this.hasHungUp = true
     // An open transaction ends with its connection; its caller can't continue it on another.
-    this.options.hangUp()
+    this.options.connection.closeConnection(ER_SERVER_SHUTDOWN, REFUSAL)
   }
 }
--- a/src/shell/node/node.ts
+++ b/src/shell/node/node.ts
@@ -185,7 +185,7 @@
     const ids = pools.flatMap(pool => pool.groups)
     this.slots.useGroups(ids, closed.signal)
     await this.knownPrimaries.wait(ids, this.settings.requests.deadline)
-    return this.callers.wrap(handler, () => login.closeConnection(), () => closed.abort())
+    return this.callers.wrap(handler, login, () => closed.abort())
   }
 
   /** The port that peers use: it reaches this process's own slots only, so that no request takes more than one hop. */
