A leaving process ends only when its callers' last answers are sent

A caller that reads more slowly than its answer comes (its own pace, or a full link) could lose the end of it: the connection was closed in the middle.

Cause: a connection counted as closed once its close was asked for, and a tenth of a second after the last one the process ended, with all that hadn't reached the system yet.

Evidence: a caller that pauses before a result of 32 MB, over a real socket, is cut in the middle of it on the code before, when the server is stopped as soon as its callers are gone.

Now a close is over when everything written before it has been handed to the system, which sends it on after the process; or when its caller hasn't read it for the time of a caller (drain.callers), so that nobody holds the process.

--- a/src/shell/mysql/login.ts
+++ b/src/shell/mysql/login.ts
@@ -14,7 +14,8 @@
   /**
    * Closes the connection behind an error packet, as MySQL does when it shuts
    * down: a command that crosses the close gets it as its answer. No command
-   * that arrives later is read.
+   * that arrives later is read. Resolves when everything written to the
+   * connection has been sent, or the client has closed it.
    */
-  closeConnection (code: number, message: string): void
+  closeConnection (code: number, message: string): Promise<void>
 }
--- a/src/shell/mysql/server.ts
+++ b/src/shell/mysql/server.ts
@@ -183,7 +183,7 @@
       address: data.address,
       verifyPassword: passwordHash => isNativePassword(data.authToken, scramble, passwordHash),
       isReceiving: () => this.pendingBytes > 0 || this.waiting.length > 0,
-      closeConnection: (code, message) => this.close(code, message)
+      closeConnection: async (code, message) => await this.close(code, message)
     })
     accepted.then(answer => {
       if (this.wire.stream.destroyed) return 'code' in answer ? undefined : answer.closed()
@@ -194,15 +194,14 @@
     }, () => this.wire.stream.destroy())
   }
 
-  private close (code: number, message: string): void {
+  private async close (code: number, message: string): Promise<void> {
     const { wire } = this
-    if (this.isOver) return
     this.isOver = true
     this.waiting.length = 0
     wire.sequenceId = 0
     wire.writeError({ code, message })
     wire.sequenceId = 0
-    wire.stream.end()
+    await new Promise<void>(resolve => { wire.stream.end(() => resolve()) })
   }
 
   private enqueue (payload: Buffer): void {
--- a/src/shell/node/callerconnections.test.ts
+++ b/src/shell/node/callerconnections.test.ts
@@ -15,6 +15,8 @@
 const timings = { transactionsMs: 10_000, callersMs: 5000, idleMs: 500, pauseMs: 20 }
 const ER_PARSE = 1064
 const ERROR = 0xff
+/** More rows than the buffers of a connection on loopback take. */
+const LARGE = Array.from({ length: 32 }, () => Buffer.alloc(1024 * 1024, 1))
 const REFUSAL = 'not run: this proxy is leaving; connect again and send the request again'
 
 describe('callers of a process that leaves', () => {
@@ -42,9 +44,10 @@
       tracksSession: false,
       accept: async login => connections.wrap(handler(), {
         isReceiving: () => login.isReceiving(),
-        closeConnection: (code, message) => {
-          login.closeConnection(code, message)
+        closeConnection: async (code, message) => {
+          const sent = login.closeConnection(code, message)
           onClose()
+          await sent
         }
       }, () => undefined)
     }, stop.signal)
@@ -56,7 +59,10 @@
     const query = async (sql: string, reply: Reply): Promise<void> => {
       ran.push(sql)
       await gate
-      reply.error(ER_PARSE, sql)
+      if (sql !== 'large') return reply.error(ER_PARSE, sql)
+      reply.head([])
+      reply.rows(LARGE)
+      reply.end()
     }
     return { query, closed: () => undefined } as unknown as CommandHandler
   }
@@ -131,6 +137,36 @@
     expect(ran).toEqual([])
   })
 
+  // The process ends when its callers are gone: what waits in it for a caller that reads slowly would end with it.
+  it('have the whole of a large answer before the process may end', async () => {
+    const client = await RawClient.signIn(port)
+    const closing = new Promise<void>(resolve => { onClose = resolve })
+    now = 1000
+    client.socket.pause()
+    client.send(query('large'))
+    const server = stop
+    const drained = connections.drain().then(() => server.abort())
+    await closing
+    await Promise.race([drained, new Promise(resolve => { setTimeout(resolve, 100) })])
+    client.socket.resume()
+    for (let number = 1; number <= LARGE.length + 3; number++) expect((await client.read())[0]).toBe(number)
+    expect(await client.read()).toEqual([0, ERROR, REFUSAL])
+    await drained
+  })
+
+  it('hold the process no longer than their time if they do not read', async () => {
+    const client = await RawClient.signIn(port)
+    const closing = new Promise<void>(resolve => { onClose = resolve })
+    now = 1000
+    client.socket.pause()
+    client.send(query('large'))
+    const drained = connections.drain()
+    await closing
+    now = 6000
+    await drained
+    client.close()
+  })
+
   // A caller that begins a statement and never sends the rest must not hold the process.
   it('are closed within their time though a statement never arrives whole', async () => {
     const client = await RawClient.signIn(port)
--- a/src/shell/node/callerconnections.ts
+++ b/src/shell/node/callerconnections.ts
@@ -47,7 +47,7 @@
     return wrapped
   }
 
-  /** Closes the connections as the timings allow. Resolves when each is closed or has been hung up, even if its caller hasn't closed its side yet. */
+  /** Closes the connections as the timings allow. Resolves when each is closed and its last answer is sent, even if its caller hasn't closed its side yet. */
   async drain (): Promise<void> {
     this.leavingSince ??= this.options.now()
     for (;;) {
--- a/src/shell/node/drainablehandler.test.ts
+++ b/src/shell/node/drainablehandler.test.ts
@@ -20,7 +20,7 @@
       timings: { transactionsMs: 10_000, callersMs: 5000, idleMs: 500, pauseMs: 20 },
       now: () => now as Instant,
       leavingSince: () => now > 0 ? 1 as Instant : undefined,
-      connection: { isReceiving: () => false, closeConnection: () => { isClosed = true } },
+      connection: { isReceiving: () => false, closeConnection: async () => { isClosed = true } },
       onClosed: () => undefined
     })
     await wrapped.query('first', {} as Reply)
--- a/src/shell/node/drainablehandler.ts
+++ b/src/shell/node/drainablehandler.ts
@@ -28,7 +28,9 @@
  */
 export class DrainableHandler implements CommandHandler {
   private isBusy = false
-  private hasHungUp = false
+  private hungUpAt: Instant | undefined
+  /** Whether everything written to the connection has been sent. */
+  private isSent = false
   private requests = 0
   private answeredAt: Instant
   private shortestGapMs = Infinity
@@ -45,9 +47,10 @@
     return this.options.handler.isInTransaction === true
   }
 
-  /** Whether the connection has been closed, so that no request runs any more. */
+  /** Whether the connection has been closed and its caller has been sent the last answer, or hasn't read it in the time of a caller. */
   get isOver (): boolean {
-    return this.hasHungUp
+    if (this.hungUpAt === undefined) return false
+    return this.isSent || this.options.now() - this.hungUpAt >= this.options.timings.callersMs
   }
 
   async query (sql: string, reply: Reply): Promise<void> {
@@ -75,7 +78,8 @@
   }
 
   closed (): void {
-    this.hasHungUp = true
+    this.hungUpAt ??= this.options.now()
+    this.isSent = true
     this.options.handler.closed()
     this.options.onClosed()
   }
@@ -87,7 +91,7 @@
 
   private async handle (reply: Reply, act: () => Promise<void>): Promise<void> {
     // A request that was on its way while the connection closed can't be answered any more, so it must not run.
-    if (this.hasHungUp) return
+    if (this.hungUpAt !== undefined) return
     this.requests++
     this.recordGap()
     if (this.decide('asked') === 'refuse') {
@@ -138,9 +142,9 @@
   }
 
   private hangUp (): void {
-    if (this.hasHungUp) return
-    this.hasHungUp = true
+    if (this.hungUpAt !== undefined) return
+    this.hungUpAt = this.options.now()
     // An open transaction ends with its connection; its caller can't continue it on another.
-    this.options.connection.closeConnection(ER_SERVER_SHUTDOWN, REFUSAL)
+    this.options.connection.closeConnection(ER_SERVER_SHUTDOWN, REFUSAL).then(() => { this.isSent = true })
   }
 }
