A sign-in that waits while its process begins to leave is refused

A caller that signed in at a process that was told to end could see its connection closed without a word.

Cause: a sign-in waits until the primaries of its groups are known, up to a request's deadline. Whether the process leaves was looked at before that wait only, and the process ended without regard to sign-ins that still waited.

Evidence: with real processes, a proxy without a known primary is told to end while a caller signs in: "Connection lost" on the code before in place of error 1053.

Now the wait ends when callers are refused, the sign-in is refused like the later ones, and the process goes on to end when none waits.

--- a/src/shell/node/knownprimaries.ts
+++ b/src/shell/node/knownprimaries.ts
@@ -15,10 +15,10 @@
     return new KnownPrimaries(groups)
   }
 
-  /** Resolves when each group has had a known primary, or after `ms`. */
-  async wait (ids: readonly GroupId[], ms: number): Promise<void> {
+  /** Resolves when each group has had a known primary, after `ms`, or soon after the signal is aborted. */
+  async wait (ids: readonly GroupId[], ms: number, signal: AbortSignal): Promise<void> {
     const end = performance.now() + ms
-    while (!this.areKnown(ids) && performance.now() < end) await this.groups.waitForChange(POLL_INTERVAL_MS)
+    while (!this.areKnown(ids) && performance.now() < end && !signal.aborted) await this.groups.waitForChange(POLL_INTERVAL_MS)
   }
 
   private areKnown (ids: readonly GroupId[]): boolean {
--- a/src/shell/node/node.ts
+++ b/src/shell/node/node.ts
@@ -41,7 +41,7 @@
 type Settings = ReturnType<ReturnType<typeof parseSettings>['_unsafeUnwrap']>
 
 const HOST_LIST_POLL_MS = 500
-const ER_SERVER_SHUTDOWN = 1053
+const LEAVING = { code: 1053, message: 'this proxy is leaving; connect to another' }
 
 /** A running process. */
 export class Node {
@@ -50,8 +50,10 @@
   private mysql: MysqlServer | undefined
   private hasHostList = false
   private isLeaving = false
-  /** Whether new callers are refused. */
-  private refusesCallers = false
+  /** Aborted when new callers are refused. */
+  private readonly refusal = new AbortController()
+  /** Logins that have no answer yet. */
+  private readonly logins = new Set<Promise<unknown>>()
 
   private constructor (
     private readonly settings: Settings,
@@ -143,9 +145,9 @@
       port,
       tracksSession: false,
       accept: async login => {
-        if (node.refusesCallers) return { code: ER_SERVER_SHUTDOWN, message: 'this proxy is leaving; connect to another' }
-        const handler = await acceptCaller(context, reads, login)
-        return 'code' in handler ? handler : await node.wrapHandler(handler, login)
+        const answer = node.accept(login, async () => await acceptCaller(context, reads, login))
+        node.logins.add(answer)
+        return await answer.finally(() => node.logins.delete(answer))
       }
     }, signal)
     await servePages({ ...parseAddress(settings.listen.metrics), metrics, problem: () => node.problem }, signal)
@@ -165,26 +167,38 @@
     this.slots.leave()
     const gone = this.callers.drain()
     await pause(this.settings.drain.announce)
-    this.refusesCallers = true
+    this.refusal.abort()
     this.mysql?.close()
+    await Promise.allSettled(this.logins)
     await gone
     await this.callers.drain()
     await this.slots.left()
     this.log.write('stopped')
   }
 
+  private async accept (login: Login, authenticate: () => ReturnType<typeof acceptCaller>): ReturnType<typeof acceptCaller> {
+    if (this.refusal.signal.aborted) return LEAVING
+    const handler = await authenticate()
+    return 'code' in handler ? handler : await this.wrapHandler(handler, login)
+  }
+
   /**
    * Marks the groups of the caller's pools as used while the caller is
    * connected. Links to the owners of their slots may be opened only now, so
    * the login waits until the primaries are known; otherwise the first request
    * would be refused.
    */
-  private async wrapHandler (handler: CommandHandler, login: Login): Promise<CommandHandler> {
+  private async wrapHandler (handler: CommandHandler, login: Login): ReturnType<typeof acceptCaller> {
     const closed = new AbortController()
     const pools = this.configs?.config?.pools.filter(pool => pool.callers.some(caller => caller.id === login.user)) ?? []
     const ids = pools.flatMap(pool => pool.groups)
     this.slots.useGroups(ids, closed.signal)
-    await this.knownPrimaries.wait(ids, this.settings.requests.deadline)
+    await this.knownPrimaries.wait(ids, this.settings.requests.deadline, this.refusal.signal)
+    if (this.refusal.signal.aborted) {
+      closed.abort()
+      handler.closed()
+      return LEAVING
+    }
     return this.callers.wrap(handler, login, () => closed.abort())
   }
 
--- a/test/drain.test.ts
+++ b/test/drain.test.ts
@@ -88,3 +88,18 @@
     expect(rows.map(row => row.terminal).sort()).toEqual([...hasty.acknowledged].sort())
   })
 })
+
+describe('a caller that signs in at a leaving proxy', () => {
+  // A sign-in waits until the primary is known. The process looked only before that wait whether it leaves, and ended
+  // meanwhile: its caller had neither an answer nor a refusal.
+  it('is refused when its proxy ends before its primary is known', async () => {
+    stage = await Stage.start({ proxies: 1, extraSettings: PATIENT + '[drain]\nannounce = "1s"' })
+    await stage.proxies[0]!.child!.end('SIGKILL')
+    for (const { child } of stage.endpoints) await child.end('SIGKILL')
+    await stage.startProxy(0)
+    await stage.ready(0)
+    const signIn = connect(0).catch((err: unknown) => err)
+    expect(await stage.proxies[0]!.child!.end('SIGTERM')).toBe(0)
+    expect(await signIn).toMatchObject({ errno: 1053 })
+  })
+})
