What arrives on a link between processes breaks its silence, read or not

Callers whose requests were at another process had "outcome unknown" for them, all at once, though that process worked and had answered.

Cause: a link is given up when no whole batch was handled for peers.silent. A process that was held up finds that time over before it reads what has arrived meanwhile, since timers run before sockets are read; and a batch that takes longer than that to arrive on a full link counted as nothing.

Now the bytes that a link's socket has read count, and a silence that is too long is judged again after what has arrived was read. A peer that is frozen or cut off sends no bytes and is found as before; the time is still counted from the last batch.

--- a/src/shell/peer/link.ts
+++ b/src/shell/peer/link.ts
@@ -12,6 +12,7 @@
 import type { Log } from '../log/log.ts'
 import { AsyncQueue } from '../queue.ts'
 import { refusal } from './refusal.ts'
+import { Silence } from './silence.ts'
 import type { SlotPort } from './slotport.ts'
 import type { TlsKeys } from './tlskeys.ts'
 import { createPeerSession } from './tlssession.ts'
@@ -49,7 +50,7 @@
   private readonly sinks = new Map<number, Sink>()
   private readonly pendingConfirms = new Map<number, (answer: Confirmed) => void>()
   private nextId = 0
-  private lastReceivedMs = 0
+  private silence: Silence | undefined
   private isUp = false
   /** The peer's incarnation, from the hello of the current stream. */
   private incarnation = ''
@@ -127,12 +128,13 @@
     signal.addEventListener('abort', stop, { once: true })
     const out = AsyncQueue.create<Frame>()
     this.out = out
-    this.lastReceivedMs = performance.now()
     const session = createPeerSession(options.address, options.peer, options.keys)
+    const silence = Silence.of(options.silenceTimeoutMs, session.bytesRead)
+    this.silence = silence
     const transport = createGrpcTransport(session)
     this.send({ case: 'hello', value: { $typeName: 'agatepond.peer.v1.Hello', host: options.self, incarnation: options.incarnation } })
-    const beat = setInterval(() => {
-      if (performance.now() - this.lastReceivedMs > options.silenceTimeoutMs) return stop()
+    const beat = setInterval(async () => {
+      if (await silence.isTooLong()) return stop()
       this.send({ case: 'beat', value: { $typeName: 'agatepond.peer.v1.Beat' } })
     }, options.heartbeatIntervalMs)
     try {
@@ -149,7 +151,7 @@
   }
 
   private handleBatch (batch: Batch): void {
-    this.lastReceivedMs = performance.now()
+    this.silence?.heard()
     for (const { body } of batch.frames) this.handleFrame(body)
     if (this.isUp) this.options.onActivity(this.incarnation)
   }
--- a/src/shell/peer/server.ts
+++ b/src/shell/peer/server.ts
@@ -11,6 +11,7 @@
 import type { TransactionId } from '../../core/id/transaction.ts'
 import { Log } from '../log/log.ts'
 import { AsyncQueue } from '../queue.ts'
+import { Silence } from './silence.ts'
 import type { SlotPort } from './slotport.ts'
 import type { TlsKeys } from './tlskeys.ts'
 import { isCertificateFor } from './tlsname.ts'
@@ -46,7 +47,7 @@
       keys: options.keys,
       log: options.log ?? Log.silent,
       routes: router => router.service(Peer, {
-        link: (batches: AsyncIterable<Batch>, { values }: HandlerContext) => it.link(batches, values.get(TlsServer.certificate)),
+        link: (batches: AsyncIterable<Batch>, { values }: HandlerContext) => it.link(batches, values.get(TlsServer.certificate), values.get(TlsServer.bytesRead)),
         status: () => create(StatusReplySchema, options.status())
       })
     })
@@ -72,8 +73,8 @@
     for (const link of this.links) link.send(body)
   }
 
-  private async * link (batches: AsyncIterable<Batch>, certificate: X509Certificate | undefined): AsyncGenerator<Batch> {
-    const link = InboundLink.open(this.options, certificate)
+  private async * link (batches: AsyncIterable<Batch>, certificate: X509Certificate | undefined, bytesRead: () => number): AsyncGenerator<Batch> {
+    const link = InboundLink.open(this.options, certificate, bytesRead)
     this.links.add(link)
     link.read(batches)
     try {
@@ -92,17 +93,18 @@
   /** The open transactions. One whose COMMIT or ROLLBACK failed stays until the peer releases it. */
   private readonly transactions = new Set<TransactionId>()
   private host = '' as HostId
-  private lastReceivedMs = performance.now()
+  private readonly silence: Silence
   private readonly beat: NodeJS.Timeout
   private isClosed = false
   private isAccepted = false
 
-  private constructor (private readonly options: Options, private readonly certificate: X509Certificate | undefined) {
+  private constructor (private readonly options: Options, private readonly certificate: X509Certificate | undefined, bytesRead: () => number) {
+    this.silence = Silence.of(options.silenceTimeoutMs, bytesRead)
     this.beat = setInterval(() => this.checkLiveness(), options.heartbeatIntervalMs)
   }
 
-  static open (options: Options, certificate: X509Certificate | undefined): InboundLink {
-    const it = new InboundLink(options, certificate)
+  static open (options: Options, certificate: X509Certificate | undefined, bytesRead: () => number): InboundLink {
+    const it = new InboundLink(options, certificate, bytesRead)
     if (options.keys === undefined) it.accept()
     return it
   }
@@ -114,7 +116,7 @@
   async read (batches: AsyncIterable<Batch>): Promise<void> {
     try {
       for await (const batch of batches) {
-        this.lastReceivedMs = performance.now()
+        this.silence.heard()
         for (const frame of batch.frames) this.handleFrame(frame)
       }
     } catch {
@@ -162,8 +164,8 @@
   }
 
   /** Closes a silent link, since a link can go silent without an error; otherwise sends a heartbeat. */
-  private checkLiveness (): void {
-    if (performance.now() - this.lastReceivedMs > this.options.silenceTimeoutMs) return this.out.close()
+  private async checkLiveness (): Promise<void> {
+    if (await this.silence.isTooLong()) return this.out.close()
     this.send({ case: 'beat', value: { $typeName: 'agatepond.peer.v1.Beat' } })
   }
 
--- a/src/shell/peer/tlsserver.ts
+++ b/src/shell/peer/tlsserver.ts
@@ -2,7 +2,7 @@
 
 import type { X509Certificate } from 'node:crypto'
 import { createSecureServer, createServer, type Http2SecureServer, type Http2Server, type Http2Session } from 'node:http2'
-import type { TLSSocket } from 'node:tls'
+import { TLSSocket } from 'node:tls'
 import { createContextKey, createContextValues, type ContextKey, type ContextValues } from '@connectrpc/connect'
 import { connectNodeAdapter } from '@connectrpc/connect-node'
 import type { Log } from '../log/log.ts'
@@ -24,11 +24,13 @@
   /** Context key of the peer's certificate, which is undefined in clear text. */
   static readonly certificate: ContextKey<X509Certificate | undefined> = createContextKey<X509Certificate | undefined>(undefined)
 
+  /** Context key of the number of bytes that the peer's socket has read. */
+  static readonly bytesRead: ContextKey<() => number> = createContextKey<() => number>(() => 0)
+
   static create ({ routes, keys, log }: Options): Http2Server | Http2SecureServer {
-    if (keys === undefined) return createServer(connectNodeAdapter({ routes }))
-    const server = createSecureServer(
-      { ...keys.context, requestCert: true, rejectUnauthorized: true },
-      connectNodeAdapter({ routes, contextValues: req => contextValuesOf('stream' in req ? req.stream.session : undefined) }))
+    const adapter = connectNodeAdapter({ routes, contextValues: req => contextValuesOf('stream' in req ? req.stream.session : undefined) })
+    if (keys === undefined) return createServer(adapter)
+    const server = createSecureServer({ ...keys.context, requestCert: true, rejectUnauthorized: true }, adapter)
     keys.onChange(context => server.setSecureContext(context))
     const loggedAt = new Map<string, number>()
     server.on('tlsClientError', ({ message }) => {
@@ -41,6 +43,8 @@
 }
 
 function contextValuesOf (session: Http2Session | undefined): ContextValues {
-  const certificate = (session?.socket as TLSSocket | undefined)?.getPeerX509Certificate()
-  return createContextValues().set(TlsServer.certificate, certificate)
+  const socket = session?.socket
+  return createContextValues()
+    .set(TlsServer.certificate, socket instanceof TLSSocket ? socket.getPeerX509Certificate() : undefined)
+    .set(TlsServer.bytesRead, () => session?.destroyed === false ? socket?.bytesRead ?? 0 : 0)
 }
