A transaction stays open when a newer link of its peer carries it on

Callers were told that their transaction was lost though they had run a statement in it moments before, after the link between two processes was replaced.

Cause: the side that misses its link opens another at once and goes on with its open transactions there. The other side finds the old link dead only later, and rolled back all transactions that had ever run on it.

Evidence: a test over two links to one server; on the code before, closing the older one releases both of its transactions, the one carried on and the one left behind.

Now the newest link on which a transaction ran a statement carries it, and only that link's end rolls it back. A late statement on an older link doesn't take it back.

--- a/src/shell/peer/hop.test.ts
+++ b/src/shell/peer/hop.test.ts
@@ -139,6 +139,52 @@
     expect(events).toEqual(['run BEGIN', 'cancel BEGIN', 'release tx-1'])
   })
 
+  // A peer that lost its link opens another and goes on with its open transactions there; the old link is found dead only
+  // later, and took them with it.
+  it('leaves a transaction to the newer link that carries it on', async () => {
+    const released: string[] = []
+    const logged: unknown[] = []
+    const slots: SlotPort = {
+      run: ({ id }, sink) => {
+        sink.done(create(DoneSchema, { id, outcome: DoneOutcome.DONE }))
+        return { credit: () => undefined, cancel: () => undefined }
+      },
+      confirm: async () => { throw new Error('not asked') },
+      release: id => { released.push(id) }
+    }
+    const port = await freePort()
+    const recordingLog = { write: (event: string, fields: unknown) => logged.push([event, fields]) } as unknown as Log
+    await PeerServer.listen({ ip: '127.0.0.1', port, host: 'b' as HostId, incarnation: '1', heartbeatIntervalMs: 20, silenceTimeoutMs: 60_000, slots, initialFrames: () => [], onConfig: () => undefined, status: () => ({}), log: recordingLog }, stop.signal)
+    const open = (): { run: (id: number, transaction: string) => Promise<void>, close: () => void } => {
+      const out = AsyncQueue.create<Frame['body']>()
+      const own = new AbortController()
+      const answers = createClient(Peer, createGrpcTransport({ baseUrl: `http://127.0.0.1:${port}` })).link(batches(out), { signal: own.signal })[Symbol.asyncIterator]()
+      out.push(hello)
+      return {
+        run: async (id, transaction) => {
+          out.push({ case: 'run', value: create(RunSchema, { id, transaction, access: RunAccess.TRANSACTION }) })
+          for (;;) {
+            const { value } = await answers.next() as { value: Batch }
+            if (value.frames.some(({ body }) => body.case === 'done' && body.value.id === id)) return
+          }
+        },
+        close: () => own.abort()
+      }
+    }
+    const [older, newer] = [open(), open()]
+    await older.run(1, 'carried on')
+    await older.run(2, 'left')
+    await newer.run(1, 'carried on')
+    older.close()
+    await until(() => logged.length === 1)
+    expect(released).toEqual(['left'])
+    newer.close()
+    await until(() => logged.length === 2)
+    expect(released).toEqual(['left', 'carried on'])
+    const line = ['transactionsRolledBack', { peer: 'b', transactions: 1 }]
+    expect(logged).toEqual([line, line])
+  })
+
   // Ended transactions must neither stay in memory nor count as rolled back when the link closes.
   it('rolls back and logs open transactions only', async () => {
     const released: string[] = []
--- a/src/shell/peer/server.ts
+++ b/src/shell/peer/server.ts
@@ -38,6 +38,7 @@
 /** Accepts links from peers and serves them the slots of this process. */
 export class PeerServer {
   private readonly links = new Set<InboundLink>()
+  private readonly carriers = new Map<TransactionId, InboundLink>()
 
   private constructor (private readonly options: Options) {}
 
@@ -74,7 +75,7 @@
   }
 
   private async * link (batches: AsyncIterable<Batch>, certificate: X509Certificate | undefined, bytesRead: () => number): AsyncGenerator<Batch> {
-    const link = InboundLink.open(this.options, certificate, bytesRead)
+    const link = InboundLink.open(this.options, this.carriers, certificate, bytesRead)
     this.links.add(link)
     link.read(batches)
     try {
@@ -86,10 +87,11 @@
   }
 }
 
-/** A link from one peer. When it breaks or goes silent, its requests are cancelled and its transactions rolled back. */
+/** A link from one peer. When it breaks or goes silent, its requests are cancelled, and its transactions rolled back that no newer link carries on. */
 class InboundLink {
   readonly out = AsyncQueue.create<Frame>()
   private readonly running = new Map<number, ReturnType<SlotPort['run']>>()
+  private readonly openedAt = performance.now()
   /** The open transactions. One whose COMMIT or ROLLBACK failed stays until the peer releases it. */
   private readonly transactions = new Set<TransactionId>()
   private host = '' as HostId
@@ -98,13 +100,19 @@
   private isClosed = false
   private isAccepted = false
 
-  private constructor (private readonly options: Options, private readonly certificate: X509Certificate | undefined, bytesRead: () => number) {
+  private constructor (
+    private readonly options: Options,
+    /** The newest link on which each open transaction has run a statement. */
+    private readonly carriers: Map<TransactionId, InboundLink>,
+    private readonly certificate: X509Certificate | undefined,
+    bytesRead: () => number
+  ) {
     this.silence = Silence.of(options.silenceTimeoutMs, bytesRead)
     this.beat = setInterval(() => this.checkLiveness(), options.heartbeatIntervalMs)
   }
 
-  static open (options: Options, certificate: X509Certificate | undefined, bytesRead: () => number): InboundLink {
-    const it = new InboundLink(options, certificate, bytesRead)
+  static open (options: Options, carriers: Map<TransactionId, InboundLink>, certificate: X509Certificate | undefined, bytesRead: () => number): InboundLink {
+    const it = new InboundLink(options, carriers, certificate, bytesRead)
     if (options.keys === undefined) it.accept()
     return it
   }
@@ -130,8 +138,10 @@
     clearInterval(this.beat)
     this.out.close()
     for (const running of this.running.values()) running.cancel()
-    for (const transaction of this.transactions) this.options.slots.release(transaction)
-    if (this.transactions.size > 0) this.options.log?.write('transactionsRolledBack', { peer: this.host, transactions: this.transactions.size })
+    // A peer that opened a newer link goes on with its transactions there.
+    const left = [...this.transactions].filter(transaction => this.carriers.get(transaction) === this)
+    for (const transaction of left) this.release(transaction)
+    if (left.length > 0) this.options.log?.write('transactionsRolledBack', { peer: this.host, transactions: left.length })
     this.running.clear()
     this.transactions.clear()
   }
@@ -194,13 +204,24 @@
   }
 
   private release (transaction: TransactionId): void {
-    this.transactions.delete(transaction)
+    this.forget(transaction)
     this.options.slots.release(transaction)
   }
 
+  private carry (transaction: TransactionId): void {
+    this.transactions.add(transaction)
+    const carrier = this.carriers.get(transaction)
+    if (carrier === undefined || carrier.openedAt <= this.openedAt) this.carriers.set(transaction, this)
+  }
+
+  private forget (transaction: TransactionId): void {
+    this.transactions.delete(transaction)
+    this.carriers.delete(transaction)
+  }
+
   private run (req: Run): void {
     const { id } = req
-    if (req.transaction !== '') this.transactions.add(req.transaction as TransactionId)
+    if (req.transaction !== '') this.carry(req.transaction as TransactionId)
     let isDone = false
     const running = this.options.slots.run(req, {
       head: columns => this.send({ case: 'head', value: { $typeName: 'agatepond.peer.v1.Head', id, columns: [...columns] } }),
@@ -208,7 +229,7 @@
       done: done => {
         isDone = true
         this.running.delete(id)
-        if (isEnd(req) && done.outcome === DoneOutcome.DONE) this.transactions.delete(req.transaction as TransactionId)
+        if (isEnd(req) && done.outcome === DoneOutcome.DONE) this.forget(req.transaction as TransactionId)
         this.send({ case: 'done', value: done })
       }
     })
