A deadline that is over is judged after what has arrived is read

Callers were told that the outcome of their request is unknown although its answer had arrived before the deadline.

Cause: timers run before sockets are read. A process that was held up (another request's work, a pause of the collector, a frozen process that goes on) found the deadline over, both where the caller's request waits and where the slot's owner runs it, before it read the answer.

Now both read what has arrived, one turn of the event loop, and then judge.

--- a/src/shell/caller/requestrun.ts
+++ b/src/shell/caller/requestrun.ts
@@ -1,6 +1,7 @@
 /** Runs one request: routes, sends, retries and cancels its attempts as the state machine `Attempts` decides. */
 
 import { randomUUID } from 'node:crypto'
+import { setImmediate as readPending } from 'node:timers/promises'
 import { Done_Outcome as DoneOutcome, Run_Access as RunAccess, type Done } from '../../gen/peer_pb.ts'
 import type { EndpointId } from '../../core/id/endpoint.ts'
 import type { Instant } from '../../core/id/instant.ts'
@@ -76,9 +77,11 @@
     it.handleEvent({ kind: 'start' })
   }
 
+  /** Timers run before sockets are read, so the answer may have arrived that this process was too busy to read. */
   private scheduleTick (): void {
     const ms = Math.max(1, this.attempts.tickDueAt - this.context.now())
-    this.timer = setTimeout(() => {
+    this.timer = setTimeout(async () => {
+      await readPending()
       this.handleEvent({ kind: 'tick' })
       if (!this.attempts.isOver) this.scheduleTick()
     }, ms)
--- a/src/shell/endpoint/execution.ts
+++ b/src/shell/endpoint/execution.ts
@@ -1,5 +1,6 @@
 /** Executes one request on a slot: carries out the actions of its `SlotRun` state machine. */
 
+import { setImmediate as readPending } from 'node:timers/promises'
 import { create } from '@bufbuild/protobuf'
 import { Done_Outcome as DoneOutcome, DoneSchema, type Run } from '../../gen/peer_pb.ts'
 import type { TransactionId } from '../../core/id/transaction.ts'
@@ -56,7 +57,7 @@
 
   static start (context: ExecutionContext, req: Run, sink: Sink): Execution {
     const it = new Execution(context, req, sink)
-    it.timer = setTimeout(() => it.handle({ kind: 'deadline' }), req.deadlineMs)
+    it.timer = setTimeout(() => it.expire(), req.deadlineMs)
     it.handle({ kind: 'start' })
     return it
   }
@@ -85,6 +86,12 @@
     if (run.isOver) this.end()
   }
 
+  /** Timers run before sockets are read, so the answer may have arrived that this process was too busy to read. */
+  private async expire (): Promise<void> {
+    await readPending()
+    if (!this.slotRun.isOver) this.handle({ kind: 'deadline' })
+  }
+
   private end (): void {
     clearTimeout(this.timer)
     const { cancelWait } = this
