A result of more than 250 columns has a right header

A caller whose result had 251 columns or more lost its connection, waited for ever, or took the result for an OK packet.

Cause: the number of columns was written as a single byte, where the protocol has a length-coded number; 251 asks for a local file, 252 and above announce more bytes, and 256 and above were cut.

Evidence: on the code before, mysql2 reads a result of 250 columns and none of 251 (asks for a file), 252 and 300 (no end), and 4096 (an OK packet).

Now the number is length-coded; the tests from 250 to 4096 columns, MySQL's limit, pass.

--- a/src/shell/mysql/reply.ts
+++ b/src/shell/mysql/reply.ts
@@ -5,6 +5,9 @@
 
 const AUTOCOMMIT = 2
 const IN_TRANSACTION = 1
+/** The largest length-coded number that is its own byte. */
+const MAX_SINGLE_BYTE = 250
+const TWO_BYTES_FOLLOW = 252
 
 /** A parameter definition: catalog `def`, no names, a string of any length. */
 const PARAMETER_DEFINITION = Buffer.from([3, 0x64, 0x65, 0x66, 0, 0, 0, 1, 0x3f, 0, 12, 45, 0, 255, 255, 0, 0, 253, 0, 0, 0, 0, 0])
@@ -56,7 +59,7 @@
     this.hasHead = true
     this.wire.stream.cork()
     this.write(() => {
-      this.wire.writePacket(RawPacket.of(Buffer.from([columns.length])))
+      this.wire.writePacket(RawPacket.of(lengthCoded(columns.length)))
       for (const column of columns) this.wire.writePacket(RawPacket.of(column))
       this.wire.writeEof(0, AUTOCOMMIT)
     })
@@ -146,3 +149,9 @@
 function statusOf (inTransaction: boolean): number {
   return AUTOCOMMIT | (inTransaction ? IN_TRANSACTION : 0)
 }
+
+/** A length-coded number of at most two bytes; a result has no more than 4096 columns. */
+function lengthCoded (value: number): Buffer {
+  if (value <= MAX_SINGLE_BYTE) return Buffer.from([value])
+  return Buffer.from([TWO_BYTES_FOLLOW, value & 0xff, value >> 8])
+}
--- a/src/shell/mysql/server.test.ts
+++ b/src/shell/mysql/server.test.ts
@@ -1,6 +1,6 @@
 /** Numbers of packets at the MySQL server: what a client sends behind a command that has no answer, or ahead of an answer. */
 
-import { createConnection } from 'mysql2/promise'
+import { createConnection, type RowDataPacket } from 'mysql2/promise'
 import { afterAll, beforeAll, describe, expect, it } from 'vitest'
 import { freePorts } from '../../../standin/ports.ts'
 import { RawClient } from '../../../standin/rawclient.ts'
@@ -14,13 +14,21 @@
 const ERROR = 0xff
 
 const { packet, query } = RawClient
+const lengthCoded = (text: string): Buffer => Buffer.concat([Buffer.from([Buffer.byteLength(text)]), Buffer.from(text)])
+const column = (name: string): Buffer =>
+  Buffer.concat([...['def', '', '', '', name, name].map(lengthCoded), Buffer.from([12, 45, 0, 0, 1, 0, 0, 253, 0, 0, 0, 0, 0])])
 
-/** Answers each query with an error of the same text, a turn of the event loop later. */
+/** Answers each query with an error of the same text, a turn of the event loop later, or with as many columns as it names. */
 class EchoHandler implements CommandHandler {
   async query (sql: string, reply: Reply): Promise<void> {
     await new Promise(resolve => setImmediate(resolve))
-    if (sql === 'ok') reply.ok()
-    else reply.error(ER_PARSE, sql)
+    if (sql === 'ok') return reply.ok()
+    const columns = Number(/^columns (\d+)$/.exec(sql)?.[1] ?? 0)
+    if (columns === 0) return reply.error(ER_PARSE, sql)
+    const names = Array.from({ length: columns }, (_, i) => `c${i}`)
+    reply.head(names.map(column))
+    reply.rows([Buffer.concat(names.map(lengthCoded))])
+    reply.end()
   }
 
   async use (_database: string, reply: Reply): Promise<void> { reply.ok() }
@@ -64,6 +72,16 @@
     await client.end()
   })
 
+  // The number of columns is length-coded; as a single byte it was cut, and clients lost the rest of the connection.
+  it.each([250, 251, 252, 300, 4096])('sends a result of %d columns', async columns => {
+    const client = await createConnection({ host: '127.0.0.1', port, user: 'app' })
+    const [rows] = await client.query<RowDataPacket[]>(`columns ${columns}`)
+    const names = Array.from({ length: columns }, (_, i) => `c${i}`)
+    expect(rows).toEqual([Object.fromEntries(names.map(name => [name, name]))])
+    await client.query('ok')
+    await client.end()
+  })
+
   // A packet that is out of order shows that the two sides don't agree on what is a command.
   it('closes a connection whose command has another number than 0', async () => {
     const client = await RawClient.signIn(port)
