Guard: a request whose handler rejects doesn't hold a leaving process

By reading, a connection whose handler rejects seemed to count as busy for good. Run over a real socket it doesn't: the server closes the connection when a handler rejects, since its reply may be partly written, and a closed connection is over whether it was busy or not. The test passes on the code before as well.

--- a/src/shell/node/callerconnections.test.ts
+++ b/src/shell/node/callerconnections.test.ts
@@ -59,6 +59,7 @@
     const query = async (sql: string, reply: Reply): Promise<void> => {
       ran.push(sql)
       await gate
+      if (sql === 'reject') throw new RangeError('as for a malformed packet')
       if (sql !== 'large') return reply.error(ER_PARSE, sql)
       reply.head([])
       reply.rows(LARGE)
@@ -167,6 +168,15 @@
     client.close()
   })
 
+  // A request whose handler rejects has no end that would mark its connection as idle; the process would wait for it for ever.
+  it('do not hold the process with a request whose handler rejected', async () => {
+    const client = await RawClient.signIn(port)
+    client.send(query('reject'))
+    expect(await client.read()).toBe('closed')
+    now = 1000
+    await connections.drain()
+  })
+
   // A caller that begins a statement and never sends the rest must not hold the process.
   it('are closed within their time though a statement never arrives whole', async () => {
     const client = await RawClient.signIn(port)
