A probe's time that is over is judged after what has arrived is read

An owner that was held up took the answer of its endpoint for a miss: the probe and its second try each have 150 ms, and two such misses have a healthy primary replaced, with its callers refused meanwhile.

Cause: timers run before sockets are read. The probe's connection was closed with the answer waiting on it.

Now what has arrived is read before the connection is given up. By reading, a primary that answers after the survey began seemed to be sealed all the same; run in the core it isn't, unless a majority had answered and votes were asked for before its answer, as designed: a primary that missed its probes isn't waited for. A test of the core holds both (it passes on the code before too).

--- a/src/core/failover/monitor.test.ts
+++ b/src/core/failover/monitor.test.ts
@@ -99,6 +99,20 @@
     expect(actionsAfter(healed)).toEqual([])
     expect(actionsAfter([...healed, [4150, { kind: 'missed', endpoint: IDS[2]! }]])).toEqual(['seal e1 2', 'seal e2 2', 'seal e3 2'])
   })
+
+  // Guards against replacing a healthy primary whose answers are late on this host's own link.
+  it('seals nothing when the primary answers after the survey began', () => {
+    const suspected: [number, FailoverEvent][] = [
+      ...IDS.map((id): [number, FailoverEvent] => [0, { kind: 'sampled', sample: sample(id, id === 'e3' ? 'primary' : 'replica', 1) }]),
+      [300, { kind: 'missed', endpoint: IDS[2]! }],
+      [600, { kind: 'missed', endpoint: IDS[2]! }]
+    ]
+    expect(actionsAfter(suspected)).toEqual(['probe e1', 'probe e2', 'probe e3'])
+    const replicas = ['e1', 'e2'].map((id): [number, FailoverEvent] => [602, { kind: 'sampled', sample: sample(id, 'replica', 1) }])
+    expect(actionsAfter([...suspected, ...replicas])).toEqual(['seal e1 2', 'seal e2 2', 'seal e3 2'])
+    expect(actionsAfter([...suspected, [601, { kind: 'sampled', sample: sample('e3', 'primary', 1) }], ...replicas])).toEqual([])
+    expect(actionsAfter([...suspected, [601, { kind: 'learnt', sample: sample('e3', 'primary', 1) }], ...replicas])).toEqual([])
+  })
 })
 
 describe('FailureDetector', () => {
--- a/src/shell/endpoint/control.ts
+++ b/src/shell/endpoint/control.ts
@@ -1,5 +1,6 @@
 /** Calls the control procedures (verbs) of an endpoint over a separate MySQL connection. */
 
+import { setImmediate as readPending } from 'node:timers/promises'
 import { TermHistory } from '../../core/termhistory.ts'
 import type { EndpointId } from '../../core/id/endpoint.ts'
 import type { Instant } from '../../core/id/instant.ts'
@@ -74,7 +75,11 @@
   private async ask (verb: string, ms: number): Promise<Sample> {
     const at = this.now()
     let isLate = false
-    const timer = setTimeout(() => {
+    let isOver = false
+    // Timers run before sockets are read, so the answer may have arrived that this process was too busy to read.
+    const timer = setTimeout(async () => {
+      await readPending()
+      if (isOver) return
       isLate = true
       this.close()
     }, ms)
@@ -90,6 +95,7 @@
       if (!isServerError(err)) this.close()
       throw err
     } finally {
+      isOver = true
       clearTimeout(timer)
     }
   }
