--- a/src/shell/mysql/server.ts
+++ b/src/shell/mysql/server.ts
@@ -9,6 +9,8 @@
 import { Reply } from './reply.ts'
 import type { Wire } from './wire.ts'
 
+type IncomingPacket = NonNullable<Parameters<NonNullable<Wire['_command']>['execute']>[0]>
+
 interface Options {
   readonly host: string
   readonly port: number
@@ -37,6 +39,7 @@
   ResetConnection = 31
 }
 
+const HEADER_BYTES = 4
 const ER_UNKNOWN_COMMAND = 1047
 const MAX_LOGIN_BYTES = 64 * 1024
 /** MySQL's default `max_allowed_packet`. */
@@ -108,6 +111,8 @@
   private readonly waiting: Buffer[] = []
   private isBusy = false
   private hasLogin = false
+  /** Whether this side has closed the connection, so that nothing that arrives is read. */
+  private isOver = false
   /** Bytes received since the last complete packet. */
   private pendingBytes = 0
 
@@ -131,8 +136,11 @@
     const handshake = wire._command!
     wire._command = {
       execute: (packet, same) => {
-        it.pendingBytes = 0
+        it.pendingBytes -= sizeOf(packet!)
+        if (it.isOver) return false
         if (it.handler !== undefined) {
+          // Each command begins at 0, also behind one that has no reply.
+          wire.sequenceId = 0
           it.enqueue(payloadOf(packet!))
         } else if (it.hasLogin) {
           // A command that was sent before the login was answered: the client is not authenticated yet.
@@ -174,7 +182,8 @@
       attributes: this.wire.clientHelloReply?.connectAttributes ?? {},
       address: data.address,
       verifyPassword: passwordHash => isNativePassword(data.authToken, scramble, passwordHash),
-      closeConnection: () => this.wire.stream.end()
+      isReceiving: () => this.pendingBytes > 0 || this.waiting.length > 0,
+      closeConnection: async (code, message) => await this.close(code, message)
     })
     accepted.then(answer => {
       if (this.wire.stream.destroyed) return 'code' in answer ? undefined : answer.closed()
@@ -185,6 +194,16 @@
     }, () => this.wire.stream.destroy())
   }
 
+  private async close (code: number, message: string): Promise<void> {
+    const { wire } = this
+    this.isOver = true
+    this.waiting.length = 0
+    wire.sequenceId = 0
+    wire.writeError({ code, message })
+    wire.sequenceId = 0
+    await new Promise<void>(resolve => { wire.stream.end(() => resolve()) })
+  }
+
   private enqueue (payload: Buffer): void {
     if (this.isBusy) {
       this.waiting.push(payload)
@@ -235,6 +254,11 @@
   }
 }
 
+/** Bytes of a received command on the wire. */
+function sizeOf ({ start, end, numPackets }: IncomingPacket): number {
+  return end - start + (numPackets - 1) * HEADER_BYTES
+}
+
 interface LoginData {
   readonly user: string
   readonly database?: string
--- a/src/shell/node/callerconnections.ts
+++ b/src/shell/node/callerconnections.ts
@@ -4,7 +4,9 @@
 import type { CommandHandler } from '../mysql/commandhandler.ts'
 import { DrainableHandler } from './drainablehandler.ts'
 
-type DrainTimings = Parameters<typeof DrainableHandler.before>[0]['timings']
+type HandlerOptions = Parameters<typeof DrainableHandler.before>[0]
+type DrainTimings = HandlerOptions['timings']
+type Connection = HandlerOptions['connection']
 
 interface Options {
   readonly timings: DrainTimings
@@ -27,10 +29,10 @@
   }
 
   /** Returns the handler to use in place of the caller's own. Calls `onClosed` when the connection has closed. */
-  wrap (handler: CommandHandler, hangUp: () => void, onClosed: () => void): CommandHandler {
+  wrap (handler: CommandHandler, connection: Connection, onClosed: () => void): CommandHandler {
     const wrapped = DrainableHandler.before({
       handler,
-      hangUp,
+      connection,
       timings: this.options.timings,
       now: this.options.now,
       leavingSince: () => this.leavingSince,
@@ -45,7 +47,7 @@
     return wrapped
   }
 
-  /** Closes the connections as the timings allow. Resolves when each is closed or has been hung up, even if its caller hasn't closed its side yet. */
+  /** Closes the connections as the timings allow. Resolves when each is closed and its last answer is sent, even if its caller hasn't closed its side yet. */
   async drain (): Promise<void> {
     this.leavingSince ??= this.options.now()
     for (;;) {
--- a/src/shell/peer/server.ts
+++ b/src/shell/peer/server.ts
@@ -11,6 +11,7 @@
 import type { TransactionId } from '../../core/id/transaction.ts'
 import { Log } from '../log/log.ts'
 import { AsyncQueue } from '../queue.ts'
+import { Silence } from './silence.ts'
 import type { SlotPort } from './slotport.ts'
 import type { TlsKeys } from './tlskeys.ts'
 import { isCertificateFor } from './tlsname.ts'
@@ -37,6 +38,7 @@
 /** Accepts links from peers and serves them the slots of this process. */
 export class PeerServer {
   private readonly links = new Set<InboundLink>()
+  private readonly carriers = new Map<TransactionId, InboundLink>()
 
   private constructor (private readonly options: Options) {}
 
@@ -46,7 +48,7 @@
       keys: options.keys,
       log: options.log ?? Log.silent,
       routes: router => router.service(Peer, {
-        link: (batches: AsyncIterable<Batch>, { values }: HandlerContext) => it.link(batches, values.get(TlsServer.certificate)),
+        link: (batches: AsyncIterable<Batch>, { values }: HandlerContext) => it.link(batches, values.get(TlsServer.certificate), values.get(TlsServer.bytesRead)),
         status: () => create(StatusReplySchema, options.status())
       })
     })
@@ -72,8 +74,8 @@
     for (const link of this.links) link.send(body)
   }
 
-  private async * link (batches: AsyncIterable<Batch>, certificate: X509Certificate | undefined): AsyncGenerator<Batch> {
-    const link = InboundLink.open(this.options, certificate)
+  private async * link (batches: AsyncIterable<Batch>, certificate: X509Certificate | undefined, bytesRead: () => number): AsyncGenerator<Batch> {
+    const link = InboundLink.open(this.options, this.carriers, certificate, bytesRead)
     this.links.add(link)
     link.read(batches)
     try {
@@ -85,24 +87,32 @@
   }
 }
 
-/** A link from one peer. When it breaks or goes silent, its requests are cancelled and its transactions rolled back. */
+/** A link from one peer. When it breaks or goes silent, its requests are cancelled, and its transactions rolled back that no newer link carries on. */
 class InboundLink {
   readonly out = AsyncQueue.create<Frame>()
   private readonly running = new Map<number, ReturnType<SlotPort['run']>>()
+  private readonly openedAt = performance.now()
   /** The open transactions. One whose COMMIT or ROLLBACK failed stays until the peer releases it. */
   private readonly transactions = new Set<TransactionId>()
   private host = '' as HostId
-  private lastReceivedMs = performance.now()
+  private readonly silence: Silence
   private readonly beat: NodeJS.Timeout
   private isClosed = false
   private isAccepted = false
 
-  private constructor (private readonly options: Options, private readonly certificate: X509Certificate | undefined) {
+  private constructor (
+    private readonly options: Options,
+    /** The newest link on which each open transaction has run a statement. */
+    private readonly carriers: Map<TransactionId, InboundLink>,
+    private readonly certificate: X509Certificate | undefined,
+    bytesRead: () => number
+  ) {
+    this.silence = Silence.of(options.silenceTimeoutMs, bytesRead)
     this.beat = setInterval(() => this.checkLiveness(), options.heartbeatIntervalMs)
   }
 
-  static open (options: Options, certificate: X509Certificate | undefined): InboundLink {
-    const it = new InboundLink(options, certificate)
+  static open (options: Options, carriers: Map<TransactionId, InboundLink>, certificate: X509Certificate | undefined, bytesRead: () => number): InboundLink {
+    const it = new InboundLink(options, carriers, certificate, bytesRead)
     if (options.keys === undefined) it.accept()
     return it
   }
@@ -114,7 +124,7 @@
   async read (batches: AsyncIterable<Batch>): Promise<void> {
     try {
       for await (const batch of batches) {
-        this.lastReceivedMs = performance.now()
+        this.silence.heard()
         for (const frame of batch.frames) this.handleFrame(frame)
       }
     } catch {
@@ -128,8 +138,10 @@
     clearInterval(this.beat)
     this.out.close()
     for (const running of this.running.values()) running.cancel()
-    for (const transaction of this.transactions) this.options.slots.release(transaction)
-    if (this.transactions.size > 0) this.options.log?.write('transactionsRolledBack', { peer: this.host, transactions: this.transactions.size })
+    // A peer that opened a newer link goes on with its transactions there.
+    const left = [...this.transactions].filter(transaction => this.carriers.get(transaction) === this)
+    for (const transaction of left) this.release(transaction)
+    if (left.length > 0) this.options.log?.write('transactionsRolledBack', { peer: this.host, transactions: left.length })
     this.running.clear()
     this.transactions.clear()
   }
@@ -162,8 +174,8 @@
   }
 
   /** Closes a silent link, since a link can go silent without an error; otherwise sends a heartbeat. */
-  private checkLiveness (): void {
-    if (performance.now() - this.lastReceivedMs > this.options.silenceTimeoutMs) return this.out.close()
+  private async checkLiveness (): Promise<void> {
+    if (await this.silence.isTooLong()) return this.out.close()
     this.send({ case: 'beat', value: { $typeName: 'agatepond.peer.v1.Beat' } })
   }
 
@@ -192,13 +204,24 @@
   }
 
   private release (transaction: TransactionId): void {
-    this.transactions.delete(transaction)
+    this.forget(transaction)
     this.options.slots.release(transaction)
   }
 
+  private carry (transaction: TransactionId): void {
+    this.transactions.add(transaction)
+    const carrier = this.carriers.get(transaction)
+    if (carrier === undefined || carrier.openedAt <= this.openedAt) this.carriers.set(transaction, this)
+  }
+
+  private forget (transaction: TransactionId): void {
+    this.transactions.delete(transaction)
+    this.carriers.delete(transaction)
+  }
+
   private run (req: Run): void {
     const { id } = req
-    if (req.transaction !== '') this.transactions.add(req.transaction as TransactionId)
+    if (req.transaction !== '') this.carry(req.transaction as TransactionId)
     let isDone = false
     const running = this.options.slots.run(req, {
       head: columns => this.send({ case: 'head', value: { $typeName: 'agatepond.peer.v1.Head', id, columns: [...columns] } }),
@@ -206,7 +229,7 @@
       done: done => {
         isDone = true
         this.running.delete(id)
-        if (isEnd(req) && done.outcome === DoneOutcome.DONE) this.transactions.delete(req.transaction as TransactionId)
+        if (isEnd(req) && done.outcome === DoneOutcome.DONE) this.forget(req.transaction as TransactionId)
         this.send({ case: 'done', value: done })
       }
     })
