A question out of time counts against an endpoint only without an answer since

What callers saw: nothing of their own yet; found by reading. A host behind a full link could name a healthy primary unreachable, refuse what waited for it, claim the group's lease and order a successor. Where commits wait for no replica, a promotion loses what no replica has received.

Cause: a new connection that wasn't open within its limit, and a probe without an answer within its own, each counted as a failed attempt when the limit ran out, though the endpoint had answered on another connection after they were begun. One of them beside a statement that has been open for 250 ms, or two that end together, made the endpoint unreachable. A refused connection and one that came too late were the same fault.

Change: an opening that ran out of time is a fault of its own, `outOfTime`. It, and a probe whose answer is out of time, count only if the endpoint hasn't answered since they were begun; otherwise the endpoint is only doubted, which has it probed. A refusal, a reset and another endpoint at the address count as before, whatever was heard.

Why it works: what is counted is silence after the question. An endpoint that goes down answers nothing more, so every question after its last answer counts, and the doubt sees to it that one is put at once.

The line protocol's openings still report `unreachable` at their limit, so on sockets only the probe's answer is told apart until they say `outOfTime`.

--- a/src/core/pool/failover/reachability.ts
+++ b/src/core/pool/failover/reachability.ts
@@ -10,6 +10,8 @@
   readonly misses: number
   /** Since when a request is unanswered without any answer in between; undefined when none is. */
   readonly waitingSince: Instant | undefined
+  /** Whether a request ran out of time that was sent before the latest answer. */
+  readonly isDoubted: boolean
 }
 
 /** Failed attempts in a row after which an endpoint is unreachable; a single one may be a connection to an earlier incarnation. */
@@ -21,20 +23,28 @@
 export class Reachability {
   private constructor (private readonly fields: Fields) {}
 
-  static readonly none = new Reachability({ reachedAt: -Infinity as Instant, failedAt: -Infinity as Instant, misses: 0, waitingSince: undefined })
+  static readonly none = new Reachability({ reachedAt: -Infinity as Instant, failedAt: -Infinity as Instant, misses: 0, waitingSince: undefined, isDoubted: false })
 
   asked (now: Instant): Reachability {
     return this.fields.waitingSince === undefined ? new Reachability({ ...this.fields, waitingSince: now }) : this
   }
 
   reached (now: Instant): Reachability {
-    return new Reachability({ ...this.fields, reachedAt: now, misses: 0, waitingSince: undefined })
+    return new Reachability({ ...this.fields, reachedAt: now, misses: 0, waitingSince: undefined, isDoubted: false })
   }
 
   failed (now: Instant): Reachability {
     return new Reachability({ ...this.fields, failedAt: now, misses: this.fields.misses + 1 })
   }
 
+  /**
+   * A request that was sent at `sentAt` had no answer in its time. If the endpoint has answered another one since, it is probed, but the
+   * silence is no failure: behind a full link new connections are late while those in use still carry answers.
+   */
+  unanswered (sentAt: Instant, now: Instant): Reachability {
+    return this.fields.reachedAt > sentAt ? new Reachability({ ...this.fields, isDoubted: true }) : this.failed(now)
+  }
+
   /** Whether the endpoint answered within the last `withinMs` milliseconds. */
   hasAnsweredWithin (withinMs: number, now: Instant): boolean {
     return now - this.fields.reachedAt <= withinMs
@@ -42,8 +52,8 @@
 
   /** Whether the endpoint should be probed. */
   isSuspect (now: Instant): boolean {
-    const { misses, waitingSince } = this.fields
-    return misses > 0 || (waitingSince !== undefined && now - waitingSince >= timings.suspectAfterMs)
+    const { misses, waitingSince, isDoubted } = this.fields
+    return misses > 0 || isDoubted || (waitingSince !== undefined && now - waitingSince >= timings.suspectAfterMs)
   }
 
   /** Whether the endpoint is failing and not yet due for another attempt; reads then go to other endpoints. */
--- a/src/shell/pool/connections/connectionpool.ts
+++ b/src/shell/pool/connections/connectionpool.ts
@@ -47,8 +47,8 @@
   readonly chance: () => number
   /** Initial state of how scarce connections are. */
   readonly scarcity: ConnectionScarcity
-  /** Called with the outcome of each try to open a connection. */
-  readonly onDialEnded: (outcome: 'opened' | DialFault) => void
+  /** Called with the outcome of each try to open a connection, and when it began. */
+  readonly onDialEnded: (outcome: 'opened' | DialFault, sentAt: Instant) => void
 }
 
 /** Interval of checking waiting operations: a tenth of the shortest latency aim. */
--- a/src/shell/pool/failover/probes.ts
+++ b/src/shell/pool/failover/probes.ts
@@ -2,6 +2,7 @@
 
 import { setTimeout as pause } from 'node:timers/promises'
 import type { EndpointId } from '../../../core/id/endpoint.ts'
+import type { Instant } from '../../../core/id/instant.ts'
 import type { Command } from '../../../core/statement/command.ts'
 import type { EndpointStatus } from '../../../core/statement/endpointstatus.ts'
 import { clock } from '../clock.ts'
@@ -30,15 +31,18 @@
   async proveLeader (id: EndpointId): Promise<boolean> {
     const { group, dialer } = this
     const endpoint = group.endpoint(id) ?? group.connectionPool(id)?.endpoint
+    const sentAt = clock.now()
     const dialled = endpoint === undefined ? undefined : await dialer.dial(endpoint, undefined, PROBE_TIMEOUT_MS)
     if (dialled === undefined || dialled.isErr()) {
-      return this.handleDialFault(id, dialled?.isErr() === true ? dialled.error : 'unreachable')
+      return this.handleDialFault(id, dialled?.isErr() === true ? dialled.error : 'unreachable', sentAt)
     }
-    const { answers } = await dialled.value.ask([{ kind: 'begin', isReadOnly: false }], PROBE_TIMEOUT_MS)
+    const openedAt = clock.now()
+    const { answers, lost } = await dialled.value.ask([{ kind: 'begin', isReadOnly: false }], PROBE_TIMEOUT_MS)
     dialled.value.close()
     const [answer] = answers
     if (answer === undefined) {
-      group.recordNoAnswer(id)
+      if (lost === 'outOfTime') group.recordOutOfTime(id, openedAt)
+      else group.recordNoAnswer(id)
       return false
     }
     group.answered(id, answer.position, answer.sentAt, answer.fault === undefined)
@@ -50,11 +54,12 @@
    * Whether the endpoint only lacks free connections, so that a healthy primary isn't replaced. An endpoint that closes probes
    * without an answer counts as full if it answered recently on connections in use.
    */
-  private handleDialFault (id: EndpointId, fault: DialFault): boolean {
+  private handleDialFault (id: EndpointId, fault: DialFault, sentAt: Instant): boolean {
     const { group } = this
     if (fault === 'tooManyConnections') group.answered(id, undefined, clock.age(), false)
     const isOnlyFull = fault === 'tooManyConnections' || (fault === 'turnedAway' && group.reachability(id).hasAnsweredWithin(MAX_FULL_MS, clock.now()))
-    if (!isOnlyFull) group.recordNoAnswer(id)
+    if (fault === 'outOfTime') group.recordOutOfTime(id, sentAt)
+    else if (!isOnlyFull) group.recordNoAnswer(id)
     return isOnlyFull
   }
 
--- a/src/shell/pool/group.ts
+++ b/src/shell/pool/group.ts
@@ -267,7 +267,7 @@
     const { dialer, chance, startedAt } = this.options
     const { share, share: { hasSpareConnections }, options: { log, metrics } } = this
     const count = (places: number, queued: () => number) => Places.create({ endpoint: id, places, queued, others: this.sharedLoad, answers: () => this.readRouter.answers(id), log, metrics, chance })
-    const onDialEnded = (outcome: 'opened' | DialFault) => this.recordDial(id, outcome)
+    const onDialEnded = (outcome: 'opened' | DialFault, sentAt: Instant) => this.recordDial(id, outcome, sentAt)
     const connectionPool = ConnectionPool.create({ endpoint, dialer, chance, scarcity: hasSpareConnections ? ConnectionScarcity.none : ConnectionScarcity.started(startedAt), share, count, onDialEnded })
     this.connectionPools.set(id, connectionPool)
     return connectionPool
@@ -326,12 +326,23 @@
     if (next !== reachability) this.reachabilities.set(id, next)
   }
 
-  /** Records a request without an answer in time, or a connection that broke or couldn't be opened. */
+  /** Records a connection that broke or was refused. */
   recordNoAnswer (id: EndpointId): void {
-    const now = clock.now()
-    const reachability = this.reachability(id).failed(now)
+    this.recordFailure(id, this.reachability(id).failed(clock.now()))
+  }
+
+  /** Records that what was sent to the endpoint at `sentAt`, on a connection or to open one, had no answer in time. */
+  recordOutOfTime (id: EndpointId, sentAt: Instant): void {
+    this.recordFailure(id, this.reachability(id).unanswered(sentAt, clock.now()))
+  }
+
+  close (): void {
+    for (const id of this.connectionPools.keys()) this.removeEndpoint(id)
+  }
+
+  private recordFailure (id: EndpointId, reachability: Reachability): void {
     this.reachabilities.set(id, reachability)
-    if (!reachability.isFailing(now)) return
+    if (!reachability.isFailing(clock.now())) return
     if (id === this.leader) this.outage.begin()
     this.connectionPools.get(id)?.refuseWaiting()
     this.watchers.notify(id)
@@ -340,14 +351,11 @@
     this.options.log.write('endpointUnreachable', { endpoint: id, group: this.id, isLeader: id === this.leader })
   }
 
-  close (): void {
-    for (const id of this.connectionPools.keys()) this.removeEndpoint(id)
-  }
-
-  private recordDial (id: EndpointId, outcome: 'opened' | DialFault): void {
+  private recordDial (id: EndpointId, outcome: 'opened' | DialFault, sentAt: Instant): void {
     this.options.metrics.dials.inc({ outcome })
     // An endpoint that reports too many connections is alive; one that closes them silently may be alive or dead.
     if (outcome === 'opened' || outcome === 'tooManyConnections') this.recordReached(id, clock.now())
+    else if (outcome === 'outOfTime') this.recordOutOfTime(id, sentAt)
     else if (outcome !== 'turnedAway') this.recordNoAnswer(id)
   }
 
