A primary that answers again between the claim and the order isn't replaced

What callers saw: nothing of their own yet; found by reading. A primary that was silent for half a second, until one host had claimed the group's lease, was replaced though it served again. Where commits wait for no replica, the promotion loses what it committed meanwhile and no replica received.

Cause: why the primary is replaced was looked at when the lease was claimed and when the claim was answered, and not again until the order, 200 to 600 ms and more later. An objection of another host ends the failover in that time, while this host took no notice of its own.

Evidence: the state machine, in each of the three steps between: the others may object, the objections are read, the endpoints are surveyed. With the primary reached again in any of them it ordered `promote c under 7`. The controller with a real group, whose primary answers from the claim on: `promote b`.

Change: where commits wait for no replica, each of these steps ends the failover if the primary that was to be replaced is still the one that this host knows, and there is no cause to replace it any more.

Why it works: to give up orders nothing, and a cause that lasts is found again after the pause that follows any failover. A primary that answers that it doesn't lead is known as primary no longer, and its failover goes on: tested in the same steps.

Not changed: where commits wait for a replica, the failover goes on as before, with a test. Its promotion loses no acknowledged commit, since all replicas have been heard and stopped; it costs an interruption. To let them go on instead could lose some: a host that ended may have left an order behind, which is void only once a newer one was given.

Ruled out: to end the failover while a survey is under way, at the answer itself. A survey that ends later could be taken for the next failover's.

--- a/src/core/pool/failover/groupfailover.test.ts
+++ b/src/core/pool/failover/groupfailover.test.ts
@@ -227,6 +227,40 @@
   })
 })
 
+// Guards against the replacement of a primary that answers again after the lease was claimed: commits that no replica has received would be lost.
+describe('a primary that answers again after the claim', () => {
+  const steps: Array<(failover: Harness) => string[]> = [
+    failover => failover.step({ kind: 'claimed', fence: 7, tookMs: 10 }),
+    failover => failover.pass(600),
+    failover => failover.step({ kind: 'confirmed', fence: 7 }),
+    failover => failover.surveyed('b 1:5', 'c 1:9')
+  ]
+  /** What is done from the claim on; `change` is seen after so many steps. */
+  function actions (after: number, change: Partial<GroupFailoverView>): string[] {
+    const failover = harness({ isFailing: true })
+    failover.pass(200)
+    return steps.flatMap((step, i) => {
+      if (i === after) failover.see(change)
+      return step(failover)
+    })
+  }
+
+  it.each<[string, number, string[]]>([
+    ['while the others may object', 1, ['giveUp']],
+    ['while the objections are read', 2, ['confirm', 'giveUp']],
+    ['while the endpoints are surveyed', 3, ['confirm', 'survey', 'giveUp']]
+  ])('is not replaced: %s', (_, after, done) => expect(actions(after, { isFailing: false })).toEqual(done))
+
+  // Guards against the loss of acknowledged commits to an order that a host left behind: a newer order voids it, a survey that is given up doesn't.
+  it.each([1, 2, 3])('is replaced where commits wait for a replica, after %i steps', after => {
+    expect(actions(after, { isFailing: false, commitHolders: COMMIT_HOLDERS })).toEqual(['confirm', 'survey', 'promote c under 7'])
+  })
+
+  it.each([1, 2, 3])('is replaced if it answers that it does not lead, after %i steps', after => {
+    expect(actions(after, { isFailing: false, leader: undefined, leaderlessMs: 10 })).toEqual(['confirm', 'survey', 'promote c under 7'])
+  })
+})
+
 // Guards against the loss of an acknowledged commit: the only replica that has it doesn't answer the survey, and another is promoted.
 describe('a failover where commits wait for a replica', () => {
   it('promotes the longest log once every replica has answered', () => expect(surveying().surveyed('b 1:5', 'c 1:9')).toEqual(['promote c under 7']))
--- a/src/core/pool/failover/groupfailover.ts
+++ b/src/core/pool/failover/groupfailover.ts
@@ -90,7 +90,7 @@
       case 'tick': return this.tick(view, now)
       case 'claimed': return this.claimed(event, view, now)
       case 'claimLost': return this.searchPrimary(MAX_SEARCHES)
-      case 'confirmed': return this.confirmed(event.fence)
+      case 'confirmed': return this.confirmed(event.fence, view, now)
       case 'objected': return this.objected(event.fence, now)
       case 'surveyed': return this.surveyed(event.statuses, view, now)
       case 'ordered': return this.ordered(event.outcome, now)
@@ -104,7 +104,7 @@
     switch (phase.kind) {
       case 'idle': return now >= phase.until && causeOf(view) !== undefined ? this.waitForTurn(view, now) : this.idle
       case 'waiting': return now >= phase.until ? this.claim(view, now) : this.idle
-      case 'awaitingObjections': return now >= phase.until ? this.confirm(phase.fence) : this.idle
+      case 'awaitingObjections': return now >= phase.until ? this.confirm(phase.fence, view, now) : this.idle
       case 'searchPaused': return now >= phase.until ? this.searchPrimary(phase.left) : this.idle
       case 'settling': return now >= phase.until ? this.rest(now) : this.idle
       default: return this.idle
@@ -171,13 +171,27 @@
    * Reads the objections from the store before going on, since one may not have been delivered while this process was suspended or
    * its link was down. A host that can't read them orders nothing.
    */
-  private confirm (fence: number): Step {
+  private confirm (fence: number, view: GroupFailoverView, now: Instant): Step {
+    if (this.isRecovered(view)) return this.rest(now)
     return this.to({ kind: 'confirming', fence }, [{ kind: 'confirm', fence }])
   }
 
-  private confirmed (fence: number): Step {
+  private confirmed (fence: number, view: GroupFailoverView, now: Instant): Step {
     const { phase } = this.fields
-    return phase.kind === 'confirming' && phase.fence === fence ? this.survey(fence) : this.idle
+    if (phase.kind !== 'confirming' || phase.fence !== fence) return this.idle
+    return this.isRecovered(view) ? this.rest(now) : this.survey(fence)
+  }
+
+  /**
+   * Whether the primary that was to be replaced serves after all. It is looked at in each step up to the order, like an objection of this
+   * host itself. A primary that answers that it doesn't lead is no longer known as one, and the failover goes on.
+   *
+   * Where commits wait for a replica, a promotion that all replicas have been stopped for loses none of them. To let the replicas go on
+   * could: another host that ended may have left an order behind that is still carried out, unless a newer one comes first.
+   */
+  private isRecovered (view: GroupFailoverView): boolean {
+    const { leader, commitHolders } = view
+    return commitHolders === undefined && leader !== undefined && leader === this.fields.old && causeOf(view) === undefined
   }
 
   private survey (fence: number, isHandover = false): Step {
@@ -199,6 +213,7 @@
     const leading = [...statuses].find(([id, { isPrimary }]) => isPrimary && id !== old)
     if (leading !== undefined) return this.rest(now, [{ kind: 'found', endpoint: leading[0], term: leading[1].term }])
     if (phase.kind === 'searching') return this.searchAgain(phase.left, now)
+    if (this.isRecovered(view)) return this.rest(now)
     const endpoint = longestLog(statuses, old, view)
     if (endpoint === undefined || !view.isLeaseHolder) return this.rest(now)
     const unheard = view.commitHolders?.unheard(statuses, statuses.get(endpoint)!.received, old) ?? []
--- a/src/shell/pool/failover/failovercontroller.test.ts
+++ b/src/shell/pool/failover/failovercontroller.test.ts
@@ -151,6 +151,17 @@
     expect([bench.acts, bench.unreached]).toEqual([[], []])
   })
 
+  // Guards against the loss of what it commits meanwhile: this host reaches it again between the claim of the lease and the order.
+  it('stays if it was silent until the lease was claimed', async () => {
+    const bench = new Bench()
+    bench.behaviours.set(PRIMARY, { ms: 60_000, position: 5 })
+    bench.group.recordRequest(PRIMARY)
+    while (bench.acts.length === 0) await bench.pass(10)
+    bench.behaviours.set(PRIMARY, { ms: 10, position: 5 })
+    await bench.pass(5000)
+    expect(bench.acts).toEqual(['lease/g'])
+  })
+
   it('counts as unreachable when it refuses new connections, also if it answered while they were being opened', async () => {
     const bench = new Bench()
     bench.behaviours.set(PRIMARY, { ms: 100, position: 5, fault: 'unreachable' })
