Test: a replica that answers late isn't promoted, though its log is the longest

Red; the fault isn't mended here, and the test is written as the promotion should be.

What callers would see, where commits wait for no replica: writes that one replica has received are gone after a promotion.

Cause: a survey gives each replica 300 ms to open a connection and 300 ms to answer, on the link of the host that has the lease. What answers later is left out, and the longest log of the rest is promoted; the others drop what it lacks.

Evidence: the controller with a real group in virtual time. The primary is silent; one replica answers in 10 ms with 1:5, the other opens in 400 ms and has 1:9. Ordered: the one with 1:5.

To wait for all of them is the rule where commits wait for a replica; elsewhere it would leave a group without a primary for a replica that is down.

--- a/src/shell/pool/failover/failovercontroller.test.ts
+++ b/src/shell/pool/failover/failovercontroller.test.ts
@@ -171,6 +171,16 @@
 })
 
 describe('a primary that answers nothing any more', () => {
+  // Guards against the loss of commits that a replica has received: its answer is late on this host's full link, and a shorter log is promoted.
+  it('is replaced by the longest log, also if that replica answers late', async () => {
+    const bench = new Bench()
+    bench.behaviours.set(PRIMARY, { ms: 60_000, position: 9 })
+    bench.behaviours.set('c' as EndpointId, { ms: 400, position: 9 })
+    bench.group.recordRequest(PRIMARY)
+    await bench.pass(5000)
+    expect(bench.acts.slice(0, 2)).toEqual(['lease/g', 'promote c'])
+  })
+
   it('is replaced, also when it still answered while a connection to it was being opened', async () => {
     const bench = new Bench()
     bench.behaviours.set(PRIMARY, { ms: 60_000, position: 5 })
