A statement out of time counts against its endpoint only without an answer since

What callers saw: nothing of their own yet; found beside the same fault of new connections. Statements that wait for an endpoint that answers are refused, reads under way at it are cut off, and if it's the primary its lease is claimed.

Cause: a statement whose time was over counted as a failed attempt, whatever the endpoint had answered since it was sent. One of them beside another that has been open for 250 ms, as at an endpoint that is slow, or two that end together, made the endpoint unreachable until its next answer.

Evidence: the controller with a real group in virtual time. A primary answers each statement after 280 ms; three others, sent together, have no answer after a second: it was logged as unreachable, and the lease was claimed.

Change: a statement that is out of time counts as a new connection does: as a failure only if the endpoint hasn't answered since it was sent, and as a doubt otherwise, which has it probed. A connection that breaks counts as before.

Result: the test fails without the change and passes with it. The fake group of the pool's tests counts both calls where it counted the one; no expectation is changed.

--- a/src/shell/pool/connections/attempt.ts
+++ b/src/shell/pool/connections/attempt.ts
@@ -1,6 +1,7 @@
 /** Runs statements on a borrowed connection, and records what their answers show about the endpoint. */
 
 import type { EndpointId } from '../../../core/id/endpoint.ts'
+import type { Instant } from '../../../core/id/instant.ts'
 import type { Ending } from '../../../core/pool/statements/ending.ts'
 import type { Answer } from '../../../core/statement/answer.ts'
 import type { Command } from '../../../core/statement/command.ts'
@@ -69,11 +70,12 @@
   private async send (commands: readonly Command[], index: number, timeoutMs: number, isLead: boolean): Promise<Answer | Ending> {
     this.group.recordRequest(this.endpoint)
     const ended = commands.some(isCallerCommand) ? this.group.readRouter.sent(this.endpoint) : undefined
+    const sentAt = clock.now()
     const { answers, lost } = await this.link.ask(commands, timeoutMs)
     const answer = answers[index]
     ended?.(answer === undefined ? lost ?? 'broken' : answer.fault ?? 'done')
     if (answers.slice(0, index).some(({ fault }) => fault !== undefined)) return this.closeUnknownState()
-    if (answer === undefined) return this.recordLost(lost ?? 'broken')
+    if (answer === undefined) return this.recordLost(lost ?? 'broken', sentAt)
     const isDone = answer.fault === undefined
     this.group.answered(this.endpoint, answer.position, answer.sentAt, isDone && isLead)
     if (answer.fault === 'behind') this.group.recordBehind(this.endpoint)
@@ -94,9 +96,12 @@
     return 'broken'
   }
 
-  private recordLost (lost: 'broken' | 'outOfTime'): Ending {
-    this.group.recordNoAnswer(this.endpoint)
-    if (lost === 'outOfTime') this.source.closeIdle()
+  private recordLost (lost: 'broken' | 'outOfTime', sentAt: Instant): Ending {
+    if (lost === 'broken') this.group.recordNoAnswer(this.endpoint)
+    else {
+      this.group.recordOutOfTime(this.endpoint, sentAt)
+      this.source.closeIdle()
+    }
     return lost
   }
 }
--- a/src/shell/pool/connections/connectionpool.test.ts
+++ b/src/shell/pool/connections/connectionpool.test.ts
@@ -61,7 +61,7 @@
   readonly links: FakeLink[] = []
   readonly pool: ConnectionPool
   dialMs = 0
-  /** Number of calls to `recordNoAnswer`. */
+  /** Number of calls to `recordNoAnswer` and `recordOutOfTime`. */
   missed = 0
   /** Whether the drain time of the endpoint is over. */
   isDrained = false
@@ -93,7 +93,7 @@
 
   /** Sends a read; `ending` is set once it has ended. */
   read (link: FakeLink, timeoutMs = 500): { ending: unknown } {
-    const group = { recordRequest: () => {}, answered: () => {}, recordNoAnswer: () => { this.missed++ }, isDrained: () => this.isDrained, readRouter: { sent: () => undefined } } as unknown as PoolGroup
+    const group = { recordRequest: () => {}, answered: () => {}, recordNoAnswer: () => { this.missed++ }, recordOutOfTime: () => { this.missed++ }, isDrained: () => this.isDrained, readRouter: { sent: () => undefined } } as unknown as PoolGroup
     const result: { ending: unknown } = { ending: 'open' }
     Attempt.on(group, this.pool, link).ask([READ], 0, timeoutMs, false).then(ending => { result.ending = ending === DONE ? 'done' : ending })
     return result
--- a/src/shell/pool/failover/failovercontroller.test.ts
+++ b/src/shell/pool/failover/failovercontroller.test.ts
@@ -15,6 +15,7 @@
 import { Token } from '../../../core/token.ts'
 import { events } from '../../log/events.ts'
 import { Log } from '../../log/log.ts'
+import { Attempt } from '../connections/attempt.ts'
 import type { DialFault } from '../connections/dialfault.ts'
 import type { EndpointLink } from '../connections/link.ts'
 import { PoolGroup } from '../group.ts'
@@ -101,6 +102,13 @@
     this.group.connectionPool(PRIMARY)!.borrow({ rank: 1, caller: 'c', team: undefined, remainingMs: 4000, isTransaction: false, values: SessionState.empty() })
   }
 
+  /** A statement on a connection of its own that the primary doesn't answer. */
+  hang (): void {
+    const source = { endpoint: { id: PRIMARY }, requestPlace: () => undefined, returnLink: () => {}, closeIdle: () => {} }
+    const link = { ...this.link(PRIMARY), ask: async (_commands: unknown, timeoutMs: number) => await pause(timeoutMs).then(() => ({ answers: [], lost: 'outOfTime' as const })) }
+    Attempt.on(this.group, source, link).ask([{ kind: 'read', id: 'r', args: '1' }], 0, 1000, false)
+  }
+
   private async dial (id: EndpointId, timeoutMs: number): Promise<Result<EndpointLink, DialFault>> {
     const { ms, fault } = this.behaviours.get(id)!
     await pause(Math.min(ms, timeoutMs))
@@ -155,6 +163,14 @@
     expect([bench.acts, bench.unreached]).toEqual([[], []])
   })
 
+  // Guards against an endpoint that is given up for one statement: others are refused, and reads under way are cut, though it answers.
+  it('stays reachable when a statement is out of time', async () => {
+    const bench = new Bench()
+    for (let i = 0; i < 3; i++) bench.hang()
+    await bench.serve(2000, 280)
+    expect([bench.acts, bench.unreached]).toEqual([[], []])
+  })
+
   // Guards against the loss of what it commits meanwhile: this host reaches it again between the claim of the lease and the order.
   it('stays if it was silent until the lease was claimed', async () => {
     const bench = new Bench()
