--- a/standin/lines/endpoint.ts
+++ b/standin/lines/endpoint.ts
@@ -16,6 +16,8 @@
   loseAnswerTo?: string
   /** Connections that it takes; further ones are reset without a word. */
   mostConnections?: number
+  /** Takes new connections and leaves their sign-ins without an answer; those that are open go on. */
+  ignoresStarts?: boolean
   /** Answers nothing at all, on connections that are open and on new ones. */
   isSilent?: boolean
 }
@@ -135,6 +137,7 @@
   }
 
   private start (connection: Connection, service: string, id: string | undefined): void {
+    if (this.faults.ignoresStarts === true) return
     const isMine = service === this.options.service && (id === undefined || id === this.id)
     if (isMine) connection.socket.write(`READY I ${this.term}.${this.position}\r\n`)
     else connection.socket.end(`ERROR MISROUTED ${this.id}\r\n`)
