--- a/src/shell/log/events.ts
+++ b/src/shell/log/events.ts
@@ -55,6 +55,7 @@
 
   ownerLost: { id: 4008, level: 'warn', message: 'a session ends with the host that it was forwarded to: its open statements are answered' },
   statementCrossed: { id: 4011, level: 'info', message: 'a statement came after its session was ended: it was not run' },
+  statementDropped: { id: 4012, level: 'warn', message: 'a statement came after its connection was closed: it has no answer' },
   tokenPortFailed: { id: 4010, level: 'error', message: 'token messages cannot be sent or received' },
   sourceLost: { id: 4009, level: 'info', message: 'lost a source of replicated tables' },
   storeAsked: { id: 5007, level: 'info', message: 'this host queries the store itself' },
