A leaving process ends only when its peers have read their answers

Callers at other processes were told "outcome unknown" for requests that a leaving process had run and answered.

Cause: the process ended a tenth of a second after its last request, with the answers that its links hadn't taken yet: what exceeds the window of HTTP/2 (64 KiB) waits in the process until the peer has read what was sent before, and on a full link that takes longer.

Now links are ended in order behind what was sent on them, and the process goes on when its peers have read it and closed, or after peers.silent, when a peer counts as lost anyway.

--- a/src/shell/node/node.ts
+++ b/src/shell/node/node.ts
@@ -173,6 +173,7 @@
     await gone
     await this.callers.drain()
     await this.slots.left()
+    await this.peers?.finish(this.settings.peers.silent)
     this.log.write('stopped')
   }
 
--- a/src/shell/peer/server.ts
+++ b/src/shell/peer/server.ts
@@ -39,6 +39,9 @@
 export class PeerServer {
   private readonly links = new Set<InboundLink>()
   private readonly carriers = new Map<TransactionId, InboundLink>()
+  private readonly sessions = new Set<{ destroy: () => void }>()
+  private stopListening: () => void = () => undefined
+  private onSessionClosed: () => void = () => undefined
 
   private constructor (private readonly options: Options) {}
 
@@ -52,23 +55,43 @@
         status: () => create(StatusReplySchema, options.status())
       })
     })
-    const sessions = new Set<{ destroy: () => void }>()
+    const { sessions } = it
+    it.stopListening = () => server.close()
     server.on('session', session => {
       sessions.add(session)
       session.on('error', () => undefined)
-      session.once('close', () => sessions.delete(session))
+      session.once('close', () => {
+        sessions.delete(session)
+        it.onSessionClosed()
+      })
     })
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject)
       server.listen(options.port, options.ip, resolve)
     })
     signal.addEventListener('abort', () => {
-      server.close()
+      it.stopListening()
       for (const session of sessions) session.destroy()
     }, { once: true })
     return it
   }
 
+  /** Ends all links behind what was sent on them. Resolves when the peers have read it and closed their links, at the latest after `ms`. */
+  async finish (ms: number): Promise<void> {
+    this.stopListening()
+    for (const link of this.links) link.out.close()
+    const { sessions } = this
+    if (sessions.size === 0) return
+    await new Promise<void>(resolve => {
+      const timer = setTimeout(resolve, ms)
+      this.onSessionClosed = () => {
+        if (sessions.size > 0) return
+        clearTimeout(timer)
+        resolve()
+      }
+    })
+  }
+
   /** Sends a frame to all accepted peers. */
   broadcast (body: Frame['body']): void {
     for (const link of this.links) link.send(body)
