A sign-in that waits for its answer isn't cut after ten seconds

With requests.deadline above ten seconds, a caller that signed in while no primary was known could see its connection closed without a word.

Cause: a connection that hasn't signed in is closed after ten seconds, to be rid of clients that send nothing. The time ran on while the sign-in of a client that had sent its login waited for its answer.

Evidence: on the code before, a login that is accepted after a minute (virtual time) finds its connection closed.

Now the time ends with the login, whose own wait is bounded, and begins anew with a refusal, so that a client that is refused and keeps its side open is closed as before. Two more tests hold this; the one of refused clients fails when the time doesn't begin anew.

--- a/src/shell/mysql/server.test.ts
+++ b/src/shell/mysql/server.test.ts
@@ -1,7 +1,8 @@
 /** Numbers of packets at the MySQL server: what a client sends behind a command that has no answer, or ahead of an answer. */
 
+import { connect } from 'node:net'
 import { createConnection, type RowDataPacket } from 'mysql2/promise'
-import { afterAll, beforeAll, describe, expect, it } from 'vitest'
+import { afterAll, afterEach, beforeAll, beforeEach, describe, expect, it, vi } from 'vitest'
 import { freePorts } from '../../../standin/ports.ts'
 import { RawClient } from '../../../standin/rawclient.ts'
 import type { CommandHandler } from './commandhandler.ts'
@@ -12,6 +13,7 @@
 const CLOSE_STATEMENT = 25
 const ER_PARSE = 1064
 const ERROR = 0xff
+const OK = 0
 
 const { packet, query } = RawClient
 const lengthCoded = (text: string): Buffer => Buffer.concat([Buffer.from([Buffer.byteLength(text)]), Buffer.from(text)])
@@ -89,3 +91,62 @@
     expect(await client.read()).toBe('closed')
   })
 })
+
+describe('the time to sign in', () => {
+  const LONG_MS = 60_000
+  let stop: AbortController
+  let port: number
+  let accept: (answer: CommandHandler | { code: number, message: string }) => void
+  let isAsked: Promise<void>
+  let server: MysqlServer
+
+  beforeEach(async () => {
+    vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout'] })
+    stop = new AbortController()
+    port = (await freePorts(1))[0]!
+    let onAsked = (): void => undefined
+    isAsked = new Promise(resolve => { onAsked = resolve })
+    server = await MysqlServer.listen({
+      host: '127.0.0.1',
+      port,
+      tracksSession: false,
+      accept: async () => {
+        onAsked()
+        return await new Promise(resolve => { accept = resolve })
+      }
+    }, stop.signal)
+  })
+  afterEach(() => {
+    vi.useRealTimers()
+    stop.abort()
+  })
+
+  // A sign-in may wait for a primary up to a request's deadline, which can be set higher; its caller had neither an answer nor a refusal.
+  it('ends with the login of the client, not with the answer to it', async () => {
+    const client = await RawClient.open(port)
+    await isAsked
+    vi.advanceTimersByTime(LONG_MS)
+    accept(new EchoHandler())
+    expect((await client.read()).slice(0, 2)).toEqual([2, OK])
+    client.close()
+  })
+
+  it('begins anew for a client that was refused and keeps its side open', async () => {
+    const socket = connect({ host: '127.0.0.1', port, allowHalfOpen: true })
+    const client = await RawClient.open(port, socket)
+    await isAsked
+    accept({ code: ER_PARSE, message: 'refused' })
+    expect(await client.read()).toEqual([2, ERROR, 'refused'])
+    vi.advanceTimersByTime(LONG_MS)
+    while (server.connections > 0) await new Promise(resolve => setImmediate(resolve))
+    socket.destroy()
+  })
+
+  it('closes the connection of a client that sends no login', async () => {
+    const socket = connect(port, '127.0.0.1')
+    const closed = new Promise<void>(resolve => { socket.once('close', () => resolve()) })
+    await new Promise<void>(resolve => { socket.once('data', () => resolve()) })
+    vi.advanceTimersByTime(LONG_MS)
+    await closed
+  })
+})
--- a/src/shell/mysql/server.ts
+++ b/src/shell/mysql/server.ts
@@ -44,7 +44,7 @@
 const MAX_LOGIN_BYTES = 64 * 1024
 /** MySQL's default `max_allowed_packet`. */
 const MAX_COMMAND_BYTES = 64 * 1024 * 1024
-/** Connections that haven't signed in after this time are closed. */
+/** Connections that haven't sent their login after this time are closed, and so are refused ones; how long a login waits is up to `accept`. */
 const LOGIN_TIMEOUT_MS = 10_000
 const PROTOCOL_VERSION = 10
 const UTF8MB4 = 45
@@ -111,6 +111,7 @@
   private readonly waiting: Buffer[] = []
   private isBusy = false
   private hasLogin = false
+  private timer: NodeJS.Timeout | undefined
   /** Whether this side has closed the connection, so that nothing that arrives is read. */
   private isOver = false
   /** Bytes received since the last complete packet. */
@@ -147,14 +148,15 @@
           wire.stream.destroy()
         } else {
           it.hasLogin = true
+          clearTimeout(it.timer)
           handshake.execute(packet, same)
         }
         return false
       }
     }
     wire.stream.prependListener('data', (chunk: Buffer) => it.limitPacketSize(chunk.length))
-    const timer = setTimeout(() => { if (it.handler === undefined) wire.stream.destroy() }, LOGIN_TIMEOUT_MS)
-    wire.stream.once('close', () => clearTimeout(timer))
+    it.startTimer()
+    wire.stream.once('close', () => clearTimeout(it.timer))
     return it
   }
 
@@ -169,6 +171,10 @@
     if (this.pendingBytes > most) this.wire.stream.destroy()
   }
 
+  private startTimer (): void {
+    this.timer = setTimeout(() => this.wire.stream.destroy(), LOGIN_TIMEOUT_MS)
+  }
+
   closed (): void {
     this.handler?.closed()
     this.waiting.length = 0
@@ -187,7 +193,10 @@
     })
     accepted.then(answer => {
       if (this.wire.stream.destroyed) return 'code' in answer ? undefined : answer.closed()
-      if ('code' in answer) return done(null, answer)
+      if ('code' in answer) {
+        this.startTimer()
+        return done(null, answer)
+      }
       this.handler = answer
       done(null)
       this.wire.sequenceId = 0
