Review case 5: acknowledged commits are lost when a replica that doesn't reach the store goes on receiving

Rule LOST, with syncReplicas 1: an endpoint that is no longer listed counts as one that receives no more. It isn't stopped for a promotion, and the old primary acknowledges commits through it until the promotion takes effect.

--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -1,49 +1,44 @@
 /**
- * All hosts are killed while the store is down; as it returns, a replica is back in the directory before the primary is. See claim.txt.
+ * A replica is partitioned from the store for five seconds and goes on receiving; then the primary is to be replaced. See claim.txt.
  * Exits with 1 if an acknowledged commit isn't in the log of the server that is promoted, 0 if all are, 2 if the case couldn't run.
  */
 
 import { Stage } from '../lib-2/stage.mjs'
 
 const REQUESTERS = 28
-/** How long the store is down, and when in that time the processes are killed and start again. */
-const DOWN_MS = 4500
-const KILLED_AT_MS = 3000
-const STARTED_AT_MS = 3700
-/** How long after the store's return the servers' entries are back: the pages say within about two seconds. */
-const BACK_MS = { replica1: 300, primary: 2000, replica2: 2000 }
+/** How long the replica is partitioned from the store, and how long after its last report that begins. */
+const CUT_MS = 5000
+const CUT_AFTER_REPORT_MS = 1100
+/** When the primary reports that it leaves, after the begin of the cut. */
+const DRAINING_AT_MS = 5150
 
-const stage = await Stage.start({ replicaLagMs: [40, 15] })
+const stage = await Stage.start({})
 const isReady = await stage.startHosts(true)
 if (isReady) {
   stage.startRequesters(REQUESTERS)
   await stage.pause(5000)
-  if (stage.isTroubled) await disrupt()
-  await stage.pause(8000)
+  await replacePrimary()
+  await stage.pause(6000)
   await stage.stopRequesters()
 }
 const lost = stage.judgeLost()
-const couldRun = isReady && stage.acknowledged.length > 0
+const couldRun = isReady && stage.acknowledged.length > 0 && stage.database.promotions.length > 0
 stage.stop(import.meta.dirname)
 process.exit(!couldRun ? 2 : lost > 0 ? 1 : 0)
 
-async function disrupt () {
-  const { database, programs, store } = stage
-  stage.note('TROUBLE: the store is down; entries of servers expire meanwhile')
-  store.setDown(true)
-  for (const server of database.servers.values()) server.isHeldBack = true
-  await stage.pause(KILLED_AT_MS)
-  for (const i of programs.ips.keys()) programs.signal(i, 'SIGKILL')
-  await stage.pause(STARTED_AT_MS - KILLED_AT_MS)
-  for (const i of programs.ips.keys()) programs.start(i, false)
-  await stage.pause(DOWN_MS - STARTED_AT_MS)
-  store.setDown(false)
-  stage.note('the store is back')
-  for (const [id, ms] of Object.entries(BACK_MS)) {
-    setTimeout(() => {
-      const server = database.servers.get(id)
-      server.isHeldBack = false
-      stage.note(`the entry of ${id} is back: ${server.beat()}`)
-    }, ms)
-  }
+/** The planned replacement, which is no disruption; without trouble the cut before it is left out. */
+async function replacePrimary () {
+  const { database, isTroubled } = stage
+  const replica = database.servers.get('replica2')
+  await stage.pause(Math.max(0, replica.beatAt + CUT_AFTER_REPORT_MS - performance.now()))
+  replica.isHeldBack = isTroubled
+  if (isTroubled) stage.note('TROUBLE: replica2 is partitioned from the store')
+  setTimeout(() => {
+    replica.isHeldBack = false
+    if (isTroubled) stage.note('replica2 reaches the store')
+  }, CUT_MS)
+  await stage.pause(DRAINING_AT_MS)
+  const primary = database.servers.get('primary')
+  primary.state = 'draining'
+  stage.note(`primary reports that it leaves: ${primary.beat()}`)
 }
--- a/review/lib-2/database.mjs
+++ b/review/lib-2/database.mjs
@@ -107,6 +107,8 @@
   isHeldBack = false
   /** While set it answers nothing, and the directory hears nothing of it. */
   isDark = false
+  /** While set it receives nothing, and serves. */
+  isDeaf = false
   isStopped = false
   /** Called with each line that it takes; used to time a disruption. */
   onLine = () => {}
@@ -276,7 +278,7 @@
   /** Takes the log of the primary up to the index over the network, unless it doesn't receive; then it does once it may. */
   async receive (primary, term, index) {
     await new Promise(resolve => setTimeout(resolve, this.lagMs))
-    while ((this.pausedBy > 0 || this.isDark || primary.isDark) && this.term === term && !this.isStopped) await new Promise(resolve => setTimeout(resolve, 5))
+    while ((this.pausedBy > 0 || this.isDeaf || this.isDark || primary.isDark) && this.term === term && !this.isStopped) await new Promise(resolve => setTimeout(resolve, 5))
     if (this.term !== term || !primary.isPrimary || this.isStopped) return
     while (this.log.length < index) this.log.push(primary.log[this.log.length])
     primary.replicaReceived()
--- a/review/lib-2/store.mjs
+++ b/review/lib-2/store.mjs
@@ -16,6 +16,10 @@
   isDown = false
   /** Carries a promotion out; set by the stage. Returns the answer's status. */
   onPromote = () => 200
+  /** While set, the next order gets no answer and is carried out so much later; its fence is checked then. */
+  lateMs
+  /** Called with the holder of such an order. */
+  onLateOrder = () => {}
   #rows = new Map()
   #version = 0
   #startedAt = performance.now()
@@ -152,11 +156,21 @@
   async #takeOrder (req, res) {
     const { service, id } = JSON.parse((await bodyOf(req)).toString())
     const fence = Number(req.headers['x-fencing-token'])
+    const { lateMs } = this
+    const holder = req.headers['x-lease-holder']
+    this.lateMs = undefined
+    if (lateMs === undefined) return answer(res, this.#carryOut(holder, service, id, fence), {})
+    this.note(`platform: ${holder} orders ${id} to lead under ${fence}: no answer, carried out ${lateMs} ms later`)
+    setTimeout(() => this.#carryOut(holder, service, id, fence), lateMs)
+    this.onLateOrder(holder)
+  }
+
+  #carryOut (holder, service, id, fence) {
     const isOld = fence < (this.#fences.get(service) ?? 0)
     if (!isOld) this.#fences.set(service, fence)
     const status = isOld ? 409 : this.onPromote(id)
-    this.note(`platform: ${req.headers['x-lease-holder']} orders ${id} to lead under ${fence}: ${status}`)
-    answer(res, status, {})
+    this.note(`platform: ${holder} orders ${id} to lead under ${fence}: ${status}`)
+    return status
   }
 }
 
