--- a/review/lib-2/database.mjs
+++ b/review/lib-2/database.mjs
@@ -46,12 +46,12 @@
     return database
   }
 
-  /** Ends a server that has drained; some time later a new one starts at its address, with its log. */
-  async replace (id, newId, afterMs) {
+  /** Ends a server that has drained, or one that crashes, which tells nobody; some time later a new one starts at its address, with its log. */
+  async replace (id, newId, afterMs, { isCrash = false } = {}) {
     const old = this.servers.get(id)
     old.stop()
     this.servers.delete(id)
-    this.store.leave(id)
+    if (!isCrash) this.store.leave(id)
     this.note(`database: ${id} has ended`)
     await new Promise(resolve => setTimeout(resolve, afterMs))
     const { zone, port, lagMs } = old
--- a/review/lib-2/programs.mjs
+++ b/review/lib-2/programs.mjs
@@ -26,6 +26,9 @@
     Object.assign(programs, { note, bounds, contracts, net: 20 + process.pid % 200, folder: mkdtempSync(join(tmpdir(), 'review-')) })
     programs.ips = Array.from({ length: count }, (_, i) => `127.${programs.net}.0.${i + 1}`)
     programs.ports = await freePorts([...programs.ips, programs.otherIp], 12)
+    // Whatever ends the test ends what it started.
+    process.once('exit', () => programs.stop())
+    for (const signal of ['SIGTERM', 'SIGINT']) process.once(signal, () => process.exit(2))
     return programs
   }
 
