--- a/review/extra-2/empty-log.mjs
+++ b/review/extra-2/empty-log.mjs
@@ -4,9 +4,9 @@
  * the log of the server that is promoted, 0 if all are, 2 if the case couldn't run.
  */
 
+import { join } from 'node:path'
 import { Stage } from '../lib-2/stage.mjs'
 
-const REQUESTERS = 14
 /** From the begin, when replica1 receives nothing any more. */
 const CRASHED_AT_MS = 1000
 const RESTARTED_AFTER_MS = 1000
@@ -14,10 +14,13 @@
 const DEAF_MS = 6500
 const PRIMARY_DARK_MS = 7000
 
-const stage = await Stage.start({})
+/** What was sent, answered and run. */
+const record = process.argv[2] ?? join(import.meta.dirname, 'empty-log-record.txt')
+
+const stage = await Stage.start({ record })
 const isReady = await stage.startHosts(true)
 if (isReady) {
-  stage.startRequesters(REQUESTERS)
+  stage.startRequesters()
   await stage.pause(3000)
   if (stage.isTroubled) await disrupt()
   await stage.pause(6000)
@@ -25,7 +28,7 @@
 }
 const lost = stage.judgeLost()
 const couldRun = isReady && stage.acknowledged.length > 0
-stage.stop(import.meta.dirname)
+stage.stop()
 process.exit(!couldRun ? 2 : lost > 0 ? 1 : 0)
 
 async function disrupt () {
--- a/review/extra-2/stopped-replicas.mjs
+++ b/review/extra-2/stopped-replicas.mjs
@@ -3,9 +3,9 @@
  * Exits with 1 if less than a quarter of the requests is served from recoveryS on, though a quarter or more was before, 0 if not, 2 if the case couldn't run.
  */
 
+import { join } from 'node:path'
 import { Stage } from '../lib-2/stage.mjs'
 
-const REQUESTERS = 14
 /** How long the primary is dark. */
 const DARK_MS = 2000
 /** How long the processes are down. */
@@ -14,12 +14,15 @@
 const RECOVERY_MS = 12_000
 const MEASURED_MS = 10_000
 
-const stage = await Stage.start({})
+/** What was sent, answered and run. */
+const record = process.argv[2] ?? join(import.meta.dirname, 'stopped-replicas-record.txt')
+
+const stage = await Stage.start({ record })
 const isReady = await stage.startHosts(true)
 let before = { sent: 0, served: 0 }
 let after = { sent: 0, served: 0 }
 if (isReady) {
-  stage.startRequesters(REQUESTERS)
+  stage.startRequesters()
   const beganAt = performance.now()
   await stage.pause(5000)
   if (stage.isTroubled) await disrupt()
@@ -31,7 +34,7 @@
   after = stage.served(endedAt + RECOVERY_MS, endedAt + RECOVERY_MS + MEASURED_MS)
 }
 stage.result(`before: ${before.served} of ${before.sent} served; later than recoveryS after the machines are back: ${after.served} of ${after.sent}`)
-stage.stop(import.meta.dirname)
+stage.stop()
 process.exit(!isReady || before.served * 4 < before.sent || after.sent === 0 ? 2 : after.served * 4 < after.sent ? 1 : 0)
 
 async function disrupt () {
--- a/review/lib-2/database.mjs
+++ b/review/lib-2/database.mjs
@@ -12,13 +12,8 @@
 const QUEUE = 16
 const MAX_CONNECTIONS = 30
 /** A new connection, and a statement, hold a slot for so long. */
-const OPENING_MS = 12
+const OPENING_MS = 27
 const WORK_MS = 3
-/** Of a row of a long answer; a message has at most 1 MiB. */
-const ROW_BYTES = 65_536
-/** A long answer is sent in such pieces; 1,000 Mbit/s. */
-const PIECE_BYTES = 262_144
-const LINK_BYTES_PER_MS = 125_000
 
 export class Database {
   /** Servers by id. */
@@ -28,10 +23,6 @@
   /** When a primary acknowledged which commit. */
   acknowledgedAt = new Map()
   isStopped = false
-  /** Rows of the answer to a read, by its item; one row unless a case says otherwise. */
-  rowsOf = () => 1
-  /** When the link is free that long answers pass. */
-  linkFreeAt = 0
 
   /** `servers`: for each its id, zone, port, and the way to it in ms, as a replica. The first leads. */
   static async start ({ service, ip, servers, syncReplicas, promoteMs, store, note }) {
@@ -193,18 +184,7 @@
     }
     const body = await this.#answer(connection, rest.join(' '))
     if (this.isDark || body === undefined) return
-    const text = `${body}\r\nREADY ${connection.state} ${this.position}\r\n`
-    if (text.length <= PIECE_BYTES) return socket.write(text, 'latin1')
-    for (let at = 0; at < text.length && !socket.destroyed; at += PIECE_BYTES) await this.#writePiece(socket, text.slice(at, at + PIECE_BYTES))
-  }
-
-  /** A long answer passes no faster than a link of a machine does, and no faster than it's read. */
-  async #writePiece (socket, piece) {
-    const { database } = this
-    const waitMs = database.linkFreeAt - performance.now()
-    database.linkFreeAt = Math.max(performance.now(), database.linkFreeAt) + piece.length / LINK_BYTES_PER_MS
-    if (waitMs > 0) await new Promise(resolve => setTimeout(resolve, waitMs))
-    if (!socket.destroyed && !socket.write(piece, 'latin1')) await new Promise(resolve => socket.once('drain', resolve).once('close', resolve))
+    socket.write(`${body}\r\nREADY ${connection.state} ${this.position}\r\n`, 'latin1')
   }
 
   /** Holds a slot; false when too many wait for one. */
@@ -244,7 +224,7 @@
     const isWrite = verb === 'WRITE' || (isExecute && connection.prepared.get(args[0]) === 'WRITE')
     if (!this.isPrimary && (isWrite || (connection.state === 'T' && connection.isPlain))) return this.#fail(connection, 'READONLY')
     if (verb === 'COMMIT') return await this.#commit(connection, connection.pending)
-    if (!isWrite) return `${rowsOf(this.database.rowsOf(args.at(-1)))}COMPLETE mac.${this.id}`
+    if (!isWrite) return `DATAROW row\r\nCOMPLETE mac.${this.id}`
     const data = args.at(-1)
     if (connection.state !== 'T') return await this.#commit(connection, [data])
     connection.pending.push(data)
@@ -255,14 +235,20 @@
     Object.assign(connection, { state: 'I', pending: [] })
     for (const data of pending) await this.#append(connection, data)
     if (connection.socket.destroyed) return undefined
-    for (const data of pending) this.database.acknowledgedAt.set(data, performance.now())
+    for (const data of pending) this.#acknowledge(data)
     return `COMPLETE mac.${this.id}`
   }
 
+  #acknowledge (data) {
+    this.database.acknowledgedAt.set(data, performance.now())
+    this.database.note(`acknowledged ${data} by ${this.id}`)
+  }
+
   /** Resolves once enough replicas have received the commit, or its connection is gone. */
   async #append ({ socket }, data) {
     const { term, database: { servers, syncReplicas } } = this
     this.log.push({ term, data })
+    this.database.note(`run ${data} at ${this.id}, term ${term}`)
     const entry = { socket, index: this.log.length }
     for (const replica of servers.values()) if (replica !== this) replica.receive(this, term, entry.index)
     if (syncReplicas === 0) return
@@ -316,7 +302,3 @@
 function done () {
   return 'COMPLETE -'
 }
-
-function rowsOf (count) {
-  return count === 1 ? 'DATAROW row\r\n' : `DATAROW ${'x'.repeat(ROW_BYTES)}\r\n`.repeat(count)
-}
--- a/review/lib-2/requester.mjs
+++ b/review/lib-2/requester.mjs
@@ -1,4 +1,4 @@
-/** A requester that writes again and again over sessions of its own, and keeps what was acknowledged to it. */
+/** A requester that writes at its rate over sessions of its own, and keeps what was acknowledged to it. */
 
 import { connect } from 'node:net'
 
@@ -6,9 +6,8 @@
 const SIGN_IN_MS = 2000
 /** How long a requester waits for an answer before it leaves; longer than its deadline. */
 const ANSWER_MS = 5000
-/** The pause before a refused write is tried again, and between two writes. */
+/** The pause before a sign-in that failed is tried at the next host. */
 const RETRY_MS = 100
-const PAUSE_MS = 10
 
 export class Requester {
   /** Writes that were sent: `data` and `at`. */
@@ -20,9 +19,9 @@
   #count = 0
 
   /** `hosts`: addresses of the fronts; each new session goes to the next one, from `first` on. */
-  static start ({ name, hosts, port, database, first, note }) {
+  static start ({ name, hosts, port, database, first, intervalMs, delayMs, note }) {
     const requester = new Requester()
-    Object.assign(requester, { name, hosts, port, database, note, next: first })
+    Object.assign(requester, { name, hosts, port, database, note, intervalMs, next: first, dueAt: performance.now() + delayMs })
     requester.ended = requester.#run()
     return requester
   }
@@ -67,18 +66,21 @@
   async #serve (session) {
     const { socket } = session
     while (!this.#isStopped && !session.isEnded && session.lines.length === 0) {
+      await pause(Math.max(0, this.dueAt - performance.now()))
+      this.dueAt = Math.max(this.dueAt + this.intervalMs, performance.now())
+      if (this.#isStopped || session.isEnded || session.lines.length > 0) break
       const data = `${this.name}x${++this.#count}`
       const sentAt = performance.now()
       this.sent.push({ data, at: sentAt })
       socket.write(`QUERY ${this.name}q${this.#count} WRITE item${this.#count % 50} ${data}\r\n`)
+      this.note(`sent ${data}`)
       const answer = await answerOf(session, ANSWER_MS)
       const [word = 'nothing', detail = ''] = (answer?.[0] ?? '').split(' ')
       const kind = word === 'ERROR' ? detail : word === '' ? 'nothing' : word
       this.answers.set(kind, (this.answers.get(kind) ?? 0) + 1)
       if (word === 'COMPLETE' && detail !== '-') this.acknowledged.push({ data, at: performance.now() })
-      this.note(`${data} sent ${Math.round(sentAt)}: ${answer?.join(' / ') ?? 'nothing'}`)
+      this.note(`answered ${data}: ${answer?.join(' / ') ?? 'nothing'}`)
       if (answer === undefined || !answer.at(-1).startsWith('READY I')) break
-      await pause(kind === 'COMPLETE' ? PAUSE_MS : RETRY_MS)
     }
     socket.destroy()
   }
--- a/review/lib-2/stage.mjs
+++ b/review/lib-2/stage.mjs
@@ -1,25 +1,27 @@
 /** What the cases share: a service with one primary and two replicas whose commits wait for a replica, the hosts, and requesters that write. */
 
-import { writeFileSync } from 'node:fs'
+import { closeSync, openSync, writeSync } from 'node:fs'
 import { Database } from './database.mjs'
 import { Programs } from './programs.mjs'
-import { Reader } from './reader.mjs'
 import { Requester } from './requester.mjs'
 import { Store } from './store.mjs'
 
 const SERVICE = 'svc'
 const DATABASE = 'crimp'
-const READ_DATABASE = 'bom'
+/** 314 requests a second on three databases, of which 36 are single writes and 43 transactions. */
+const WRITES_PER_S = 26
+const REQUESTERS = 14
 const PROMOTE_MS = 1000
 
 export class Stage {
-  #lines = []
+  #record
   requesters = []
-  readers = []
 
-  /** `replicaLagMs`: the way of a commit to each replica. `syncReplicas`: as many replicas as a commit waits for. */
-  static async start ({ hosts = 7, replicaLagMs = [20, 20], syncReplicas = 1 }) {
+  /** `record`: the file that takes what is sent, answered and run, each line at once. `replicaLagMs`: the way of a commit to each replica. `syncReplicas`: as many replicas as a commit waits for. */
+  static async start ({ record, hosts = 7, replicaLagMs = [20, 20], syncReplicas = 1 }) {
     const stage = new Stage()
+    stage.#record = openSync(record, 'w')
+    stage.note(`runs with${stage.isTroubled ? '' : 'out'} the disruption`)
     const note = line => stage.note(line)
     const programs = await Programs.create({ count: hosts, note })
     const [storePort, cloudPort, ...serverPorts] = programs.otherPorts
@@ -34,8 +36,7 @@
     store.put('op', 'config', JSON.stringify({
       version: 7,
       routes: [
-        { name: 'r1', host: DATABASE, prefix: '/', routeType: 'primary', timeoutMs: 800, targetLatencyMs: 100, priority: 1, service: SERVICE, attempts: 2 },
-        { name: 'r2', host: READ_DATABASE, prefix: '/', routeType: 'bounded_staleness', maxStalenessMs: 1500, timeoutMs: 1200, targetLatencyMs: 300, priority: 2, service: SERVICE, attempts: 2 }
+        { name: 'r1', host: DATABASE, prefix: '/', routeType: 'primary', timeoutMs: 800, targetLatencyMs: 100, priority: 1, service: SERVICE, attempts: 2 }
       ],
       services: [{ name: SERVICE, healthPath: '/health', maxConns: 30, protocol: 'h1', tls: false, syncReplicas }],
       limits: { maxHeaderBytes: 16384, maxBodyBytes: 262144, headerTimeoutMs: 3000, idleTimeoutMs: 15000, txIdleMs: 3000 }
@@ -49,7 +50,7 @@
   }
 
   note (line) {
-    this.#lines.push(`${Math.round(performance.now())} ${line}`)
+    writeSync(this.#record, `${Math.round(performance.now())} ${line}\n`)
   }
 
   async pause (ms) {
@@ -62,20 +63,14 @@
     return await this.programs.allReady(15_000)
   }
 
-  startRequesters (count) {
+  /** Requesters that write, at the rate of the site's writes and writing transactions on one of its databases. */
+  startRequesters () {
     const { programs: { ips, frontPort } } = this
-    this.requesters = Array.from({ length: count }, (_, i) => Requester.start({ name: `c${i}`, hosts: ips, port: frontPort, database: DATABASE, first: i, note: line => this.note(line) }))
-  }
-
-  /** `item`: what they read. */
-  startReaders (count, item) {
-    const { programs: { ips, frontPort } } = this
-    this.readers = Array.from({ length: count }, (_, i) => Reader.start({ name: `r${i}`, hosts: ips, port: frontPort, database: READ_DATABASE, item, first: i, note: line => this.note(line) }))
+    const intervalMs = REQUESTERS * 1000 / WRITES_PER_S
+    this.requesters = Array.from({ length: REQUESTERS }, (_, i) => Requester.start({ name: `c${i}`, hosts: ips, port: frontPort, database: DATABASE, first: i, intervalMs, delayMs: i * intervalMs / REQUESTERS, note: line => this.note(line) }))
   }
 
   async stopRequesters () {
-    await Promise.all(this.readers.map(async reader => await reader.stop()))
-
     await Promise.all(this.requesters.map(async requester => await requester.stop()))
   }
 
@@ -106,14 +101,15 @@
     process.stdout.write(`${line}\n`)
   }
 
-  /** Ends all processes that were started, and writes the record into the folder. */
-  stop (folder) {
+  /** Ends all processes that were started. */
+  stop () {
     const answers = {}
-    for (const requester of [...this.requesters, ...this.readers]) for (const [kind, count] of requester.answers) answers[kind] = (answers[kind] ?? 0) + count
+    for (const requester of this.requesters) for (const [kind, count] of requester.answers) answers[kind] = (answers[kind] ?? 0) + count
     this.result(`answers: ${JSON.stringify(answers)}`)
     this.programs.stop()
     this.database.stop()
     this.store.stop()
-    writeFileSync(`${folder}/record.txt`, `${this.#lines.join('\n')}\n`)
+    closeSync(this.#record)
+    this.note = () => {}
   }
 }
