--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -1,16 +1,15 @@
 /**
- * Planned work alone: a replica is replaced, and right after it has ended the primary is to be replaced. See claim.txt.
+ * Planned work alone: the primary is replaced, and a replica one gap later. See claim.txt.
  * Exits with 1 if an acknowledged commit isn't in the log of the server that is promoted, 0 if all are, 2 if the case couldn't run.
  */
 
 import { join } from 'node:path'
 import { Stage } from '../lib-2/stage.mjs'
 
-/** How long a server serves after its report that it leaves. */
-const DRAIN_MS = 7000
-/** From the end of the replica to the start of its successor, and to the report of the primary that it leaves. */
-const SUCCESSOR_AFTER_MS = 500
-const NEXT_AFTER_MS = 100
+/** From the start of one replacement to the next. */
+const GAP_MS = 1000
+/** From the start of a new server to the report of the old one that it leaves. */
+const DRAINS_AFTER_MS = 300
 
 /** What was sent, answered and run. */
 const record = process.argv[2] ?? join(import.meta.dirname, 'record.txt')
@@ -29,16 +28,17 @@
 stage.stop()
 process.exit(!couldRun ? 2 : lost > 0 ? 1 : 0)
 
-/** Without trouble the replica stays, and the primary alone is replaced. */
+/** The primary and then a replica are replaced: the new one starts first, the old one drains. Without trouble the replica stays. */
 async function replaceServers () {
-  const { database, isTroubled } = stage
-  if (isTroubled) {
-    drain('replica2')
-    await stage.pause(DRAIN_MS + 200)
-    database.replace('replica2', 'replica2b', SUCCESSOR_AFTER_MS)
-    await stage.pause(NEXT_AFTER_MS)
-  }
+  const { database, isTroubled, sparePorts: [forPrimary, forReplica] } = stage
+  database.add({ id: 'primaryb', zone: 'zone-a', port: forPrimary, lagMs: 20 })
+  await stage.pause(DRAINS_AFTER_MS)
   drain('primary')
+  if (!isTroubled) return
+  await stage.pause(GAP_MS - DRAINS_AFTER_MS)
+  database.add({ id: 'replica2b', zone: 'zone-c', port: forReplica, lagMs: 20 })
+  await stage.pause(DRAINS_AFTER_MS)
+  drain('replica2')
 }
 
 function drain (id) {
--- a/review/6/run.mjs
+++ b/review/extra-2/stopped-replicas.mjs
@@ -1,5 +1,5 @@
 /**
- * The primary goes dark for two seconds, and all processes end right after the orders to its replicas were accepted. See claim.txt.
+ * The primary goes dark for two seconds, and all processes end right after the orders to its replicas were accepted. See stopped-replicas.txt.
  * Exits with 1 if less than a quarter of the requests is served from recoveryS on, though a quarter or more was before, 0 if not, 2 if the case couldn't run.
  */
 
@@ -15,7 +15,7 @@
 const MEASURED_MS = 10_000
 
 /** What was sent, answered and run. */
-const record = process.argv[2] ?? join(import.meta.dirname, 'record.txt')
+const record = process.argv[2] ?? join(import.meta.dirname, 'stopped-replicas-record.txt')
 
 const stage = await Stage.start({ record })
 const isReady = await stage.startHosts(true)
--- a/review/lib-2/database.mjs
+++ b/review/lib-2/database.mjs
@@ -57,6 +57,18 @@
     await next.receive(primary, primary.term, primary.log.length)
   }
 
+  /** Starts a new replica, which receives what it lacks as soon as it is there. */
+  async add ({ id, zone, port, lagMs }) {
+    const { primary } = this
+    const next = new Server(this, { id, zone, port, lagMs, isPrimary: false })
+    next.term = primary.term
+    next.log = primary.log.slice()
+    this.servers.set(id, next)
+    await next.listen()
+    this.note(`database: ${id} has started`)
+    await next.receive(primary, primary.term, primary.log.length)
+  }
+
   get primary () {
     return [...this.servers.values()].find(({ isPrimary }) => isPrimary)
   }
--- a/review/lib-2/stage.mjs
+++ b/review/lib-2/stage.mjs
@@ -41,7 +41,7 @@
       services: [{ name: SERVICE, healthPath: '/health', maxConns: 30, protocol: 'h1', tls: false, syncReplicas }],
       limits: { maxHeaderBytes: 16384, maxBodyBytes: 262144, headerTimeoutMs: 3000, idleTimeoutMs: 15000, txIdleMs: 3000 }
     }))
-    return Object.assign(stage, { programs, store, database })
+    return Object.assign(stage, { programs, store, database, sparePorts: serverPorts.slice(servers.length) })
   }
 
   /** Whether the disruption is to happen. */
