A handover is announced also where commits wait for a replica

Cause: all replicas that were listed were stopped once, and nothing else held. The old primary serves until the promotion takes effect, and acknowledges a commit as soon as any replica has it. One that starts after the survey, or isn't listed, was stopped by nobody; the successor was. Hosts asked nobody whether the successor had a commit, since the handover was announced only where commits wait for no replica.

From the announcement on a commit of the old primary is acknowledged to its caller only once the successor has it, whoever else receives. The announcement comes before the order, also of an unplanned promotion. In a handover the successor receives again after the announcement, and the order waits until it has what the old primary had then; so what was acknowledged between survey and announcement is kept as well. An announcement names a term, so that a primary that leads again later isn't tied to its successor, and is withdrawn if the promotion is given up.

--- a/src/core/pool/failover/groupfailover.leftorder.test.ts
+++ b/src/core/pool/failover/groupfailover.leftorder.test.ts
@@ -98,6 +98,7 @@
     if (host.hasEnded) return
     const { next, actions } = host.failover.step(event, {
       leader: this.leader,
+      term: 1,
       leaderlessMs: 0,
       isLeaving: false,
       catchUpMs: 2000,
--- a/src/core/pool/failover/groupfailover.mix.test.ts
+++ b/src/core/pool/failover/groupfailover.mix.test.ts
@@ -102,6 +102,7 @@
     const leaving = new Set(this.endpoints.filter(({ isLeaving }) => isLeaving).map(({ id }) => id))
     const { next, actions } = host.failover.step(event, {
       leader: host.leader,
+      term: this.term,
       leaderlessMs: host.leader === undefined ? 2000 : 0,
       isLeaving: host.leader !== undefined && host.isStoreReachable && leaving.has(host.leader),
       isListed: true,
--- a/src/core/pool/failover/groupfailover.test.ts
+++ b/src/core/pool/failover/groupfailover.test.ts
@@ -13,7 +13,7 @@
 import type { GroupFailoverView } from './groupfailoverview.ts'
 
 const HEALTHY: GroupFailoverView = {
-  leader: 'a' as EndpointId, leaderlessMs: 0, isLeaving: false, catchUpMs: 1000, isListed: true, isReplacementDue: false, isFailing: false, leaving: new Set(), commitHolders: undefined, rank: 0, mayClaim: true, isLeaseHolder: true
+  leader: 'a' as EndpointId, term: 1, leaderlessMs: 0, isLeaving: false, catchUpMs: 1000, isListed: true, isReplacementDue: false, isFailing: false, leaving: new Set(), commitHolders: undefined, rank: 0, mayClaim: true, isLeaseHolder: true
 }
 
 /** Runs one failover on a virtual clock and returns its actions as short texts. */
@@ -47,21 +47,31 @@
     this.step({ kind: 'confirmed', fence })
   }
 
-  /** Ends a survey with answers such as `b 1:5` (id, term, position) or `b 1:5 primary`. */
+  /** Ends a survey with these answers. */
   surveyed (...texts: string[]): string[] {
-    const statuses = new Map<EndpointId, EndpointStatus>(texts.map(text => {
-      const [id, position, role] = text.split(' ')
-      const received = Token.parse(position!)!
-      return [id as EndpointId, { isPrimary: role === 'primary', term: received.term, received }]
-    }))
-    return this.step({ kind: 'surveyed', statuses })
+    return this.step({ kind: 'surveyed', statuses: statusesOf(texts) })
   }
+
+  /** Compares the logs of the old primary and its successor. */
+  compared (...texts: string[]): string[] {
+    return this.step({ kind: 'compared', statuses: statusesOf(texts) })
+  }
+}
+
+/** Statuses from texts such as `b 1:5` (id, term, position) or `b 1:5 primary`. */
+function statusesOf (texts: readonly string[]): ReadonlyMap<EndpointId, EndpointStatus> {
+  return new Map(texts.map(text => {
+    const [id, position, role] = text.split(' ')
+    const received = Token.parse(position!)!
+    return [id as EndpointId, { isPrimary: role === 'primary', term: received.term, received }]
+  }))
 }
 
 function textOf (action: GroupFailoverAction): string {
   switch (action.kind) {
     case 'claim': return `claim ${action.cause}${action.asksFor === undefined ? '' : ' asking'}`
-    case 'promote': return `promote ${action.endpoint} under ${action.fence}${action.handoverFrom === undefined ? '' : ` for ${action.handoverFrom}`}`
+    case 'promote': return `promote ${action.endpoint} under ${action.fence}${action.isPlanned && action.handover !== undefined ? ` for ${action.handover.old}` : ''}`
+    case 'handOver': return `hand over from ${action.handover.old} to ${action.handover.successor} in term ${action.handover.term}`
     case 'found': return `found ${action.endpoint}`
     case 'withhold': return `withhold for ${action.unheard.join(' ')}`
     case 'survey': return action.isHandover ? 'survey handover' : 'survey'
@@ -292,6 +302,59 @@
   })
 })
 
+// Guards against the loss of commits that the old primary acknowledges through a replica which the survey didn't stop.
+describe('a handover where commits wait for a replica', () => {
+  function handingOver (): Harness {
+    const failover = harness({ isLeaving: true, commitHolders: COMMIT_HOLDERS })
+    failover.pass(100)
+    failover.step({ kind: 'claimed', fence: 3, tookMs: 10 })
+    return failover
+  }
+  const surveyed = (failover: Harness) => failover.surveyed('a 1:9 primary', 'b 1:8', 'c 1:7')
+
+  it('is announced after the survey, before the order', () => expect(surveyed(handingOver())).toEqual(['hand over from a to b in term 1']))
+
+  it('names the newest term that is known, so that all commits of the old primary are covered', () => {
+    expect(surveyed(handingOver().see({ term: 4 }))).toEqual(['hand over from a to b in term 4'])
+  })
+
+  it.each<[string, string[], string[], string[]]>([
+    ['is ordered once the successor has what the primary had after the announcement', ['a 1:12 primary', 'b 1:12'], ['promote b under 3'], []],
+    ['waits while the successor lacks a commit', ['a 1:12 primary', 'b 1:11'], [], ['compare']],
+    ['surveys again when the successor is silent', ['a 1:12 primary'], [], ['claim leaving']],
+    ['surveys again when the primary is silent', ['b 1:12'], [], ['claim leaving']],
+    ['ends when the successor leads already', ['a 1:12', 'b 2:12 primary'], ['found b', 'giveUp'], []]
+  ])('%s', (_, statuses, actions, later) => {
+    const failover = handingOver()
+    surveyed(failover)
+    expect(failover.compared(...statuses)).toEqual(actions)
+    expect(failover.pass(400)).toEqual(later)
+  })
+
+  it('is not ordered when it could not be announced, and the replicas receive again', () => {
+    const failover = handingOver()
+    surveyed(failover)
+    expect(failover.step({ kind: 'compared', statuses: undefined })).toEqual(['giveUp'])
+  })
+
+  it('is not ordered once the lease has expired', () => {
+    const failover = handingOver()
+    surveyed(failover)
+    expect(failover.see({ isLeaseHolder: false }).compared('a 1:9 primary', 'b 1:9')).toEqual(['giveUp'])
+  })
+
+  // Guards against a leaving primary that ends before it's replaced: no replica receives all that it has, since what it lacks wasn't acknowledged.
+  it('is ordered after a last survey when the successor does not catch up in time', () => {
+    const failover = handingOver()
+    surveyed(failover)
+    failover.pass(1000)
+    expect(failover.compared('a 1:12 primary', 'b 1:11')).toEqual([])
+    failover.pass(400)
+    failover.step({ kind: 'claimed', fence: 4, tookMs: 10 })
+    expect(surveyed(failover)).toEqual(['promote b under 4 for a'])
+  })
+})
+
 describe('an order without an answer whose primary answers again', () => {
   function unanswered (change: Partial<GroupFailoverView>): Harness {
     const failover = surveying().see(change)
--- a/src/core/pool/failover/groupfailover.ts
+++ b/src/core/pool/failover/groupfailover.ts
@@ -9,6 +9,7 @@
 import type { EndpointId } from '../../id/endpoint.ts'
 import type { Instant } from '../../id/instant.ts'
 import type { EndpointStatus } from '../../statement/endpointstatus.ts'
+import { Handover } from './handover.ts'
 import { timings } from './timings.ts'
 import type { GroupFailoverAction } from './groupfailoveraction.ts'
 import type { GroupFailoverEvent } from './groupfailoverevent.ts'
@@ -27,6 +28,10 @@
   /** Without the lease: asks the endpoints whether another host has promoted one of them. `left`: remaining searches. */
   | { readonly kind: 'searching', readonly left: number }
   | { readonly kind: 'searchPaused', readonly left: number, readonly until: Instant }
+  /** The handover is being announced, or the successor's log compared with that of the old primary. */
+  | { readonly kind: 'handingOver', readonly fence: number, readonly endpoint: EndpointId }
+  /** The announced successor lacks part of the old primary's log. */
+  | { readonly kind: 'catchingUp', readonly fence: number, readonly endpoint: EndpointId, readonly until: Instant }
   | { readonly kind: 'ordering', readonly fence: number, readonly endpoint: EndpointId }
   /** The promotion was ordered; if the successor doesn't lead by the instant, the failover starts again. */
   | { readonly kind: 'settling', readonly until: Instant, readonly endpoint: EndpointId }
@@ -67,6 +72,8 @@
 const UNANSWERED_ORDER_MS = 500
 /** Interval between surveys while a leaving primary's replicas catch up; each one claims the lease again. */
 const CATCH_UP_INTERVAL_MS = 300
+/** Interval between comparisons of an announced successor's log with the old primary's. */
+const COMPARE_INTERVAL_MS = 50
 /** Surveys of one failover that may be incomplete, and the pause between them. Then another host tries, which may reach more endpoints. */
 const MAX_INCOMPLETE_SURVEYS = 3
 const SURVEY_RETRY_MS = 300
@@ -93,6 +100,7 @@
       case 'confirmed': return this.confirmed(event.fence, view, now)
       case 'objected': return this.objected(event.fence, now)
       case 'surveyed': return this.surveyed(event.statuses, view, now)
+      case 'compared': return this.compared(event.statuses, view, now)
       case 'ordered': return this.ordered(event.outcome, now)
     }
   }
@@ -106,6 +114,7 @@
       case 'waiting': return now >= phase.until ? this.claim(view, now) : this.idle
       case 'awaitingObjections': return now >= phase.until ? this.confirm(phase.fence, view, now) : this.idle
       case 'searchPaused': return now >= phase.until ? this.searchPrimary(phase.left) : this.idle
+      case 'catchingUp': return now >= phase.until ? this.compare(phase.fence, phase.endpoint) : this.idle
       case 'settling': return now >= phase.until ? this.rest(now) : this.idle
       default: return this.idle
     }
@@ -134,7 +143,7 @@
     const holder = new GroupFailover({ ...this.fields, hasClaimed: true })
     if (cause === undefined) return holder.rest(now)
     const successor = this.unansweredOrder(view)
-    if (successor !== undefined) return holder.order(fence, successor, undefined)
+    if (successor !== undefined) return holder.order(fence, successor, holder.handover(successor, [], view), false)
     if (cause === 'leaving' || cause === 'nobody') return holder.survey(fence, cause === 'leaving')
     return holder.to({ kind: 'awaitingObjections', until: later(now, timings.objectionWaitMs + OBJECTION_CLAIM_FACTOR * tookMs), fence }, [])
   }
@@ -205,7 +214,9 @@
    * A primary that leaves still serves, so a successor that lacks part of its log gets time to catch up; a promotion keeps only what
    * the successor has received.
    *
-   * Where commits wait for a replica, nothing is promoted while an endpoint is silent that may hold an acknowledged commit.
+   * Where commits wait for a replica, nothing is promoted while an endpoint is silent that may hold an acknowledged commit. An old primary
+   * that serves may go on acknowledging through replicas that no survey has stopped, such as one that has just started. So its commits
+   * wait for the successor from the announcement on, and the order waits until the successor has all that came before.
    */
   private surveyed (statuses: ReadonlyMap<EndpointId, EndpointStatus>, view: GroupFailoverView, now: Instant): Step {
     const { phase, old, since } = this.fields
@@ -219,10 +230,39 @@
     const unheard = view.commitHolders?.unheard(statuses, statuses.get(endpoint)!.received, old) ?? []
     if (unheard.length > 0) return this.withhold(unheard, now)
     const oldStatus = old === undefined ? undefined : statuses.get(old)
+    const isServing = oldStatus?.isPrimary === true
+    const isSynchronous = view.commitHolders !== undefined
+    const handover = isServing || isSynchronous ? this.handover(endpoint, [...statuses.values()], view) : undefined
+    const mayCatchUp = now - since < view.catchUpMs
+    if (isSynchronous && isServing && mayCatchUp) return this.to({ kind: 'handingOver', fence: phase.fence, endpoint }, [{ kind: 'handOver', handover: handover! }])
     const isBehind = oldStatus?.received.isAfter(statuses.get(endpoint)!.received) === true
-    if (isBehind && now - since < view.catchUpMs) return this.to({ kind: 'waiting', until: later(now, CATCH_UP_INTERVAL_MS) }, [])
-    const handoverFrom = oldStatus?.isPrimary === true ? old : undefined
-    return this.order(phase.fence, endpoint, handoverFrom)
+    if (isBehind && mayCatchUp) return this.to({ kind: 'waiting', until: later(now, CATCH_UP_INTERVAL_MS) }, [])
+    return this.order(phase.fence, endpoint, handover, isServing)
+  }
+
+  /** The handover to the endpoint; undefined when no old primary is known. */
+  private handover (successor: EndpointId, statuses: readonly EndpointStatus[], view: GroupFailoverView): Handover | undefined {
+    const { old } = this.fields
+    return old === undefined ? undefined : Handover.of({ old, successor, term: Math.max(view.term, ...statuses.map(({ term }) => term)) })
+  }
+
+  /** Orders the promotion once the successor has all that the old primary had after the handover was announced. */
+  private compared (statuses: ReadonlyMap<EndpointId, EndpointStatus> | undefined, view: GroupFailoverView, now: Instant): Step {
+    const { phase, old, since } = this.fields
+    if (phase.kind !== 'handingOver') return this.idle
+    const { fence, endpoint } = phase
+    if (statuses === undefined) return this.to({ kind: 'waiting', until: later(now, ORDER_RETRY_MS) }, [this.giveUp])
+    const successor = statuses.get(endpoint)
+    const oldStatus = old === undefined ? undefined : statuses.get(old)
+    if (successor?.isPrimary === true) return this.rest(now, [{ kind: 'found', endpoint, term: successor.term }])
+    const isComparable = successor !== undefined && oldStatus?.isPrimary === true
+    if (!isComparable || now - since >= view.catchUpMs) return this.to({ kind: 'waiting', until: later(now, CATCH_UP_INTERVAL_MS) }, [])
+    if (oldStatus.received.isAfter(successor.received)) return this.to({ kind: 'catchingUp', fence, endpoint, until: later(now, COMPARE_INTERVAL_MS) }, [])
+    return view.isLeaseHolder ? this.order(fence, endpoint, undefined, true) : this.rest(now)
+  }
+
+  private compare (fence: number, endpoint: EndpointId): Step {
+    return this.to({ kind: 'handingOver', fence, endpoint }, [{ kind: 'compare', old: this.fields.old!, successor: endpoint }])
   }
 
   /** Surveys again soon. After some incomplete surveys this host lets its lease expire, so that a host that reaches more endpoints can claim it. */
@@ -230,11 +270,11 @@
     const incompleteSurveys = this.fields.incompleteSurveys + 1
     const isLast = incompleteSurveys >= MAX_INCOMPLETE_SURVEYS
     const phase: Phase = isLast ? { kind: 'idle', until: later(now, timings.leaseMs + COOLDOWN_MS) } : { kind: 'waiting', until: later(now, SURVEY_RETRY_MS) }
-    return this.to(phase, [{ kind: 'withhold', unheard }, { kind: 'giveUp' }], { incompleteSurveys })
+    return this.to(phase, [{ kind: 'withhold', unheard }, this.giveUp], { incompleteSurveys })
   }
 
-  private order (fence: number, endpoint: EndpointId, handoverFrom: EndpointId | undefined): Step {
-    return this.to({ kind: 'ordering', fence, endpoint }, [{ kind: 'promote', endpoint, fence, handoverFrom }])
+  private order (fence: number, endpoint: EndpointId, handover: Handover | undefined, isPlanned: boolean): Step {
+    return this.to({ kind: 'ordering', fence, endpoint }, [{ kind: 'promote', endpoint, fence, handover, isPlanned }])
   }
 
   /**
@@ -254,10 +294,14 @@
 
   /** Ends the failover. However it ends, the replicas must receive again: no commit would be acknowledged any more. */
   private rest (now: Instant, actions: readonly GroupFailoverAction[] = []): Step {
-    const giveUp: readonly GroupFailoverAction[] = this.fields.hasClaimed ? [{ kind: 'giveUp' }] : []
+    const giveUp: readonly GroupFailoverAction[] = this.fields.hasClaimed ? [this.giveUp] : []
     return this.to({ kind: 'idle', until: later(now, COOLDOWN_MS) }, [...actions, ...giveUp], { hasClaimed: false, unansweredOrder: undefined })
   }
 
+  private get giveUp (): GroupFailoverAction {
+    return { kind: 'giveUp', hasOpenOrder: this.fields.unansweredOrder !== undefined }
+  }
+
   private get idle (): Step {
     return { next: this, actions: [] }
   }
--- a/src/core/pool/failover/groupfailoverevent.ts
+++ b/src/core/pool/failover/groupfailoverevent.ts
@@ -15,5 +15,7 @@
   | { readonly kind: 'confirmed', readonly fence: number }
   /** Statuses of the endpoints that answered a survey or a search. */
   | { readonly kind: 'surveyed', readonly statuses: ReadonlyMap<EndpointId, EndpointStatus> }
+  /** Statuses of the old primary and its successor, as far as they answered; undefined if the handover couldn't be announced. */
+  | { readonly kind: 'compared', readonly statuses: ReadonlyMap<EndpointId, EndpointStatus> | undefined }
   /** The platform's answer to a promotion; `notDone`: rejected without effect, so it may be ordered again. */
   | { readonly kind: 'ordered', readonly outcome: 'done' | 'refused' | 'notDone' | 'unknown' }
--- a/src/core/pool/failover/groupfailoverview.ts
+++ b/src/core/pool/failover/groupfailoverview.ts
@@ -6,6 +6,8 @@
 export interface GroupFailoverView {
   /** The endpoint that is believed to be the primary; undefined when none is known. */
   readonly leader: EndpointId | undefined
+  /** The newest term that this host has seen. */
+  readonly term: number
   /** Milliseconds without a known primary; 0 with one. */
   readonly leaderlessMs: number
   /** Whether the directory says that the primary is leaving. */
--- a/src/core/pool/failover/handover.ts
+++ b/src/core/pool/failover/handover.ts
@@ -1,4 +1,4 @@
-/** A planned handover from a primary that leaves to its successor, and which commits survive it. */
+/** The succession from a primary to the endpoint that is ordered to lead, and which commits survive it. */
 
 import type { EndpointId } from '../../id/endpoint.ts'
 import type { EndpointStatus } from '../../statement/endpointstatus.ts'
@@ -7,13 +7,16 @@
 interface Fields {
   readonly old: EndpointId
   readonly successor: EndpointId
+  /** The newest term when it was announced; commits of later terms aren't affected. */
+  readonly term: number
 }
 
 /**
  * A promotion takes effect some time after it was ordered, and the successor leads with the log that it has received by then. So from
- * the order on, a commit of the old primary is acknowledged only once the successor has received it; otherwise its outcome is reported
- * as unknown. The old primary keeps serving, since stopping it would refuse writes for the duration of the promotion: 0.7% of all
- * statements on a day with three replacements. Immutable.
+ * the announcement on, which comes before the order, a commit of the old primary is acknowledged only once the successor has received it;
+ * otherwise its outcome is reported as unknown. That holds whichever endpoints receive meanwhile. An old primary that leaves keeps
+ * serving, since stopping it would refuse writes for the duration of the promotion: 0.7% of all statements on a day with three
+ * replacements. Immutable.
  */
 export class Handover {
   private constructor (private readonly fields: Fields) {}
@@ -22,13 +25,21 @@
     return new Handover(fields)
   }
 
+  get old (): EndpointId {
+    return this.fields.old
+  }
+
   get successor (): EndpointId {
     return this.fields.successor
   }
 
-  /** Whether commits of the endpoint may be lost by the handover. */
-  affects (endpoint: EndpointId): boolean {
-    return endpoint === this.fields.old
+  get term (): number {
+    return this.fields.term
+  }
+
+  /** Whether the commit of the endpoint may be lost by the handover; undefined stands for a commit at an unknown position. */
+  affects (endpoint: EndpointId, commit: Token | undefined): boolean {
+    return endpoint === this.fields.old && (commit === undefined || commit.term <= this.fields.term)
   }
 
   /**
--- a/src/shell/log/events.ts
+++ b/src/shell/log/events.ts
@@ -38,6 +38,7 @@
   promotionOrdered: { id: 3008, level: 'warn', message: 'the platform answered an order to promote' },
   objectionsRead: { id: 3010, level: 'info', message: 'checked whether a host objects to a promotion' },
   promotionWithheld: { id: 3011, level: 'warn', message: 'a promotion waits for endpoints that may hold acknowledged commits' },
+  logsCompared: { id: 3012, level: 'info', message: 'compared the log of a successor with that of the primary that leaves' },
   objected: { id: 3009, level: 'info', message: 'reached a primary that another host reports unreachable' },
 
   peerLinked: { id: 4001, level: 'info', message: 'connected to a peer' },
--- a/src/shell/pool/failover/failovercontroller.ts
+++ b/src/shell/pool/failover/failovercontroller.ts
@@ -10,6 +10,7 @@
 import type { GroupFailoverAction } from '../../../core/pool/failover/groupfailoveraction.ts'
 import type { GroupFailoverEvent } from '../../../core/pool/failover/groupfailoverevent.ts'
 import type { GroupFailoverView } from '../../../core/pool/failover/groupfailoverview.ts'
+import type { EndpointStatus } from '../../../core/statement/endpointstatus.ts'
 import { readJson } from '../../../core/readjson.ts'
 import * as z from 'zod'
 import type { Log } from '../../log/log.ts'
@@ -50,7 +51,8 @@
 type Survey = Extract<GroupFailoverAction, { kind: 'survey' }>
 
 const leaseShape = z.object({ holder: z.string(), asksFor: z.string().optional() })
-const handoverShape = z.object({ old: z.string(), successor: z.string() })
+/** Rows of an earlier release name no term; they affect all commits of the old primary. */
+const handoverShape = z.object({ old: z.string(), successor: z.string(), term: z.number().default(Infinity) })
 const objectionShape = z.object({ fence: z.number(), endpoint: z.string() })
 
 export class FailoverController {
@@ -59,6 +61,9 @@
   private readonly probing = new Set<EndpointId>()
   /** The highest fence with an objection. */
   private objectedFence = 0
+  /** The newest version of the group's handover row that was seen, and the one that this host wrote. */
+  private handoverVersion = 0
+  private ownHandover: { readonly version: number, readonly handover: Handover } | undefined
   private readonly probes: Probes
 
   private constructor (private readonly options: Options) {
@@ -107,11 +112,15 @@
     this.step({ kind: 'objected', fence })
   }
 
-  handoverAnnounced ({ value }: Row): void {
+  /** Takes in the group's handover row of the shared table; an erased one was given up. */
+  handoverAnnounced ({ value, version }: Row): void {
+    if (version <= this.handoverVersion) return
     const parsed = handoverShape.safeParse(value === undefined ? undefined : readJson(value))
-    if (!parsed.success) return
-    const { old, successor } = parsed.data
-    this.options.group.setHandover(Handover.of({ old: old as EndpointId, successor: successor as EndpointId }))
+    if (value !== undefined && !parsed.success) return
+    this.handoverVersion = version
+    const { old, successor, term = 0 } = parsed.data ?? {}
+    const handover = old === undefined ? undefined : Handover.of({ old: old as EndpointId, successor: successor as EndpointId, term })
+    this.options.group.setHandover(handover)
   }
 
   private get view (): GroupFailoverView {
@@ -121,6 +130,7 @@
     const listed = leader === undefined ? undefined : group.endpoint(leader)
     return {
       leader,
+      term: group.term,
       leaderlessMs: endpoints.length === 0 ? 0 : group.leaderlessMs(),
       isLeaving: listed?.isLeaving === true,
       catchUpMs: drainMs * CATCH_UP_SHARE,
@@ -147,10 +157,12 @@
       case 'confirm': return this.confirm(action.fence)
       case 'survey': return this.survey(action, this.options.isSynchronous())
       case 'look': return this.survey({ old: action.old, isHandover: false }, false)
+      case 'handOver': return this.handOver(action.handover)
+      case 'compare': this.compare(action.old, action.successor); return
       case 'promote': return this.promote(action)
       case 'found': return this.options.group.recordLeaderClaim(action.endpoint, action.term)
       case 'withhold': return this.withhold(action.unheard)
-      case 'giveUp': return this.resumeAll()
+      case 'giveUp': return this.giveUp(action.hasOpenOrder)
     }
   }
 
@@ -188,26 +200,66 @@
     surveyAll({ group, probes: this.probes, log, old, isHandover, isStopped }).then(statuses => this.step({ kind: 'surveyed', statuses }))
   }
 
+  /** Announces the handover; only then does the successor receive again, as the one replica that was surveyed. */
+  private handOver (handover: Handover): void {
+    const { old, successor } = handover
+    this.announce(handover).then(async isAnnounced => {
+      if (!isAnnounced) return this.step({ kind: 'compared', statuses: undefined })
+      await this.probes.askRequired(successor, { kind: 'resume' })
+      this.compare(old, successor)
+    })
+  }
+
+  /** The old primary is asked first, so that a successor with its position has everything up to then. */
+  private async compare (old: EndpointId, successor: EndpointId): Promise<void> {
+    const { group, log } = this.options
+    const statuses = new Map<EndpointId, EndpointStatus>()
+    for (const endpoint of [old, successor]) {
+      const status = await this.probes.askRequired(endpoint, { kind: 'status' })
+      if (status !== undefined) statuses.set(endpoint, status)
+    }
+    const positions = [old, successor].map(id => String(statuses.get(id)?.received ?? '-'))
+    log.write('logsCompared', { group: group.id, old, successor, oldReceived: positions[0]!, received: positions[1]! })
+    this.step({ kind: 'compared', statuses })
+  }
+
   private promote (action: Promote): void {
     const { group, log } = this.options
-    const { endpoint, fence, handoverFrom } = action
-    log.write('promotionBegun', { group: group.id, endpoint, fence, before: group.leader ?? 'none', isHandover: handoverFrom !== undefined })
-    this.announce(action).then(async isAnnounced => {
+    const { endpoint, fence, handover, isPlanned } = action
+    log.write('promotionBegun', { group: group.id, endpoint, fence, before: group.leader ?? 'none', isHandover: isPlanned })
+    this.announce(handover).then(async isAnnounced => {
       const outcome = isAnnounced ? await this.order(endpoint, fence) : 'notDone'
       log.write('promotionOrdered', { group: group.id, endpoint, fence, outcome })
       this.step({ kind: 'ordered', outcome })
     })
   }
 
-  /** Announces the successor of a leaving primary to all hosts before its promotion; resolves with false if the store didn't take the row. */
-  private async announce ({ endpoint, handoverFrom }: Promote): Promise<boolean> {
-    if (handoverFrom === undefined) return true
+  /** Announces the handover, if any, to all hosts before the order; resolves with false if the store didn't take the row. */
+  private async announce (handover: Handover | undefined): Promise<boolean> {
+    if (handover === undefined) return true
+    const { old, successor, term } = handover
+    const changed = await this.changeHandover({ value: JSON.stringify({ old, successor, term }) })
+    if (changed.isErr()) return false
+    this.ownHandover = { version: changed.value, handover }
+    this.options.group.setHandover(handover)
+    return true
+  }
+
+  /** Withdraws this host's announcement, so that commits of a primary that stays no longer wait for one replica, unless another host has announced a handover since. */
+  private async withdraw (): Promise<void> {
+    const { ownHandover, options: { group } } = this
+    if (ownHandover === undefined || group.leader !== ownHandover.handover.old) return
+    this.ownHandover = undefined
+    const changed = await this.changeHandover({ value: undefined, expected: ownHandover.version })
+    if (changed.isOk()) group.setHandover(undefined)
+  }
+
+  private async changeHandover (change: { readonly value: string | undefined, readonly expected?: number }): ReturnType<Platform['store']['change']> {
     const { group, platform, table, metrics, signal } = this.options
     metrics.storeCalls.inc({ call: 'write', table: 'shared', why: 'handover' })
-    const value = JSON.stringify({ old: handoverFrom, successor: endpoint })
-    const changed = await platform.store.change([{ table, key: `handover/${group.id}`, value }], signal)
-    if (changed.isOk()) group.setHandover(Handover.of({ old: handoverFrom, successor: endpoint }))
-    return changed.isOk()
+    const changed = await platform.store.change([{ table, key: `handover/${group.id}`, ...change }], signal)
+    if (changed.isOk()) this.handoverVersion = Math.max(this.handoverVersion, changed.value)
+    return changed
   }
 
   private async order (endpoint: EndpointId, fence: number): Promise<Awaited<ReturnType<Platform['orders']['promote']>>> {
@@ -225,9 +277,10 @@
   }
 
   /** Has the replicas receive again, unless another host has the lease by now: it may have stopped them for its own survey. */
-  private resumeAll (): void {
+  private giveUp (hasOpenOrder: boolean): void {
     const { group, host, isSynchronous } = this.options
     if (!isSynchronous() || this.lease?.holder !== host) return
+    if (!hasOpenOrder) this.withdraw()
     for (const { id } of group.endpoints) this.probes.ask(id, { kind: 'resume' })
   }
 
--- a/src/shell/pool/failover/surveyall.ts
+++ b/src/shell/pool/failover/surveyall.ts
@@ -32,11 +32,18 @@
   return new Map([...primary, ...await askAll(options, replicas, { kind: 'status' })])
 }
 
-/** A primary that leaves still serves, so its replicas aren't stopped before all of them can be heard. */
+/** A primary that leaves still serves, so it's asked too, and its replicas aren't stopped before all of them can be heard. */
 async function stopAll (options: Options, replicas: readonly EndpointId[]): Promise<ReadonlyMap<EndpointId, EndpointStatus>> {
-  const { group, isHandover } = options
-  const heard = isHandover ? await askAll(options, replicas, { kind: 'status' }) : undefined
-  if (heard !== undefined && heard.size < replicas.length) return heard
+  const { old, isHandover } = options
+  if (!isHandover || old === undefined) return await pauseAll(options, replicas)
+  const heard = await askAll(options, [old, ...replicas], { kind: 'status' })
+  if (replicas.some(id => !heard.has(id))) return heard
+  const primary = [...heard].filter(([id]) => id === old)
+  return new Map([...primary, ...await pauseAll(options, replicas)])
+}
+
+async function pauseAll (options: Options, replicas: readonly EndpointId[]): Promise<ReadonlyMap<EndpointId, EndpointStatus>> {
+  const { group } = options
   const term = group.term + 1 as Term
   const stopped = await askAll(options, replicas, { kind: 'pause', term })
   // A pause stops a replica only if its term is above the newest one, which this host may not have seen.
--- a/src/shell/pool/group.ts
+++ b/src/shell/pool/group.ts
@@ -249,13 +249,14 @@
     for (const [id, connectionPool] of this.connectionPools) connectionPool.resize(share, this.directory.get(id)?.places ?? connectionPool.endpoint.places)
   }
 
-  setHandover (handover: Handover): void {
+  /** Undefined if the announced handover was given up. */
+  setHandover (handover: Handover | undefined): void {
     this.handover = handover
   }
 
-  /** The endpoint that must have received a commit of `endpoint` before it's acknowledged; undefined outside of a handover. */
-  successorOf (endpoint: EndpointId): EndpointId | undefined {
-    return this.handover?.affects(endpoint) === true ? this.handover.successor : undefined
+  /** The endpoint that must have received the commit of `endpoint` before it's acknowledged; undefined outside of a handover. */
+  successorOf (endpoint: EndpointId, commit?: Token): EndpointId | undefined {
+    return this.handover?.affects(endpoint, commit) === true ? this.handover.successor : undefined
   }
 
   /** The connection pool of the endpoint, created on first use; undefined for an endpoint that isn't listed. */
--- a/src/shell/pool/statements/statementrunner.ts
+++ b/src/shell/pool/statements/statementrunner.ts
@@ -136,7 +136,7 @@
 
   /** During a handover, a commit is acknowledged only once the successor has received it; otherwise its outcome is unknown. */
   private async kept (attempt: Attempt, answer: Answer | Ending, work: EndpointStatement, deadline: Instant, trail: TryHistory): Promise<Answer | Ending> {
-    const successor = attempt.group.successorOf(attempt.endpoint)
+    const successor = typeof answer === 'string' ? undefined : attempt.group.successorOf(attempt.endpoint, answer.position)
     if (typeof answer === 'string' || successor === undefined) return answer
     if (answer.position === undefined) return 'outOfTime'
     const { ctx, database, key } = this
--- a/standin/lines/endpoint.ts
+++ b/standin/lines/endpoint.ts
@@ -4,6 +4,7 @@
  */
 
 import { createServer, type Server, type Socket } from 'node:net'
+import type { Replication } from './replication.ts'
 
 interface Faults {
   /** Refuses so many questions for its status, and commands that stop or resume replication, as busy. */
@@ -63,6 +64,8 @@
   turnedAway = 0
   /** The term under which it has stopped receiving; 0 while it receives. */
   pausedBy = 0
+  /** With it, a write is answered once a replica has received it. */
+  replication: Replication | undefined
   private readonly sockets = new Set<Socket>()
 
   private constructor (private readonly options: Options, private readonly server: Server) {
@@ -88,6 +91,21 @@
     return JSON.stringify({ service, address: `127.0.0.1:${port}`, zone: 'z1', version: 'v1', capacity: 2, state: 'ready', coldLeftMs: 0, dbRole, sequence: 1, ...change })
   }
 
+  /** Takes the log of the primary. */
+  receive ({ kept, position }: LineEndpoint): void {
+    if (this.position === position) return
+    this.kept.splice(0, Infinity, ...kept)
+    this.position = position
+  }
+
+  /** The next term begins, with the log of the successor. */
+  follow (successor: LineEndpoint, isPrimary: boolean): void {
+    this.term++
+    this.pausedBy = 0
+    this.isPrimary = isPrimary
+    if (!isPrimary) this.receive(successor)
+  }
+
   /** Ends it as a crash does. */
   async stop (): Promise<void> {
     for (const socket of this.sockets) socket.resetAndDestroy()
@@ -123,6 +141,7 @@
     const text = rest.join(' ')
     this.heard.push(`${connection.number}|${first}|${text}`)
     if (first !== OWN) this.told.push(`${connection.who}|${text}`)
+    const before = this.kept.length
     const body = this.bodyOf(connection, text)
     if (this.faults.breakOn !== undefined && text.startsWith(this.faults.breakOn)) {
       this.faults.breakOn = undefined
@@ -133,7 +152,9 @@
       this.faults.loseAnswerTo = undefined
       return
     }
-    connection.socket.write(`${body}\r\nREADY ${connection.state} ${this.term}.${this.position}\r\n`, 'latin1')
+    const ready = `${body}\r\nREADY ${connection.state} ${this.term}.${this.position}\r\n`
+    if (this.replication === undefined || this.kept.length === before) return connection.socket.write(ready, 'latin1') as unknown as void
+    this.replication.isReceived(this).then(isReceived => isReceived ? connection.socket.write(ready, 'latin1') : connection.socket.destroy())
   }
 
   private start (connection: Connection, service: string, id: string | undefined): void {
