A survey asks endpoints that are no longer listed, and stops them

Cause: an endpoint that isn't listed counted as one that has ended, as soon as the primary had answered a position after it disappeared. Later commits may be in its log alone.

Change: the endpoint is kept as it was listed last, asked like the others within the shorter limit, and stopped and resumed with them. If it has the longest log it's promoted; while the old primary serves, a listed replica is chosen and catches up. One that doesn't answer counts as before.

--- a/src/core/pool/failover/commitholders.test.ts
+++ b/src/core/pool/failover/commitholders.test.ts
@@ -27,6 +27,7 @@
     ['only the old primary is silent', group, 'bc', 5, []],
     ['a replica disappeared', withoutB, 'c', 5, ['b']],
     ['the log has what the primary had after a replica disappeared', covered, 'c', 8, []],
+    ['a replica disappeared and answers', withoutB, 'bc', 5, []],
     ['the log lacks a commit from before a replica disappeared', covered, 'c', 7, ['b']],
     ['the primary answered a request from before a replica disappeared', withoutB.primaryAnswered(Token.of(1, 8), at(5)), 'c', 8, ['b']],
     ['the primary goes on committing', covered.primaryAnswered(Token.of(1, 12), at(30)), 'c', 8, []],
@@ -37,6 +38,12 @@
     expect(holders.unheard(statusesOf(answered), Token.of(1, position), 'a' as EndpointId)).toEqual(unheard)
   })
 
+  // Guards against one that lost only the store, receives, and is stopped by nobody.
+  it('include those that are no longer listed', () => {
+    expect(covered.unlisted.map(({ id }) => id)).toEqual(['b'])
+    expect(covered.directoryChanged(listed('a', 'b', 'c'), at(30)).unlisted).toEqual([])
+  })
+
   it('don\'t include one that disappeared before an earlier promotion', () => {
     const promoted = covered.primaryAnswered(Token.of(2, 1), at(40))
     expect(promoted.unheard(statusesOf('a'), Token.of(1, 3), 'c' as EndpointId)).toEqual([])
--- a/src/core/pool/failover/commitholders.ts
+++ b/src/core/pool/failover/commitholders.ts
@@ -6,25 +6,26 @@
 import type { EndpointStatus } from '../../statement/endpointstatus.ts'
 import type { Token } from '../../token.ts'
 
-/** An endpoint that disappeared from the directory. It may come back with its log. */
+/** An endpoint that disappeared from the directory. It may come back with its log, and may go on receiving if it only lost the store. */
 interface Missing {
-  readonly address: string
+  readonly endpoint: Endpoint
   /** On the clock that counts suspension. */
   readonly since: Instant
   /** A position that includes every commit that the endpoint has received; undefined until the primary answers one. */
   readonly coveredBy: Token | undefined
 }
 
-type Addresses = ReadonlyMap<EndpointId, string>
+type Listed = ReadonlyMap<EndpointId, Endpoint>
 type MissingEndpoints = ReadonlyMap<EndpointId, Missing>
 
 /**
  * Where commits wait for one replica, an acknowledged commit may be in the log of a single replica. So the longest log is complete only
- * if every replica has answered. An endpoint that is no longer listed counts as well, unless the chosen log includes a position that the
- * primary had after the endpoint disappeared: all that the endpoint can have received came before. Immutable.
+ * if every replica has answered. An endpoint that is no longer listed counts as well and is asked too, since it may go on receiving. One
+ * that doesn't answer has ended, as far as anybody can tell; it counts unless the chosen log includes a position that the primary had
+ * after the endpoint disappeared. Immutable.
  */
 export class CommitHolders {
-  private constructor (private readonly listed: Addresses, private readonly missing: MissingEndpoints) {}
+  private constructor (private readonly listed: Listed, private readonly missing: MissingEndpoints) {}
 
   static readonly none = new CommitHolders(new Map(), new Map())
 
@@ -33,12 +34,17 @@
     return [...this.missing.values()].some(({ coveredBy }) => coveredBy === undefined)
   }
 
+  /** Endpoints that are no longer listed and may hold commits. */
+  get unlisted (): readonly Endpoint[] {
+    return [...this.missing.values()].map(({ endpoint }) => endpoint)
+  }
+
   /** The directory lists these endpoints from now on. A new endpoint at the address of a missing one has taken over its log. */
   directoryChanged (endpoints: readonly Endpoint[], now: Instant): CommitHolders {
-    const listed: Addresses = new Map(endpoints.map(({ id, address: { ip, port } }) => [id, `${ip}:${port}`]))
-    const addresses = new Set(listed.values())
-    const disappeared = [...this.listed].map(([id, address]) => [id, { address, since: now, coveredBy: undefined }] as const)
-    const missing = [...this.missing, ...disappeared].filter(([id, { address }]) => !listed.has(id) && !addresses.has(address))
+    const listed: Listed = new Map(endpoints.map(endpoint => [endpoint.id, endpoint]))
+    const addresses = new Set(endpoints.map(addressOf))
+    const disappeared = [...this.listed].map(([id, endpoint]) => [id, { endpoint, since: now, coveredBy: undefined }] as const)
+    const missing = [...this.missing, ...disappeared].filter(([id, { endpoint }]) => !listed.has(id) && !addresses.has(addressOf(endpoint)))
     return new CommitHolders(listed, new Map(missing))
   }
 
@@ -56,8 +62,12 @@
    * replaced, whose commits are acknowledged only once a replica has them.
    */
   unheard (statuses: ReadonlyMap<EndpointId, EndpointStatus>, received: Token, old: EndpointId | undefined): readonly EndpointId[] {
-    const listed = [...this.listed.keys()].filter(id => !statuses.has(id))
+    const listed = [...this.listed.keys()]
     const missing = [...this.missing].filter(([, { coveredBy }]) => coveredBy === undefined || coveredBy.isAfter(received)).map(([id]) => id)
-    return [...listed, ...missing].filter(id => id !== old)
+    return [...listed, ...missing].filter(id => id !== old && !statuses.has(id))
   }
 }
+
+function addressOf ({ address: { ip, port } }: Endpoint): string {
+  return `${ip}:${port}`
+}
--- a/src/core/pool/failover/groupfailover.test.ts
+++ b/src/core/pool/failover/groupfailover.test.ts
@@ -80,7 +80,8 @@
 }
 
 /** A group whose commits wait for one of the replicas `b` and `c`. */
-const COMMIT_HOLDERS = CommitHolders.none.directoryChanged(['a', 'b', 'c'].map(id => ({ id, address: { ip: id, port: 1 } }) as unknown as Endpoint), 0 as Instant)
+const listed = (...ids: string[]) => ids.map(id => ({ id, address: { ip: id, port: 1 } }) as unknown as Endpoint)
+const COMMIT_HOLDERS = CommitHolders.none.directoryChanged(listed('a', 'b', 'c'), 0 as Instant)
 
 /** A failover of such a group that surveys the replicas, since no host reaches the primary. */
 function surveying (): Harness {
@@ -302,6 +303,23 @@
   })
 })
 
+// Guards against the loss of commits that a replica received after it disappeared from the directory: it lost only the store.
+describe('a replica that is no longer listed', () => {
+  const commitHolders = COMMIT_HOLDERS.directoryChanged(listed('a', 'b'), 10 as Instant)
+
+  it.each<[string, string[], string]>([
+    ['is promoted if it has the longest log', ['c 1:9', 'b 1:5'], 'promote c under 7'],
+    ['is not if a listed one has as much', ['c 1:9', 'b 1:9'], 'promote b under 7']
+  ])('%s', (_, statuses, order) => expect(surveying().see({ commitHolders }).surveyed(...statuses)).toEqual([order]))
+
+  it('is not promoted while a listed one can catch up', () => {
+    const failover = harness({ isLeaving: true, commitHolders })
+    failover.pass(100)
+    failover.step({ kind: 'claimed', fence: 3, tookMs: 10 })
+    expect(failover.surveyed('a 1:9 primary', 'c 1:9', 'b 1:8')).toEqual(['hand over from a to b in term 1'])
+  })
+})
+
 // Guards against the loss of commits that the old primary acknowledges through a replica which the survey didn't stop.
 describe('a handover where commits wait for a replica', () => {
   function handingOver (): Harness {
--- a/src/core/pool/failover/groupfailover.ts
+++ b/src/core/pool/failover/groupfailover.ts
@@ -225,15 +225,15 @@
     if (leading !== undefined) return this.rest(now, [{ kind: 'found', endpoint: leading[0], term: leading[1].term }])
     if (phase.kind === 'searching') return this.searchAgain(phase.left, now)
     if (this.isRecovered(view)) return this.rest(now)
-    const endpoint = longestLog(statuses, old, view)
+    const oldStatus = old === undefined ? undefined : statuses.get(old)
+    const isServing = oldStatus?.isPrimary === true
+    const mayCatchUp = now - since < view.catchUpMs
+    const endpoint = longestLog(statuses, old, view, isServing && mayCatchUp)
     if (endpoint === undefined || !view.isLeaseHolder) return this.rest(now)
     const unheard = view.commitHolders?.unheard(statuses, statuses.get(endpoint)!.received, old) ?? []
     if (unheard.length > 0) return this.withhold(unheard, now)
-    const oldStatus = old === undefined ? undefined : statuses.get(old)
-    const isServing = oldStatus?.isPrimary === true
     const isSynchronous = view.commitHolders !== undefined
     const handover = isServing || isSynchronous ? this.handover(endpoint, [...statuses.values()], view) : undefined
-    const mayCatchUp = now - since < view.catchUpMs
     if (isSynchronous && isServing && mayCatchUp) return this.to({ kind: 'handingOver', fence: phase.fence, endpoint }, [{ kind: 'handOver', handover: handover! }])
     const isBehind = oldStatus?.received.isAfter(statuses.get(endpoint)!.received) === true
     if (isBehind && mayCatchUp) return this.to({ kind: 'waiting', until: later(now, CATCH_UP_INTERVAL_MS) }, [])
@@ -320,11 +320,17 @@
   return isListed ? 'unreached' : 'gone'
 }
 
-/** The replica with the longest log, since the others are truncated to it. Endpoints that leave are chosen only when there is no other. */
-function longestLog (statuses: ReadonlyMap<EndpointId, EndpointStatus>, old: EndpointId | undefined, view: GroupFailoverView): EndpointId | undefined {
+/**
+ * The replica with the longest log, since the others are truncated to it. Endpoints that leave are chosen only when there is no other.
+ * One that isn't listed is chosen only if no listed one has as much, or can still catch up.
+ */
+function longestLog (statuses: ReadonlyMap<EndpointId, EndpointStatus>, old: EndpointId | undefined, view: GroupFailoverView, mayCatchUp: boolean): EndpointId | undefined {
+  const unlisted = new Set(view.commitHolders?.unlisted.map(({ id }) => id))
   const candidates = [...statuses].filter(([id]) => id !== old)
   const staying = candidates.filter(([id]) => !view.leaving.has(id))
-  const [first, ...rest] = staying.length > 0 ? staying : candidates
+  const usable = staying.length > 0 ? staying : candidates
+  const listed = usable.filter(([id]) => !unlisted.has(id))
+  const [first, ...rest] = mayCatchUp && listed.length > 0 ? listed : [...listed, ...usable.filter(([id]) => unlisted.has(id))]
   if (first === undefined) return undefined
   return rest.reduce((best, one) => one[1].received.isAfter(best[1].received) ? one : best, first)[0]
 }
--- a/src/shell/pool/failover/failovercontroller.ts
+++ b/src/shell/pool/failover/failovercontroller.ts
@@ -281,7 +281,7 @@
     const { group, host, isSynchronous } = this.options
     if (!isSynchronous() || this.lease?.holder !== host) return
     if (!hasOpenOrder) this.withdraw()
-    for (const { id } of group.endpoints) this.probes.ask(id, { kind: 'resume' })
+    for (const { id } of [...group.endpoints, ...group.commitHolders.unlisted]) this.probes.ask(id, { kind: 'resume' })
   }
 
   /** In a group without statements the primary has to be asked, so that a replica that went for good holds up no later promotion. */
--- a/src/shell/pool/failover/probes.ts
+++ b/src/shell/pool/failover/probes.ts
@@ -30,7 +30,7 @@
   /** Whether the endpoint proves on a new connection that it's the primary. Connections in use may be dead while new ones work. */
   async proveLeader (id: EndpointId): Promise<boolean> {
     const { group, dialer } = this
-    const endpoint = group.endpoint(id) ?? group.connectionPool(id)?.endpoint
+    const endpoint = group.lastKnown(id)
     const sentAt = clock.now()
     const dialled = endpoint === undefined ? undefined : await dialer.dial(endpoint, undefined, PROBE_TIMEOUT_MS)
     if (dialled === undefined || dialled.isErr()) {
@@ -82,7 +82,7 @@
 
   private async askOnce (id: EndpointId, command: Command, timeoutMs: number): Promise<EndpointStatus | 'full' | undefined> {
     const { group, dialer } = this
-    const endpoint = group.endpoint(id) ?? group.connectionPool(id)?.endpoint
+    const endpoint = group.lastKnown(id)
     if (endpoint === undefined) return undefined
     const dialled = await dialer.dial(endpoint, undefined, timeoutMs)
     if (dialled.isErr()) return isEndpointFull(dialled.error) ? 'full' : undefined
--- a/src/shell/pool/failover/surveyall.ts
+++ b/src/shell/pool/failover/surveyall.ts
@@ -15,13 +15,14 @@
   readonly old: EndpointId | undefined
   /** Whether the old primary hands over, and is asked as well. */
   readonly isHandover: boolean
-  /** Whether the replicas are to stop receiving, and every one of them must be heard. */
+  /** Whether the replicas are to stop receiving, and every listed one must be heard. */
   readonly isStopped: boolean
 }
 
 /**
  * Resolves with the status of the endpoints that answered. Where commits wait for a replica, the replicas are stopped, since the chosen
- * log might lack a commit that another replica acknowledged after it was asked. Otherwise an old primary that hands over is asked
+ * log might lack a commit that another replica acknowledged after it was asked; so are those that are no longer listed, as far as they
+ * answer. Otherwise an old primary that hands over is asked
  * before the replicas, so that a replica with its position has everything up to then.
  */
 export async function surveyAll (options: Options): Promise<ReadonlyMap<EndpointId, EndpointStatus>> {
@@ -34,12 +35,13 @@
 
 /** A primary that leaves still serves, so it's asked too, and its replicas aren't stopped before all of them can be heard. */
 async function stopAll (options: Options, replicas: readonly EndpointId[]): Promise<ReadonlyMap<EndpointId, EndpointStatus>> {
-  const { old, isHandover } = options
-  if (!isHandover || old === undefined) return await pauseAll(options, replicas)
-  const heard = await askAll(options, [old, ...replicas], { kind: 'status' })
+  const { group, old, isHandover } = options
+  const unlisted = group.commitHolders.unlisted.map(({ id }) => id).filter(id => id !== old)
+  if (!isHandover || old === undefined) return await pauseAll(options, [...replicas, ...unlisted])
+  const heard = await askAll(options, [old, ...replicas, ...unlisted], { kind: 'status' })
   if (replicas.some(id => !heard.has(id))) return heard
   const primary = [...heard].filter(([id]) => id === old)
-  return new Map([...primary, ...await pauseAll(options, replicas)])
+  return new Map([...primary, ...await pauseAll(options, [...replicas, ...unlisted.filter(id => heard.has(id))])])
 }
 
 async function pauseAll (options: Options, replicas: readonly EndpointId[]): Promise<ReadonlyMap<EndpointId, EndpointStatus>> {
@@ -57,7 +59,8 @@
 async function askAll ({ group, probes, log, isStopped }: Options, endpoints: readonly EndpointId[], command: Command): Promise<ReadonlyMap<EndpointId, EndpointStatus>> {
   const statuses = new Map<EndpointId, EndpointStatus>()
   await Promise.all(endpoints.map(async endpoint => {
-    const status = isStopped ? await probes.askRequired(endpoint, command) : await probes.ask(endpoint, command)
+    const isRequired = isStopped && group.endpoint(endpoint) !== undefined
+    const status = isRequired ? await probes.askRequired(endpoint, command) : await probes.ask(endpoint, command)
     if (status !== undefined) statuses.set(endpoint, status)
     log.write('surveyed', { group: group.id, endpoint, answered: status !== undefined, received: String(status?.received ?? '-'), isPrimary: status?.isPrimary ?? false })
   }))
--- a/src/shell/pool/group.ts
+++ b/src/shell/pool/group.ts
@@ -143,6 +143,11 @@
     return this.directory.get(id)
   }
 
+  /** How to connect to the endpoint: from the directory, or as it was listed last; undefined if it isn't known. */
+  lastKnown (id: EndpointId): Endpoint | undefined {
+    return this.directory.get(id) ?? this.connectionPools.get(id)?.endpoint ?? this.holders.unlisted.find(endpoint => endpoint.id === id)
+  }
+
   reachability (id: EndpointId): Reachability {
     return this.reachabilities.get(id) ?? Reachability.none
   }
