Where commits wait for a replica, one that leaves is promoted if it has the longest log

Callers would lose acknowledged writes. A replica that leaves receives until it ends, and commits are acknowledged through it; after a crash of the primary the longest log among the replicas that stay was promoted, though the leaving one may have more.

Found by reading, beside the same choice for endpoints that aren't listed. Where commits wait for a replica the longest log of all is promoted now, one that stays if it has as much; while the old primary serves, one that stays is chosen and catches up. Without such commits the choice is as before.

--- a/src/core/pool/failover/groupfailover.test.ts
+++ b/src/core/pool/failover/groupfailover.test.ts
@@ -320,6 +320,22 @@
   })
 })
 
+// Guards against the loss of commits that only a replica which leaves has received: it receives until it ends.
+describe('a replica that leaves, with the longest log', () => {
+  const leaving = new Set(['c' as EndpointId])
+
+  it('is promoted where commits wait for a replica', () => expect(surveying().see({ leaving }).surveyed('b 1:5', 'c 1:9')).toEqual(['promote c under 7']))
+
+  it('is not promoted if another has as much', () => expect(surveying().see({ leaving }).surveyed('c 1:9', 'b 1:9')).toEqual(['promote b under 7']))
+
+  it('is not promoted where commits wait for no replica', () => {
+    const failover = harness({ isFailing: true, leaving })
+    failover.pass(200)
+    failover.claimAndConfirm(7)
+    expect(failover.surveyed('b 1:5', 'c 1:9')).toEqual(['promote b under 7'])
+  })
+})
+
 // Guards against the loss of commits that the old primary acknowledges through a replica which the survey didn't stop.
 describe('a handover where commits wait for a replica', () => {
   function handingOver (): Harness {
--- a/src/core/pool/failover/groupfailover.ts
+++ b/src/core/pool/failover/groupfailover.ts
@@ -228,7 +228,7 @@
     const oldStatus = old === undefined ? undefined : statuses.get(old)
     const isServing = oldStatus?.isPrimary === true
     const mayCatchUp = now - since < view.catchUpMs
-    const endpoint = longestLog(statuses, old, view, isServing && mayCatchUp)
+    const endpoint = view.commitHolders === undefined || (isServing && mayCatchUp) ? longestLog(statuses, old, view) : completeLog(statuses, old, view)
     if (endpoint === undefined || !view.isLeaseHolder) return this.rest(now)
     const unheard = view.commitHolders?.unheard(statuses, statuses.get(endpoint)!.received, old) ?? []
     if (unheard.length > 0) return this.withhold(unheard, now)
@@ -320,19 +320,31 @@
   return isListed ? 'unreached' : 'gone'
 }
 
-/**
- * The replica with the longest log, since the others are truncated to it. Endpoints that leave are chosen only when there is no other.
- * One that isn't listed is chosen only if no listed one has as much, or can still catch up.
- */
-function longestLog (statuses: ReadonlyMap<EndpointId, EndpointStatus>, old: EndpointId | undefined, view: GroupFailoverView, mayCatchUp: boolean): EndpointId | undefined {
-  const unlisted = new Set(view.commitHolders?.unlisted.map(({ id }) => id))
-  const candidates = [...statuses].filter(([id]) => id !== old)
-  const staying = candidates.filter(([id]) => !view.leaving.has(id))
-  const usable = staying.length > 0 ? staying : candidates
-  const listed = usable.filter(([id]) => !unlisted.has(id))
-  const [first, ...rest] = mayCatchUp && listed.length > 0 ? listed : [...listed, ...usable.filter(([id]) => unlisted.has(id))]
-  if (first === undefined) return undefined
-  return rest.reduce((best, one) => one[1].received.isAfter(best[1].received) ? one : best, first)[0]
+type Statuses = ReadonlyMap<EndpointId, EndpointStatus>
+
+/** The replica with the longest log among those that stay, since the others are truncated to it. Endpoints that leave are chosen only when there is no other. */
+function longestLog (statuses: Statuses, old: EndpointId | undefined, view: GroupFailoverView): EndpointId | undefined {
+  const { staying, others } = candidates(statuses, old, view)
+  return longest(staying) ?? longest(others)
+}
+
+/** The replica with the longest log of all, which alone may hold an acknowledged commit; one that stays if it has as much. */
+function completeLog (statuses: Statuses, old: EndpointId | undefined, view: GroupFailoverView): EndpointId | undefined {
+  const { staying, others } = candidates(statuses, old, view)
+  return longest([...staying, ...others])
+}
+
+/** The replicas that answered; `others` leave or are no longer listed. */
+function candidates (statuses: Statuses, old: EndpointId | undefined, { leaving, commitHolders }: GroupFailoverView) {
+  const unlisted = new Set(commitHolders?.unlisted.map(({ id }) => id))
+  const replicas = [...statuses].filter(([id]) => id !== old)
+  const isStaying = (id: EndpointId) => !leaving.has(id) && !unlisted.has(id)
+  return { staying: replicas.filter(([id]) => isStaying(id)), others: replicas.filter(([id]) => !isStaying(id)) }
+}
+
+/** The first of those with the longest log. */
+function longest ([first, ...rest]: ReadonlyArray<readonly [EndpointId, EndpointStatus]>): EndpointId | undefined {
+  return first === undefined ? undefined : rest.reduce((best, one) => one[1].received.isAfter(best[1].received) ? one : best, first)[0]
 }
 
 function later (now: Instant, ms: number): Instant {
