Replicas that start or are listed after a survey are stopped too

Callers would lose acknowledged writes by way of a host that hasn't heard of a handover yet, if the successor is cut off from the old primary at the same time: a replica that starts, or starts again, after the survey receives, since a restart ends a stop.

Cause: replicas were stopped once, at the survey. Hosts that know of the handover are safe without it; this is the same cause where the knowledge is late.

Change: from the survey until the failover ends, a replica that is listed or has started since is stopped at the next look, a tenth of a second at most, except the successor. One that is listed during the survey is surveyed with the others at once, where the promotion was withheld for 300 ms before. Replicas are told to receive again only once all stops have been answered.

--- a/src/core/pool/failover/commitholders.ts
+++ b/src/core/pool/failover/commitholders.ts
@@ -39,6 +39,14 @@
     return [...this.missing.values()].map(({ endpoint }) => endpoint)
   }
 
+  /** Endpoints that are listed now and weren't when `earlier` held, or have started again since. */
+  listedSince (earlier: CommitHolders): readonly EndpointId[] {
+    return [...this.listed].filter(([id, endpoint]) => {
+      const before = earlier.listed.get(id)
+      return before === undefined || before.startedAtMs !== endpoint.startedAtMs
+    }).map(([id]) => id)
+  }
+
   /** The directory lists these endpoints from now on. A new endpoint at the address of a missing one has taken over its log. */
   directoryChanged (endpoints: readonly Endpoint[], now: Instant): CommitHolders {
     const listed: Listed = new Map(endpoints.map(endpoint => [endpoint.id, endpoint]))
--- a/src/core/pool/failover/groupfailover.test.ts
+++ b/src/core/pool/failover/groupfailover.test.ts
@@ -72,6 +72,7 @@
     case 'claim': return `claim ${action.cause}${action.asksFor === undefined ? '' : ' asking'}`
     case 'promote': return `promote ${action.endpoint} under ${action.fence}${action.isPlanned && action.handover !== undefined ? ` for ${action.handover.old}` : ''}`
     case 'handOver': return `hand over from ${action.handover.old} to ${action.handover.successor} in term ${action.handover.term}`
+    case 'stop': return `stop ${action.endpoints.join(' ')}`
     case 'found': return `found ${action.endpoint}`
     case 'withhold': return `withhold for ${action.unheard.join(' ')}`
     case 'survey': return action.isHandover ? 'survey handover' : 'survey'
@@ -80,7 +81,11 @@
 }
 
 /** A group whose commits wait for one of the replicas `b` and `c`. */
-const listed = (...ids: string[]) => ids.map(id => ({ id, address: { ip: id, port: 1 } }) as unknown as Endpoint)
+/** Endpoints by texts such as `b` or `b 5`, where 5 is when it started. */
+const listed = (...texts: string[]) => texts.map(text => {
+  const [id, startedAtMs] = text.split(' ')
+  return { id, address: { ip: id, port: 1 }, startedAtMs: startedAtMs === undefined ? undefined : Number(startedAtMs) } as unknown as Endpoint
+})
 const COMMIT_HOLDERS = CommitHolders.none.directoryChanged(listed('a', 'b', 'c'), 0 as Instant)
 
 /** A failover of such a group that surveys the replicas, since no host reaches the primary. */
@@ -336,6 +341,41 @@
   })
 })
 
+// Guards against the loss of commits that are acknowledged by way of a host that hasn't heard of the handover, through a replica that wasn't stopped.
+describe('a replica that could receive after the survey', () => {
+  function ordered (): Harness {
+    const failover = surveying()
+    failover.surveyed('b 1:5', 'c 1:9')
+    return failover
+  }
+  const see = (failover: Harness, ...texts: string[]) => failover.see({ commitHolders: COMMIT_HOLDERS.directoryChanged(listed(...texts), 10 as Instant) })
+
+  it.each<[string, string[], string[]]>([
+    ['is stopped if it has started since', ['a', 'b', 'c', 'd'], ['stop d']],
+    ['is stopped if it has started again', ['a', 'b 5', 'c'], ['stop b']],
+    ['is left alone if it is the successor', ['a', 'b', 'c 5'], []],
+    ['is left alone if it is the old primary', ['a 5', 'b', 'c'], []]
+  ])('%s', (_, texts, actions) => expect(see(ordered(), ...texts).pass(300)).toEqual(actions))
+
+  it('is stopped while the order has no answer', () => {
+    const failover = ordered()
+    failover.step({ kind: 'ordered', outcome: 'unknown' })
+    expect(see(failover, 'a', 'b', 'c', 'd').pass(300)).toEqual(['stop d'])
+  })
+
+  it('is not stopped once the failover has ended', () => {
+    const failover = ordered()
+    failover.step({ kind: 'ordered', outcome: 'refused' })
+    expect(see(failover, 'a', 'b', 'c', 'd').pass(300)).toEqual([])
+  })
+
+  it('is surveyed with the others at once if it was listed during the survey', () => {
+    const failover = see(surveying(), 'a', 'b', 'c', 'd')
+    expect(failover.surveyed('b 1:5', 'c 1:9')).toEqual(['survey'])
+    expect(failover.surveyed('b 1:5', 'c 1:9', 'd 1:2')).toEqual(['promote c under 7'])
+  })
+})
+
 // Guards against the loss of commits that the old primary acknowledges through a replica which the survey didn't stop.
 describe('a handover where commits wait for a replica', () => {
   function handingOver (): Harness {
--- a/src/core/pool/failover/groupfailover.ts
+++ b/src/core/pool/failover/groupfailover.ts
@@ -9,6 +9,7 @@
 import type { EndpointId } from '../../id/endpoint.ts'
 import type { Instant } from '../../id/instant.ts'
 import type { EndpointStatus } from '../../statement/endpointstatus.ts'
+import type { CommitHolders } from './commitholders.ts'
 import { Handover } from './handover.ts'
 import { timings } from './timings.ts'
 import type { GroupFailoverAction } from './groupfailoveraction.ts'
@@ -24,7 +25,7 @@
   | { readonly kind: 'awaitingObjections', readonly until: Instant, readonly fence: number }
   /** Reads the objections from the store. */
   | { readonly kind: 'confirming', readonly fence: number }
-  | { readonly kind: 'surveying', readonly fence: number }
+  | { readonly kind: 'surveying', readonly fence: number, readonly isHandover: boolean }
   /** Without the lease: asks the endpoints whether another host has promoted one of them. `left`: remaining searches. */
   | { readonly kind: 'searching', readonly left: number }
   | { readonly kind: 'searchPaused', readonly left: number, readonly until: Instant }
@@ -48,6 +49,8 @@
   readonly hasClaimed: boolean
   /** The endpoint that the last order named, if the order had no answer and may still be carried out. */
   readonly unansweredOrder: EndpointId | undefined
+  /** The endpoints as they were listed when the replicas were last stopped; undefined if they weren't. */
+  readonly stopped: CommitHolders | undefined
 }
 
 interface Step {
@@ -85,7 +88,7 @@
   private constructor (private readonly fields: Fields) {}
 
   static create (now: Instant): GroupFailover {
-    return new GroupFailover({ phase: { kind: 'idle', until: now }, old: undefined, since: now, incompleteSurveys: 0, hasClaimed: false, unansweredOrder: undefined })
+    return new GroupFailover({ phase: { kind: 'idle', until: now }, old: undefined, since: now, incompleteSurveys: 0, hasClaimed: false, unansweredOrder: undefined, stopped: undefined })
   }
 
   get isIdle (): boolean {
@@ -109,6 +112,8 @@
     const { phase, old } = this.fields
     // Another endpoint leads, so the failover is over, whichever host ordered the promotion.
     if (phase.kind !== 'idle' && view.leader !== undefined && view.leader !== old && !view.isLeaving) return this.rest(now)
+    const unstopped = this.unstopped(view)
+    if (unstopped.length > 0) return this.to(phase, [{ kind: 'stop', endpoints: unstopped }], { stopped: view.commitHolders })
     switch (phase.kind) {
       case 'idle': return now >= phase.until && causeOf(view) !== undefined ? this.waitForTurn(view, now) : this.idle
       case 'waiting': return now >= phase.until ? this.claim(view, now) : this.idle
@@ -120,6 +125,17 @@
     }
   }
 
+  /**
+   * Replicas that could receive although a promotion is under way: they have started or were listed after the survey, and a restart ends
+   * a stop. Hosts that know of the handover ask for the successor's receipt anyway; this covers those that haven't heard of it yet.
+   */
+  private unstopped ({ commitHolders }: GroupFailoverView): readonly EndpointId[] {
+    const { phase, old, stopped, unansweredOrder } = this.fields
+    const successor = 'endpoint' in phase ? phase.endpoint : unansweredOrder
+    if (stopped === undefined || successor === undefined) return []
+    return commitHolders?.listedSince(stopped).filter(id => id !== old && id !== successor) ?? []
+  }
+
   private waitForTurn (view: GroupFailoverView, now: Instant): Step {
     return this.to({ kind: 'waiting', until: later(now, view.rank * RANK_DELAY_MS) }, [], { old: view.leader, since: now, incompleteSurveys: 0 }).thenTick(view, now)
   }
@@ -144,7 +160,7 @@
     if (cause === undefined) return holder.rest(now)
     const successor = this.unansweredOrder(view)
     if (successor !== undefined) return holder.order(fence, successor, holder.handover(successor, [], view), false)
-    if (cause === 'leaving' || cause === 'nobody') return holder.survey(fence, cause === 'leaving')
+    if (cause === 'leaving' || cause === 'nobody') return holder.survey(fence, view, cause === 'leaving')
     return holder.to({ kind: 'awaitingObjections', until: later(now, timings.objectionWaitMs + OBJECTION_CLAIM_FACTOR * tookMs), fence }, [])
   }
 
@@ -188,7 +204,7 @@
   private confirmed (fence: number, view: GroupFailoverView, now: Instant): Step {
     const { phase } = this.fields
     if (phase.kind !== 'confirming' || phase.fence !== fence) return this.idle
-    return this.isRecovered(view) ? this.rest(now) : this.survey(fence)
+    return this.isRecovered(view) ? this.rest(now) : this.survey(fence, view)
   }
 
   /**
@@ -203,8 +219,8 @@
     return commitHolders === undefined && leader !== undefined && leader === this.fields.old && causeOf(view) === undefined
   }
 
-  private survey (fence: number, isHandover = false): Step {
-    return this.to({ kind: 'surveying', fence }, [{ kind: 'survey', old: this.fields.old, isHandover }])
+  private survey (fence: number, { commitHolders }: GroupFailoverView, isHandover = false): Step {
+    return this.to({ kind: 'surveying', fence, isHandover }, [{ kind: 'survey', old: this.fields.old, isHandover }], { stopped: commitHolders })
   }
 
   /**
@@ -231,7 +247,7 @@
     const endpoint = view.commitHolders === undefined || (isServing && mayCatchUp) ? longestLog(statuses, old, view) : completeLog(statuses, old, view)
     if (endpoint === undefined || !view.isLeaseHolder) return this.rest(now)
     const unheard = view.commitHolders?.unheard(statuses, statuses.get(endpoint)!.received, old) ?? []
-    if (unheard.length > 0) return this.withhold(unheard, now)
+    if (unheard.length > 0) return this.areNew(unheard, view) ? this.survey(phase.fence, view, phase.isHandover) : this.withhold(unheard, now)
     const isSynchronous = view.commitHolders !== undefined
     const handover = isServing || isSynchronous ? this.handover(endpoint, [...statuses.values()], view) : undefined
     if (isSynchronous && isServing && mayCatchUp) return this.to({ kind: 'handingOver', fence: phase.fence, endpoint }, [{ kind: 'handOver', handover: handover! }])
@@ -265,6 +281,13 @@
     return this.to({ kind: 'handingOver', fence, endpoint }, [{ kind: 'compare', old: this.fields.old!, successor: endpoint }])
   }
 
+  /** Whether the endpoints were listed only during the survey, so that they weren't asked. */
+  private areNew (endpoints: readonly EndpointId[], { commitHolders }: GroupFailoverView): boolean {
+    const { stopped } = this.fields
+    const added = stopped === undefined ? [] : commitHolders?.listedSince(stopped) ?? []
+    return endpoints.every(id => added.includes(id))
+  }
+
   /** Surveys again soon. After some incomplete surveys this host lets its lease expire, so that a host that reaches more endpoints can claim it. */
   private withhold (unheard: readonly EndpointId[], now: Instant): Step {
     const incompleteSurveys = this.fields.incompleteSurveys + 1
@@ -295,7 +318,7 @@
   /** Ends the failover. However it ends, the replicas must receive again: no commit would be acknowledged any more. */
   private rest (now: Instant, actions: readonly GroupFailoverAction[] = []): Step {
     const giveUp: readonly GroupFailoverAction[] = this.fields.hasClaimed ? [this.giveUp] : []
-    return this.to({ kind: 'idle', until: later(now, COOLDOWN_MS) }, [...actions, ...giveUp], { hasClaimed: false, unansweredOrder: undefined })
+    return this.to({ kind: 'idle', until: later(now, COOLDOWN_MS) }, [...actions, ...giveUp], { hasClaimed: false, unansweredOrder: undefined, stopped: undefined })
   }
 
   private get giveUp (): GroupFailoverAction {
--- a/src/core/pool/failover/groupfailoveraction.ts
+++ b/src/core/pool/failover/groupfailoveraction.ts
@@ -10,6 +10,8 @@
   | { readonly kind: 'confirm', readonly fence: number }
   /** Ask the endpoints for their log positions. In a handover the old primary is asked too, before the others. */
   | { readonly kind: 'survey', readonly old: EndpointId | undefined, readonly isHandover: boolean }
+  /** Stop these replicas from receiving, which have started or were listed after the survey. */
+  | { readonly kind: 'stop', readonly endpoints: readonly EndpointId[] }
   /** Ask the endpoints which of them leads, without stopping replication. */
   | { readonly kind: 'look', readonly old: EndpointId | undefined }
   /**
--- a/src/shell/pool/failover/failovercontroller.ts
+++ b/src/shell/pool/failover/failovercontroller.ts
@@ -20,6 +20,7 @@
 import type { Platform } from '../platform.ts'
 import { Probes } from './probes.ts'
 import type { Row } from '../../../core/pool/membership/row.ts'
+import { stopReplicas } from './stopreplicas.ts'
 import { surveyAll } from './surveyall.ts'
 
 interface Options {
@@ -65,6 +66,8 @@
   private handoverVersion = 0
   private ownHandover: { readonly version: number, readonly handover: Handover } | undefined
   private readonly probes: Probes
+  /** Settles once all that were told to stop have answered. */
+  private stopping: Promise<unknown> = Promise.resolve()
 
   private constructor (private readonly options: Options) {
     this.probes = Probes.create(options.group, options.platform.dialer)
@@ -156,13 +159,14 @@
       case 'claim': return this.claim(action)
       case 'confirm': return this.confirm(action.fence)
       case 'survey': return this.survey(action, this.options.isSynchronous())
+      case 'stop': return this.stop(action.endpoints)
       case 'look': return this.survey({ old: action.old, isHandover: false }, false)
       case 'handOver': return this.handOver(action.handover)
       case 'compare': this.compare(action.old, action.successor); return
       case 'promote': return this.promote(action)
       case 'found': return this.options.group.recordLeaderClaim(action.endpoint, action.term)
       case 'withhold': return this.withhold(action.unheard)
-      case 'giveUp': return this.giveUp(action.hasOpenOrder)
+      case 'giveUp': this.giveUp(action.hasOpenOrder)
     }
   }
 
@@ -200,6 +204,11 @@
     surveyAll({ group, probes: this.probes, log, old, isHandover, isStopped }).then(statuses => this.step({ kind: 'surveyed', statuses }))
   }
 
+  private stop (endpoints: readonly EndpointId[]): void {
+    const { group, log } = this.options
+    this.stopping = Promise.all([this.stopping, stopReplicas({ group, probes: this.probes, log }, endpoints)])
+  }
+
   /** Announces the handover; only then does the successor receive again, as the one replica that was surveyed. */
   private handOver (handover: Handover): void {
     const { old, successor } = handover
@@ -277,10 +286,12 @@
   }
 
   /** Has the replicas receive again, unless another host has the lease by now: it may have stopped them for its own survey. */
-  private giveUp (hasOpenOrder: boolean): void {
+  private async giveUp (hasOpenOrder: boolean): Promise<void> {
     const { group, host, isSynchronous } = this.options
     if (!isSynchronous() || this.lease?.holder !== host) return
     if (!hasOpenOrder) this.withdraw()
+    // A stop that arrives after its resumption would last.
+    await this.stopping
     for (const { id } of [...group.endpoints, ...group.commitHolders.unlisted]) this.probes.ask(id, { kind: 'resume' })
   }
 
