What a host left behind that ended during a failover is dealt with by another

And acknowledged writes would be lost to an order without an answer that a host left behind and that is carried out late.

Cause: only the host that began a failover knew of it. With the primary well, no other host had a reason to act.

Change: the announced handover is in the shared table before the order, so every host sees an order that may still be carried out; and the end of a failover is recorded there (row ended/GROUP with the fence). Once a lease has expired whose failover has no end, the next host takes it over: with an open handover it surveys and hands over anew under a higher fence, which voids the order left behind; otherwise it only has the replicas receive again. Only where commits wait for a replica. A host that waited long for the lease gives the replicas the same time to catch up.

The test of a left order had a store without these rows; its fake has them now, and a primary of it that answers has a status.

--- a/src/core/pool/failover/groupfailover.leftorder.test.ts
+++ b/src/core/pool/failover/groupfailover.leftorder.test.ts
@@ -14,6 +14,7 @@
 import { GroupFailover } from './groupfailover.ts'
 import type { GroupFailoverAction } from './groupfailoveraction.ts'
 import type { GroupFailoverEvent } from './groupfailoverevent.ts'
+import type { Handover } from './handover.ts'
 import { Lease } from './lease.ts'
 
 const TICK_MS = 50
@@ -46,6 +47,8 @@
   private acknowledged = 5
   private silentSince: number | undefined
   private lease: Lease | undefined
+  private endedFence = 0
+  private handover: Handover | undefined
   private version = 0
   private scheduled: Array<{ readonly at: number, readonly run: () => void }> = []
 
@@ -64,14 +67,20 @@
     this.silentSince = undefined
   }
 
-  /** Resolves with whether a commit at the primary is acknowledged. */
+  /** Whether a commit at the primary is acknowledged: in a handover, only if the successor has it. */
   commit (): boolean {
     const position = this.positions.get(this.leader)! + 1
     this.positions.set(this.leader, position)
     const receiving = REPLICAS.filter(id => id !== this.leader && !this.stopped.has(id) && !this.cutOff.has(id))
     for (const id of receiving) this.positions.set(id, position)
-    if (receiving.length > 0) this.acknowledged = position
-    return receiving.length > 0
+    const successor = this.isHandoverOpen ? this.handover?.successor : undefined
+    const isAcknowledged = receiving.length > 0 && (successor === undefined || receiving.includes(successor))
+    if (isAcknowledged) this.acknowledged = position
+    return isAcknowledged
+  }
+
+  private get isHandoverOpen (): boolean {
+    return this.handover?.old === this.leader
   }
 
   /** The platform carries out an order, unless it has seen a newer one. */
@@ -107,6 +116,8 @@
       isFailing: this.silentSince !== undefined && this.now - this.silentSince >= FAILURE_DETECTION_MS,
       leaving: new Set(),
       commitHolders: HOLDERS,
+      isHandoverOpen: this.isHandoverOpen,
+      isLeaseOpen: this.lease !== undefined && this.lease.version > this.endedFence && (this.lease.holder !== host.id || host.failover.isIdle),
       rank: host.rank,
       mayClaim: this.lease?.mayClaim(host.id, this.now as Instant) ?? true,
       isLeaseHolder: this.lease?.isHeldBy(host.id, this.now as Instant) === true
@@ -119,13 +130,29 @@
     switch (action.kind) {
       case 'claim': return this.claim(host)
       case 'confirm': return this.after(CALL_MS, () => this.step(host, { kind: 'confirmed', fence: action.fence }))
-      case 'survey': return this.survey(host)
+      case 'survey': return this.survey(host, action.isHandover)
+      case 'handOver': return this.handOver(host, action.handover)
+      case 'compare': return this.after(SURVEY_MS, () => this.step(host, { kind: 'compared', statuses: this.statuses }))
       case 'look': return this.after(SURVEY_MS, () => this.step(host, { kind: 'surveyed', statuses: this.statuses }))
       case 'promote': return this.promote(host, action)
-      case 'giveUp': return this.lease?.holder === host.id ? this.stopped.clear() : undefined
+      case 'giveUp': return this.lease?.holder === host.id ? this.giveUp(this.lease, action.hasOpenOrder) : undefined
     }
   }
 
+  private giveUp ({ version }: Lease, hasOpenOrder: boolean): void {
+    this.stopped.clear()
+    this.endedFence = version
+    if (!hasOpenOrder) this.handover = undefined
+  }
+
+  private handOver (host: Host, handover: Handover): void {
+    this.after(CALL_MS, () => {
+      this.handover = handover
+      this.stopped.delete(handover.successor)
+      this.after(SURVEY_MS, () => this.step(host, { kind: 'compared', statuses: this.statuses }))
+    })
+  }
+
   private claim (host: Host): void {
     const expected = this.version
     this.claims.begun++
@@ -137,18 +164,24 @@
     })
   }
 
-  private survey (host: Host): void {
+  private survey (host: Host, isHandover: boolean): void {
     for (const id of REPLICAS) this.stopped.add(id)
-    this.after(SURVEY_MS, () => this.step(host, { kind: 'surveyed', statuses: this.statuses }))
+    this.after(SURVEY_MS, () => {
+      const statuses = [...this.statuses].filter(([id]) => isHandover || id !== PRIMARY)
+      this.step(host, { kind: 'surveyed', statuses: new Map(statuses) })
+    })
   }
 
+  /** A primary that is silent has no status. */
   private get statuses (): ReadonlyMap<EndpointId, EndpointStatus> {
-    return new Map(REPLICAS.map(id => [id, { isPrimary: id === this.leader, term: 1, received: Token.of(1, this.positions.get(id)!) }]))
+    const answering = this.silentSince === undefined ? [PRIMARY, ...REPLICAS] : REPLICAS
+    return new Map(answering.map(id => [id, { isPrimary: id === this.leader, term: 1, received: Token.of(1, this.positions.get(id)!) }]))
   }
 
   /** The first order has no answer and isn't carried out for now; later ones are at once. */
-  private promote (host: Host, { endpoint, fence }: Extract<GroupFailoverAction, { kind: 'promote' }>): void {
+  private promote (host: Host, { endpoint, fence, handover }: Extract<GroupFailoverAction, { kind: 'promote' }>): void {
     const order = { endpoint, fence }
+    this.handover = handover ?? this.handover
     this.orders.push(order)
     if (this.orders.length === 1) return this.after(CALL_TIMEOUT_MS, () => this.step(host, { kind: 'ordered', outcome: 'unknown' }))
     this.after(CALL_MS, () => {
--- a/src/core/pool/failover/groupfailover.mix.test.ts
+++ b/src/core/pool/failover/groupfailover.mix.test.ts
@@ -111,6 +111,8 @@
       leaving,
       catchUpMs: 2000,
       commitHolders: undefined,
+      isHandoverOpen: false,
+      isLeaseOpen: false,
       rank: host.rank,
       mayClaim: host.lease?.mayClaim(host.id, this.now as Instant) ?? true,
       isLeaseHolder: host.lease?.isHeldBy(host.id, this.now as Instant) === true
--- a/src/core/pool/failover/groupfailover.test.ts
+++ b/src/core/pool/failover/groupfailover.test.ts
@@ -13,7 +13,7 @@
 import type { GroupFailoverView } from './groupfailoverview.ts'
 
 const HEALTHY: GroupFailoverView = {
-  leader: 'a' as EndpointId, term: 1, leaderlessMs: 0, isLeaving: false, catchUpMs: 1000, isListed: true, isReplacementDue: false, isFailing: false, leaving: new Set(), commitHolders: undefined, rank: 0, mayClaim: true, isLeaseHolder: true
+  leader: 'a' as EndpointId, term: 1, leaderlessMs: 0, isLeaving: false, catchUpMs: 1000, isListed: true, isReplacementDue: false, isFailing: false, leaving: new Set(), commitHolders: undefined, isHandoverOpen: false, isLeaseOpen: false, rank: 0, mayClaim: true, isLeaseHolder: true
 }
 
 /** Runs one failover on a virtual clock and returns its actions as short texts. */
@@ -447,6 +447,37 @@
   })
 })
 
+// Guards against what a host leaves behind that ends during a failover, of a primary that is well: stopped replicas, and an order that is carried out late.
+describe('what another host left behind', () => {
+  const claimed = (change: Partial<GroupFailoverView>) => {
+    const failover = harness({ commitHolders: COMMIT_HOLDERS, ...change })
+    return [failover.pass(200), failover.step({ kind: 'claimed', fence: 7, tookMs: 10 })]
+  }
+
+  it.each<[string, Partial<GroupFailoverView>, string[][]]>([
+    ['stopped replicas receive again', { isLeaseOpen: true }, [['claim abandoned'], ['giveUp']]],
+    ['an announced handover is done anew', { isLeaseOpen: true, isHandoverOpen: true }, [['claim unfinished'], ['survey handover']]],
+    ['nothing is done while the lease runs', { isLeaseOpen: true, mayClaim: false }, [[], []]],
+    ['nothing is done where commits wait for no replica', { isLeaseOpen: true, isHandoverOpen: true, commitHolders: undefined }, [[], []]]
+  ])('%s', (_, change, actions) => expect(claimed(change)).toEqual(actions))
+
+  it('a primary that fails is replaced as usual', () => expect(claimed({ isLeaseOpen: true, isFailing: true })[0]).toEqual(['claim unreached asking']))
+
+  it('the store being away, the endpoints are left alone', () => {
+    const failover = harness({ commitHolders: COMMIT_HOLDERS, isLeaseOpen: true })
+    failover.pass(200)
+    expect(failover.step({ kind: 'claimLost' })).toEqual([])
+  })
+
+  it('a leaving primary\'s replicas have time to catch up, however long this host waited for the lease', () => {
+    const failover = harness({ commitHolders: COMMIT_HOLDERS, isLeaving: true, mayClaim: false })
+    failover.pass(3000)
+    failover.see({ mayClaim: true }).pass(100)
+    failover.step({ kind: 'claimed', fence: 7, tookMs: 10 })
+    expect(failover.surveyed('a 1:9 primary', 'b 1:8', 'c 1:7')).toEqual(['hand over from a to b in term 1'])
+  })
+})
+
 // Guards against replicas that stay stopped after a failover without a promotion, so that no commit is acknowledged any more.
 describe('replicas receive again', () => {
   it.each<[string, (failover: Harness) => string[]]>([
--- a/src/core/pool/failover/groupfailover.ts
+++ b/src/core/pool/failover/groupfailover.ts
@@ -10,6 +10,7 @@
 import type { Instant } from '../../id/instant.ts'
 import type { EndpointStatus } from '../../statement/endpointstatus.ts'
 import type { CommitHolders } from './commitholders.ts'
+import type { FailoverCause } from './failovercause.ts'
 import { Handover } from './handover.ts'
 import { timings } from './timings.ts'
 import type { GroupFailoverAction } from './groupfailoveraction.ts'
@@ -99,7 +100,7 @@
     switch (event.kind) {
       case 'tick': return this.tick(view, now)
       case 'claimed': return this.claimed(event, view, now)
-      case 'claimLost': return this.searchPrimary(MAX_SEARCHES)
+      case 'claimLost': return this.claimLost(view, now)
       case 'confirmed': return this.confirmed(event.fence, view, now)
       case 'objected': return this.objected(event.fence, now)
       case 'surveyed': return this.surveyed(event.statuses, view, now)
@@ -115,7 +116,7 @@
     const unstopped = this.unstopped(view)
     if (unstopped.length > 0) return this.to(phase, [{ kind: 'stop', endpoints: unstopped }], { stopped: view.commitHolders })
     switch (phase.kind) {
-      case 'idle': return now >= phase.until && causeOf(view) !== undefined ? this.waitForTurn(view, now) : this.idle
+      case 'idle': return now >= phase.until && this.causeFor(view) !== undefined ? this.waitForTurn(view, now) : this.idle
       case 'waiting': return now >= phase.until ? this.claim(view, now) : this.idle
       case 'awaitingObjections': return now >= phase.until ? this.confirm(phase.fence, view, now) : this.idle
       case 'searchPaused': return now >= phase.until ? this.searchPrimary(phase.left) : this.idle
@@ -145,7 +146,7 @@
     const cause = this.causeFor(view)
     if (cause === undefined) return this.rest(now)
     if (!view.mayClaim) return this.idle
-    const asksFor = cause === 'leaving' || cause === 'nobody' ? undefined : view.leader
+    const asksFor = cause === 'gone' || cause === 'unreached' ? view.leader : undefined
     return this.to({ kind: 'claiming' }, [{ kind: 'claim', cause, asksFor }])
   }
 
@@ -156,11 +157,15 @@
   private claimed ({ fence, tookMs }: Extract<GroupFailoverEvent, { kind: 'claimed' }>, view: GroupFailoverView, now: Instant): Step {
     if (this.fields.phase.kind !== 'claiming') return this.idle
     const cause = this.causeFor(view)
-    const holder = new GroupFailover({ ...this.fields, hasClaimed: true })
+    // A host that waited long for the lease gives a leaving primary's replicas as much time to catch up as the first one did.
+    const isTakeover = view.commitHolders !== undefined && !this.fields.hasClaimed
+    const holder = new GroupFailover({ ...this.fields, hasClaimed: true, since: isTakeover ? now : this.fields.since })
     if (cause === undefined) return holder.rest(now)
     const successor = this.unansweredOrder(view)
     if (successor !== undefined) return holder.order(fence, successor, holder.handover(successor, [], view), false)
-    if (cause === 'leaving' || cause === 'nobody') return holder.survey(fence, view, cause === 'leaving')
+    if (cause === 'abandoned') return holder.rest(now)
+    if (cause === 'nobody') return holder.survey(fence, view)
+    if (cause === 'leaving' || cause === 'unfinished') return holder.survey(fence, view, true)
     return holder.to({ kind: 'awaitingObjections', until: later(now, timings.objectionWaitMs + OBJECTION_CLAIM_FACTOR * tookMs), fence }, [])
   }
 
@@ -173,8 +178,13 @@
     return commitHolders === undefined ? undefined : this.fields.unansweredOrder
   }
 
-  private causeFor (view: GroupFailoverView): ReturnType<typeof causeOf> {
-    return this.unansweredOrder(view) === undefined ? causeOf(view) : 'leaving'
+  private causeFor (view: GroupFailoverView): FailoverCause | undefined {
+    return this.unansweredOrder(view) === undefined ? causeOf(view) ?? leftoverOf(view) : 'leaving'
+  }
+
+  /** Another host holds the lease or the store is away: looks for the new primary, unless only leftovers were to be dealt with. */
+  private claimLost (view: GroupFailoverView, now: Instant): Step {
+    return view.commitHolders !== undefined && causeOf(view) === undefined ? this.rest(now) : this.searchPrimary(MAX_SEARCHES)
   }
 
   private searchPrimary (left: number): Step {
@@ -335,8 +345,18 @@
   }
 }
 
+/**
+ * What a host left behind that ended during a failover, where commits wait for a replica: replicas that it stopped, or an order that may
+ * still be carried out. A new order under a higher fence, by a survey of its own, voids that one.
+ */
+function leftoverOf ({ commitHolders, isHandoverOpen, isLeaseOpen }: GroupFailoverView): FailoverCause | undefined {
+  if (commitHolders === undefined) return undefined
+  if (isHandoverOpen) return 'unfinished'
+  return isLeaseOpen ? 'abandoned' : undefined
+}
+
 /** Why the group needs a new primary; undefined when it doesn't. */
-function causeOf ({ leader, isLeaving, isListed, isReplacementDue, isFailing, leaderlessMs }: GroupFailoverView): 'leaving' | 'gone' | 'unreached' | 'nobody' | undefined {
+function causeOf ({ leader, isLeaving, isListed, isReplacementDue, isFailing, leaderlessMs }: GroupFailoverView): FailoverCause | undefined {
   if (leader === undefined) return leaderlessMs >= LEADERLESS_TIMEOUT_MS ? 'nobody' : undefined
   if (isLeaving) return 'leaving'
   if (!isFailing) return isReplacementDue ? 'leaving' : undefined
--- a/src/core/pool/failover/groupfailoveraction.ts
+++ b/src/core/pool/failover/groupfailoveraction.ts
@@ -1,11 +1,12 @@
 /** Actions that a group's failover asks its host to carry out. */
 
 import type { EndpointId } from '../../id/endpoint.ts'
+import type { FailoverCause } from './failovercause.ts'
 import type { Handover } from './handover.ts'
 
 export type GroupFailoverAction =
   /** Claim the lease. `asksFor`: the primary that the other hosts are asked about; undefined to ask about none. */
-  | { readonly kind: 'claim', readonly cause: 'leaving' | 'gone' | 'unreached' | 'nobody', readonly asksFor: EndpointId | undefined }
+  | { readonly kind: 'claim', readonly cause: FailoverCause, readonly asksFor: EndpointId | undefined }
   /** Read from the store whether a host objected under the fence. */
   | { readonly kind: 'confirm', readonly fence: number }
   /** Ask the endpoints for their log positions. In a handover the old primary is asked too, before the others. */
--- a/src/core/pool/failover/groupfailoverview.ts
+++ b/src/core/pool/failover/groupfailoverview.ts
@@ -24,6 +24,10 @@
   readonly leaving: ReadonlySet<EndpointId>
   /** Where acknowledged commits may be; undefined where commits don't wait for a replica. */
   readonly commitHolders: CommitHolders | undefined
+  /** Whether a handover from the present primary is announced. */
+  readonly isHandoverOpen: boolean
+  /** Whether the lease was claimed for a failover that neither its holder nor another host has ended; without those of this host that are under way. */
+  readonly isLeaseOpen: boolean
   /** This host's place in the failover order; 0 acts first. */
   readonly rank: number
   /** Whether this host may claim the lease. */
--- a/src/shell/pool/failover/failovercontroller.ts
+++ b/src/shell/pool/failover/failovercontroller.ts
@@ -54,6 +54,7 @@
 const leaseShape = z.object({ holder: z.string(), asksFor: z.string().optional() })
 /** Rows of an earlier release name no term; they affect all commits of the old primary. */
 const handoverShape = z.object({ old: z.string(), successor: z.string(), term: z.number().default(Infinity) })
+const endShape = z.object({ fence: z.number() })
 const objectionShape = z.object({ fence: z.number(), endpoint: z.string() })
 
 export class FailoverController {
@@ -65,6 +66,8 @@
   /** The newest version of the group's handover row that was seen, and the one that this host wrote. */
   private handoverVersion = 0
   private ownHandover: { readonly version: number, readonly handover: Handover } | undefined
+  /** The highest fence whose failover has ended; only known where commits wait for a replica. */
+  private endedFence = 0
   private readonly probes: Probes
   /** Settles once all that were told to stop have answered. */
   private stopping: Promise<unknown> = Promise.resolve()
@@ -84,7 +87,7 @@
     for (const { id } of group.knownEndpoints) {
       if (!this.probing.has(id) && (group.reachability(id).isSuspect(clock.now()) || this.needsAnswerOf(id))) this.probe(id)
     }
-    if (!this.groupFailover.isIdle || !this.isHealthy) this.step({ kind: 'tick' })
+    if (!this.groupFailover.isIdle || !this.isHealthy || this.hasLeftover) this.step({ kind: 'tick' })
   }
 
   /** A cheap check for the normal case, in which the view needn't be built. */
@@ -94,6 +97,17 @@
     return listed !== undefined && !listed.isLeaving && !group.isLeaderUnreachable()
   }
 
+  /** Whether a host that ended may have left stopped replicas or an order behind, where commits wait for a replica. */
+  private get hasLeftover (): boolean {
+    return this.options.isSynchronous() && (this.isLeaseOpen || this.options.group.isHandoverOpen)
+  }
+
+  /** A failover of this host that is under way isn't left open. */
+  private get isLeaseOpen (): boolean {
+    const { lease, endedFence, groupFailover, options: { host } } = this
+    return lease !== undefined && lease.version > endedFence && (lease.holder !== host || groupFailover.isIdle)
+  }
+
   /** Takes in the group's lease row of the shared table. */
   leaseChanged ({ value, version }: Row): void {
     const parsed = value === undefined ? undefined : leaseShape.safeParse(readJson(value))
@@ -115,6 +129,12 @@
     this.step({ kind: 'objected', fence })
   }
 
+  /** Takes in the row that says which failover of the group was the last to end. */
+  failoverEnded ({ value }: Row): void {
+    const parsed = endShape.safeParse(value === undefined ? undefined : readJson(value))
+    if (parsed.success) this.endedFence = Math.max(this.endedFence, parsed.data.fence)
+  }
+
   /** Takes in the group's handover row of the shared table; an erased one was given up. */
   handoverAnnounced ({ value, version }: Row): void {
     if (version <= this.handoverVersion) return
@@ -142,6 +162,8 @@
       isFailing: leader !== undefined && group.reachability(leader).isFailing(clock.now()),
       leaving: new Set(endpoints.filter(({ isLeaving }) => isLeaving).map(({ id }) => id)),
       commitHolders: isSynchronous() ? group.commitHolders : undefined,
+      isHandoverOpen: group.isHandoverOpen,
+      isLeaseOpen: this.isLeaseOpen,
       rank: Math.max(0, failoverOrder().indexOf(host)),
       mayClaim: this.lease === undefined || this.lease.mayClaim(host, now),
       isLeaseHolder: this.lease?.isHeldBy(host, now) === true
@@ -292,7 +314,18 @@
     if (!hasOpenOrder) this.withdraw()
     // A stop that arrives after its resumption would last.
     await this.stopping
-    for (const { id } of [...group.endpoints, ...group.commitHolders.unlisted]) this.probes.ask(id, { kind: 'resume' })
+    const ids = [...group.endpoints, ...group.commitHolders.unlisted].map(({ id }) => id)
+    await Promise.all(ids.map(async id => await this.probes.ask(id, { kind: 'resume' })))
+    await this.recordEnd()
+  }
+
+  /** Tells the other hosts that the failover left nothing to do; without it one of them takes the lease over once it has expired. */
+  private async recordEnd (): Promise<void> {
+    const { lease, options: { host, group, platform, table, metrics, signal } } = this
+    if (lease?.holder !== host || !this.groupFailover.isIdle) return
+    metrics.storeCalls.inc({ call: 'write', table: 'shared', why: 'end' })
+    const changed = await platform.store.change([{ table, key: `ended/${group.id}`, value: JSON.stringify({ fence: lease.version }) }], signal)
+    if (changed.isOk()) this.endedFence = Math.max(this.endedFence, lease.version)
   }
 
   /** In a group without statements the primary has to be asked, so that a replica that went for good holds up no later promotion. */
--- a/src/shell/pool/group.ts
+++ b/src/shell/pool/group.ts
@@ -259,6 +259,12 @@
     this.handover = handover
   }
 
+  /** Whether a handover from the present primary is announced. */
+  get isHandoverOpen (): boolean {
+    const { leader, handover } = this
+    return leader !== undefined && handover?.old === leader && handover.term >= this.term
+  }
+
   /** The endpoint that must have received the commit of `endpoint` before it's acknowledged; undefined outside of a handover. */
   successorOf (endpoint: EndpointId, commit?: Token): EndpointId | undefined {
     return this.handover?.affects(endpoint, commit) === true ? this.handover.successor : undefined
--- a/src/shell/pool/groups.ts
+++ b/src/shell/pool/groups.ts
@@ -95,11 +95,12 @@
   /** Takes in a row of the shared table; ignores rows of other kinds. */
   applySharedRow (row: Row): void {
     const [kind, name] = row.key.split('/')
-    if (kind === 'lease' || kind === 'handover') this.sharedRows.set(row.key, row)
+    if (kind === 'lease' || kind === 'handover' || kind === 'ended') this.sharedRows.set(row.key, row)
     const successor = this.failovers.get(name as GroupId)
     if (kind === 'lease') successor?.leaseChanged(row)
     if (kind === 'objection') successor?.objectionMade(row)
     if (kind === 'handover') successor?.handoverAnnounced(row)
+    if (kind === 'ended') successor?.failoverEnded(row)
   }
 
   tick (): void {
@@ -163,6 +164,8 @@
     const handover = this.sharedRows.get(`handover/${group.id}`)
     if (lease !== undefined) successor.leaseChanged(lease)
     if (handover !== undefined) successor.handoverAnnounced(handover)
+    const ended = this.sharedRows.get(`ended/${group.id}`)
+    if (ended !== undefined) successor.failoverEnded(ended)
     return successor
   }
 }
