A handover is ordered once every host in touch has heard of it

Callers would lose acknowledged writes by way of a host that hears of a handover late: until then it acknowledges what any replica has, and the successor may be cut off after its log was compared.

Change: the comparison that lets the order go begins half a second after the announcement, several times what a change in the store takes to reach the other hosts. The old primary serves meanwhile, so the pause between acknowledged writes stays as it is; the whole replacement takes half a second longer. Only where commits wait for a replica.

--- a/src/core/pool/failover/groupfailover.test.ts
+++ b/src/core/pool/failover/groupfailover.test.ts
@@ -268,8 +268,9 @@
   ])('is not replaced: %s', (_, after, done) => expect(actions(after, { isFailing: false })).toEqual(done))
 
   // Guards against the loss of acknowledged commits to an order that a host left behind: a newer order voids it, a survey that is given up doesn't.
-  it.each([1, 2, 3])('is replaced where commits wait for a replica, after %i steps', after => {
-    expect(actions(after, { isFailing: false, commitHolders: COMMIT_HOLDERS })).toEqual(['confirm', 'survey', 'promote c under 7'])
+  // It commits again, so it's asked as one that hands over.
+  it.each([[1, 'survey'], [2, 'survey'], [3, 'survey']])('is replaced where commits wait for a replica, after %i steps', (after, survey) => {
+    expect(actions(after, { isFailing: false, commitHolders: COMMIT_HOLDERS })).toEqual(['confirm', survey, 'promote c under 7'])
   })
 
   it.each([1, 2, 3])('is replaced if it answers that it does not lead, after %i steps', after => {
@@ -393,8 +394,7 @@
   })
 
   it.each<[string, string[], string[], string[]]>([
-    ['is ordered once the successor has what the primary had after the announcement', ['a 1:12 primary', 'b 1:12'], ['promote b under 3'], []],
-    ['waits while the successor lacks a commit', ['a 1:12 primary', 'b 1:11'], [], ['compare']],
+    ['is compared again once every host has heard of it', ['a 1:12 primary', 'b 1:12'], [], ['compare']],
     ['surveys again when the successor is silent', ['a 1:12 primary'], [], ['claim leaving']],
     ['surveys again when the primary is silent', ['b 1:12'], [], ['claim leaving']],
     ['ends when the successor leads already', ['a 1:12', 'b 2:12 primary'], ['found b', 'giveUp'], []]
@@ -402,7 +402,25 @@
     const failover = handingOver()
     surveyed(failover)
     expect(failover.compared(...statuses)).toEqual(actions)
-    expect(failover.pass(400)).toEqual(later)
+    expect(failover.pass(600)).toEqual(later)
+  })
+
+  /** A handover that every host has heard of. */
+  function heard (): Harness {
+    const failover = handingOver()
+    surveyed(failover)
+    failover.compared('a 1:12 primary', 'b 1:12')
+    failover.pass(600)
+    return failover
+  }
+
+  it('is ordered once the successor has what the primary had then', () => expect(heard().compared('a 1:15 primary', 'b 1:15')).toEqual(['promote b under 3']))
+
+  it('waits while the successor lacks a commit', () => {
+    const failover = heard()
+    expect(failover.compared('a 1:15 primary', 'b 1:14')).toEqual([])
+    expect(failover.pass(200)).toEqual(['compare'])
+    expect(failover.compared('a 1:17 primary', 'b 1:17')).toEqual(['promote b under 3'])
   })
 
   it('is not ordered when it could not be announced, and the replicas receive again', () => {
@@ -412,9 +430,7 @@
   })
 
   it('is not ordered once the lease has expired', () => {
-    const failover = handingOver()
-    surveyed(failover)
-    expect(failover.see({ isLeaseHolder: false }).compared('a 1:9 primary', 'b 1:9')).toEqual(['giveUp'])
+    expect(heard().see({ isLeaseHolder: false }).compared('a 1:15 primary', 'b 1:15')).toEqual(['giveUp'])
   })
 
   // Guards against a leaving primary that ends before it's replaced: no replica receives all that it has, since what it lacks wasn't acknowledged.
--- a/src/core/pool/failover/groupfailover.ts
+++ b/src/core/pool/failover/groupfailover.ts
@@ -17,6 +17,14 @@
 import type { GroupFailoverEvent } from './groupfailoverevent.ts'
 import type { GroupFailoverView } from './groupfailoverview.ts'
 
+interface HandingOver {
+  readonly kind: 'handingOver'
+  readonly fence: number
+  readonly endpoint: EndpointId
+  /** When every host in touch has heard of the announcement, and the comparison that counts may begin; undefined before it was made. */
+  readonly heardAt: Instant | undefined
+}
+
 type Phase =
   | { readonly kind: 'idle', readonly until: Instant }
   /** Waits until this host may claim the lease; hosts of a lower rank may claim it before. */
@@ -31,9 +39,9 @@
   | { readonly kind: 'searching', readonly left: number }
   | { readonly kind: 'searchPaused', readonly left: number, readonly until: Instant }
   /** The handover is being announced, or the successor's log compared with that of the old primary. */
-  | { readonly kind: 'handingOver', readonly fence: number, readonly endpoint: EndpointId }
-  /** The announced successor lacks part of the old primary's log. */
-  | { readonly kind: 'catchingUp', readonly fence: number, readonly endpoint: EndpointId, readonly until: Instant }
+  | HandingOver
+  /** Waits until all hosts have heard of the announcement, or the successor has received more. */
+  | { readonly kind: 'catchingUp', readonly until: Instant, readonly comparison: HandingOver }
   | { readonly kind: 'ordering', readonly fence: number, readonly endpoint: EndpointId }
   /** The promotion was ordered; if the successor doesn't lead by the instant, the failover starts again. */
   | { readonly kind: 'settling', readonly until: Instant, readonly endpoint: EndpointId }
@@ -76,6 +84,8 @@
 const UNANSWERED_ORDER_MS = 500
 /** Interval between surveys while a leaving primary's replicas catch up; each one claims the lease again. */
 const CATCH_UP_INTERVAL_MS = 300
+/** Time in which hosts that are in touch hear of an announcement: several times the delay with which a change in the store reaches them. */
+const ANNOUNCEMENT_MS = 500
 /** Interval between comparisons of an announced successor's log with the old primary's. */
 const COMPARE_INTERVAL_MS = 50
 /** Surveys of one failover that may be incomplete, and the pause between them. Then another host tries, which may reach more endpoints. */
@@ -120,7 +130,7 @@
       case 'waiting': return now >= phase.until ? this.claim(view, now) : this.idle
       case 'awaitingObjections': return now >= phase.until ? this.confirm(phase.fence, view, now) : this.idle
       case 'searchPaused': return now >= phase.until ? this.searchPrimary(phase.left) : this.idle
-      case 'catchingUp': return now >= phase.until ? this.compare(phase.fence, phase.endpoint) : this.idle
+      case 'catchingUp': return now >= phase.until ? this.compare(phase.comparison) : this.idle
       case 'settling': return now >= phase.until ? this.rest(now) : this.idle
       default: return this.idle
     }
@@ -132,7 +142,7 @@
    */
   private unstopped ({ commitHolders }: GroupFailoverView): readonly EndpointId[] {
     const { phase, old, stopped, unansweredOrder } = this.fields
-    const successor = 'endpoint' in phase ? phase.endpoint : unansweredOrder
+    const { endpoint: successor = unansweredOrder } = phase.kind === 'catchingUp' ? phase.comparison : 'endpoint' in phase ? phase : {}
     if (stopped === undefined || successor === undefined) return []
     return commitHolders?.listedSince(stopped).filter(id => id !== old && id !== successor) ?? []
   }
@@ -225,8 +235,13 @@
    * could: another host that ended may have left an order behind that is still carried out, unless a newer one comes first.
    */
   private isRecovered (view: GroupFailoverView): boolean {
-    const { leader, commitHolders } = view
-    return commitHolders === undefined && leader !== undefined && leader === this.fields.old && causeOf(view) === undefined
+    return view.commitHolders === undefined && this.doesServe(view)
+  }
+
+  /** Whether the primary that is to be replaced answers again. */
+  private doesServe (view: GroupFailoverView): boolean {
+    const { leader } = view
+    return leader !== undefined && leader === this.fields.old && causeOf(view) === undefined
   }
 
   private survey (fence: number, { commitHolders }: GroupFailoverView, isHandover = false): Step {
@@ -260,7 +275,7 @@
     if (unheard.length > 0) return this.areNew(unheard, view) ? this.survey(phase.fence, view, phase.isHandover) : this.withhold(unheard, now)
     const isSynchronous = view.commitHolders !== undefined
     const handover = isServing || isSynchronous ? this.handover(endpoint, [...statuses.values()], view) : undefined
-    if (isSynchronous && isServing && mayCatchUp) return this.to({ kind: 'handingOver', fence: phase.fence, endpoint }, [{ kind: 'handOver', handover: handover! }])
+    if (isSynchronous && isServing && mayCatchUp) return this.to({ kind: 'handingOver', fence: phase.fence, endpoint, heardAt: undefined }, [{ kind: 'handOver', handover: handover! }])
     const isBehind = oldStatus?.received.isAfter(statuses.get(endpoint)!.received) === true
     if (isBehind && mayCatchUp) return this.to({ kind: 'waiting', until: later(now, CATCH_UP_INTERVAL_MS) }, [])
     return this.order(phase.fence, endpoint, handover, isServing)
@@ -272,23 +287,28 @@
     return old === undefined ? undefined : Handover.of({ old, successor, term: Math.max(view.term, ...statuses.map(({ term }) => term)) })
   }
 
-  /** Orders the promotion once the successor has all that the old primary had after the handover was announced. */
+  /**
+   * Orders the promotion once the successor has all that the old primary had when the hosts had heard of the handover. Until then a host
+   * may acknowledge commits that only another replica has; after that all wait for the successor.
+   */
   private compared (statuses: ReadonlyMap<EndpointId, EndpointStatus> | undefined, view: GroupFailoverView, now: Instant): Step {
     const { phase, old, since } = this.fields
     if (phase.kind !== 'handingOver') return this.idle
-    const { fence, endpoint } = phase
+    const { fence, endpoint, heardAt } = phase
     if (statuses === undefined) return this.to({ kind: 'waiting', until: later(now, ORDER_RETRY_MS) }, [this.giveUp])
     const successor = statuses.get(endpoint)
     const oldStatus = old === undefined ? undefined : statuses.get(old)
     if (successor?.isPrimary === true) return this.rest(now, [{ kind: 'found', endpoint, term: successor.term }])
     const isComparable = successor !== undefined && oldStatus?.isPrimary === true
     if (!isComparable || now - since >= view.catchUpMs) return this.to({ kind: 'waiting', until: later(now, CATCH_UP_INTERVAL_MS) }, [])
-    if (oldStatus.received.isAfter(successor.received)) return this.to({ kind: 'catchingUp', fence, endpoint, until: later(now, COMPARE_INTERVAL_MS) }, [])
+    const isComplete = heardAt !== undefined && !oldStatus.received.isAfter(successor.received)
+    const comparison = { ...phase, heardAt: heardAt ?? later(now, ANNOUNCEMENT_MS) }
+    if (!isComplete) return this.to({ kind: 'catchingUp', until: heardAt === undefined ? comparison.heardAt : later(now, COMPARE_INTERVAL_MS), comparison }, [])
     return view.isLeaseHolder ? this.order(fence, endpoint, undefined, true) : this.rest(now)
   }
 
-  private compare (fence: number, endpoint: EndpointId): Step {
-    return this.to({ kind: 'handingOver', fence, endpoint }, [{ kind: 'compare', old: this.fields.old!, successor: endpoint }])
+  private compare (comparison: HandingOver): Step {
+    return this.to(comparison, [{ kind: 'compare', old: this.fields.old!, successor: comparison.endpoint }])
   }
 
   /** Whether the endpoints were listed only during the survey, so that they weren't asked. */
