An old primary that answers again is asked before its replacement; generated orders of events

Callers would lose acknowledged writes: the primary comes back between the claim and the survey of an unplanned promotion, and commits by way of a replica that starts again after the survey stopped it, before the hosts have heard of the successor.

Found by groupfailover.receivers.test.ts, which plays generated orders of events in virtual time: replicas that start, start again, aren't listed or are cut off, hosts that end, orders that are carried out late.

Change: where commits wait for a replica, a primary that answers again by the time of the survey is handed over from like one that leaves, so the order waits until the successor has all that it has.

--- a/src/core/pool/failover/groupfailover.ts
+++ b/src/core/pool/failover/groupfailover.ts
@@ -224,7 +224,7 @@
   private confirmed (fence: number, view: GroupFailoverView, now: Instant): Step {
     const { phase } = this.fields
     if (phase.kind !== 'confirming' || phase.fence !== fence) return this.idle
-    return this.isRecovered(view) ? this.rest(now) : this.survey(fence, view)
+    return this.isRecovered(view) ? this.rest(now) : this.survey(fence, view, this.doesServe(view))
   }
 
   /**
